--- /dev/null
+++ b/src/cuminhoist/transport.py
@@ -0,0 +1,189 @@
+"""Requests and replies between instances."""
+
+import abc
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pynng
+from returns.result import Failure, Result, Success
+
+from .codec import Codec, Message, Received, message
+from .exceptions import TransportError
+from .logs import logger
+from .settings import Instance
+
+#: Handles one request of a sender; the reply goes back to it.
+Handler = Callable[[str, Message], Awaitable[Message]]
+
+#: Long polls hold a context each, so there are more than children.
+SERVER_CONTEXTS = 32
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+
+_log = logger('transport')
+
+
+@message
+class ErrorReply(Message, frozen=True):
+    """The receiver could not handle the request."""
+
+    reason: str
+
+
+class Transport(abc.ABC):
+    """Carries requests to other instances and serves theirs."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[type[Message], Handler] = {}
+
+    def register(self, kind: type[Message], handler: Handler) -> None:
+        """Serve requests of one message class.
+
+        :param kind: the message class.
+        :param handler: called with the sender's name and the message.
+        """
+        self._handlers[kind] = handler
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        peer: str,
+        msg: Message,
+        timeout_s: float,
+    ) -> Result[Message, TransportError]:
+        """Send a request and wait for its reply.
+
+        :param peer: name of the instance to call.
+        :param msg: the request.
+        :param timeout_s: longest time to wait, in seconds.
+        """
+
+    async def handle(self, received: Received) -> Message:
+        """Return the reply to a received request.
+
+        :param received: the request and its sender.
+        """
+        handler = self._handlers.get(type(received.message))
+        if handler is None:
+            return ErrorReply(reason='this instance does not serve it')
+        return await handler(received.sender, received.message)
+
+
+class PynngTransport(Transport):
+    """A transport over nng request and reply sockets on TCP.
+
+    :param codec: codec with the cluster key.
+    :param own: this instance.
+    :param peers: all instances that may be called.
+    """
+
+    def __init__(
+        self,
+        codec: Codec,
+        own: Instance,
+        peers: tuple[Instance, ...],
+    ) -> None:
+        super().__init__()
+        self._codec = codec
+        self._own = own
+        self._peers: dict[str, Instance] = {peer.name: peer for peer in peers}
+        self._dialled: dict[str, pynng.Req0] = {}
+        self._server: pynng.Rep0 | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self.rejected_frames = 0
+
+    async def start(self) -> None:
+        """Listen for requests of other instances."""
+        address = f'tcp://{self._own.host}:{self._own.internal_port}'
+        self._server = pynng.Rep0(listen=address)
+        for _ in range(SERVER_CONTEXTS):
+            self._tasks.append(asyncio.create_task(self._serve()))
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for sock in self._dialled.values():
+            sock.close()
+        if self._server is not None:
+            self._server.close()
+
+    async def call(
+        self,
+        peer: str,
+        msg: Message,
+        timeout_s: float,
+    ) -> Result[Message, TransportError]:
+        """Send a request and wait for its reply.
+
+        :param peer: name of the instance to call.
+        :param msg: the request.
+        :param timeout_s: longest time to wait, in seconds.
+        """
+        if peer not in self._peers:
+            return Failure(TransportError(peer, 'unknown instance', sent=False))
+        try:
+            async with asyncio.timeout(timeout_s):
+                frame = await self._exchange(peer, self._codec.encode(msg))
+        except TimeoutError:
+            return Failure(TransportError(peer, 'timeout'))
+        except pynng.NNGException as exc:
+            return Failure(TransportError(peer, str(exc)))
+        return self._read_reply(peer, frame)
+
+    async def _exchange(self, peer: str, frame: bytes) -> bytes:
+        with self._socket(peer).new_context() as context:
+            await context.asend(frame)
+            reply: bytes = await context.arecv()
+            return reply
+
+    def _read_reply(
+        self,
+        peer: str,
+        frame: bytes,
+    ) -> Result[Message, TransportError]:
+        decoded = self._codec.decode(frame)
+        if not isinstance(decoded, Success):
+            self.rejected_frames += 1
+            return Failure(TransportError(peer, str(decoded.failure())))
+        reply = decoded.unwrap().message
+        if isinstance(reply, ErrorReply):
+            return Failure(TransportError(peer, reply.reason))
+        return Success(reply)
+
+    def _socket(self, peer: str) -> pynng.Req0:
+        sock = self._dialled.get(peer)
+        if sock is None:
+            sock = pynng.Req0(resend_time=-1)
+            sock.reconnect_time_min = RECONNECT_MIN_MS
+            sock.reconnect_time_max = RECONNECT_MAX_MS
+            instance = self._peers[peer]
+            sock.dial(
+                f'tcp://{instance.host}:{instance.internal_port}',
+                block=False,
+            )
+            self._dialled[peer] = sock
+        return sock
+
+    async def _serve(self) -> None:
+        if self._server is None:
+            return
+        with self._server.new_context() as context:
+            while True:
+                frame = await context.arecv()
+                reply = await self._reply_to(frame)
+                await context.asend(self._codec.encode(reply))
+
+    async def _reply_to(self, frame: bytes) -> Message:
+        decoded = self._codec.decode(frame)
+        if not isinstance(decoded, Success):
+            self.rejected_frames += 1
+            _log.warning('Rejected a frame: {}.', decoded.failure())
+            return ErrorReply(reason='rejected')
+        received = decoded.unwrap()
+        try:
+            return await self.handle(received)
+        except Exception:
+            _log.exception('A request failed.')
+            return ErrorReply(reason='internal error')
