--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of a whole deployment on loopback."""
--- a/src/cuminhoist/transport.py
+++ b/src/cuminhoist/transport.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import pynng
@@ -90,6 +91,7 @@
         self._dialled: dict[str, pynng.Req0] = {}
         self._server: pynng.Rep0 | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._handling: set[asyncio.Task[Message]] = set()
         self.rejected_frames = 0
 
     async def start(self) -> None:
@@ -101,13 +103,13 @@
 
     async def stop(self) -> None:
         """Close all sockets."""
-        for task in self._tasks:
-            task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for handling in self._handling:
+            handling.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for sock in self._dialled.values():
             sock.close()
-        if self._server is not None:
-            self._server.close()
 
     async def call(
         self,
@@ -133,10 +135,16 @@
         return self._read_reply(peer, frame)
 
     async def _exchange(self, peer: str, frame: bytes) -> bytes:
-        with self._socket(peer).new_context() as context:
-            await context.asend(frame)
-            reply: bytes = await context.arecv()
-            return reply
+        # The library can ignore the cancellation of an operation, which
+        # would leave the task waiting for ever. Closing the context ends
+        # the operation, so it runs in a task that is never cancelled.
+        context = self._socket(peer).new_context()
+        exchange = asyncio.create_task(_send_and_receive(context, frame))
+        exchange.add_done_callback(_retrieve_exception)
+        try:
+            return await asyncio.shield(exchange)
+        finally:
+            context.close()
 
     def _read_reply(
         self,
@@ -169,11 +177,15 @@
     async def _serve(self) -> None:
         if self._server is None:
             return
-        with self._server.new_context() as context:
+        context = self._server.new_context()
+        with contextlib.suppress(pynng.Closed, asyncio.CancelledError):
             while True:
                 frame = await context.arecv()
-                reply = await self._reply_to(frame)
-                await context.asend(self._codec.encode(reply))
+                handling = asyncio.create_task(self._reply_to(frame))
+                self._handling.add(handling)
+                handling.add_done_callback(self._handling.discard)
+                reply = self._codec.encode(await handling)
+                await context.asend(reply)
 
     async def _reply_to(self, frame: bytes) -> Message:
         decoded = self._codec.decode(frame)
@@ -187,3 +199,14 @@
         except Exception:
             _log.exception('A request failed.')
             return ErrorReply(reason='internal error')
+
+
+async def _send_and_receive(context: pynng.Context, frame: bytes) -> bytes:
+    await context.asend(frame)
+    reply: bytes = await context.arecv()
+    return reply
+
+
+def _retrieve_exception(task: asyncio.Task[bytes]) -> None:
+    if not task.cancelled():
+        task.exception()
