Add the block map and ordered look-ups

Look-ups name entry instances of the client's home failure domain first, then others, so that cached answers survive the loss of a place. Callers of a drained part spread by weighted rendezvous hashing; an announced drain moves them step by step.

--- a/src/cuminhoist/api.py
+++ b/src/cuminhoist/api.py
@@ -149,7 +149,7 @@
     """
 
     @get('/v1/lookup', sync_to_thread=False)
-    def find(service: str, caller: str) -> LookupAnswer:
-        return lookup.find(caller, frozenset())
+    def find(service: str, caller: str, client: str = '') -> LookupAnswer:
+        return lookup.find(service, caller, client)
 
     return find
--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -10,6 +10,8 @@
 from returns.result import Failure
 
 from .api import lookup_handler, services_handler
+from .blocks import BlockMap
+from .clock import SystemClock
 from .codec import Codec
 from .control_api import change_handler, config_handler
 from .delivery import WatchClient, WatchServer
@@ -18,7 +20,7 @@
 from .httpserver import HttpServer
 from .inforce import ConfigInForce
 from .logs import configure_logs, logger
-from .lookup import Lookup
+from .lookup import DrainPlan, EntryView, Lookup
 from .settings import Role, Settings, Topology, load_struct
 from .state import ControlState
 from .transport import PynngTransport
@@ -26,6 +28,24 @@
 _log = logger('daemon')
 
 
+class AllUsable(EntryView):
+    """A view that takes every instance for usable."""
+
+    def is_usable(self, name: str) -> bool:
+        """Return True.
+
+        :param name: name of the instance.
+        """
+        return True
+
+    def ticket_of(self, name: str) -> str:
+        """Return an empty ticket.
+
+        :param name: name of the instance.
+        """
+        return ''
+
+
 class Node:
     """All parts of one instance.
 
@@ -76,6 +96,15 @@
         await self._client.close()
         await self._transport.stop()
 
+    def _lookup(self) -> Lookup:
+        return Lookup(
+            self._topology,
+            self._topology.instance(self._cfg.name),
+            BlockMap.from_blocks(self._topology.blocks),
+            AllUsable(),
+            DrainPlan(self.in_force, SystemClock()),
+        )
+
     def _app(self) -> Litestar:
         entry = EntryService(
             self._topology,
@@ -85,7 +114,7 @@
         )
         handlers = [
             services_handler(entry),
-            lookup_handler(Lookup(self._topology, self._cfg.domain)),
+            lookup_handler(self._lookup()),
             config_handler(self.in_force),
         ]
         if Role.control in self._cfg.roles:
--- a/src/cuminhoist/transport.py
+++ b/src/cuminhoist/transport.py
@@ -92,6 +92,7 @@
         self._server: pynng.Rep0 | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._handling: set[asyncio.Task[Message]] = set()
+        self._contexts: list[pynng.Context] = []
         self.rejected_frames = 0
 
     async def start(self) -> None:
@@ -103,6 +104,8 @@
 
     async def stop(self) -> None:
         """Close all sockets."""
+        for context in self._contexts:
+            context.close()
         if self._server is not None:
             self._server.close()
         for handling in self._handling:
@@ -178,6 +181,7 @@
         if self._server is None:
             return
         context = self._server.new_context()
+        self._contexts.append(context)
         with contextlib.suppress(pynng.Closed, asyncio.CancelledError):
             while True:
                 frame = await context.arecv()
--- /dev/null
+++ b/tests/test_blocks.py
@@ -0,0 +1,83 @@
+"""Tests of the block map against a naive version."""
+
+import ipaddress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminhoist.blocks import NO_SITE, BlockMap, RangeMap
+from cuminhoist.settings import Block
+
+KEYS = 64
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, KEYS - 1),
+            st.integers(1, KEYS),
+            st.integers(0, 3),
+        ),
+        max_size=20,
+    ),
+)
+def test_range_map_equals_naive_table(runs):
+    """Guards against wrong splits and merges of ranges."""
+    naive = [NO_SITE] * KEYS
+    found = RangeMap('I')
+    for first, length, site in runs:
+        count = min(length, KEYS - first)
+        found.assign(first, count, site)
+        naive[first : first + count] = [site] * count
+    assert [found.find(key) for key in range(KEYS)] == naive
+    changes = sum(
+        left != right for left, right in zip(naive, naive[1:], strict=False)
+    )
+    assert len(found) <= changes + 2
+
+
+def test_range_map_reaches_the_last_key():
+    """Guards against an overflow at the end of the address space."""
+    found = RangeMap('I')
+    found.assign(2**32 - 256, 256, 7)
+    assert found.find(2**32 - 1) == 7
+    assert found.find(2**32 - 257) == NO_SITE
+
+
+@pytest.mark.parametrize(
+    ('address', 'home'),
+    [
+        ('10.1.2.3', 'narrow'),
+        ('10.1.3.1', 'wide'),
+        ('10.2.0.1', None),
+        ('2001:db8::1', 'six'),
+        ('2001:db9::1', None),
+        ('not an address', None),
+    ],
+)
+def test_longest_prefix_wins(address, home):
+    """Guards against a wide block hiding a narrow one."""
+    blocks = BlockMap.from_blocks(
+        (
+            Block(network='10.1.2.0/24', domain='narrow'),
+            Block(network='10.1.0.0/16', domain='wide'),
+            Block(network='2001:db8::/32', domain='six'),
+        )
+    )
+    assert blocks.find(address) == home
+
+
+def test_sorted_load_equals_assignment():
+    """Guards against a difference between bulk load and single changes."""
+    starts = range(0, 4096, 16)
+    bulk = RangeMap('I')
+    bulk.extend_sorted((start, start % 5) for start in starts)
+    single = RangeMap('I')
+    for start in starts:
+        single.assign(start, 2**32 - start, start % 5)
+    keys = [int(ipaddress.ip_address('0.0.0.0')) + step for step in range(5000)]
+    assert [bulk.find(key) for key in keys] == [
+        single.find(key) for key in keys
+    ]
