--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,207 @@
+"""Runs a deployment through a change, a drain and a crash."""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+from collections.abc import Coroutine
+
+import fire
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from cuminhoist.lists import Accepted, Caller, Change, Drain
+from cuminhoist.logs import configure_logs
+from cuminhoist.settings import LogSettings
+from cuminhoist.types import CallerName, DrainScope
+
+from . import callers, deployment
+from .audit import Evidence, violations
+from .traffic import Mix, Traffic
+
+CHANGE_IN_FORCE_S = 2.0
+DRAIN_GRACE_S = 3.0
+PHASE_S = 4.0
+NEW_CALLER = CallerName('new-customer')
+
+
+class DemoReport(msgspec.Struct, kw_only=True):
+    """Counts of a run and every promise that was broken."""
+
+    deployment: str
+    requests: int = 0
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    lost: int = 0
+    violations: list[str] = []
+
+
+class Demo:
+    """One run of the demonstration.
+
+    :param local: the deployment to run.
+    :param rate_per_s: mean rate of requests.
+    :param seed: seed of all choices.
+    """
+
+    def __init__(
+        self,
+        local: deployment.LocalDeployment,
+        rate_per_s: float,
+        seed: int,
+    ) -> None:
+        self._local = local
+        addresses = tuple(
+            deployment.address_of(entry) for entry in local.topology.entries()
+        )
+        self._caller = callers.Caller(addresses, seed)
+        mix = Mix.from_lists(local.topology, local.plans, local.allowances)
+        self.traffic = Traffic(
+            local.topology,
+            mix,
+            self._caller,
+            rate_per_s,
+            seed,
+        )
+        self.found: list[str] = []
+        self._console = Console(stderr=True)
+
+    async def run(self) -> None:
+        """Run all phases."""
+        await self._phase('baseline', asyncio.sleep(0))
+        await self._phase('change of the plans', self._change_plans())
+        await self._phase('drain of an upstream', self._drain_upstream())
+        await self._phase('crash of an instance', self._crash())
+        await self._phase('planned stop of an instance', self._planned_stop())
+        await self._caller.close()
+
+    async def _phase(
+        self, title: str, action: Coroutine[None, None, None]
+    ) -> None:
+        self._console.print(f'{title} ...')
+        await asyncio.gather(self.traffic.run(PHASE_S), action)
+
+    async def _change_plans(self) -> None:
+        plans = self._local.plans
+        grown = msgspec.structs.replace(
+            plans,
+            callers=(
+                *plans.callers,
+                Caller(name=NEW_CALLER, plan=plans.plans[0].name),
+            ),
+        )
+        outcome = await self._local.apply(
+            Change(change_id='demo-grow', base_version=1, plans=grown),
+        )
+        if not isinstance(outcome, Accepted):
+            self.found.append(f'the change was not accepted: {outcome}')
+            return
+        late = await self._local.wait_in_force(
+            outcome.version,
+            CHANGE_IN_FORCE_S,
+        )
+        self.found.extend(f'{name} did not get the change' for name in late)
+        await self._check_in_force()
+
+    async def _check_in_force(self) -> None:
+        # The change is in force where a decision uses it: the new caller is
+        # known to every entry instance.
+        service = self._local.topology.services[0]
+        req = callers.Request(
+            request_id=callers.next_id(),
+            caller=NEW_CALLER,
+            service=service.name,
+            kind=service.kinds[0],
+        )
+        outcome = await self._caller.send(req)
+        self.traffic.outcomes.append(outcome)
+        if outcome.reason == 'unknown-caller':
+            self.found.append(f'{outcome.entry} does not know the new caller')
+
+    async def _drain_upstream(self) -> None:
+        target = self._local.topology.targets[0]
+        drain = Drain(scope=DrainScope.upstream, name=target.name)
+        await self._local.apply(Change.from_drain('demo-drain', drain))
+        await asyncio.sleep(DRAIN_GRACE_S)
+        state = self._local.upstreams.by_port[target.port]
+        before = len(state.served) + state.in_flight
+        await asyncio.sleep(PHASE_S - DRAIN_GRACE_S)
+        after = len(state.served) + state.in_flight
+        if after > before:
+            self.found.append(f'{target.name} got work after its drain')
+
+    async def _crash(self) -> None:
+        victim = self._local.topology.entries()[-1]
+        await self._local.kill(victim.name)
+
+    async def _planned_stop(self) -> None:
+        victim = self._local.topology.entries()[1]
+        first = len(self.traffic.outcomes)
+        await self._local.nodes.pop(victim.name).stop()
+        self.found.extend(
+            f'the stop of {victim.name} cut {outcome.request.request_id}'
+            for outcome in self.traffic.outcomes[first:]
+            if outcome.result == 'lost' and outcome.ran == 'unknown'
+        )
+
+
+def _show(demo: Demo) -> None:
+    table = Table(title='Requests by kind')
+    for column in ('service', 'kind', 'answered', 'refused', 'failed', 'lost'):
+        table.add_column(column)
+    counts: dict[tuple[str, str], dict[str, int]] = {}
+    for outcome in demo.traffic.outcomes:
+        place = (outcome.request.service, outcome.request.kind.name)
+        row = counts.setdefault(place, {})
+        row[outcome.result] = row.get(outcome.result, 0) + 1
+    for (service, kind), row in sorted(counts.items()):
+        cells = [
+            str(row.get(result, 0))
+            for result in ('answered', 'refused', 'failed', 'lost')
+        ]
+        table.add_row(service, kind, *cells)
+    Console().print(table)
+
+
+async def _run(name: str, rate_per_s: float, seed: int) -> DemoReport:
+    with tempfile.TemporaryDirectory() as folder:
+        local = deployment.LocalDeployment(name, pathlib.Path(folder))
+        await local.start()
+        demo = Demo(local, rate_per_s, seed)
+        await demo.run()
+        await local.stop()
+    evidence = Evidence.from_run(demo.traffic.outcomes, local.upstreams)
+    _show(demo)
+    endings = [outcome.result for outcome in evidence.outcomes]
+    return DemoReport(
+        deployment=name,
+        requests=len(endings),
+        answered=endings.count('answered'),
+        refused=endings.count('refused'),
+        failed=endings.count('failed'),
+        lost=endings.count('lost'),
+        violations=[*demo.found, *violations(local.topology, evidence)],
+    )
+
+
+def main(
+    deployment: str = 'porth-data',
+    rate_per_s: float = 60,
+    seed: int = 1,
+) -> None:
+    """Run the demonstration; the last line is a JSON report.
+
+    :param deployment: folder of the example to run.
+    :param rate_per_s: mean rate of requests.
+    :param seed: seed of all choices.
+    """
+    configure_logs(LogSettings(level='WARNING'))
+    report = asyncio.run(_run(deployment, rate_per_s, seed))
+    print(msgspec.json.encode(report).decode())
+    sys.exit(1 if report.violations else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/demo/callers.py
@@ -0,0 +1,181 @@
+"""A caller: look-ups with a cache, keys, and requests over HTTP."""
+
+import asyncio
+import itertools
+import random
+
+import httpx
+import msgspec
+
+from cuminhoist.lookup import EntryAddress, LookupAnswer
+from cuminhoist.settings import Kind
+from cuminhoist.types import (
+    CALLER_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    KIND_HEADER,
+)
+
+_ids = itertools.count(1)
+
+
+class Request(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that a caller wants to make.
+
+    :param request_id: identity that the stand-ins record and echo.
+    :param body_bytes: size of the body; 0 for a GET.
+    """
+
+    request_id: str
+    caller: str
+    service: str
+    kind: Kind
+    client: str = ''
+    body_bytes: int = 0
+    deadline_ms: int = 2000
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a request.
+
+    :param result: ``answered``, ``refused``, ``failed`` (a target's error)
+        or ``lost`` (no answer of an entry instance).
+    :param ran: ``run``, ``not-run`` or ``unknown``.
+    """
+
+    request: Request
+    result: str
+    ran: str
+    reason: str = ''
+    entry: str = ''
+    latency_s: float = 0
+
+
+class Caller:
+    """Sends requests as a client of the system does.
+
+    :param lookups: HTTP addresses of instances to ask for look-ups.
+    :param seed: seed of the choice among them.
+    """
+
+    def __init__(self, lookups: tuple[str, ...], seed: int = 1) -> None:
+        self._lookups = lookups
+        self._random = random.Random(seed)  # noqa: S311
+        self._cache: dict[tuple[str, str, str], tuple[float, LookupAnswer]] = {}
+        self._http = httpx.AsyncClient(
+            trust_env=False,
+            timeout=15,
+            limits=httpx.Limits(max_connections=None),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+    async def send(self, req: Request) -> Outcome:
+        """Look up an entry instance, send the request, return its outcome.
+
+        A request that an entry instance did not run is sent to the next one.
+
+        :param req: the request.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        found = await self._look_up(req)
+        outcome = Outcome(request=req, result='lost', ran='not-run')
+        for entry in found.entries[:3]:
+            outcome = await self._send_to(entry, req)
+            if outcome.result != 'lost' or outcome.ran != 'not-run':
+                break
+        return msgspec.structs.replace(
+            outcome,
+            latency_s=loop.time() - started,
+        )
+
+    async def _look_up(self, req: Request) -> LookupAnswer:
+        now = asyncio.get_running_loop().time()
+        place = (req.service, req.caller, req.client)
+        cached = self._cache.get(place)
+        if cached is not None and cached[0] > now:
+            return cached[1]
+        for address in self._random.sample(self._lookups, len(self._lookups)):
+            answer = await self._ask(address, req)
+            if answer is not None and answer.entries:
+                self._cache[place] = (now + answer.lifetime_s, answer)
+                return answer
+        return cached[1] if cached else LookupAnswer(req.service, '', (), 0)
+
+    async def _ask(self, address: str, req: Request) -> LookupAnswer | None:
+        try:
+            reply = await self._http.get(
+                f'{address}/v1/lookup',
+                params={
+                    'service': req.service,
+                    'caller': req.caller,
+                    'client': req.client,
+                },
+                timeout=1,
+            )
+        except httpx.TransportError:
+            return None
+        return msgspec.json.decode(reply.content, type=LookupAnswer)
+
+    async def _send_to(self, entry: EntryAddress, req: Request) -> Outcome:
+        headers = {
+            CALLER_HEADER: req.caller,
+            KIND_HEADER: req.kind.name,
+            DEADLINE_HEADER: str(req.deadline_ms),
+        }
+        if req.client:
+            headers['x-cuminhoist-client'] = req.client
+        if not req.kind.repeatable:
+            headers[KEY_HEADER] = f'{entry.ticket}.{req.request_id}'
+        url = f'{entry.address}/v1/services/{req.service}/{req.kind.name}'
+        try:
+            reply = await self._http.request(
+                'POST' if req.body_bytes else 'GET',
+                url,
+                params={'id': req.request_id},
+                headers=headers,
+                content=b'x' * req.body_bytes if req.body_bytes else None,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            return Outcome(request=req, result='lost', ran='not-run')
+        except httpx.TransportError as exc:
+            reason = type(exc).__name__
+            return Outcome(
+                request=req,
+                result='lost',
+                ran='unknown',
+                reason=reason,
+            )
+        return _read_outcome(req, entry, reply)
+
+
+def _read_outcome(
+    req: Request,
+    entry: EntryAddress,
+    reply: httpx.Response,
+) -> Outcome:
+    if reply.headers.get('content-type') == 'application/problem+json':
+        problem = reply.json()
+        return Outcome(
+            request=req,
+            result='refused',
+            ran=problem['ran'],
+            reason=problem['reason'],
+            entry=entry.name,
+        )
+    wrong = reply.headers.get('x-request-id', req.request_id) != req.request_id
+    return Outcome(
+        request=req,
+        result='answered' if reply.is_success else 'failed',
+        ran='run',
+        reason='wrong answer' if wrong else '',
+        entry=entry.name,
+    )
+
+
+def next_id() -> str:
+    """Return a request id that was not used in this process."""
+    return f'r{next(_ids)}'
--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,184 @@
+"""A whole deployment in one process on loopback."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+
+import httpx
+import msgspec
+
+from cuminhoist.daemon import Node
+from cuminhoist.lists import Allowances, Change, ChangeOutcome, Plans
+from cuminhoist.settings import Instance, Settings, Topology, load_struct
+
+from .standins import StandinUpstreams
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+CLUSTER_KEY = 'demo-key'
+POLL_S = 0.02
+CHANGE_TIMEOUT_S = 10.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that nothing listens on.
+
+    :param count: how many ports.
+    """
+    with contextlib.ExitStack() as stack:
+        return [_bound_port(stack) for _ in range(count)]
+
+
+def _bound_port(stack: contextlib.ExitStack) -> int:
+    sock = stack.enter_context(socket.socket())
+    sock.bind(('127.0.0.1', 0))
+    return int(sock.getsockname()[1])
+
+
+def on_free_ports(topology: Topology) -> Topology:
+    """Return a topology with all listeners moved to free ports.
+
+    :param topology: the topology as its file has it.
+    """
+    ports = iter(
+        free_ports(2 * len(topology.instances) + len(topology.targets)),
+    )
+    replace = msgspec.structs.replace
+    return replace(
+        topology,
+        instances=tuple(
+            replace(
+                instance,
+                http_port=next(ports),
+                internal_port=next(ports),
+            )
+            for instance in topology.instances
+        ),
+        targets=tuple(
+            replace(target, port=next(ports)) for target in topology.targets
+        ),
+    )
+
+
+class LocalDeployment:
+    """All instances and stand-in upstreams of an example.
+
+    :param name: folder of the example.
+    :param data_folder: parent of the instances' data folders.
+    """
+
+    def __init__(self, name: str, data_folder: pathlib.Path) -> None:
+        folder = EXAMPLES / name
+        self.topology = on_free_ports(
+            load_struct(folder / 'topology.json', Topology).unwrap(),
+        )
+        self.plans = load_struct(folder / 'plans.json', Plans).unwrap()
+        self.allowances = load_struct(
+            folder / 'allowances.json',
+            Allowances,
+        ).unwrap()
+        self.upstreams = StandinUpstreams(self.topology.targets)
+        self.nodes: dict[str, Node] = {}
+        self._data_folder = data_folder
+
+    async def start(self) -> None:
+        """Start everything, form the control cluster, apply the lists."""
+        await self.upstreams.start()
+        for instance in self.topology.instances:
+            await self.start_node(instance)
+        await self._init_control()
+        await self.apply(Change(change_id='demo-plans', plans=self.plans))
+        await self.apply(
+            Change(change_id='demo-allowances', allowances=self.allowances),
+        )
+
+    async def start_node(self, instance: Instance) -> Node:
+        """Start one instance.
+
+        :param instance: the instance as the topology lists it.
+        """
+        cfg = Settings.from_instance(
+            instance,
+            'topology.json',
+            CLUSTER_KEY,
+            str(self._data_folder / instance.name),
+        )
+        node = Node(cfg, self.topology)
+        await node.start()
+        self.nodes[instance.name] = node
+        return node
+
+    async def stop(self) -> None:
+        """Stop all instances at once, then the upstreams."""
+        await asyncio.gather(*(node.stop() for node in self.nodes.values()))
+        await self.upstreams.stop()
+
+    async def kill(self, name: str) -> None:
+        """End an instance without a graceful stop.
+
+        :param name: name of the instance.
+        """
+        await self.nodes.pop(name).kill()
+
+    async def apply(self, change: Change) -> ChangeOutcome:
+        """Send a change to control instances until one decides on it.
+
+        :param change: the change.
+        """
+        async with httpx.AsyncClient(trust_env=False) as http:
+            async with asyncio.timeout(CHANGE_TIMEOUT_S):
+                return await self._apply(http, change)
+
+    async def wait_in_force(self, version: int, timeout_s: float) -> list[str]:
+        """Wait for a version; return the instances that do not have it.
+
+        :param version: the version to wait for.
+        :param timeout_s: longest time to wait, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while loop.time() < end:
+            late = [
+                name
+                for name, node in self.nodes.items()
+                if node.in_force.version < version
+            ]
+            if not late:
+                return []
+            await asyncio.sleep(POLL_S)
+        return late
+
+    async def _apply(
+        self,
+        http: httpx.AsyncClient,
+        change: Change,
+    ) -> ChangeOutcome:
+        while True:
+            for control in self.topology.controls():
+                if control.name not in self.nodes:
+                    continue
+                reply = await http.post(
+                    f'{address_of(control)}/v1/control/changes',
+                    content=msgspec.json.encode(change),
+                    headers={'content-type': 'application/json'},
+                )
+                outcome = msgspec.json.decode(
+                    reply.content,
+                    type=ChangeOutcome,
+                )
+                if reply.status_code != httpx.codes.SERVICE_UNAVAILABLE:
+                    return outcome
+            await asyncio.sleep(POLL_S)
+
+    async def _init_control(self) -> None:
+        first = self.topology.controls()[0]
+        async with httpx.AsyncClient(trust_env=False) as http:
+            await http.post(f'{address_of(first)}/v1/control/init')
+
+
+def address_of(instance: Instance) -> str:
+    """Return the HTTP address of an instance.
+
+    :param instance: the instance.
+    """
+    return f'http://{instance.host}:{instance.http_port}'
--- /dev/null
+++ b/demo/traffic.py
@@ -0,0 +1,130 @@
+"""Open-loop traffic with the mix of kinds of a deployment."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+from cuminhoist.lists import Allowances, Plans
+from cuminhoist.settings import Topology
+
+from .callers import Caller, Outcome, Request, next_id
+
+#: Body sizes in bytes of kinds that carry a body; others are GET requests.
+BODY_BYTES = {
+    'publish': 600,
+    'upload': 40_000,
+    'booking': 300,
+    'deposit': 200,
+    'photo': 40_000,
+    'inspection': 20_000,
+}
+
+
+class Mix(msgspec.Struct, frozen=True):
+    """What a stream of requests is made of.
+
+    :param choices: pairs of caller, service and kind names, evenly drawn.
+    :param clients: client addresses, evenly drawn.
+    """
+
+    choices: tuple[tuple[str, str, str], ...]
+    clients: tuple[str, ...]
+
+    @classmethod
+    def from_lists(
+        cls,
+        topology: Topology,
+        plans: Plans,
+        allowances: Allowances,
+    ) -> 'Mix':
+        """Build the mix of all that callers are allowed to ask for.
+
+        :param topology: the deployment.
+        :param plans: the customers' plans.
+        :param allowances: what each plan may use.
+        """
+        pairs = itertools.product(plans.callers, topology.services)
+        choices = [
+            (caller.name, service.name, kind.name)
+            for caller, service in pairs
+            if allowances.allowance(caller.plan, service.name)
+            for kind in service.kinds
+        ]
+        clients = [
+            block.network.replace('.0.0/16', '.0.7')
+            for block in topology.blocks
+        ]
+        return cls(tuple(choices), tuple(clients))
+
+
+class Traffic:
+    """Sends requests at random times that do not wait for answers.
+
+    :param topology: the deployment.
+    :param mix: what the requests are made of.
+    :param caller: sends the requests.
+    :param rate_per_s: mean rate of arrivals.
+    :param seed: seed of all choices.
+    """
+
+    def __init__(
+        self,
+        topology: Topology,
+        mix: Mix,
+        caller: Caller,
+        rate_per_s: float,
+        seed: int,
+    ) -> None:
+        self._topology = topology
+        self._mix = mix
+        self._caller = caller
+        self._rate_per_s = rate_per_s
+        self._random = random.Random(seed)  # noqa: S311
+        self._running: set[asyncio.Task[None]] = set()
+        self.outcomes: list[Outcome] = []
+
+    async def run(self, seconds: float) -> None:
+        """Send requests for some time, then wait for their outcomes.
+
+        :param seconds: how long to send.
+        """
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        for offset in self._arrivals(seconds):
+            delay = start + offset - loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            task = asyncio.create_task(self._send(self._next_request()))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+        await asyncio.gather(*self._running)
+
+    def _arrivals(self, seconds: float) -> Iterator[float]:
+        offset = self._random.expovariate(self._rate_per_s)
+        while offset < seconds:
+            yield offset
+            offset += self._random.expovariate(self._rate_per_s)
+
+    def _next_request(self) -> Request:
+        caller, service_name, kind_name = self._random.choice(
+            self._mix.choices,
+        )
+        service = self._topology.service(service_name)
+        kind = service.kind(kind_name) if service else None
+        if kind is None:
+            raise LookupError(f'no kind {kind_name!r} in {service_name!r}')
+        return Request(
+            request_id=next_id(),
+            caller=caller,
+            service=service_name,
+            kind=kind,
+            client=self._random.choice(self._mix.clients),
+            body_bytes=BODY_BYTES.get(kind_name, 0),
+            deadline_ms=kind.max_deadline_ms,
+        )
+
+    async def _send(self, req: Request) -> None:
+        self.outcomes.append(await self._caller.send(req))
--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -157,3 +157,7 @@
 def main() -> None:
     """Run the command line of the daemon."""
     fire.Fire(serve)
+
+
+if __name__ == '__main__':
+    main()
