--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,14 +1,19 @@
 """Builders of test data."""
 
+import asyncio
 import pathlib
 import socket
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from cuminhoist.admission import Admission, AdmissionRequest
+from cuminhoist.clock import Clock
 from cuminhoist.codec import Message, Received
 from cuminhoist.exceptions import TransportError
+from cuminhoist.inforce import ConfigInForce
 from cuminhoist.lists import (
     Allowance,
     Allowances,
@@ -18,7 +23,10 @@
     Plan,
     Plans,
 )
-from cuminhoist.settings import Settings, Topology, load_struct
+from cuminhoist.rates import RateShares
+from cuminhoist.settings import Settings, Target, Topology, load_struct
+from cuminhoist.shift import ObservedCapacity, ShiftLimiter
+from cuminhoist.slots import Slot, SlotOutcome, SlotSource
 from cuminhoist.transport import ErrorReply, Transport
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
@@ -181,3 +189,119 @@
         if reply is None or not arrives or isinstance(reply, ErrorReply):
             return Failure(TransportError(peer, 'timeout'))
         return Success(reply)
+
+
+class LoopClock(Clock):
+    """The time of the running event loop, for tests under looptime."""
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return self.now()
+
+
+class FakeSlot(Slot):
+    """A slot that returns to its source when it is released."""
+
+    def __init__(self, source: 'FakeSlots', service: str, name: str) -> None:
+        self._source = source
+        self._service = service
+        self._target = Target(
+            name=name,
+            service=service,
+            domain='d1',
+            host='127.0.0.1',
+            port=1,
+        )
+        self.outcome: SlotOutcome | None = None
+
+    @property
+    def target(self) -> Target:
+        return self._target
+
+    def release(self, outcome: SlotOutcome, latency_s: float) -> None:
+        if self.outcome is None:
+            self.outcome = outcome
+            self._source.put_back(self._service, self._target.name)
+
+
+class FakeSlots(SlotSource):
+    """Slots of targets t0, t1... of one service; counts those in use."""
+
+    def __init__(self, service: str = 'catalogue', slots: int = 2) -> None:
+        self.usable = {service: slots}
+        self.in_use: list[str] = []
+        self.granted = 0
+        self._listeners: list[Callable[[str], None]] = []
+
+    def try_acquire(
+        self,
+        service: str,
+        deadline_at: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Slot | None:
+        names = {f't{turn}' for turn in range(self.usable_slots(service))}
+        free = sorted(names - exclude - set(self.in_use))
+        if not free:
+            return None
+        self.in_use.append(free[0])
+        self.granted += 1
+        return FakeSlot(self, service, free[0])
+
+    def usable_slots(self, service: str) -> int:
+        return self.usable.get(service, 0)
+
+    def free_slots(self, service: str) -> int:
+        return self.usable_slots(service) - len(self.in_use)
+
+    def on_free(self, listener: Callable[[str], None]) -> None:
+        self._listeners.append(listener)
+
+    def put_back(self, service: str, name: str) -> None:
+        self.in_use.remove(name)
+        for listener in self._listeners:
+            listener(service)
+
+
+class AdmissionRig:
+    """An admission with fake slots, on the time of the event loop."""
+
+    def __init__(
+        self,
+        slots: int = 2,
+        weights: tuple[float, ...] = (1,),
+        rate_per_s: float = 10000,
+        clock: Clock | None = None,
+    ) -> None:
+        self.clock = clock or LoopClock()
+        self.slots = FakeSlots(slots=slots)
+        self.in_force = ConfigInForce()
+        self.in_force.advance(config_of(1, rate_per_s, 2, weights))
+        self.weights = weights
+        self.rates = RateShares(self.clock, self.in_force, 1)
+        capacity = ObservedCapacity(example_topology(), 'gogledd')
+        self.shift = ShiftLimiter(self.clock, self.in_force, capacity, 3)
+        self.admission = Admission(
+            self.clock,
+            self.slots,
+            self.rates,
+            self.shift,
+            'gogledd',
+        )
+
+    def request(
+        self,
+        caller: int = 0,
+        deadline_s: float = 5,
+        **fields: Any,
+    ) -> AdmissionRequest:
+        values: dict[str, Any] = {
+            'service': 'catalogue',
+            'caller': f'c{caller}',
+            'plan': f'p{caller}',
+            'plan_weight': self.weights[caller],
+            'deadline_at': self.clock.now() + deadline_s,
+            'origin_region': 'gogledd',
+        }
+        return AdmissionRequest(**(values | fields))
--- /dev/null
+++ b/tests/test_fairqueue.py
@@ -0,0 +1,180 @@
+"""Fair queueing: shares, bounds, deadlines and memory."""
+
+import math
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminhoist.clock import ManualClock
+from cuminhoist.fairqueue import (
+    MAX_REMOVED,
+    Entry,
+    FairQueue,
+    Full,
+    TooLate,
+)
+
+MAX_COST = 4
+
+
+def _never_evict(entry):
+    raise AssertionError(entry)
+
+
+def _push(queue, caller, cost=1, weight=1, deadline_at=math.inf, evict=None):
+    entry = Entry(caller, cost, deadline_at, None)
+    refusal = queue.push(entry, weight, evict or _never_evict)
+    return refusal or entry
+
+
+def fluid_service(backlogs, weights, work):
+    """Serve flows as a fluid by weight; unused shares go to the others."""
+    served = dict.fromkeys(backlogs, 0.0)
+    while work > 1e-12:
+        active = {f for f in backlogs if backlogs[f] - served[f] > 1e-12}
+        if not active:
+            break
+        total = sum(weights[flow] for flow in active)
+        step = min(
+            work,
+            *((backlogs[f] - served[f]) * total / weights[f] for f in active),
+        )
+        for flow in active:
+            served[flow] += step * weights[flow] / total
+        work -= step
+    return served
+
+
+_flows = st.lists(
+    st.tuples(
+        st.sampled_from([0.5, 1, 2, 4]),
+        st.lists(st.integers(1, MAX_COST), min_size=1, max_size=30),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@given(_flows, st.data())
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_shares_match_the_fluid_model(flows, data):
+    """Guards against a caller that gets less than its plan's share."""
+    queue = FairQueue(ManualClock())
+    names = [f'c{turn}' for turn in range(len(flows))]
+    weights = {n: flow[0] for n, flow in zip(names, flows, strict=True)}
+    costs = {n: list(flow[1]) for n, flow in zip(names, flows, strict=True)}
+    while any(costs.values()):
+        left = [name for name in names if costs[name]]
+        name = data.draw(st.sampled_from(left))
+        _push(queue, name, costs[name].pop(0), weights[name])
+    backlogs = {n: sum(flow[1]) for n, flow in zip(names, flows, strict=True)}
+    served = dict.fromkeys(names, 0.0)
+    while (entry := queue.pop()) is not None:
+        served[entry.caller] += entry.cost
+        fluid = fluid_service(backlogs, weights, sum(served.values()))
+        total = sum(weights.values())
+        for name in names:
+            # One request of the flow, plus its share of one request of
+            # each flow: the bound of start-time fair queueing.
+            bound = MAX_COST + weights[name] / total * MAX_COST * len(names)
+            assert abs(served[name] - fluid[name]) <= bound + 1e-9
+    assert not len(queue) and not queue.flows
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.integers(1, MAX_COST), st.booleans()),
+        min_size=30,
+        max_size=120,
+    ),
+)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_share_comes_back_at_once(steps):
+    """Guards against penalties for lent shares, and against hoarding."""
+    queue = FairQueue(ManualClock())
+    weights = {'c0': 1, 'c1': 2, 'c2': 4}
+    # Some callers come and go; then all are backlogged.
+    for turn, cost, pop in steps:
+        _push(queue, f'c{turn}', cost, weights[f'c{turn}'])
+        if pop:
+            queue.pop()
+    for name, weight in weights.items():
+        for _ in range(60):
+            _push(queue, name, 1, weight)
+    served = dict.fromkeys(weights, 0.0)
+    for count in range(1, 61):
+        entry = queue.pop()
+        served[entry.caller] += entry.cost
+        work = sum(served.values())
+        for name, weight in weights.items():
+            fair = work * weight / 7
+            assert served[name] >= fair - 2 * MAX_COST - weight / 7 * 8, count
+
+
+def test_bounds_and_eviction():
+    """Guards against callers that fill the queue and keep others out."""
+    queue = FairQueue(ManualClock(), max_per_caller=4, max_total=6)
+    for _ in range(4):
+        _push(queue, 'c0')
+    assert isinstance(_push(queue, 'c0'), Full)
+    _push(queue, 'c1')
+    _push(queue, 'c1')
+    evicted = []
+    late = _push(queue, 'c2', evict=evicted.append)
+    assert late.queued and len(queue) == 6
+    assert [entry.caller for entry in evicted] == ['c0']
+    assert isinstance(_push(queue, 'c1', evict=evicted.append), Full)
+
+
+def test_estimate_refuses_at_once():
+    """Guards against requests that wait in vain for their deadline."""
+    clock = ManualClock()
+    queue = FairQueue(clock)
+    for _ in range(50):
+        _push(queue, 'c0')
+    for _ in range(20):
+        clock.advance(0.1)
+        queue.pop()
+    assert abs(queue.drain_per_s - 10) < 0.5
+    refusal = _push(queue, 'c0', deadline_at=clock.now() + 1)
+    assert isinstance(refusal, TooLate)
+    assert abs(refusal.wait_s - 3.1) < 0.2
+    assert abs(refusal.retry_after_s - 2.1) < 0.2
+    # Another caller has its own share and does not wait behind the first.
+    assert _push(queue, 'c1', deadline_at=clock.now() + 1).queued
+
+
+def test_deadlines_pass_in_the_queue():
+    """Guards against entries that are refused only at dispatch."""
+    clock = ManualClock()
+    queue = FairQueue(clock)
+    first = _push(queue, 'c0', deadline_at=clock.now() + 2)
+    second = _push(queue, 'c0', deadline_at=clock.now() + 1)
+    assert queue.next_deadline() == clock.now() + 1
+    clock.advance(1)
+    assert list(queue.expired()) == [second]
+    assert queue.pop() is first and queue.pop() is None
+
+
+@given(st.integers(0, 2**32))
+@settings(max_examples=20, deadline=None, derandomize=True)
+def test_removed_requests_leave_nothing(seed):
+    """Guards against memory that grows with callers and cancellations."""
+    import random
+
+    rng = random.Random(seed)
+    queue = FairQueue(ManualClock())
+    keeper = _push(queue, 'keeper')
+    waiting = []
+    for turn in range(3000):
+        waiting.append(_push(queue, f'c{turn % 700}', deadline_at=1e9 + turn))
+        if len(waiting) > 20:
+            gone = waiting.pop(rng.randrange(len(waiting)))
+            assert queue.remove(gone) and not queue.remove(gone)
+    bound = 2 * len(queue) + MAX_REMOVED + 1
+    assert len(queue._deadlines) <= bound
+    assert len(queue._heads) <= 2 * queue.flows + MAX_REMOVED + 1
+    assert queue.flows <= len(queue)
+    for entry in waiting:
+        queue.remove(entry)
+    assert queue.pop() is keeper and queue.flows == 0
