--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,45 @@
+"""Retry budget: attempts are at most 1.1 times the requests."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminhoist.retries import MAX_BACKOFF_S, MAX_SAVED, RetryBudget
+
+
+@given(st.lists(st.booleans(), max_size=600), st.integers(0, 10))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_attempts_stay_within_the_budget(steps, tries):
+    """Guards against retry storms under full failure, in any run."""
+    budget = RetryBudget(1)
+    requests, retries, history = 0, 0, [(0, 0)]
+    for is_request in steps:
+        if is_request:
+            budget.on_request()
+            requests += 1
+        for _ in range(tries):
+            retries += budget.try_retry()
+        history.append((requests, retries))
+        assert 10 * retries <= requests
+    for first_requests, first_retries in history:
+        period = requests - first_requests
+        assert retries - first_retries <= 0.1 * period + MAX_SAVED + 1e-6
+
+
+def test_ten_requests_earn_one_retry():
+    """Guards against a budget that rounding keeps short of its figure."""
+    budget = RetryBudget(1)
+    for _ in range(1000):
+        budget.on_request()
+        if _ % 10 == 9:
+            assert budget.try_retry()
+            assert not budget.try_retry()
+
+
+def test_backoff_has_seeded_jitter():
+    """Guards against attempts that come back together."""
+    budgets = RetryBudget(7), RetryBudget(7), RetryBudget(8)
+    waits = [[each.backoff_s(n) for n in range(1, 12)] for each in budgets]
+    assert waits[0] == waits[1] != waits[2]
+    for number, wait in enumerate(waits[0]):
+        longest = min(0.02 * 2**number, MAX_BACKOFF_S)
+        assert longest / 2 <= wait <= longest
