Send attempts over one own connection per slot

httpx.AsyncClient keeps cookies of one caller's answer for the next caller, adds its own headers, normalises paths and cannot read an answer while it still uploads.

--- /dev/null
+++ b/src/cuminhoist/target_conn.py
@@ -0,0 +1,381 @@
+"""One HTTP/1.1 client connection that carries one exchange at a time."""
+
+import asyncio
+import collections
+import re
+import select
+from collections.abc import AsyncIterator, Callable
+from typing import Any, cast
+
+import httptools
+import httpx
+import msgspec
+
+Headers = list[tuple[bytes, bytes]]
+
+#: Reading from the socket pauses above this many undelivered body bytes.
+HIGH_WATER_BYTES = 128 * 1024
+#: Unsent request bytes above which the transport pauses the upload.
+WRITE_WATER_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+
+_UNSAFE = re.compile(rb'[\x00-\x20\x7f]')
+_UNSAFE_VALUE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+_NO_BODY_STATUS = frozenset((204, 304))
+_FIRST_FINAL_STATUS = 200
+
+Listener = Callable[['Exchange'], None]
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """The first lines of a request, as they go onto the wire."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+    def encode(self) -> bytes:
+        """Return the head as bytes; raise when it would split the request."""
+        parts = [b'%b %b HTTP/1.1\r\n' % (self.method, self.target)]
+        if _UNSAFE.search(self.method) or _UNSAFE.search(self.target):
+            raise httpx.LocalProtocolError('control character in the request')
+        for name, text in self.headers:
+            if _UNSAFE.search(name) or _UNSAFE_VALUE.search(text):
+                raise httpx.LocalProtocolError('control character in a header')
+            parts.append(b'%b: %b\r\n' % (name, text))
+        parts.append(b'\r\n')
+        return b''.join(parts)
+
+
+class Exchange:
+    """One request and its answer.
+
+    :param head: the first lines of the request.
+    :param on_done: called once, when the answer is complete or has failed.
+    """
+
+    def __init__(self, head: RequestHead, on_done: Listener) -> None:
+        self.head = head
+        self.status = 0
+        self.headers: Headers = []
+        self.sent = False
+        self.complete = False
+        self.error: Exception | None = None
+        self.uploaded = False
+        self.uploader: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.conn: Connection | None = None
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._wake: asyncio.Future[None] | None = None
+        self._head_seen = False
+        self._on_done = on_done
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more arrives."""
+        return self.complete or self.error is not None
+
+    def head_arrived(self) -> None:
+        """Note that status and headers are known."""
+        self._head_seen = True
+        self._notify()
+
+    def feed(self, chunk: bytes) -> bool:
+        """Add body bytes.
+
+        :param chunk: the bytes.
+        :returns: whether the buffer is full.
+        """
+        self._chunks.append(chunk)
+        self._buffered += len(chunk)
+        self._notify()
+        return self._buffered > HIGH_WATER_BYTES
+
+    def finish(self, error: Exception | None = None) -> None:
+        """End the exchange; further calls do nothing.
+
+        :param error: why it failed, or None if the answer is complete.
+        """
+        if self.ended:
+            return
+        self.complete = error is None
+        self.error = error
+        if self.uploader is not None:
+            self.uploader.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
+        self._notify()
+        self._on_done(self)
+
+    def abort(self, error: Exception) -> None:
+        """Fail the exchange and close its connection.
+
+        :param error: why.
+        """
+        if self.ended:
+            return
+        self.finish(error)
+        if self.conn is not None:
+            self.conn.abort()
+
+    async def wait_head(self) -> None:
+        """Wait for status and headers, or raise the error."""
+        while not self._head_seen:
+            if self.error is not None:
+                raise self.error
+            await self._wait()
+
+    async def read(self) -> bytes:
+        """Return the next body bytes; empty at the end of a whole body."""
+        while not self._chunks:
+            if self.error is not None:
+                raise self.error
+            if self.complete:
+                return b''
+            await self._wait()
+        chunk = self._chunks.popleft()
+        self._buffered -= len(chunk)
+        if not self.ended and self.conn is not None:
+            self.conn.resume_reading(self._buffered)
+        return chunk
+
+    async def _wait(self) -> None:
+        self._wake = asyncio.get_running_loop().create_future()
+        try:
+            await self._wake
+        finally:
+            self._wake = None
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+
+class Connection(asyncio.Protocol):
+    """A TCP connection to one server.
+
+    :param on_lost: called once, when the connection is closed.
+    """
+
+    def __init__(self, on_lost: Callable[['Connection'], None]) -> None:
+        self.idle_since: float = 0
+        self._on_lost = on_lost
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = None
+        self._exchange: Exchange | None = None
+        self._until_eof = False
+        self._head_bytes = 0
+        self._reading = True
+        self._closed = False
+        self._reusable = True
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+
+    @property
+    def opened(self) -> bool:
+        """Whether the connection was established at any time."""
+        return self._transport is not None
+
+    @property
+    def usable(self) -> bool:
+        """Whether a new exchange may be started."""
+        return (
+            self._reusable
+            and not self._closed
+            and self._exchange is None
+            and not _readable(self._sock())
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport.
+
+        :param transport: the transport of the connection.
+        """
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_WATER_BYTES)
+
+    def start(self, exchange: Exchange) -> None:
+        """Write the head of a request.
+
+        :param exchange: the request; the connection must be usable.
+        """
+        encoded = exchange.head.encode()
+        self._exchange = exchange
+        self._until_eof = False
+        self._head_bytes = 0
+        self._parser = httptools.HttpResponseParser(self)
+        exchange.conn = self
+        exchange.sent = True
+        self._wire().write(encoded)
+
+    async def upload(
+        self,
+        exchange: Exchange,
+        body: AsyncIterator[bytes],
+        chunked: bool,
+    ) -> None:
+        """Write the body of a request with bounded memory.
+
+        :param exchange: the request.
+        :param body: the bytes.
+        :param chunked: whether to frame them as chunks.
+        """
+        wire = self._wire()
+        async for chunk in body:
+            await self._can_write.wait()
+            if exchange.ended:
+                return
+            if chunked and chunk:
+                wire.writelines((b'%x\r\n' % len(chunk), chunk, b'\r\n'))
+            elif chunk:
+                wire.write(chunk)
+        if not exchange.ended:
+            if chunked:
+                wire.write(b'0\r\n\r\n')
+            exchange.uploaded = True
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_writing(self) -> None:
+        """Hold the upload back while the server does not read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let the upload go on."""
+        self._can_write.set()
+
+    def resume_reading(self, buffered: int) -> None:
+        """Read on when the buffer has been drained enough.
+
+        :param buffered: bytes still in the buffer.
+        """
+        if not self._reading and buffered <= HIGH_WATER_BYTES // 2:
+            self._reading = True
+            self._wire().resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of an answer.
+
+        :param data: the bytes.
+        """
+        exchange = self._exchange
+        if exchange is None or exchange.ended:
+            # Bytes that belong to no request must not reach the next one.
+            self.abort()
+            return
+        if not exchange.status:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            exchange.abort(httpx.RemoteProtocolError(f'malformed: {exc}'))
+            return
+        if not exchange.status and self._head_bytes > MAX_HEAD_BYTES:
+            exchange.abort(httpx.RemoteProtocolError('head is too large'))
+        elif exchange.complete:
+            self._free(exchange)
+
+    def eof_received(self) -> None:
+        """End a body that is delimited by the close of the connection."""
+        self._reusable = False
+        if self._exchange is not None and self._until_eof:
+            self._exchange.finish()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the running exchange.
+
+        :param exc: the error, if there was one.
+        """
+        self._closed = True
+        self._can_write.set()
+        if self._exchange is not None:
+            self._exchange.finish(
+                httpx.RemoteProtocolError(
+                    f'connection lost before the end of the answer: {exc}'
+                )
+            )
+            self._exchange = None
+        self._on_lost(self)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header from the parser.
+
+        :param name: its name.
+        :param value: its text.
+        """
+        if self._exchange is not None and not self._exchange.status:
+            self._exchange.headers.append((name.lower(), value.rstrip(b' \t')))
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head from the parser."""
+        exchange = self._exchange
+        if exchange is None or exchange.ended:
+            return
+        status = int(self._parser.get_status_code())
+        if status < _FIRST_FINAL_STATUS:
+            exchange.headers.clear()
+            return
+        exchange.status = status
+        named = dict(exchange.headers)
+        chunked = b'chunked' in named.get(b'transfer-encoding', b'').lower()
+        self._until_eof = not chunked and b'content-length' not in named
+        token = named.get(b'connection', b'').lower()
+        if b'close' in token or self._parser.get_http_version() != '1.1':
+            self._reusable = False
+        exchange.head_arrived()
+        if status in _NO_BODY_STATUS or exchange.head.method == b'HEAD':
+            self._until_eof = False
+            exchange.finish()
+
+    def on_body(self, body: bytes) -> None:
+        """Take body bytes from the parser.
+
+        :param body: the bytes.
+        """
+        exchange = self._exchange
+        if exchange is None or exchange.ended:
+            self._reusable = False
+        elif exchange.feed(body) and self._reading:
+            self._reading = False
+            self._wire().pause_reading()
+
+    def on_message_begin(self) -> None:
+        """Notice an answer that follows a complete one."""
+        if self._exchange is None or self._exchange.ended:
+            self._reusable = False
+
+    def on_message_complete(self) -> None:
+        """Take the end of the answer from the parser."""
+        if self._exchange is not None and self._exchange.status:
+            self._exchange.finish()
+
+    def _free(self, exchange: Exchange) -> None:
+        self._exchange = None
+        if not self._reading:
+            self._reading = True
+            self._wire().resume_reading()
+        if not self._reusable or not exchange.uploaded:
+            self.abort()
+
+    def _sock(self) -> int:
+        return int(self._wire().get_extra_info('socket').fileno())
+
+    def _wire(self) -> asyncio.Transport:
+        if self._transport is None:
+            raise RuntimeError('the connection is not open')
+        return self._transport
+
+
+def _readable(fileno: int) -> bool:
+    # An idle connection is readable only if the server has closed it or sent
+    # bytes that belong to no request; neither is fit for a new request.
+    if fileno < 0:
+        return True
+    poller = select.poll()
+    poller.register(fileno, select.POLLIN | select.POLLERR | select.POLLHUP)
+    return bool(poller.poll(0))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import asyncio
 import pathlib
 import socket
 
@@ -13,7 +14,7 @@
     Plan,
     Plans,
 )
-from cuminhoist.settings import Settings, Topology, load_struct
+from cuminhoist.settings import Settings, Target, Topology, load_struct
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 CLUSTER_KEY = 'test-key'
@@ -111,3 +112,71 @@
         base_version=base,
         plans=small_plans(weight),
     )
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    """Read the head of an HTTP message from a socket."""
+    return await reader.readuntil(b'\r\n\r\n')
+
+
+class RawServer:
+    """A server whose script decides every byte.
+
+    :param script: called for each connection with reader and writer.
+    """
+
+    def __init__(self, script) -> None:
+        self._script = script
+        self._server = None
+        self.connections = 0
+        self.heads: list[bytes] = []
+        self.closed = asyncio.Event()
+        self.tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> 'RawServer':
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(
+            self._run,
+            '127.0.0.1',
+            0,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_exc) -> None:
+        """Stop listening."""
+        for task in self.tasks:
+            task.cancel()
+        self._server.close()
+
+    async def head(self, reader: asyncio.StreamReader) -> bytes:
+        """Read the head of a request and keep it."""
+        head = await read_head(reader)
+        self.heads.append(head)
+        return head
+
+    async def _run(self, reader, writer) -> None:
+        self.connections += 1
+        self.tasks.add(asyncio.current_task())
+        try:
+            await self._script(self, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            self.closed.set()
+        except asyncio.CancelledError:
+            return
+        finally:
+            self.tasks.discard(asyncio.current_task())
+            writer.close()
+
+
+def raw_target(port: int, connections: int = 10, slots: int = 3) -> Target:
+    """Return a target that listens on a port of this machine."""
+    return Target(
+        name='raw',
+        service='catalogue',
+        domain='de-cymru-a',
+        host='127.0.0.1',
+        port=port,
+        slots=slots,
+        connections=connections,
+    )
