Add limits, disconnect notice, drain and hops to the HTTP interface

Callers' requests are checked before a byte of their body is read; a caller that disconnects cancels its request, a truncated answer closes the caller's connection, and a stop announces the close instead of cutting requests. Hop headers are tagged with the cluster key, bound to request and destination, and valid once.

--- a/src/cuminhoist/api.py
+++ b/src/cuminhoist/api.py
@@ -1,14 +1,27 @@
 """HTTP interface for callers."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
+import msgspec
 from litestar import asgi, get
 from litestar.types import Receive, Scope, Send
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from .entry import CallerRequest, EntryService
-from .forwarding import Answer
+from .forwarding import Answer, BodyError, CarryError
+from .headers import (
+    HOP_HEADER,
+    RAN_HEADER,
+    REFUSAL_HEADER,
+    framing,
+    forward_headers,
+    return_headers,
+    repeated,
+)
+from .hops import Hop, HopSigner, Route
+from .httpserver import MAX_HEADER_BYTES, MAX_HEADERS
 from .lookup import Lookup, LookupAnswer
 from .problems import Refusal, encode_problem, problem_headers
 from .types import (
@@ -16,74 +29,165 @@
     DEADLINE_HEADER,
     KEY_HEADER,
     KIND_HEADER,
+    Ran,
+    Reason,
 )
 
 SERVICES_PATH = '/v1/services'
-_HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'transfer-encoding',
-        b'te',
-        b'upgrade',
-        b'host',
-        b'proxy-connection',
-    )
-)
+MAX_BODY_BYTES = 1024 * 1024 * 1024
+#: A deadline beyond a day is taken for a mistake of the caller.
+MAX_DEADLINE_MS = 24 * 3600 * 1000
 
+_MAX_DIGITS = 9
+_LATIN = 'latin-1'
 
-def _end_to_end(
-    headers: list[tuple[bytes, bytes]],
-) -> list[tuple[bytes, bytes]]:
-    return [
-        (name.lower(), value)
-        for name, value in headers
-        if name.lower() not in _HOP_HEADERS
-    ]
 
+class RequestBody:
+    """The body of a caller's request; nothing is read before it is used.
+
+    :param receive: source of ASGI events.
+    :param has_body: whether a body follows the head.
+    :param limit: most bytes that it may have.
+    """
+
+    def __init__(self, receive: Receive, has_body: bool, limit: int) -> None:
+        self._receive = receive
+        self._done = not has_body
+        self._left = limit
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the bytes as they arrive."""
+        return self
 
-async def _body(receive: Receive) -> AsyncIterator[bytes]:
-    while True:
-        event: Any = await receive()
+    async def __anext__(self) -> bytes:
+        """Return the next bytes."""
+        if self._done:
+            raise StopAsyncIteration
+        event: Any = await self._receive()
         if event['type'] == 'http.disconnect':
-            raise ConnectionError('the caller has gone')
-        yield event.get('body', b'')
-        if not event.get('more_body', False):
-            return
+            raise BodyError(
+                Refusal(
+                    ran=Ran.unknown,
+                    reason=Reason.cancelled,
+                    detail='The caller has gone.',
+                )
+            )
+        chunk: bytes = event.get('body', b'')
+        self._left -= len(chunk)
+        if self._left < 0:
+            raise BodyError(
+                Refusal(ran=Ran.unknown, reason=Reason.body_too_large)
+            )
+        self._done = not event.get('more_body', False)
+        return chunk
+
+
+def _bad(detail: str) -> Failure[Refusal]:
+    return Failure(
+        Refusal(ran=Ran.not_run, reason=Reason.bad_request, detail=detail)
+    )
+
+
+def _check_head(scope: Any) -> Refusal | None:
+    headers = scope['headers']
+    size = sum(len(name) + len(text) for name, text in headers)
+    size += len(scope['raw_path']) + len(scope['query_string'])
+    detail = ''
+    if len(headers) > MAX_HEADERS:
+        detail = f'More than {MAX_HEADERS} headers.'
+    elif size > MAX_HEADER_BYTES:
+        detail = f'The header exceeds {MAX_HEADER_BYTES} bytes.'
+    else:
+        twice = repeated(headers)
+        detail = f'More than one header {twice!r}.' if twice else ''
+    if detail:
+        return _bad(detail).failure()
+    length = framing(headers).length
+    if length is not None and length > MAX_BODY_BYTES:
+        return Refusal(
+            ran=Ran.not_run,
+            reason=Reason.body_too_large,
+            detail=f'The body exceeds {MAX_BODY_BYTES} bytes.',
+        )
+    return None
 
 
-def read_request(scope: Any, receive: Receive) -> CallerRequest:
+def _deadline_s(text: str | None) -> Result[float | None, Refusal]:
+    if text is None:
+        return Success(None)
+    valid = text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+    if not valid or not 0 < int(text) <= MAX_DEADLINE_MS:
+        return _bad(
+            f'{DEADLINE_HEADER} must be 1 to {MAX_DEADLINE_MS} milliseconds.'
+        )
+    return Success(int(text) / 1000)
+
+
+def read_request(
+    scope: Any,
+    receive: Receive,
+    hops: HopSigner | None = None,
+) -> Result[CallerRequest, Refusal]:
     """Build a request from an ASGI scope.
 
     :param scope: the scope of a connection below the services path.
     :param receive: source of the body.
+    :param hops: checks the headers of other instances; None trusts none.
     """
-    headers = _end_to_end(list(scope['headers']))
-    named = {name.decode(): text.decode() for name, text in headers}
+    fault = _check_head(scope)
+    if fault is not None:
+        return Failure(fault)
+    headers = scope['headers']
+    named = {name.decode(_LATIN): text.decode(_LATIN) for name, text in headers}
+    deadline = _deadline_s(named.get(DEADLINE_HEADER))
+    if isinstance(deadline, Failure):
+        return deadline
     # The router rewrites scope['path'] of a mount; the raw path is as sent.
-    raw: bytes = scope['raw_path']
-    path = raw.decode('latin-1').removeprefix(f'{SERVICES_PATH}/')
-    service, _, rest = path.partition('/')
-    query = scope['query_string'].decode()
-    deadline = named.get(DEADLINE_HEADER, '')
-    return CallerRequest(
+    raw = scope['raw_path'].decode(_LATIN)
+    service, _, rest = raw.removeprefix(f'{SERVICES_PATH}/').partition('/')
+    if not raw.startswith(f'{SERVICES_PATH}/') or not service:
+        return _bad(f'The path must be {SERVICES_PATH}/SERVICE/PATH.')
+    query = scope['query_string'].decode(_LATIN)
+    req = CallerRequest(
         service=service,
         caller=named.get(CALLER_HEADER, ''),
         kind=named.get(KIND_HEADER, ''),
         method=str(scope['method']),
         path=f'/{rest}?{query}' if query else f'/{rest}',
-        headers=headers,
-        body=_body(receive),
-        deadline_s=int(deadline) / 1000 if deadline.isdigit() else None,
+        headers=forward_headers(headers),
+        body=RequestBody(receive, framing(headers).has_body, MAX_BODY_BYTES),
+        deadline_s=deadline.unwrap(),
         key=named.get(KEY_HEADER, ''),
     )
+    return _with_hop(req, named.get(HOP_HEADER), hops)
+
+
+def _with_hop(
+    req: CallerRequest,
+    header: str | None,
+    hops: HopSigner | None,
+) -> Result[CallerRequest, Refusal]:
+    if header is None or hops is None:
+        return Success(req)
+    route = Route(req.method, f'/{req.service}{req.path}', req.caller)
+    checked: Result[Hop, Any] = hops.check(header, route)
+    if isinstance(checked, Success):
+        return Success(msgspec.structs.replace(req, hop=checked.unwrap()))
+    error = checked.failure()
+    if error.forged:
+        return Success(req)
+    return _bad(f'The header {HOP_HEADER} is not valid: {error.reason}.')
 
 
 async def _send_refusal(refusal: Refusal, send: Send) -> None:
+    body = encode_problem(refusal)
     headers = [
         (name.encode(), text.encode())
         for name, text in problem_headers(refusal)
     ]
+    headers.append((REFUSAL_HEADER.encode(), b'1'))
+    headers.append((RAN_HEADER.encode(), refusal.ran.encode()))
+    headers.append((b'content-length', str(len(body)).encode()))
     await send(
         {
             'type': 'http.response.start',
@@ -94,18 +198,21 @@
     await send(
         {
             'type': 'http.response.body',
-            'body': encode_problem(refusal),
+            'body': body,
             'more_body': False,
         }
     )
 
 
-async def _send_answer(answer: Answer, send: Send) -> None:
+async def _send_answer(answer: Answer, scope: Any, send: Send) -> None:
+    headers = return_headers(answer.headers)
+    if any(name == b'date' for name, _ in headers):
+        scope['state']['passes_date']()
     await send(
         {
             'type': 'http.response.start',
             'status': answer.status,
-            'headers': _end_to_end(answer.headers),
+            'headers': headers,
         }
     )
     async for chunk in answer.body:
@@ -125,23 +232,71 @@
     )
 
 
-def services_handler(entry: EntryService) -> Any:
+async def _serve(
+    entry: EntryService,
+    req: CallerRequest,
+    scope: Any,
+    send: Send,
+) -> None:
+    outcome = await entry.serve(req)
+    if isinstance(outcome, Failure):
+        await _send_refusal(outcome.failure(), send)
+        return
+    answer = outcome.unwrap()
+    try:
+        await _send_answer(answer, scope, send)
+    except CarryError:
+        # The caller must not take the part that it has for the whole.
+        scope['state']['abort']()
+    finally:
+        answer.abort()
+
+
+def services_handler(
+    entry: EntryService,
+    hops: HopSigner | None = None,
+) -> Any:
     """Return the ASGI handler of requests to services.
 
     :param entry: serves the requests.
+    :param hops: checks the headers of other instances; None trusts none.
     """
 
     @asgi(SERVICES_PATH, is_mount=True, copy_scope=False)
     async def serve(scope: Scope, receive: Receive, send: Send) -> None:
-        outcome = await entry.serve(read_request(scope, receive))
-        if isinstance(outcome, Failure):
-            await _send_refusal(outcome.failure(), send)
-        else:
-            await _send_answer(outcome.unwrap(), send)
+        request = read_request(scope, receive, hops)
+        if isinstance(request, Failure):
+            await _send_refusal(request.failure(), send)
+            return
+        async with _CancelWhenGone(scope):
+            await _serve(entry, request.unwrap(), scope, send)
 
     return serve
 
 
+class _CancelWhenGone:
+    """Cancels the running request when its caller disconnects."""
+
+    def __init__(self, scope: Any) -> None:
+        self._gone: asyncio.Future[None] = scope['state']['gone']
+        self._task: asyncio.Task[Any] | None = None
+
+    async def __aenter__(self) -> None:
+        self._task = asyncio.current_task()
+        self._gone.add_done_callback(self._cancel)
+
+    async def __aexit__(self, kind: Any, _exc: Any, _trace: Any) -> bool:
+        self._gone.remove_done_callback(self._cancel)
+        cancelled = kind is asyncio.CancelledError and self._gone.done()
+        if cancelled and self._task is not None:
+            self._task.uncancel()
+        return cancelled
+
+    def _cancel(self, _gone: Any) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+
 def lookup_handler(lookup: Lookup) -> Any:
     """Return the handler of look-ups.
 
--- a/src/cuminhoist/entry.py
+++ b/src/cuminhoist/entry.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result
 
 from .forwarding import Answer, Attempt, Headers, TargetClient
+from .hops import Hop
 from .inforce import ConfigInForce
 from .lists import Caller, Configuration
 from .problems import Refusal
@@ -17,6 +18,7 @@
     """A caller's request as the HTTP layer read it.
 
     :param deadline_s: time that the caller gives it, in seconds.
+    :param hop: the instance that forwarded it; None from a caller itself.
     """
 
     service: str
@@ -28,6 +30,7 @@
     body: AsyncIterator[bytes]
     deadline_s: float | None = None
     key: str = ''
+    hop: Hop | None = None
 
 
 class CheckedRequest(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/forwarding.py
+++ b/src/cuminhoist/forwarding.py
@@ -105,9 +105,16 @@
 
     :param on_end: called with the outcome and the latency.
     :param clock: source of time.
+    :param outcome_of: tells how an exchange that was sent ended.
     """
 
-    def __init__(self, on_end: OnEnd, clock: Clock) -> None:
+    def __init__(
+        self,
+        on_end: OnEnd,
+        clock: Clock,
+        outcome_of: Callable[[Exchange], SlotOutcome],
+    ) -> None:
+        self._outcome_of = outcome_of
         self._on_end: OnEnd | None = on_end
         self._clock = clock
         self._started_at = clock.now()
@@ -127,7 +134,7 @@
 
         :param exchange: the exchange.
         """
-        self.end(_outcome(exchange))
+        self.end(self._outcome_of(exchange))
 
 
 class AnswerBody(AsyncIterator[bytes]):
@@ -157,13 +164,16 @@
 
     :param transport: the transport.
     :param clock: source of time.
+    :param outcome_of: tells how an exchange that was sent ended.
     """
 
     def __init__(
         self,
         transport: PoolTransport,
         clock: Clock | None = None,
+        outcome_of: Callable[[Exchange], SlotOutcome] | None = None,
     ) -> None:
+        self._outcome_of = outcome_of or target_outcome
         self.transport = transport
         self._clock = clock or SystemClock()
 
@@ -177,7 +187,7 @@
         :param address: where to send it.
         :param attempt: what to send.
         """
-        report = EndReport(attempt.on_end, self._clock)
+        report = EndReport(attempt.on_end, self._clock, self._outcome_of)
         if attempt.timeout_s <= 0:
             report.end(SlotOutcome.not_run)
             return Failure(
@@ -306,7 +316,11 @@
     return Refusal(ran=ran, reason=reason, detail=str(exc))
 
 
-def _outcome(exchange: Exchange) -> SlotOutcome:
+def target_outcome(exchange: Exchange) -> SlotOutcome:
+    """Tell how an exchange with a target ended.
+
+    :param exchange: the exchange.
+    """
     if is_shed(exchange.status, exchange.headers):
         return SlotOutcome.not_run
     if not exchange.complete:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cuminhoist.httpserver import HttpServer
 from cuminhoist.lists import (
     Allowance,
     Allowances,
@@ -180,3 +181,39 @@
         slots=slots,
         connections=connections,
     )
+
+
+class RunningServer:
+    """An HTTP server for an ASGI application on a free port."""
+
+    def __init__(self, app) -> None:
+        self.port = free_ports(1)[0]
+        self.server = HttpServer.from_app(app, '127.0.0.1', self.port)
+
+    async def __aenter__(self) -> 'RunningServer':
+        """Start the server."""
+        self.task = asyncio.create_task(self.server.serve())
+        while not self.server.started:
+            await asyncio.sleep(0.01)
+        return self
+
+    async def __aexit__(self, *_exc) -> None:
+        """Stop the server."""
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop the server as the daemon does."""
+        self.server.begin_stop()
+        await self.task
+
+    async def connect(self):
+        """Return reader and writer of a new connection."""
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+    async def ask(self, request: bytes) -> bytes:
+        """Send bytes on a new connection and read until it is closed."""
+        reader, writer = await self.connect()
+        writer.write(request)
+        answer = await reader.read()
+        writer.close()
+        return answer
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,146 @@
+"""Tests of the stop of the HTTP listener."""
+
+import asyncio
+
+import pytest
+
+from . import builders
+
+REQUEST = b'GET /%d HTTP/1.1\r\nhost: x\r\n\r\n'
+
+
+class SlowApp:
+    """Answers when its gate is open; the first part may come earlier."""
+
+    def __init__(self, early: bool) -> None:
+        self.gate = asyncio.Event()
+        self.running = 0
+        self.paths = []
+        self._early = early
+
+    async def __call__(self, scope, receive, send):
+        """Serve a request."""
+        self.running += 1
+        self.paths.append(scope['path'])
+        start = {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': [(b'content-length', b'4')],
+        }
+        if self._early:
+            await send(start)
+            await send(
+                {'type': 'http.response.body', 'body': b'ab', 'more_body': True}
+            )
+        await self.gate.wait()
+        if not self._early:
+            await send(start)
+            await send(
+                {'type': 'http.response.body', 'body': b'ab', 'more_body': True}
+            )
+        await send({'type': 'http.response.body', 'body': b'cd'})
+
+
+async def read_answer(reader):
+    head = await builders.read_head(reader)
+    assert await reader.readexactly(4) == b'abcd'
+    return head
+
+
+@pytest.mark.parametrize('early', [False, True])
+async def test_stop_cuts_no_request(early):
+    """Guards against a stop that cuts running or just arriving requests."""
+    app = SlowApp(early)
+    async with builders.RunningServer(app) as server:
+        conns = [await server.connect() for _ in range(20)]
+        idle = [await server.connect() for _ in range(5)]
+        for number, (_, writer) in enumerate(conns):
+            writer.write(REQUEST % number)
+        while app.running < 20:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.create_task(server.stop())
+        while not server.server.should_exit:
+            await asyncio.sleep(0)
+        # These arrive on kept connections after the stop has begun.
+        for number, (_, writer) in enumerate(idle):
+            writer.write(REQUEST % (100 + number))
+        while app.running < 25:
+            await asyncio.sleep(0.01)
+        app.gate.set()
+        heads = [await read_answer(reader) for reader, _ in [*conns, *idle]]
+        await stopping
+    assert len(app.paths) == 25
+    closed = [b'connection: close' in head for head in heads]
+    assert all(closed[20:])
+    assert early or all(closed)
+
+
+async def test_drain_keeps_serving_and_announces_the_close():
+    """Guards against refused requests while look-ups still name a server."""
+    app = SlowApp(early=False)
+    app.gate.set()
+    async with builders.RunningServer(app) as server:
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 1)
+        assert b'connection: close' not in await read_answer(reader)
+        server.server.start_drain()
+        writer.write(REQUEST % 2)
+        assert b'connection: close' in await read_answer(reader)
+        assert await reader.read() == b''
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 3)
+        assert b'connection: close' in await read_answer(reader)
+
+
+async def test_stop_is_bounded(monkeypatch):
+    """Guards against a stop that waits for a hanging request for ever."""
+    monkeypatch.setattr('cuminhoist.httpserver.DRAIN_S', 0.1)
+    monkeypatch.setattr('cuminhoist.httpserver.IDLE_GRACE_S', 0.1)
+    app = SlowApp(early=False)
+    async with builders.RunningServer(app) as server:
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 1)
+        while not app.running:
+            await asyncio.sleep(0.01)
+        await server.stop()
+        assert await reader.read() == b''
+    app.gate.set()
+
+
+async def test_early_answer_survives_the_close():
+    """Guards against a reset that destroys the answer to an upload."""
+
+    async def app(scope, receive, send):
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 413,
+                'headers': [(b'content-length', b'4')],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': b'abcd'})
+
+    async with builders.RunningServer(app) as server:
+        reader, writer = await server.connect()
+        size = 32 * 2**20
+        writer.write(
+            b'PUT / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n'
+            b'content-length: %d\r\n\r\n' % size
+        )
+        for _ in range(32):
+            writer.write(b'x' * 2**20)
+            await writer.drain()
+        assert b'413' in await read_answer(reader)
+
+
+async def test_upgrade_is_ignored():
+    """Guards against a connection that is stuck in another protocol."""
+    app = SlowApp(early=False)
+    app.gate.set()
+    async with builders.RunningServer(app) as server:
+        answer = await server.ask(
+            b'GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n'
+            b'upgrade: h2c\r\n\r\n'
+        )
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert answer.endswith(b'abcd')
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,126 @@
+"""Tests of the hop to another entry instance."""
+
+import msgspec
+import pytest
+from litestar import Litestar
+from returns.result import Failure, Success
+
+from cuminhoist.api import services_handler
+from cuminhoist.clock import SystemClock
+from cuminhoist.forwarding import Answer, Attempt
+from cuminhoist.hops import HopSigner, Route
+from cuminhoist.peers import PeerClient, hop_of
+from cuminhoist.problems import Refusal
+from cuminhoist.slots import SlotOutcome
+from cuminhoist.types import Ran, Reason
+
+from . import builders
+
+ORIGIN = hop_of('entry-1', 'domain-1', 'region-1')
+ROUTE = Route('PUT', '/catalogue/a%2F?b=1', 'acme')
+REFUSALS = [
+    Refusal(
+        ran=Ran.not_run,
+        reason=Reason.no_slot,
+        detail='Full.',
+        plan='gold',
+        retry_after_ms=250,
+    ),
+    Refusal(ran=Ran.unknown, reason=Reason.target_lost),
+]
+
+
+async def body():
+    yield b'abc'
+
+
+async def send(port, ends):
+    clock = SystemClock()
+    client = PeerClient(HopSigner('key', 'entry-1', clock), clock)
+    peer = msgspec.structs.replace(
+        builders.example_topology().instances[0],
+        name='entry-2',
+        host='127.0.0.1',
+        http_port=port,
+    )
+    headers = [(b'x-cuminhoist-caller', b'acme'), (b'content-length', b'3')]
+    attempt = Attempt(
+        ROUTE.method,
+        '/a%2F?b=1',
+        headers,
+        body(),
+        5.0,
+        lambda outcome, _latency: ends.append(outcome),
+    )
+    try:
+        outcome = await client.send(peer, ROUTE, ORIGIN, attempt)
+        if isinstance(outcome, Success):
+            answer = outcome.unwrap()
+            return answer, b''.join([chunk async for chunk in answer.body])
+        return outcome.failure(), b''
+    finally:
+        await client.close()
+
+
+def peer_server(serve):
+    class Entry:
+        async def serve(self, req):
+            return await serve(req)
+
+    hops = HopSigner('key', 'entry-2', SystemClock())
+    return builders.RunningServer(
+        Litestar([services_handler(Entry(), hops)], openapi_config=None)
+    )
+
+
+async def test_answer_and_hop_pass():
+    """Guards against a hop that loses the body or the origin."""
+    seen = []
+
+    async def serve(req):
+        seen.append((req.hop.origin, req.hop.domain, req.hop.region, req.path))
+        content = b''.join([chunk async for chunk in req.body])
+
+        async def echo():
+            yield content
+
+        forged = [(b'x-cuminhoist-refusal', b'1')]
+        return Success(Answer(500, forged, echo()))
+
+    ends = []
+    async with peer_server(serve) as server:
+        answer, content = await send(server.port, ends)
+    assert (answer.status, content) == (500, b'abc')
+    assert seen == [('entry-1', 'domain-1', 'region-1', '/a%2F?b=1')]
+    assert ends == [SlotOutcome.failed]
+
+
+@pytest.mark.parametrize('refusal', REFUSALS)
+async def test_refusal_of_the_peer_is_typed(refusal):
+    """Guards against a refusal that changes on its way to the caller."""
+
+    async def serve(req):
+        return Failure(refusal)
+
+    ends = []
+    async with peer_server(serve) as server:
+        got, _ = await send(server.port, ends)
+    assert got == refusal
+    not_run = refusal.ran == Ran.not_run
+    assert ends == [SlotOutcome.not_run if not_run else SlotOutcome.unknown]
+
+
+async def test_lost_peer_is_unknown():
+    """Guards against `not-run` for a request that a lost peer may have run."""
+
+    async def script(server, reader, writer):
+        await server.head(reader)
+
+    ends = []
+    async with builders.RawServer(script) as server:
+        got, _ = await send(server.port, ends)
+    assert got.ran == Ran.unknown
+    assert ends == [SlotOutcome.unknown]
+    got, _ = await send(builders.free_ports(1)[0], ends)
+    assert got.ran == Ran.not_run
+    assert ends[1:] == [SlotOutcome.not_run]
