Deliver the configuration through a tree with deltas and confirmed age

The thin long poll sent every list whole from one control instance and could not tell a current configuration from an old one. Parents now follow from the topology by rendezvous hashing, changes travel as steps that are checked by a digest, and each reply carries the age of the leader's confirmation.

--- a/src/cuminhoist/control_api.py
+++ b/src/cuminhoist/control_api.py
@@ -4,23 +4,20 @@
 
 from litestar import get, post
 
+from .control import ControlLog
 from .inforce import ConfigInForce
 from .lists import Change, ChangeOutcome, Configuration
-from .state import ControlState
 
 
-def change_handler(state: ControlState, in_force: ConfigInForce) -> Any:
+def change_handler(log: ControlLog) -> Any:
     """Return the handler of changes.
 
-    :param state: the state that changes apply to.
-    :param in_force: the configuration of this instance.
+    :param log: decides on changes.
     """
 
     @post('/v1/control/changes', status_code=200)
     async def submit(data: Change) -> ChangeOutcome:
-        outcome = state.apply(data)
-        in_force.advance(state.config)
-        return outcome
+        return await log.submit(data)
 
     return submit
 
--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -11,16 +11,17 @@
 
 from .api import lookup_handler, services_handler
 from .codec import Codec
+from .clock import SystemClock
 from .control_api import change_handler, config_handler
-from .delivery import WatchClient, WatchServer
+from .delivery import Delivery
 from .entry import EntryService
 from .forwarding import HttpxTargetClient
 from .httpserver import HttpServer
 from .inforce import ConfigInForce
+from .locallog import LocalLog
 from .logs import configure_logs, logger
 from .lookup import Lookup
 from .settings import Role, Settings, Topology, load_struct
-from .state import ControlState
 from .transport import PynngTransport
 
 _log = logger('daemon')
@@ -44,7 +45,16 @@
             topology.instances,
         )
         self._client = HttpxTargetClient()
-        self._state = ControlState()
+        is_control = Role.control in cfg.roles
+        self._log = LocalLog(cfg.name) if is_control else None
+        self._delivery = Delivery(
+            cfg.name,
+            topology,
+            self.in_force,
+            self._transport,
+            SystemClock(),
+            self._log,
+        )
         self._server = HttpServer.from_app(
             self._app(),
             cfg.host,
@@ -55,11 +65,7 @@
     async def start(self) -> None:
         """Start all listeners and tasks."""
         await self._transport.start()
-        WatchServer(self.in_force, self._transport)
-        if Role.control not in self._cfg.roles:
-            parents = tuple(peer.name for peer in self._topology.controls())
-            watch = WatchClient(self.in_force, self._transport, parents)
-            self._tasks.append(asyncio.create_task(watch.run()))
+        self._tasks.append(asyncio.create_task(self._delivery.run()))
         self._tasks.append(asyncio.create_task(self._server.serve()))
         while not self._server.started:
             await asyncio.sleep(0.01)
@@ -88,8 +94,8 @@
             lookup_handler(Lookup(self._topology, self._cfg.domain)),
             config_handler(self.in_force),
         ]
-        if Role.control in self._cfg.roles:
-            handlers.append(change_handler(self._state, self.in_force))
+        if self._log is not None:
+            handlers.append(change_handler(self._log))
         return Litestar(handlers, openapi_config=None)
 
 
--- a/src/cuminhoist/delivery.py
+++ b/src/cuminhoist/delivery.py
@@ -1,95 +1,124 @@
 """Delivery of the configuration from control to every instance."""
 
 import asyncio
+from collections.abc import Callable
 
-from returns.result import Success
+import msgspec
 
-from .codec import Message, message
+from .clock import Clock
+from .control import ControlLog
+from .deltas import ConfigStore
+from .freshness import FRESH_S, Currency, Freshness
 from .inforce import ConfigInForce
 from .lists import Configuration
-from .transport import ErrorReply, Transport
+from .settings import Topology
+from .transport import Transport
+from .tree import DeliveryTree
+from .watch import POLL_HOLD_S, WatchServer
+from .watchclient import CONFIRMED_PAUSE_S, ISOLATED_AFTER_S, WatchClient
 
-POLL_HOLD_S = 2.0
-POLL_TIMEOUT_S = 4.0
-RETRY_PAUSE_S = 0.2
 
+class DeliveryOptions(msgspec.Struct, frozen=True):
+    """How the configuration is delivered.
 
-@message
-class Watch(Message, frozen=True):
-    """Ask a parent for a version newer than the one held."""
-
-    have_version: int
-
-
-@message
-class WatchReply(Message, frozen=True):
-    """The newest configuration, or None if there is nothing newer."""
-
-    config: Configuration | None
-
-
-class WatchServer:
-    """Answers the long polls of children.
-
-    :param in_force: configuration of this instance.
-    :param transport: serves the polls.
+    :param hold_s: how long a parent holds a poll without news.
+    :param live: returns the names of the live instances; all by default.
     """
 
-    def __init__(self, in_force: ConfigInForce, transport: Transport) -> None:
-        self._in_force = in_force
-        self._changed = asyncio.Event()
-        in_force.subscribe(self._on_change)
-        transport.register(Watch, self._on_watch)
-
-    def _on_change(self, _config: Configuration) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def _on_watch(self, _sender: str, msg: Message) -> Message:
-        if not isinstance(msg, Watch):
-            return ErrorReply(reason='not a watch')
-        if self._in_force.version <= msg.have_version:
-            try:
-                await asyncio.wait_for(self._changed.wait(), POLL_HOLD_S)
-            except TimeoutError:
-                return WatchReply(config=None)
-        return WatchReply(config=self._in_force.current)
+    hold_s: float = POLL_HOLD_S
+    live: Callable[[], frozenset[str]] | None = None
 
 
-class WatchClient:
-    """Keeps one long poll at a parent.
+class Delivery:
+    """Keeps the configuration of an instance current.
 
+    :param own: name of the instance.
+    :param topology: the deployment.
     :param in_force: configuration of this instance.
-    :param transport: carries the polls.
-    :param parents: names of instances to poll, the preferred one first.
+    :param transport: carries polls both ways.
+    :param clock: source of time.
+    :param log: the own control replica, None without that role.
+    :param options: how to deliver.
     """
 
     def __init__(
         self,
+        own: str,
+        topology: Topology,
         in_force: ConfigInForce,
         transport: Transport,
-        parents: tuple[str, ...],
+        clock: Clock,
+        log: ControlLog | None = None,
+        options: DeliveryOptions = DeliveryOptions(),
     ) -> None:
+        self._own = own
         self._in_force = in_force
-        self._transport = transport
-        self._parents = parents
+        self._clock = clock
+        self._log = log
+        names = frozenset(entry.name for entry in topology.instances)
+        self._live = options.live or (lambda: names)
+        self._tree = DeliveryTree(topology)
+        self._known: tuple[frozenset[str], tuple[str, ...]] | None = None
+        self.store = ConfigStore(in_force)
+        self.freshness = Freshness(clock, self._confirmed_age)
+        self.server = WatchServer(
+            self.store, self.freshness, clock, transport, options.hold_s
+        )
+        self.client = WatchClient(
+            self.store,
+            self.freshness,
+            clock,
+            transport,
+            self._parents,
+            self._tree.peers(own),
+            options.hold_s,
+        )
+        if log is not None:
+            log.on_commit(self._on_commit)
 
     async def run(self) -> None:
-        """Poll until cancelled; the next parent follows a failed one."""
-        turn = 0
+        """Keep the configuration current until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.client.run())
+            if self._log is not None:
+                group.create_task(self._follow_log(self._log))
+
+    def currency(self) -> Currency:
+        """Return what is known about the configuration in force."""
+        return self.freshness.currency(self._in_force.version)
+
+    def _parents(self) -> tuple[str, ...]:
+        live = self._live()
+        if self._known is None or self._known[0] != live:
+            self._known = (live, self._tree.parents(self._own, live))
+        return self._known[1]
+
+    def _confirmed_age(self) -> float | None:
+        if self._log is None:
+            return None
+        committed = self._log.committed()
+        # An age says nothing about a version that is not in force here.
+        if committed is None or committed.version > self._in_force.version:
+            return None
+        return self._log.confirmed_age_s()
+
+    def _on_commit(self, config: Configuration) -> None:
+        age = None if self._log is None else self._log.confirmed_age_s()
+        is_fresh = age is not None and age < FRESH_S
+        if is_fresh or self._in_force.current is not None:
+            self.store.publish(config)
+
+    async def _follow_log(self, log: ControlLog) -> None:
+        # After a start, what the disk holds may be old: it comes into force
+        # once it is confirmed, or as the state of an isolated instance.
+        started = self._clock.now()
         while True:
-            parent = self._parents[turn % len(self._parents)]
-            reply = await self._transport.call(
-                parent,
-                Watch(have_version=self._in_force.version),
-                POLL_TIMEOUT_S,
-            )
-            if isinstance(reply, Success):
-                self._take(reply.unwrap())
-            else:
-                turn += 1
-                await asyncio.sleep(RETRY_PAUSE_S)
-
-    def _take(self, msg: Message) -> None:
-        if isinstance(msg, WatchReply) and msg.config is not None:
-            self._in_force.advance(msg.config)
+            committed = log.committed()
+            if committed is not None:
+                self._on_commit(committed)
+                waited = self._clock.now() - started
+                is_late = waited >= ISOLATED_AFTER_S + 1
+                if is_late and self._in_force.current is None:
+                    self.store.publish(committed)
+                    self.freshness.mark_isolated()
+            await asyncio.sleep(CONFIRMED_PAUSE_S)
