Test delivery on a controlled clock and refuse duplicate replies

A reply that was held longer than its poll took belongs to another poll; it confirmed the version before and made the child poll without pause.

--- a/src/cuminhoist/freshness.py
+++ b/src/cuminhoist/freshness.py
@@ -8,6 +8,8 @@
 #: A configuration confirmed less than this ago is fresh, in seconds.
 FRESH_S = 5.0
 MS_PER_S = 1000
+#: Difference that two clocks may show over one poll.
+CLOCK_ERROR_S = 0.05
 #: Value of ``age_ms`` without any confirmation.
 NO_AGE = -1
 
@@ -33,7 +35,9 @@
     """Return the age of a confirmation when its reply is received.
 
     All time that the parent did not hold the poll counts as age, since
-    the network and both processes may have delayed the reply.
+    the network and both processes may have delayed the reply. A reply that
+    says it was held for longer than the poll took belongs to another poll
+    and confirms nothing.
 
     :param age_ms: age when the parent replied, negative without one.
     :param held_ms: how long the parent held the poll.
@@ -41,8 +45,10 @@
     """
     if age_ms < 0:
         return None
-    transit = max(elapsed_s - max(held_ms, 0) / MS_PER_S, 0)
-    return age_ms / MS_PER_S + transit
+    transit = elapsed_s - max(held_ms, 0) / MS_PER_S
+    if transit < -CLOCK_ERROR_S:
+        return None
+    return age_ms / MS_PER_S + max(transit, 0)
 
 
 class Freshness:
--- a/src/cuminhoist/watchclient.py
+++ b/src/cuminhoist/watchclient.py
@@ -65,6 +65,7 @@
         self._last_parents: tuple[str, ...] = ()
         self._preferred_at = clock.now()
         self._snapshot = False
+        self._confirm_first = True
         self.rejected = 0
 
     async def run(self) -> None:
@@ -75,6 +76,7 @@
                 await asyncio.sleep(CONFIRMED_PAUSE_S)
             elif not await self.poll():
                 self._turn += 1
+                self._confirm_first = True
                 await asyncio.sleep(RETRY_PAUSE_S)
             waited = self._clock.now() - started
             if self._is_empty() and waited >= ISOLATED_AFTER_S:
@@ -103,6 +105,7 @@
             return False
         elapsed = self._clock.now() - sent_at
         age = age_at_receipt(msg.age_ms, msg.held_ms, elapsed)
+        self._confirm_first = False
         return self._take(msg, age) and not msg.busy
 
     def _pick(self) -> str | None:
@@ -111,6 +114,7 @@
         if parents != self._last_parents or self._is_return_due(now):
             self._last_parents = parents
             self._turn = 0
+            self._confirm_first = True
         if not parents:
             return None
         self._turn %= len(parents)
@@ -125,10 +129,7 @@
         if self._is_empty():
             return FIRST_HOLD_S
         # After a lost parent, the next one confirms at once, without hold.
-        age = self._freshness.age_s()
-        if age is None or age > self._hold_s * RELAY_SLACK:
-            return 0
-        return self._hold_s
+        return 0 if self._confirm_first else self._hold_s
 
     def _take(self, msg: WatchReply, age: float | None) -> bool:
         is_fresh = age is not None and age < FRESH_S
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,19 +1,38 @@
 """Builders of test data."""
 
+import asyncio
 import pathlib
 import socket
+from collections.abc import Callable
 
 import msgspec
+from returns.result import Failure, Result, Success
 
+from cuminhoist.clock import Clock
+from cuminhoist.codec import Codec, Message
+from cuminhoist.control import ControlLog, ReplicaStatus
+from cuminhoist.exceptions import TransportError
 from cuminhoist.lists import (
     Allowance,
     Allowances,
     Caller,
     Change,
+    ChangeOutcome,
+    Configuration,
     Plan,
     Plans,
+    Unavailable,
 )
-from cuminhoist.settings import Settings, Topology, load_struct
+from cuminhoist.settings import (
+    FailureDomain,
+    Instance,
+    Role,
+    Settings,
+    Topology,
+    load_struct,
+)
+from cuminhoist.state import ControlState
+from cuminhoist.transport import ErrorReply, Transport
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 CLUSTER_KEY = 'test-key'
@@ -111,3 +130,199 @@
         base_version=base,
         plans=small_plans(weight),
     )
+
+
+def grid_topology(
+    domains: int,
+    per_domain: int,
+    controls: int = 3,
+) -> Topology:
+    """Return a topology with one control instance in the first domains."""
+    names = [f'dom-{number:02}' for number in range(domains)]
+    return Topology(
+        deployment='grid',
+        domains=tuple(
+            FailureDomain(name=name, region=f'reg-{at // 2}')
+            for at, name in enumerate(names)
+        ),
+        links=(),
+        services=(),
+        targets=(),
+        instances=tuple(
+            Instance(
+                name=f'{name}-{number:02}',
+                domain=name,
+                host='127.0.0.1',
+                http_port=1,
+                internal_port=1,
+                roles=(Role.control,)
+                if number == 0 and at < controls
+                else (Role.entry,),
+            )
+            for at, name in enumerate(names)
+            for number in range(per_domain)
+        ),
+    )
+
+
+class LoopClock(Clock):
+    """The time of the running event loop, which looptime controls."""
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return asyncio.get_running_loop().time() + 1000
+
+    def wall(self) -> float:
+        """Return Unix time in seconds."""
+        return self.now()
+
+
+class FakeNetwork:
+    """Carries frames between fake transports, with delays and cuts."""
+
+    def __init__(self, delay_s: float = 0.001) -> None:
+        self.transports: dict[str, FakeTransport] = {}
+        self.delay_s = delay_s
+        #: Tells whether frames from one instance to another get lost.
+        self.is_cut: Callable[[str, str], bool] = lambda _from, _to: False
+        #: Changes a reply on its way.
+        self.tamper: Callable[[str, Message], Message] = lambda _to, msg: msg
+        #: Instances that hold all frames until they resume.
+        self.paused: dict[str, asyncio.Event] = {}
+        self.calls: list[tuple[str, str, Message]] = []
+        self.reply_bytes = 0
+
+    async def carry(self, source: str, target: str) -> None:
+        """Wait as long as a frame takes; for ever if it is lost."""
+        await asyncio.sleep(self.delay_s)
+        is_lost = not {source, target} <= self.transports.keys()
+        if is_lost or self.is_cut(source, target):
+            await asyncio.Event().wait()
+        for name in (source, target):
+            if name in self.paused:
+                await self.paused[name].wait()
+
+
+class FakeTransport(Transport):
+    """A transport over a fake network, with encoded frames."""
+
+    def __init__(self, name: str, network: FakeNetwork) -> None:
+        super().__init__()
+        self._name = name
+        self._network = network
+        self._codec = Codec(CLUSTER_KEY, name)
+        network.transports[name] = self
+
+    async def call(
+        self,
+        peer: str,
+        msg: Message,
+        timeout_s: float,
+    ) -> Result[Message, TransportError]:
+        """Send a request and wait for its reply."""
+        network = self._network
+        network.calls.append((self._name, peer, msg))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await network.carry(self._name, peer)
+                target = network.transports[peer]
+                received = target._codec.decode(self._codec.encode(msg))
+                reply = await target.handle(received.unwrap())
+                frame = target._codec.encode(reply)
+                network.reply_bytes += len(frame)
+                await network.carry(peer, self._name)
+        except TimeoutError:
+            return Failure(TransportError(peer, 'timeout'))
+        reply = network.tamper(
+            self._name, self._codec.decode(frame).unwrap().message
+        )
+        if isinstance(reply, ErrorReply):
+            return Failure(TransportError(peer, reply.reason))
+        return Success(reply)
+
+
+class MemoryCluster:
+    """The state that in-memory control logs share."""
+
+    def __init__(self, names: tuple[str, ...], clock: Clock) -> None:
+        self.state = ControlState()
+        self.clock = clock
+        self.leader = names[0]
+        self.logs = {name: MemoryLog(name, self) for name in names}
+
+    async def change(self, change: Change) -> ChangeOutcome:
+        """Submit a change at the leader."""
+        return await self.logs[self.leader].submit(change)
+
+
+class MemoryLog(ControlLog):
+    """An in-memory control log; an isolated one keeps its old state."""
+
+    def __init__(self, name: str, cluster: MemoryCluster) -> None:
+        self._name = name
+        self._cluster = cluster
+        self._held: Configuration | None = None
+        self._isolated_at: float | None = None
+        self._listeners: list[Callable[[Configuration], None]] = []
+        self.submitted: list[Change] = []
+
+    def isolate(self) -> None:
+        """Cut the replica off from its majority."""
+        self._isolated_at = self._cluster.clock.now()
+
+    def heal(self) -> None:
+        """Connect the replica again."""
+        self._isolated_at = None
+        self.learn(self._cluster.state.config)
+
+    def learn(self, config: Configuration) -> None:
+        """Commit a configuration here, unless the replica is isolated."""
+        if self._isolated_at is None and config.version:
+            self._held = config
+            for listener in self._listeners:
+                listener(config)
+
+    async def submit(self, change: Change) -> ChangeOutcome:
+        """Decide on a change at the leader."""
+        self.submitted.append(change)
+        if self._isolated_at is not None or self._name != self._cluster.leader:
+            leader = self._cluster.leader
+            return Unavailable(reason='not the leader', leader=leader)
+        outcome = self._cluster.state.apply(change)
+        for log in self._cluster.logs.values():
+            log.learn(self._cluster.state.config)
+        return outcome
+
+    async def init(self) -> Result[str, str]:
+        """Refuse, as the cluster exists."""
+        return Failure('this replica belongs to a cluster')
+
+    def committed(self) -> Configuration | None:
+        """Return the newest committed configuration."""
+        return self._held
+
+    def confirmed_age_s(self) -> float | None:
+        """Return the age of the last proof."""
+        if self._isolated_at is None:
+            return 0
+        return self._cluster.clock.now() - self._isolated_at
+
+    def on_commit(self, listener: Callable[[Configuration], None]) -> None:
+        """Add a listener."""
+        self._listeners.append(listener)
+
+    def status(self) -> ReplicaStatus:
+        """Return the state of the replica."""
+        is_leader = self._name == self._cluster.leader
+        version = 0 if self._held is None else self._held.version
+        return ReplicaStatus(
+            name=self._name,
+            incarnation='i1',
+            cluster_id='c1',
+            role='leader' if is_leader else 'follower',
+            term=1,
+            leader=self._cluster.leader,
+            commit_index=version,
+            version=version,
+            voters=tuple(self._cluster.logs),
+        )
--- /dev/null
+++ b/tests/test_tree.py
@@ -0,0 +1,59 @@
+"""Tests of the delivery tree."""
+
+import collections
+
+import pytest
+
+from cuminhoist.tree import FAN_OUT, DeliveryTree
+
+from . import builders
+
+
+@pytest.mark.parametrize(
+    ('domains', 'per_domain', 'controls'),
+    [(6, 2, 3), (4, 9, 3), (10, 20, 3), (73, 53, 19), (73, 53, 10)],
+)
+def test_fan_out_and_levels(domains, per_domain, controls):
+    """Guards against an overloaded parent, a cycle and an orphan."""
+    topology = builders.grid_topology(domains, per_domain, controls)
+    tree = DeliveryTree(topology)
+    live = frozenset(entry.name for entry in topology.instances)
+    # One tree per domain is enough to check in the largest deployment.
+    shown = topology.instances if domains < 20 else topology.instances[:106]
+    level = {entry.name: tree.level(entry.name, live) for entry in shown}
+    children = collections.Counter()
+    for entry in shown:
+        parents = tree.parents(entry.name, live)
+        if level[entry.name] == 0:
+            assert entry.name not in parents
+            continue
+        children[parents[0]] += 1
+        assert len(parents) >= min(controls, 2)
+        for parent in parents:
+            assert tree.level(parent, live) < level[entry.name]
+    assert max(children.values()) <= FAN_OUT
+    assert max(level.values()) <= 3
+
+
+def test_relays_of_all_domains_fit_below_the_control_replicas():
+    """Guards against control replicas with more than eight children."""
+    topology = builders.grid_topology(73, 53, 19)
+    tree = DeliveryTree(topology)
+    live = frozenset(entry.name for entry in topology.instances)
+    chosen = tree._relay_parents(live)
+    assert len(chosen) == 73 * 2
+    assert max(collections.Counter(chosen.values()).values()) <= FAN_OUT
+
+
+def test_lost_relay_moves_few_children():
+    """Guards against one loss that moves children of healthy parents."""
+    topology = builders.grid_topology(2, 30)
+    tree = DeliveryTree(topology)
+    live = frozenset(entry.name for entry in topology.instances)
+    names = [name for name in live if tree.level(name, live) == 3]
+    before = {name: tree.parents(name, live)[0] for name in names}
+    lost = before[names[0]]
+    after = {name: tree.parents(name, live - {lost})[0] for name in names}
+    assert lost not in after.values()
+    moved = [name for name in names if before[name] != after[name]]
+    assert len(moved) <= 3 * FAN_OUT
