--- /dev/null
+++ b/tests/control_world.py
@@ -0,0 +1,485 @@
+"""Control replicas on virtual time with fake disks and a fake network."""
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from cuminhoist.clock import Clock
+from cuminhoist.codec import Codec, Message, Received
+from cuminhoist.consensus import Replica
+from cuminhoist.consensus_messages import Entry, Member, VoteReply, VoteRequest
+from cuminhoist.exceptions import TransportError
+from cuminhoist.lists import Accepted, Change, ChangeOutcome, Unavailable
+from cuminhoist.replica_core import Options, Timings
+from cuminhoist.storage import Disk, DiskError, DiskErrorKind
+from cuminhoist.transport import Transport
+
+_node: contextvars.ContextVar['Node | None'] = contextvars.ContextVar(
+    'node',
+    default=None,
+)
+COMPACT_ENTRIES = 12
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop that skips all waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._virtual_s = 1000.0
+        self.set_task_factory(_create_task)
+
+    def time(self) -> float:
+        return self._virtual_s
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:
+            due = self._scheduled[0]._when
+            self._virtual_s = max(self._virtual_s, due)
+        super()._run_once()
+
+
+def _create_task(
+    loop: Any, coro: Any, context: Any = None
+) -> asyncio.Task[Any]:
+    node = _node.get() if context is None else context.get(_node)
+    task = asyncio.Task(coro, loop=loop, context=context)
+    if node is not None:
+        node.tasks.add(task)
+        task.add_done_callback(node.tasks.discard)
+    return task
+
+
+class LoopClock(Clock):
+    """The time of a virtual loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now(self) -> float:
+        return self._loop.time()
+
+    def wall(self) -> float:
+        return self._loop.time()
+
+
+class FakeDisk(Disk):
+    """Files that are durable at the end of an operation.
+
+    A crash during an operation leaves a prefix of an appended write, and
+    either the old or the new content of a replaced file.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.files: dict[str, bytes] = {}
+        self.aside: dict[str, dict[str, bytes]] = {}
+        self.full = False
+        self.delay_s = 0.002
+        self._rng = rng
+        self._life = 0
+        self._unsynced: Callable[[], None] | None = None
+
+    def crash(self) -> None:
+        """Lose what was not synced; operations of the old life never end."""
+        self._life += 1
+        if self._unsynced is not None:
+            self._unsynced()
+        self._unsynced = None
+
+    async def names(self) -> Result[tuple[str, ...], DiskError]:
+        return Success(tuple(self.files))
+
+    async def read(self, name: str) -> Result[bytes, DiskError]:
+        return Success(self.files[name])
+
+    async def write_at(
+        self, name: str, offset: int, content: bytes
+    ) -> Result[None, DiskError]:
+        def tear() -> None:
+            part = content[: self._rng.randint(0, len(content))]
+            self.files[name] = self.files[name][:offset] + part
+
+        def finish() -> None:
+            self.files[name] = self.files[name][:offset] + content
+
+        return await self._change(name, tear, finish)
+
+    async def replace(
+        self, name: str, content: bytes
+    ) -> Result[None, DiskError]:
+        def finish() -> None:
+            self.files[name] = content
+
+        def tear() -> None:
+            if self._rng.random() < 0.5:
+                finish()
+
+        return await self._change(name, tear, finish)
+
+    async def remove(self, name: str) -> Result[None, DiskError]:
+        self.files.pop(name, None)
+        return Success(None)
+
+    async def set_aside(self, label: str) -> Result[None, DiskError]:
+        self.aside[label] = self.files
+        self.files = {}
+        return Success(None)
+
+    async def _change(
+        self,
+        name: str,
+        tear: Callable[[], None],
+        finish: Callable[[], None],
+    ) -> Result[None, DiskError]:
+        life = self._life
+        if self.full:
+            return Failure(DiskError(DiskErrorKind.full, name, 'no space'))
+        self._unsynced = tear
+        await asyncio.sleep(self._rng.uniform(0, self.delay_s))
+        node = _node.get()
+        if node is not None:
+            await node.gate.wait()
+        if life != self._life:
+            await asyncio.Event().wait()
+        self._unsynced = None
+        finish()
+        return Success(None)
+
+
+class Network:
+    """Which messages get through, and how late."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.cut: set[tuple[str, str]] = set()
+        self.delay_s = 0.01
+        self.loss = 0.0
+        self.duplicates = 0.0
+
+    async def carry(self, source: str, target: str) -> None:
+        """Return when a message has arrived; never if it is lost."""
+        await asyncio.sleep(self.rng.uniform(0, self.delay_s))
+        lost = self.rng.random() < self.loss
+        if lost or (source, target) in self.cut:
+            await asyncio.Event().wait()
+
+
+class FakeTransport(Transport):
+    """Calls other replicas through a fake network."""
+
+    def __init__(self, world: 'World', node: 'Node') -> None:
+        super().__init__()
+        self._world = world
+        self._node = node
+        self._codec = Codec('key', node.name)
+
+    async def call(
+        self, peer: str, msg: Message, timeout_s: float
+    ) -> Result[Message, TransportError]:
+        await self._node.gate.wait()
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self._exchange(peer, msg)
+        except TimeoutError:
+            reply = None
+        await self._node.gate.wait()
+        if reply is None:
+            return Failure(TransportError(peer, 'timeout'))
+        return self._codec.decode(self._codec.encode(reply)).map(
+            lambda received: received.message
+        )
+
+    async def _exchange(self, peer: str, msg: Message) -> Message | None:
+        world = self._world
+        await world.network.carry(self._node.name, peer)
+        target = world.nodes[peer]
+        received = self._codec.decode(self._codec.encode(msg)).unwrap()
+        if world.network.rng.random() < world.network.duplicates:
+            target.run(self._late_copy(target, received))
+        if not target.alive:
+            return None
+        handling = target.run(target.receive(received))
+        reply = await asyncio.shield(handling)
+        world.check_vote(msg, reply)
+        await world.network.carry(peer, self._node.name)
+        return reply
+
+    async def _late_copy(self, target: 'Node', received: Received) -> None:
+        await asyncio.sleep(self._world.network.rng.uniform(0, 3))
+        if target.alive:
+            await target.receive(received)
+
+
+class Node:
+    """One control instance that can crash and pause."""
+
+    def __init__(self, world: 'World', name: str) -> None:
+        self.world = world
+        self.name = name
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.disk = FakeDisk(world.rng)
+        self.gate = asyncio.Event()
+        self.alive = False
+        self.replica: Replica
+        self.transport: FakeTransport
+        self._context = contextvars.copy_context()
+        self._context.run(_node.set, self)
+
+    def run(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a task that ends when this node crashes."""
+        return self.world.loop.create_task(coro, context=self._context)
+
+    def start(self) -> None:
+        self.alive = True
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.transport = FakeTransport(self.world, self)
+        self.replica = Replica.from_config(
+            self.name,
+            self.world.names,
+            self.transport,
+            LoopClock(self.world.loop),
+            self.disk,
+            self.world.rng.getrandbits(32),
+            self.world.options,
+        )
+        self.run(self.replica.start())
+
+    def crash(self) -> None:
+        self.alive = False
+        self.disk.crash()
+        for task in tuple(self.tasks):
+            task.cancel()
+        self.world.advance(0)
+
+    def lose_disk(self) -> None:
+        self.crash()
+        self.disk = FakeDisk(self.world.rng)
+
+    async def receive(self, received: Received) -> Message:
+        await self.gate.wait()
+        reply = await self.transport.handle(received)
+        await self.gate.wait()
+        return reply
+
+    @property
+    def core(self) -> Any:
+        return self.replica._core
+
+    @property
+    def ready(self) -> bool:
+        return self.alive and self.core.files is not None
+
+
+class World:
+    """A few replicas and what must hold for them at any time."""
+
+    def __init__(self, count: int = 3, seed: int = 0) -> None:
+        self.rng = random.Random(seed)
+        self.loop = VirtualLoop()
+        self.network = Network(self.rng)
+        self.names = tuple(f'c{number}' for number in range(count))
+        self.options = Options(
+            timings=Timings(compact_entries=COMPACT_ENTRIES),
+        )
+        self.nodes = {name: Node(self, name) for name in self.names}
+        self.changes: dict[str, Change] = {}
+        self.decided: dict[str, ChangeOutcome] = {}
+        self.accepted: list[tuple[float, int]] = []
+        self.submissions = 0
+        self.faults: list[str] = []
+        self._entries: dict[int, Entry] = {}
+        self._leaders: dict[int, Member] = {}
+        self._votes: dict[tuple[Member, int], Member] = {}
+        self._members: set[Member] = set()
+        self._held: dict[Member, int] = {}
+
+    def boot(self) -> None:
+        """Start all, initialise the first one and wait for the others."""
+        for node in self.nodes.values():
+            node.start()
+        self.advance(0.2)
+        first = self.nodes[self.names[0]]
+        assert isinstance(self.wait(first.run(first.replica.init())), Success)
+        for _ in range(60):
+            self.advance(0.5)
+            if self.voters() == set(self.names):
+                return
+        raise AssertionError(f'not all joined: {self.voters()}')
+
+    def voters(self) -> set[str]:
+        leader = self.leader()
+        return set(leader.replica.status().voters) if leader else set()
+
+    def leader(self) -> Node | None:
+        leading = [
+            node
+            for node in self.nodes.values()
+            if node.ready and node.replica.status().role == 'leader'
+        ]
+        return max(leading, key=lambda node: node.core.term, default=None)
+
+    def wait(self, awaitable: Any) -> Any:
+        return self.loop.run_until_complete(awaitable)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, and check everything on the way."""
+        end = self.loop.time() + seconds
+        while True:
+            step = min(0.2, max(0, end - self.loop.time()))
+            self.wait(asyncio.sleep(step))
+            self.check()
+            if self.loop.time() >= end - 1e-6:
+                return
+
+    def submit(self, name: str, change: Change) -> asyncio.Task[Any]:
+        self.changes[change.change_id] = change
+        self.submissions += 1
+        node = self.nodes[name]
+        return node.run(self._submit(node, change))
+
+    def decide(self, name: str, change: Change) -> ChangeOutcome:
+        """Submit a change and wait for the answer."""
+        outcome: ChangeOutcome = self.wait(self.submit(name, change))
+        return outcome
+
+    async def _submit(self, node: Node, change: Change) -> ChangeOutcome:
+        outcome = await node.replica.submit(change)
+        await node.gate.wait()
+        if not isinstance(outcome, Unavailable):
+            first = self.decided.setdefault(change.change_id, outcome)
+            self.expect(first == outcome, f'answers {first}, then {outcome}')
+        if isinstance(outcome, Accepted):
+            self.accepted.append((self.loop.time(), outcome.version))
+        return outcome
+
+    def isolate(self, name: str) -> None:
+        for other in self.names:
+            self.network.cut |= {(name, other), (other, name)}
+
+    def heal(self) -> None:
+        self.network.cut.clear()
+        self.network.loss = 0
+        self.network.duplicates = 0
+        self.network.delay_s = 0.01
+
+    def recover(self) -> None:
+        """End all faults and start every replica."""
+        self.heal()
+        for node in self.nodes.values():
+            node.disk.full = False
+            node.gate.set()
+            if not node.alive:
+                node.start()
+
+    def can_recover(self) -> bool:
+        """Tell whether each known majority still has its disks."""
+        live = {node.core.own for node in self.nodes.values() if node.ready}
+        known = [
+            node.core.membership
+            for node in self.nodes.values()
+            if node.ready and node.core.membership.voters
+        ]
+        return bool(known) and all(
+            len(live & set(found.voters)) >= found.majority for found in known
+        )
+
+    def close(self) -> None:
+        for node in self.nodes.values():
+            if node.alive:
+                node.crash()
+        self.wait(asyncio.sleep(0))
+        pending = asyncio.all_tasks(self.loop)
+        for task in pending:
+            task.cancel()
+        if pending:
+            self.wait(asyncio.wait(pending))
+        self.loop.close()
+
+    def expect(self, holds: bool, text: str) -> None:
+        if not holds:
+            self.faults.append(text)
+
+    def check(self) -> None:
+        """Check what must hold at any time."""
+        for node in self.nodes.values():
+            if node.ready:
+                self._check_node(node)
+        winners: dict[tuple[str, int], str] = {}
+        for change_id, outcome in self.decided.items():
+            change = self.changes[change_id]
+            part = 'plans' if change.plans is not None else 'allowances'
+            if change.drain or change.undrain:
+                continue
+            if isinstance(outcome, Accepted):
+                key = (part, change.base_version)
+                winner = winners.setdefault(key, change_id)
+                self.expect(winner == change_id, f'two winners of {key}')
+        assert not self.faults, self.faults
+
+    def _check_node(self, node: Node) -> None:
+        core = node.core
+        fault = core.fault
+        self.expect(not fault or 'no space' in fault, f'{node.name}: {fault}')
+        for entry in core.log.entries(core.log.base.index + 1, core.commit_index):
+            first = self._entries.setdefault(entry.index, entry)
+            self.expect(first == entry, f'{first} was replaced by {entry}')
+        if core.leading:
+            first_leader = self._leaders.setdefault(core.term, core.own)
+            self.expect(first_leader == core.own, 'two leaders in one term')
+        self._note_members(node)
+        self._check_age(node)
+
+    def _check_age(self, node: Node) -> None:
+        age_s = node.replica.confirmed_age_s()
+        if age_s is None:
+            return
+        confirmed_at = self.loop.time() - age_s
+        config = node.replica.committed()
+        assert config is not None
+        for accepted_at, version in self.accepted:
+            if accepted_at < confirmed_at - 1e-6:
+                self.expect(
+                    config.version >= version,
+                    f'{node.name} confirms {config.version} at {confirmed_at},'
+                    f' but {version} was accepted at {accepted_at}',
+                )
+
+    def _note_members(self, node: Node) -> None:
+        known = set(node.core.membership.voters)
+        newest = max(self._entries, default=0)
+        for other in self.nodes.values():
+            if other.ready and other.core.own not in self._members | known:
+                self._held[other.core.own] = newest
+        self._members |= known
+
+    def check_vote(self, req: Message, reply: Message) -> None:
+        """Check a vote when it is given."""
+        if not isinstance(req, VoteRequest) or req.trial:
+            return
+        if not isinstance(reply, VoteReply) or not reply.granted:
+            return
+        voter = reply.voter
+        first = self._votes.setdefault((voter, req.term), req.candidate)
+        self.expect(first == req.candidate, f'{voter} voted twice')
+        self.expect(
+            voter in self._members | set(req.membership.voters),
+            f'{voter} voted before it was added',
+        )
+        core = self.nodes[voter.name].core
+        if self.nodes[voter.name].ready and core.own == voter:
+            held = self._held.get(voter, 0)
+            self.expect(core.log.last.index >= held, f'{voter} lacks state')
+
+
+def replaced(options: Options, **timings: Any) -> Options:
+    """Return options with other timings."""
+    return msgspec.structs.replace(
+        options,
+        timings=msgspec.structs.replace(options.timings, **timings),
+    )
