--- /dev/null
+++ b/src/cuminhoist/dispatch.py
@@ -0,0 +1,252 @@
+"""Attempts of a request until it is answered or given up."""
+
+import asyncio
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from .admission import Admission, AdmissionRequest
+from .attempts import AttemptEnd, Dispatched, LocalAttempts
+from .clock import Clock
+from .forwarding import Attempt
+from .hops import Hop
+from .hops import Route as HopRoute
+from .intake import refuse
+from .peers import PeerClient, hop_of
+from .problems import Refusal
+from .requests import CheckedRequest
+from .retries import RetryBudget
+from .routing import GrantRoute, LocalRoute, PeerRoute, Router
+from .settings import Instance
+from .types import Ran, Reason
+
+#: Hops of one request that may be refused before it is given up.
+MAX_REFUSED_HOPS = 2
+RETRY_NO_ROUTE_MS = 1000
+
+#: Refusals by the target of an attempt, not by admission.
+_AT_TARGET = frozenset(
+    (
+        Reason.target_refused,
+        Reason.target_lost,
+        Reason.target_timeout,
+        Reason.no_target,
+    ),
+)
+
+
+class _Progress(msgspec.Struct):
+    """What was tried for a request so far."""
+
+    targets: frozenset[str] = frozenset()
+    instances: frozenset[str] = frozenset()
+    retries: int = 0
+    refused_hops: int = 0
+    last_hop: bool = False
+
+
+class Dispatcher:
+    """Sends requests to own targets, peers and other failure domains.
+
+    :param own: this instance.
+    :param router: chooses where an attempt goes.
+    :param admission: gives slots of own targets.
+    :param local: sends attempts to own targets.
+    :param peers: sends attempts to other instances.
+    :param budget: limits further attempts.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        router: Router,
+        admission: Admission,
+        local: LocalAttempts,
+        peers: PeerClient,
+        budget: RetryBudget,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._router = router
+        self._admission = admission
+        self._local = local
+        self._peers = peers
+        self._budget = budget
+        self._clock = clock
+
+    async def run(
+        self,
+        checked: CheckedRequest,
+    ) -> Result[Dispatched, Refusal]:
+        """Attempt a request until an answer begins or it is given up.
+
+        :param checked: the request; its rate has been charged.
+        """
+        self._budget.on_request()
+        progress = _Progress()
+        while True:
+            outcome = await self._attempt(checked, progress)
+            if isinstance(outcome, Success):
+                return outcome
+            if not await self._may_repeat(checked, outcome.failure(), progress):
+                return outcome
+
+    async def send_to_home(
+        self,
+        checked: CheckedRequest,
+        home: Instance,
+    ) -> Result[Dispatched, Refusal]:
+        """Pass a request on to the home of its idempotency key.
+
+        :param checked: the request.
+        :param home: the home.
+        """
+        return await self._send_to_peer(checked, home, may_queue=True)
+
+    async def _attempt(
+        self,
+        checked: CheckedRequest,
+        progress: _Progress,
+    ) -> Result[Dispatched, Refusal]:
+        route = self._router.choose(checked, progress.instances)
+        progress.last_hop = isinstance(route, (PeerRoute, GrantRoute))
+        if isinstance(route, LocalRoute):
+            return await self._attempt_here(checked, progress)
+        if isinstance(route, PeerRoute):
+            progress.instances |= {route.peer.name}
+            return await self._send_to_peer(
+                checked,
+                route.peer,
+                may_queue=route.may_queue,
+            )
+        if isinstance(route, GrantRoute):
+            progress.instances |= {route.peer.name}
+            return await self._send_granted(checked, route)
+        return refuse(
+            Reason.no_slot,
+            f'No instance has a slot of {checked.service.name}.',
+            checked.entitled.plan,
+            RETRY_NO_ROUTE_MS,
+        )
+
+    async def _attempt_here(
+        self,
+        checked: CheckedRequest,
+        progress: _Progress,
+    ) -> Result[Dispatched, Refusal]:
+        admitted = await self._admission.admit(
+            admission_request(checked, progress.targets),
+        )
+        if isinstance(admitted, Failure):
+            return admitted
+        slot = admitted.unwrap()
+        progress.targets |= {slot.target.name}
+        return await self._local.send(checked, slot)
+
+    async def _send_granted(
+        self,
+        checked: CheckedRequest,
+        route: GrantRoute,
+    ) -> Result[Dispatched, Refusal]:
+        try:
+            outcome = await self._send_to_peer(
+                checked,
+                route.peer,
+                may_queue=False,
+            )
+        except asyncio.CancelledError:
+            route.use.end()
+            raise
+        if isinstance(outcome, Failure):
+            route.use.end()
+        else:
+            outcome.unwrap().end.then(lambda _outcome: route.use.end())
+        return outcome
+
+    async def _send_to_peer(
+        self,
+        checked: CheckedRequest,
+        peer: Instance,
+        *,
+        may_queue: bool,
+    ) -> Result[Dispatched, Refusal]:
+        req = checked.req
+        end = AttemptEnd(lambda _outcome, _latency_s: None)
+        outcome = await self._peers.send(
+            peer,
+            HopRoute(req.method, f'/{req.service}{req.path}', req.caller),
+            self._hop(checked, may_queue=may_queue),
+            Attempt(
+                req.method,
+                req.path,
+                req.headers,
+                checked.body.stream(),
+                checked.deadline_at - self._clock.now(),
+                on_end=end,
+                traceparent=req.traceparent,
+            ),
+        )
+        if isinstance(outcome, Failure):
+            return outcome
+        return Success(Dispatched(outcome.unwrap(), end))
+
+    def _hop(self, checked: CheckedRequest, *, may_queue: bool) -> Hop:
+        return msgspec.structs.replace(
+            hop_of(self._own.name, self._own.domain, checked.home_region),
+            may_queue=may_queue,
+        )
+
+    async def _may_repeat(
+        self,
+        checked: CheckedRequest,
+        refusal: Refusal,
+        progress: _Progress,
+    ) -> bool:
+        if not checked.body.is_replayable:
+            return False
+        if refusal.ran == Ran.unknown and not checked.kind.repeatable:
+            return False
+        if refusal.reason in _AT_TARGET:
+            return await self._may_retry(checked, progress)
+        if progress.last_hop:
+            progress.refused_hops += 1
+            return progress.refused_hops <= MAX_REFUSED_HOPS
+        return False
+
+    async def _may_retry(
+        self,
+        checked: CheckedRequest,
+        progress: _Progress,
+    ) -> bool:
+        if not self._budget.try_retry():
+            return False
+        progress.retries += 1
+        pause_s = self._budget.backoff_s(progress.retries)
+        if self._clock.now() + pause_s >= checked.deadline_at:
+            return False
+        await asyncio.sleep(pause_s)
+        return True
+
+
+def admission_request(
+    checked: CheckedRequest,
+    exclude: frozenset[str] = frozenset(),
+) -> AdmissionRequest:
+    """Return what admission needs to know; the rate was charged before.
+
+    :param checked: the request.
+    :param exclude: names of targets not to use.
+    """
+    return AdmissionRequest(
+        service=checked.service.name,
+        caller=checked.req.caller,
+        plan=checked.entitled.plan,
+        plan_weight=checked.entitled.weight,
+        cost=checked.kind.weight,
+        deadline_at=checked.deadline_at,
+        origin_region=checked.home_region,
+        exclude=exclude,
+        charged=True,
+    )
+
--- a/src/cuminhoist/hops.py
+++ b/src/cuminhoist/hops.py
@@ -33,6 +33,7 @@
     :param destination: the instance that it was sent to.
     :param expires_ms: Unix time after which the header is void.
     :param nonce: random text; a second use is refused.
+    :param may_queue: whether the request may wait there for a slot.
     """
 
     origin: str
@@ -41,6 +42,7 @@
     destination: str
     expires_ms: int
     nonce: str
+    may_queue: bool = False
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/src/cuminhoist/intake.py
@@ -0,0 +1,143 @@
+"""Checks of a request before anything is spent on it."""
+
+from returns.result import Failure, Result, Success
+
+from .clock import Clock
+from .entitlements import Entitlements
+from .inforce import ConfigInForce
+from .lists import Configuration
+from .problems import Refusal
+from .requests import CallerRequest, CheckedRequest, ReplayBody
+from .settings import Kind, Service, Topology
+from .types import Ran, Reason
+
+_MS = 1000
+
+
+def refuse(
+    reason: Reason,
+    detail: str,
+    plan: str = '',
+    retry_after_ms: int = 0,
+) -> Failure[Refusal]:
+    """Return the refusal of a request that was not run.
+
+    :param reason: why it is refused.
+    :param detail: one sentence for a person.
+    :param plan: plan of the caller, if known.
+    :param retry_after_ms: when to try again.
+    """
+    return Failure(
+        Refusal(
+            ran=Ran.not_run,
+            reason=reason,
+            detail=detail,
+            plan=plan,
+            retry_after_ms=retry_after_ms,
+        ),
+    )
+
+
+class Intake:
+    """Finds caller, service, kind, entitlement and deadline of requests.
+
+    :param topology: the deployment.
+    :param in_force: the configuration in force.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        topology: Topology,
+        in_force: ConfigInForce,
+        clock: Clock,
+    ) -> None:
+        self._clock = clock
+        self._services: dict[str, Service] = {
+            service.name: service for service in topology.services
+        }
+        self._region: dict[str, str] = {
+            entry.name: entry.region for entry in topology.domains
+        }
+        self._entitlements: Entitlements | None = None
+        self._allowed: dict[tuple[str, str], frozenset[str]] = {}
+        self._callers: dict[str, str] = {}
+        in_force.subscribe(self._on_change)
+
+    def check(
+        self,
+        req: CallerRequest,
+        home: str,
+    ) -> Result[CheckedRequest, Refusal]:
+        """Return a request with what it is entitled to, or a refusal.
+
+        :param req: the request.
+        :param home: home failure domain of the client.
+        """
+        if self._entitlements is None:
+            return refuse(
+                Reason.no_state,
+                'No configuration is in force yet.',
+                retry_after_ms=_MS,
+            )
+        plan = self._callers.get(req.caller)
+        if plan is None:
+            return refuse(Reason.unknown_caller, f'No caller {req.caller!r}.')
+        service = self._services.get(req.service)
+        if service is None:
+            return refuse(
+                Reason.unknown_service,
+                f'No service {req.service!r}.',
+                plan,
+            )
+        return self._check_kind(req, home, plan, service)
+
+    def _check_kind(
+        self,
+        req: CallerRequest,
+        home: str,
+        plan: str,
+        service: Service,
+    ) -> Result[CheckedRequest, Refusal]:
+        kind = service.kind(req.kind)
+        entitled = (
+            self._entitlements.get(req.caller, service.name)
+            if self._entitlements
+            else None
+        )
+        kinds = self._allowed.get((plan, service.name), frozenset())
+        if kind is None or entitled is None or not _allows(kinds, kind):
+            return refuse(
+                Reason.kind_not_allowed,
+                f'Plan {plan!r} does not allow {req.kind!r} of '
+                f'{service.name!r}.',
+                plan,
+            )
+        longest_s = kind.max_deadline_ms / _MS
+        timeout_s = min(req.deadline_s or longest_s, longest_s)
+        return Success(
+            CheckedRequest(
+                req=req,
+                service=service,
+                kind=kind,
+                entitled=entitled,
+                deadline_at=self._clock.now() + timeout_s,
+                home=home,
+                home_region=self._region[home],
+                body=ReplayBody(req.body),
+            ),
+        )
+
+    def _on_change(self, cfg: Configuration) -> None:
+        self._entitlements = Entitlements.from_config(cfg)
+        self._callers = {
+            caller.name: caller.plan for caller in cfg.plans.callers
+        }
+        self._allowed = {
+            (allowance.plan, allowance.service): frozenset(allowance.kinds)
+            for allowance in cfg.allowances.allowances
+        }
+
+
+def _allows(kinds: frozenset[str], kind: Kind) -> bool:
+    return not kinds or kind.name in kinds
--- /dev/null
+++ b/src/cuminhoist/requests.py
@@ -0,0 +1,87 @@
+"""Requests on their way through an instance."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from .entitlements import Entitlement
+from .forwarding import Headers
+from .hops import Hop
+from .settings import Kind, Service
+
+#: A request can be attempted again if its body so far fits into this.
+MAX_REPLAY_BYTES = 64 * 1024
+
+
+class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's request as the HTTP layer read it.
+
+    :param client: IP number of the client; empty if unknown.
+    :param deadline_s: time that the caller gives it, in seconds.
+    :param hop: the instance that forwarded it; None from a caller itself.
+    :param traceparent: trace context of the caller; empty for none.
+    """
+
+    service: str
+    caller: str
+    kind: str
+    method: str
+    path: str
+    headers: Headers
+    body: AsyncIterator[bytes]
+    client: str = ''
+    deadline_s: float | None = None
+    key: str = ''
+    hop: Hop | None = None
+    traceparent: str = ''
+
+
+class ReplayBody:
+    """A body that can be sent again while it is short.
+
+    :param source: the caller's body; read only as far as it is sent.
+    """
+
+    def __init__(self, source: AsyncIterator[bytes]) -> None:
+        self._source = source
+        self._kept: list[bytes] | None = []
+        self._kept_bytes = 0
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the body can be sent from its beginning."""
+        return self._kept is not None
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Return the body from its beginning."""
+        for kept in self._kept or ():
+            yield kept
+        async for chunk in self._source:
+            self._keep(chunk)
+            yield chunk
+
+    def _keep(self, chunk: bytes) -> None:
+        self._kept_bytes += len(chunk)
+        if self._kept_bytes > MAX_REPLAY_BYTES:
+            self._kept = None
+        elif self._kept is not None:
+            self._kept.append(chunk)
+
+
+class CheckedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that its caller is entitled to send.
+
+    :param entitled: what the caller may use of the service.
+    :param deadline_at: monotonic time of its deadline.
+    :param home: home failure domain of the client.
+    :param home_region: region of that failure domain.
+    """
+
+    req: CallerRequest
+    service: Service
+    kind: Kind
+    entitled: Entitlement
+    deadline_at: float
+    home: str
+    home_region: str
+    body: ReplayBody
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -426,7 +426,9 @@
         core = node.core
         fault = core.fault
         self.expect(not fault or 'no space' in fault, f'{node.name}: {fault}')
-        for entry in core.log.entries(core.log.base.index + 1, core.commit_index):
+        for entry in core.log.entries(
+            core.log.base.index + 1, core.commit_index
+        ):
             first = self._entries.setdefault(entry.index, entry)
             self.expect(first == entry, f'{first} was replaced by {entry}')
         if core.leading:
