--- /dev/null
+++ b/src/cuminhoist/ownership.py
@@ -0,0 +1,379 @@
+"""Which instance of a cell may dispatch to which target."""
+
+import abc
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+from returns.result import Success
+
+from .clock import Clock
+from .codec import Message
+from .heartbeats import Handover, Heartbeat, HeartbeatReply, ServiceSlots
+from .lease import Lease
+from .logs import logger
+from .membership import (
+    PARTNER_INTERVAL_S,
+    TAKEOVER_S,
+    Membership,
+    partners_of,
+)
+from .rendezvous import first, score
+from .settings import Target, Topology
+from .transport import ErrorReply, Transport
+
+ROUND_INTERVAL_S = 1.0
+#: After a failed round the next one comes sooner, so that one lost
+#: message does not cost the lease.
+RETRY_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 0.5
+TICK_S = 0.25
+DEADLINE_MARGIN_S = 0.5
+
+_log = logger('ownership')
+
+
+class TargetLoad(abc.ABC):
+    """What ownership needs to know and to change at the slot table."""
+
+    @abc.abstractmethod
+    def handover(self, target: str) -> Handover:
+        """Return what may still run at a target.
+
+        :param target: name of the target.
+        """
+
+    @abc.abstractmethod
+    def gain(self, target: str, handover: Handover) -> None:
+        """Take over a target whose former owner left requests running.
+
+        :param target: name of the target.
+        :param handover: slots to leave unused, and for how long.
+        """
+
+    @abc.abstractmethod
+    def services(self) -> dict[str, ServiceSlots]:
+        """Return the slots of each service at targets that are owned."""
+
+
+class _Released(msgspec.Struct):
+    """A target that was released, and who was told what still ran."""
+
+    given_to: str = ''
+
+
+class Ownership:
+    """Runs the lease rounds and decides on claims of the cell's targets.
+
+    A target is held only after one round in which every peer responded
+    without denying the claim, or was silent for ``TAKEOVER_S``. Unless a
+    peer (or this instance) released it and says what still runs there,
+    all its slots stay unused for the longest deadline.
+
+    :param topology: the deployment.
+    :param membership: what is known about peers.
+    :param transport: carries heartbeats.
+    :param clock: time source.
+    :param load: the slot table.
+    :param epoch: returns the current epoch of the key tickets.
+    """
+
+    def __init__(
+        self,
+        topology: Topology,
+        membership: Membership,
+        transport: Transport,
+        clock: Clock,
+        load: TargetLoad,
+        epoch: Callable[[], int] = int,
+    ) -> None:
+        self._topology = topology
+        self._membership = membership
+        self._transport = transport
+        self._clock = clock
+        self._load = load
+        self._epoch = epoch
+        name = membership.name
+        self._peers = tuple(
+            peer.name for peer in topology.cell(name) if peer.name != name
+        )
+        domain = topology.instance(name).domain
+        self._targets = {
+            target.name: target
+            for target in topology.targets
+            if target.domain == domain
+        }
+        self._lease = Lease(clock, membership, self._peers)
+        self._held: set[str] = set()
+        # The round in which each claim was made first.
+        self._claims: dict[str, int] = {}
+        self._released: dict[str, _Released] = {}
+        self._round = 0
+        self._version: Callable[[], int] = int
+        self._hurry = asyncio.Event()
+        transport.register(Heartbeat, self._on_heartbeat)
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether peers have taken note of every released target."""
+        peers = any(self._is_live(peer) for peer in self._peers)
+        return not self._held and not (
+            peers and any(not rel.given_to for rel in self._released.values())
+        )
+
+    def report_version(self, version: Callable[[], int]) -> None:
+        """Put the version in force into heartbeats.
+
+        :param version: returns the version.
+        """
+        self._version = version
+
+    def holds_lease(self) -> bool:
+        """Tell whether this instance may dispatch at all."""
+        return self._lease.is_valid
+
+    def owns(self, target: str) -> bool:
+        """Tell whether this instance may dispatch to a target now.
+
+        :param target: name of the target.
+        """
+        return target in self._held and self._lease.is_valid
+
+    def owner_of(self, target: str) -> str | None:
+        """Return the instance of this cell that owns a target, if known.
+
+        :param target: name of the target.
+        """
+        if self.owns(target):
+            return self._membership.name
+        for peer in self._peers:
+            state = self._membership.state_of(peer)
+            if state and target in state.held and self._is_live(peer):
+                return peer
+        return None
+
+    def owned(self) -> tuple[Target, ...]:
+        """Return the targets that this instance may dispatch to now."""
+        if not self._lease.is_valid:
+            return ()
+        return tuple(self._targets[name] for name in sorted(self._held))
+
+    def release_all(self) -> None:
+        """Release every target for a planned stop; claim none again."""
+        self.tick()
+        self._membership.leaving = True
+        self._claims.clear()
+        for name in tuple(self._held):
+            self._release(name)
+        self._hurry.set()
+
+    async def run(self) -> None:
+        """Run rounds until cancelled."""
+        while True:
+            due_at = self._clock.now() + ROUND_INTERVAL_S
+            if not await self.run_round():
+                due_at -= ROUND_INTERVAL_S - RETRY_INTERVAL_S
+            while self._clock.now() < due_at and not self._hurry.is_set():
+                await asyncio.sleep(TICK_S)
+                self.tick()
+            self._hurry.clear()
+
+    async def run_partners(self) -> None:
+        """Exchange state with one partner in another domain at a time."""
+        partners = partners_of(self._topology, self._membership.name)
+        while partners:
+            for partner in partners:
+                await self._beat(partner.name, self._state())
+                await asyncio.sleep(PARTNER_INTERVAL_S)
+
+    def tick(self) -> None:
+        """Note that the process runs; give up targets with the lease."""
+        self._lease.wake()
+        if not self._lease.is_valid:
+            self._lapse()
+
+    async def run_round(self) -> bool:
+        """Send one heartbeat to each peer and judge the replies."""
+        self.tick()
+        self._settle()
+        self._round += 1
+        started_at = self._clock.now()
+        state = self._state()
+        replies = await asyncio.gather(
+            *(self._beat(peer, state) for peer in self._peers),
+        )
+        self.tick()
+        found = {
+            peer: reply
+            for peer, reply in zip(self._peers, replies, strict=True)
+            if reply is not None
+        }
+        succeeded = self._lease.renew(started_at, frozenset(found))
+        self._drop_denied(found.values())
+        if succeeded:
+            self._win(state.claims, found)
+        return succeeded
+
+    async def _beat(self, peer: str, state: Heartbeat) -> HeartbeatReply | None:
+        result = await self._transport.call(peer, state, CALL_TIMEOUT_S)
+        reply = result.value_or(None) if isinstance(result, Success) else None
+        if not isinstance(reply, HeartbeatReply):
+            return None
+        self._membership.hear(peer, reply.state)
+        self._membership.hear_briefs(reply.briefs)
+        return reply
+
+    async def _on_heartbeat(self, sender: str, msg: Message) -> Message:
+        if not isinstance(msg, Heartbeat):
+            return ErrorReply(reason='not a heartbeat')
+        self.tick()
+        self._membership.hear(sender, msg)
+        if sender not in self._peers:
+            return HeartbeatReply(
+                state=self._state(),
+                briefs=self._membership.briefs(),
+            )
+        denied = [name for name in msg.held if name in self._held]
+        handovers: dict[str, Handover] = {}
+        for name in msg.held:
+            self._claims.pop(name, None)
+        for name in msg.claims:
+            if self._denies(name, sender):
+                denied.append(name)
+            else:
+                self._grant(name, msg.incarnation, handovers)
+        return HeartbeatReply(
+            state=self._state(),
+            denied=tuple(denied),
+            handovers=handovers,
+        )
+
+    def _denies(self, name: str, claimer: str) -> bool:
+        if name in self._held:
+            return True
+        return name in self._claims and (
+            score(name, self._membership.name) > score(name, claimer)
+        )
+
+    def _grant(
+        self,
+        name: str,
+        claimer: str,
+        handovers: dict[str, Handover],
+    ) -> None:
+        self._claims.pop(name, None)
+        released = self._released.get(name)
+        if released is None:
+            return
+        if released.given_to not in {'', claimer}:
+            # Somebody else may have owned it since; what this instance
+            # left running is not all that may still run.
+            self._released.pop(name)
+            return
+        released.given_to = claimer
+        handovers[name] = self._load.handover(name)
+
+    def _settle(self) -> None:
+        """Release and claim targets by rendezvous over live instances."""
+        if not self._lease.is_valid or self._membership.leaving:
+            return
+        own = self._membership.name
+        live = [peer for peer in self._peers if self._is_candidate(peer)]
+        taken = self._held_by_peers()
+        for name in self._targets:
+            wanted = first(name, (own, *live)) == own
+            if name in self._held and not wanted:
+                self._release(name)
+            elif not wanted or name in taken:
+                self._claims.pop(name, None)
+            elif name not in self._held:
+                self._claims.setdefault(name, self._round + 1)
+
+    def _win(
+        self,
+        claims: tuple[str, ...],
+        replies: dict[str, HeartbeatReply],
+    ) -> None:
+        missing = set(self._peers) - set(replies)
+        if not all(self._lease.is_silent(peer, TAKEOVER_S) for peer in missing):
+            return
+        for name in claims:
+            # A claim that was dropped during the round does not count,
+            # even if it was made again since.
+            if self._claims.get(name, self._round + 1) <= self._round:
+                self._gain(name, replies.values())
+
+    def _gain(self, name: str, replies: Iterable[HeartbeatReply]) -> None:
+        target = self._targets[name]
+        service = self._topology.service(target.service)
+        deadline_s = service.longest_deadline_s if service else 0
+        handover = Handover(target.slots, deadline_s + DEADLINE_MARGIN_S)
+        own = self._released.pop(name, None)
+        if own is not None and not own.given_to:
+            handover = Handover(0, 0)
+        for reply in replies:
+            handover = reply.handovers.get(name, handover)
+        self._claims.pop(name)
+        self._held.add(name)
+        self._load.gain(name, handover)
+        _log.info(
+            'Owns {}; {} slots stay unused for {:.1f} s.',
+            name,
+            handover.running,
+            handover.remaining_s,
+        )
+
+    def _drop_denied(self, replies: Iterable[HeartbeatReply]) -> None:
+        for reply in replies:
+            for name in reply.denied:
+                self._claims.pop(name, None)
+                if name in self._held:
+                    # Only possible if the cell was partitioned.
+                    _log.error('Another instance owns {} too.', name)
+                    self._held.discard(name)
+
+    def _release(self, name: str) -> None:
+        self._held.discard(name)
+        self._released[name] = _Released()
+        _log.info('Released {}.', name)
+
+    def _lapse(self) -> None:
+        if self._held:
+            _log.warning('The lease ended; gave up {} targets.', len(self._held))
+        self._held.clear()
+        self._claims.clear()
+        self._released.clear()
+
+    def _is_live(self, peer: str) -> bool:
+        heard_at = self._membership.heard_at(peer)
+        return heard_at is not None and not self._lease.is_silent(
+            peer,
+            TAKEOVER_S,
+        )
+
+    def _is_candidate(self, peer: str) -> bool:
+        state = self._membership.state_of(peer)
+        if state is None or state.leaving or not state.ready:
+            return False
+        return self._is_live(peer)
+
+    def _held_by_peers(self) -> set[str]:
+        taken: set[str] = set()
+        for peer in self._peers:
+            state = self._membership.state_of(peer)
+            if state is not None and self._is_live(peer):
+                taken.update(state.held)
+        return taken
+
+    def _state(self) -> Heartbeat:
+        return Heartbeat(
+            incarnation=self._membership.incarnation,
+            epoch=self._epoch(),
+            leaving=self._membership.leaving,
+            ready=self._lease.is_valid,
+            version=self._version(),
+            services=self._load.services(),
+            held=tuple(sorted(self._held)),
+            claims=tuple(sorted(self._claims)),
+            leaving_targets=self._membership.own_signals,
+        )
--- /dev/null
+++ b/src/cuminhoist/rendezvous.py
@@ -0,0 +1,36 @@
+"""Rendezvous hashing: which of several names is responsible for a key."""
+
+import functools
+import hashlib
+from collections.abc import Iterable
+
+_CACHED_SCORES = 65536
+
+
+@functools.lru_cache(maxsize=_CACHED_SCORES)
+def score(key: str, name: str) -> int:
+    """Return the weight of a name for a key.
+
+    :param key: what is to be assigned.
+    :param name: a candidate.
+    """
+    digest = hashlib.blake2b(f'{key}|{name}'.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names in order of responsibility for a key.
+
+    :param key: what is to be assigned.
+    :param names: the candidates.
+    """
+    return sorted(names, key=lambda name: (-score(key, name), name))
+
+
+def first(key: str, names: Iterable[str]) -> str | None:
+    """Return the name that is responsible for a key.
+
+    :param key: what is to be assigned.
+    :param names: the candidates.
+    """
+    return max(names, key=lambda name: (score(key, name), name), default=None)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,7 +13,16 @@
     Plan,
     Plans,
 )
-from cuminhoist.settings import Settings, Topology, load_struct
+from cuminhoist.settings import (
+    FailureDomain,
+    Instance,
+    Kind,
+    Service,
+    Settings,
+    Target,
+    Topology,
+    load_struct,
+)
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 CLUSTER_KEY = 'test-key'
@@ -111,3 +120,38 @@
         base_version=base,
         plans=small_plans(weight),
     )
+
+
+def cell_topology(entries: int = 3, targets: int = 4) -> Topology:
+    """Return one failure domain with one service."""
+    return Topology(
+        deployment='cell',
+        domains=(FailureDomain(name='d1', region='r1'),),
+        links=(),
+        services=(
+            Service(
+                name='svc',
+                kinds=(Kind(name='read', max_deadline_ms=2000),),
+            ),
+        ),
+        instances=tuple(
+            Instance(
+                name=f'e{number}',
+                domain='d1',
+                host='127.0.0.1',
+                http_port=20000 + number,
+                internal_port=21000 + number,
+            )
+            for number in range(entries)
+        ),
+        targets=tuple(
+            Target(
+                name=f't{number}',
+                service='svc',
+                domain='d1',
+                host='127.0.0.1',
+                port=22000 + number,
+            )
+            for number in range(targets)
+        ),
+    )
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,200 @@
+"""Tests of target ownership under crashes, pauses and lost messages."""
+
+import pytest
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from cuminhoist.membership import TAKEOVER_S
+from cuminhoist.ownership import DEADLINE_MARGIN_S
+
+from . import builders
+from .cell_sim import Cell
+
+LONGEST_S = 2.0
+#: Takeover, quarantine, and rounds to claim, release and claim again.
+SETTLED_S = TAKEOVER_S + LONGEST_S + DEADLINE_MARGIN_S + 8
+NODES = strategies.integers(0, 3)
+
+
+def _cell(entries=3, **kwargs):
+    cell = Cell(builders.cell_topology(entries), **kwargs)
+    for node in cell.nodes.values():
+        node.start()
+    return cell
+
+
+def _owners(cell):
+    return {
+        target: [
+            node.name
+            for node in cell.nodes.values()
+            if node.up and node.ownership.owns(target)
+        ]
+        for target in cell.work
+    }
+
+
+def _work(cell, seconds, step=0.25):
+    for _ in range(int(seconds / step)):
+        cell.run(step)
+        for node in cell.nodes.values():
+            cell.dispatch(node, 'svc', LONGEST_S)
+
+
+@pytest.mark.parametrize('entries', [1, 2, 4])
+def test_every_target_has_one_owner_after_start(entries):
+    """Guards against targets that nobody claims."""
+    cell = _cell(entries)
+    cell.run(SETTLED_S)
+    assert all(len(owners) == 1 for owners in _owners(cell).values())
+    free = sum(n.table.free_slots('svc') for n in cell.nodes.values())
+    assert free == 3 * len(cell.work)
+    cell.close()
+
+
+@pytest.mark.parametrize('entries', [1, 3])
+def test_restart_of_all_at_once_leaves_slots_unused(entries):
+    """Guards against forgetting what the former lives had running."""
+    cell = _cell(entries)
+    _work(cell, SETTLED_S)
+    for node in cell.nodes.values():
+        node.crash()
+        node.start()
+    _work(cell, LONGEST_S + DEADLINE_MARGIN_S)
+    _work(cell, SETTLED_S)
+    assert all(len(owners) == 1 for owners in _owners(cell).values())
+    cell.close()
+
+
+def test_planned_stop_hands_over_without_quarantine():
+    """Guards against a planned stop that leaves slots unused."""
+    cell = _cell(3)
+    cell.run(SETTLED_S)
+    leaver = next(n for n in cell.nodes.values() if n.ownership.owned())
+    leaver.ownership.release_all()
+    cell.run(2.5)
+    assert leaver.ownership.is_handed_over
+    leaver.crash()
+    free = sum(n.table.free_slots('svc') for n in cell.nodes.values() if n.up)
+    assert free == 3 * len(cell.work)
+    cell.close()
+
+
+def test_crash_of_one_stops_no_other():
+    """Guards against a lease of survivors that ends with a crash."""
+    cell = _cell(3)
+    cell.run(SETTLED_S)
+    before = _owners(cell)
+    cell.nodes['e0'].crash()
+    for _ in range(100):
+        cell.run(0.1)
+        for target, owners in before.items():
+            assert owners == ['e0'] or _owners(cell)[target] == owners
+    assert all(len(owners) == 1 for owners in _owners(cell).values())
+    cell.close()
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Any order of faults in a cell of four instances."""
+
+    @initialize(
+        seed=strategies.integers(0, 2**16),
+        rates=strategies.permutations([0.99, 1.0, 1.01, 1.005]),
+        count=strategies.integers(1, 4),
+    )
+    def begin(self, seed, rates, count):
+        self.cell = _cell(count, seed=seed, rates=rates)
+        _work(self.cell, 5)
+
+    def _node(self, number):
+        nodes = list(self.cell.nodes.values())
+        return nodes[number % len(nodes)]
+
+    @rule(seconds=strategies.sampled_from([0.3, 1, 2, 3, 5, 8]))
+    def work(self, seconds):
+        _work(self.cell, seconds)
+
+    @rule(number=NODES)
+    def crash(self, number):
+        self._node(number).crash()
+
+    @rule(number=NODES)
+    def restart(self, number):
+        node = self._node(number)
+        node.crash()
+        node.start()
+
+    @rule()
+    def restart_all(self):
+        for number in range(len(self.cell.nodes)):
+            self.restart(number)
+
+    @rule(
+        number=NODES,
+        seconds=strategies.sampled_from([0.6, 1, 2, 2.9, 3.5, 4.5, 6, 9]),
+    )
+    def pause(self, number, seconds):
+        node = self._node(number)
+        if node.up:
+            node.pause()
+            _work(self.cell, seconds)
+            node.resume()
+            self.cell.dispatch(node, 'svc', LONGEST_S)
+
+    @rule(number=NODES)
+    def pause_on(self, number):
+        self._node(number).pause()
+
+    @rule(number=NODES)
+    def resume(self, number):
+        self._node(number).resume()
+        self.cell.dispatch(self._node(number), 'svc', LONGEST_S)
+
+    @rule(number=NODES)
+    def planned_stop(self, number):
+        node = self._node(number)
+        if node.up and not node.paused:
+            node.ownership.release_all()
+
+    @rule(
+        loss=strategies.sampled_from([0, 0.05, 0.1]),
+        delay_s=strategies.sampled_from([0.01, 0.1, 0.4]),
+    )
+    def network(self, loss, delay_s):
+        self.cell.loss, self.cell.max_delay_s = loss, delay_s
+
+    @precondition(lambda self: hasattr(self, 'cell'))
+    @rule()
+    def faults_end(self):
+        self.cell.loss, self.cell.max_delay_s = 0, 0.01
+        for node in self.cell.nodes.values():
+            node.resume()
+            if not node.up or node.membership.leaving:
+                node.crash()
+                node.start()
+        self.cell.run(SETTLED_S)
+        owners = _owners(self.cell)
+        assert all(len(names) == 1 for names in owners.values()), owners
+        free = sum(
+            node.table.usable_slots('svc') for node in self.cell.nodes.values()
+        )
+        assert free == 3 * len(self.cell.work)
+
+    def teardown(self):
+        if hasattr(self, 'cell'):
+            self.cell.close()
+
+
+TestOwnershipMachine = OwnershipMachine.TestCase
+TestOwnershipMachine.settings = settings(
+    max_examples=40,
+    stateful_step_count=20,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
