--- a/src/cuminhoist/health.py
+++ b/src/cuminhoist/health.py
@@ -45,6 +45,7 @@
         self.observed_at = -math.inf
         self._ejections = 0
         self._failed_at = -math.inf
+        self._failed_request = False
         self._warm_since = -math.inf
         self._limited_until = -math.inf
         self._report: tuple[float, float | None] | None = None
@@ -97,6 +98,7 @@
             self._answered(latency_s, now)
         elif outcome == SlotOutcome.unknown or latency_s > 0:
             self._failed_at = now
+            self._failed_request = True
             self.observed_at = now
         if outcome == SlotOutcome.failed or (
             outcome == SlotOutcome.not_run and latency_s > 0
@@ -111,6 +113,16 @@
         self._failed_at = now
         self.failures += 1
 
+    def note_probe(self) -> None:
+        """Record that the target answered a probe well.
+
+        It does not end an ejection: the target may answer probes while
+        requests fail. Failures of earlier probes do not count any more
+        only if no request failed since.
+        """
+        if not self._failed_request:
+            self.failures = 0
+
     def eject(self, now: float, *, allowed: bool) -> None:
         """Take the target out of use, or limit it to one slot.
 
@@ -166,6 +178,7 @@
 
     def _answered(self, latency_s: float, now: float) -> None:
         self.failures = 0
+        self._failed_request = False
         self.observed_at = now
         if now >= self._limited_until:
             self._ejections = 0
--- a/src/cuminhoist/membership.py
+++ b/src/cuminhoist/membership.py
@@ -1,5 +1,6 @@
 """What this instance knows about other instances and about upstreams."""
 
+import math
 import secrets
 
 import msgspec
@@ -28,6 +29,10 @@
 MARK_LIFETIME_S = 30.0
 
 
+#: Stands for an instance that no partner has told about.
+_UNHEARD: tuple[PeerBrief | None, float] = (None, -math.inf)
+
+
 class EntryView(msgspec.Struct, frozen=True):
     """What is known about one entry instance.
 
@@ -92,12 +97,14 @@
         self._clock = clock
         self._in_force = in_force
         self._started_at = clock.now()
-        self._entries = {entry.name: entry for entry in topology.entries()}
-        self._targets = {target.name: target for target in topology.targets}
-        self._cell = {entry.name for entry in topology.cell(name)}
-        self._partners = {
-            entry.name for entry in partners_of(topology, name)
+        self._entries: dict[str, Instance] = {
+            entry.name: entry for entry in topology.entries()
         }
+        self._targets: dict[str, Target] = {
+            target.name: target for target in topology.targets
+        }
+        self._cell = {entry.name for entry in topology.cell(name)}
+        self._partners = {entry.name for entry in partners_of(topology, name)}
         self._records: dict[str, _Record] = {}
         self._briefs: dict[str, tuple[PeerBrief, float]] = {}
         self._platform = PlatformList()
@@ -225,7 +232,7 @@
         :param name: name of the instance.
         """
         record = self._records.get(name)
-        brief, heard_at = self._briefs.get(name, (None, 0.0))
+        brief, heard_at = self._briefs.get(name, _UNHEARD)
         if brief and (record is None or heard_at > record.heard_at):
             return brief.incarnation, brief.epoch
         if record is None:
@@ -249,7 +256,7 @@
 
     def _says_leaving(self, name: str) -> bool:
         record = self._records.get(name)
-        brief, heard_at = self._briefs.get(name, (None, 0.0))
+        brief, heard_at = self._briefs.get(name, _UNHEARD)
         if brief and (record is None or heard_at > record.heard_at):
             return brief.leaving
         return record is not None and record.state.leaving
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -94,11 +94,11 @@
         self._load = load
         self._epoch = epoch
         name = membership.name
-        self._peers = tuple(
+        self._peers: tuple[str, ...] = tuple(
             peer.name for peer in topology.cell(name) if peer.name != name
         )
         domain = topology.instance(name).domain
-        self._targets = {
+        self._targets: dict[str, Target] = {
             target.name: target
             for target in topology.targets
             if target.domain == domain
@@ -203,7 +203,7 @@
             *(self._beat(peer, state) for peer in self._peers),
         )
         self.tick()
-        found = {
+        found: dict[str, HeartbeatReply] = {
             peer: reply
             for peer, reply in zip(self._peers, replies, strict=True)
             if reply is not None
@@ -339,7 +339,9 @@
 
     def _lapse(self) -> None:
         if self._held:
-            _log.warning('The lease ended; gave up {} targets.', len(self._held))
+            _log.warning(
+                'The lease ended; gave up {} targets.', len(self._held)
+            )
         self._held.clear()
         self._claims.clear()
         self._released.clear()
--- a/src/cuminhoist/platform.py
+++ b/src/cuminhoist/platform.py
@@ -58,6 +58,8 @@
         if reply.status_code != httpx.codes.OK:
             return Failure(f'status {reply.status_code}')
         try:
-            return Success(msgspec.json.decode(reply.content, type=PlatformList))
+            return Success(
+                msgspec.json.decode(reply.content, type=PlatformList)
+            )
         except msgspec.DecodeError as exc:
             return Failure(str(exc))
--- a/src/cuminhoist/targets.py
+++ b/src/cuminhoist/targets.py
@@ -132,11 +132,11 @@
         self._ownership: Ownership | None = None
         self._listeners: list[_Listener] = []
         self._numbers = itertools.count()
-        self._longest_s = {
+        self._longest_s: dict[str, float] = {
             service.name: service.longest_deadline_s
             for service in topology.services
         }
-        self._states = {
+        self._states: dict[str, TargetState] = {
             target.name: TargetState(target)
             for target in topology.targets
             if target.domain == domain
@@ -167,7 +167,9 @@
 
         :param target: name of the target.
         """
-        return max(1, self._states[target].target.connections // self._cell_size)
+        return max(
+            1, self._states[target].target.connections // self._cell_size
+        )
 
     def try_acquire(
         self,
@@ -304,7 +306,7 @@
         ends = [res.until for res in state.reserved]
         ends.extend(at + DEADLINE_MARGIN_S for at in state.running.values())
         remaining_s = max(ends, default=now) - now
-        return Handover(blocked + len(state.running), max(0.0, remaining_s))
+        return Handover(blocked + len(state.running), max(0, remaining_s))
 
     def gain(self, target: str, handover: Handover) -> None:
         """Take over a target whose former owner left requests running.
@@ -364,4 +366,3 @@
     def _notify(self, service: str) -> None:
         for listener in self._listeners:
             listener(service)
-
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -251,8 +251,10 @@
         life = node.life
         self.after(
             at + 0.001,
-            lambda: life == node.life
-            and node.when_running(lambda: slot.release(outcome, length)),
+            lambda: (
+                life == node.life
+                and node.when_running(lambda: slot.release(outcome, length))
+            ),
         )
 
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -8,12 +8,8 @@
 from cuminhoist.clock import ManualClock
 from cuminhoist.codec import Received
 from cuminhoist.exceptions import TransportError
-from cuminhoist.grants import (
-    ARRIVAL_GRACE_S,
-    GRANT_S,
-    GrantClient,
-    GrantTable,
-)
+from cuminhoist.grant_client import GrantClient
+from cuminhoist.grants import ARRIVAL_GRACE_S, GRANT_S, GrantTable
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.membership import MAX_PARTNERS, Membership, partners_of
 from cuminhoist.slots import SlotSource
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -9,17 +9,16 @@
 from cuminhoist.clock import ManualClock
 from cuminhoist.heartbeats import Heartbeat
 from cuminhoist.inforce import ConfigInForce
-from cuminhoist.keys import (
-    EPOCH_S,
+from cuminhoist.key_records import (
     MAX_KEPT_BODY_BYTES,
     Fingerprint,
     FirstAnswer,
     JoinRun,
     KeyRefusal,
-    KeyStore,
     NewRun,
     parse_key,
 )
+from cuminhoist.keys import EPOCH_S, KeyStore
 from cuminhoist.membership import Membership
 from cuminhoist.problems import Refusal
 from cuminhoist.types import Ran, Reason
--- /dev/null
+++ b/tests/test_probes.py
@@ -0,0 +1,96 @@
+"""Tests of the probes of own targets."""
+
+from cuminhoist.probes import Prober, ProbeClient, ProbeResult
+from cuminhoist.slots import SlotOutcome
+
+from .test_targets import Bench, OwnAll
+
+PROBE_COST_S = 0.006
+
+
+class Owning(OwnAll):
+    """Ownership that lists the targets of a bench."""
+
+    def __init__(self, bench, count):
+        self.targets = [
+            bench.table.state(f't{nr}').target for nr in range(count)
+        ]
+
+    def owned(self):
+        return tuple(self.targets)
+
+
+class FakeProbes(ProbeClient):
+    """Answers probes with a fixed result at a fixed cost."""
+
+    def __init__(self, clock, cost_s=PROBE_COST_S):
+        self.clock, self.cost_s = clock, cost_s
+        self.result = ProbeResult(healthy=True)
+        self.spent = {}
+
+    async def probe(self, target, timeout_s):
+        self.clock.advance(self.cost_s)
+        self.spent[target.name] = self.spent.get(target.name, 0) + self.cost_s
+        return self.result
+
+
+def _prober(count=4, cost_s=PROBE_COST_S):
+    bench = Bench(count)
+    client = FakeProbes(bench.clock, cost_s)
+    prober = Prober(
+        bench.table,
+        Owning(bench, count),
+        bench.membership,
+        client,
+        bench.clock,
+    )
+    return bench, client, prober
+
+
+async def _run(bench, prober, seconds):
+    end = bench.clock.now() + seconds
+    while bench.clock.now() < end:
+        assert await prober.probe_due() <= 2
+        bench.clock.advance(0.25)
+
+
+async def test_probes_cost_at_most_one_percent():
+    """Guards against probes that load the targets they measure."""
+    for cost_s in (PROBE_COST_S, 0.05, 0.2):
+        bench, client, prober = _prober(cost_s=cost_s)
+        await _run(bench, prober, 200)
+        assert len(client.spent) == 4
+        assert max(client.spent.values()) <= 0.01 * 200 + cost_s
+
+
+async def test_busy_targets_are_not_probed():
+    """Guards against probes of targets that requests measure anyway."""
+    bench, client, prober = _prober(1)
+    for _ in range(20):
+        bench.use_at('t0', SlotOutcome.answered)
+        await prober.probe_due()
+        bench.clock.advance(0.5)
+    assert not client.spent
+
+
+async def test_failed_probes_eject_and_good_ones_let_it_end():
+    """Guards against a dead idle target that is first in the choice."""
+    bench, client, prober = _prober(2)
+    client.result = ProbeResult(healthy=False)
+    await _run(bench, prober, 30)
+    states = [bench.table.state(name) for name in ('t0', 't1')]
+    assert sum(st.health.is_ejected(bench.clock.now()) for st in states) == 1
+    client.result = ProbeResult(healthy=True)
+    await _run(bench, prober, 70)
+    assert bench.table.usable_slots('svc') == 6
+
+
+async def test_draining_signal_is_shared_and_cleared():
+    """Guards against a signal that is lost or never ends."""
+    bench, client, prober = _prober(1)
+    client.result = ProbeResult(healthy=True, draining=True)
+    await _run(bench, prober, 1)
+    assert bench.membership.is_target_leaving('t0')
+    client.result = ProbeResult(healthy=True)
+    await _run(bench, prober, 3)
+    assert not bench.membership.is_target_leaving('t0')
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,281 @@
+"""Tests of slot counting, choice of a target, and ejection."""
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from cuminhoist.clock import ManualClock
+from cuminhoist.exceptions import InvariantError
+from cuminhoist.health import (
+    EJECT_AFTER_FAILURES,
+    FAILING_S,
+    SLOW_START_STEP_S,
+    TargetHealth,
+)
+from cuminhoist.heartbeats import Handover
+from cuminhoist.inforce import ConfigInForce
+from cuminhoist.lists import Configuration, Drain
+from cuminhoist.membership import Membership
+from cuminhoist.slots import SlotOutcome
+from cuminhoist.targets import TargetTable
+from cuminhoist.types import DrainScope
+
+from . import builders
+
+MARGIN_S = 0.5
+OUTCOMES = list(SlotOutcome)
+
+
+class OwnAll:
+    """Ownership of every target."""
+
+    def owns(self, target):
+        return True
+
+
+class Bench:
+    """A table that owns all targets of a cell."""
+
+    def __init__(self, targets=4):
+        self.clock = ManualClock()
+        self.config = ConfigInForce()
+        topology = builders.cell_topology(1, targets)
+        self.membership = Membership(topology, 'e0', self.clock, self.config)
+        self.table = TargetTable(topology, self.membership, self.clock)
+        self.table.bind(OwnAll())
+
+    def take(self, seconds=2.0, exclude=frozenset()):
+        deadline_at = self.clock.now() + seconds
+        return self.table.try_acquire('svc', deadline_at, exclude)
+
+    def drain(self, version, *names):
+        drains = tuple(
+            Drain(scope=DrainScope.upstream, name=name) for name in names
+        )
+        self.config.advance(Configuration(version=version, drains=drains))
+
+    def use_at(self, name, outcome, latency_s=0.01):
+        others = {f't{nr}' for nr in range(8)} - {name}
+        slot = self.take(exclude=frozenset(others))
+        if slot is not None:
+            slot.release(outcome, latency_s)
+        return slot is not None
+
+
+@pytest.mark.parametrize('outcome', OUTCOMES)
+def test_slot_is_free_only_when_the_target_is_done(outcome):
+    """Guards against a target that gets more than its slots."""
+    bench = Bench(1)
+    slots = [bench.take() for _ in range(4)]
+    assert slots[3] is None
+    bench.clock.advance(1)
+    slots[0].release(outcome, 1)
+    slots[0].release(SlotOutcome.answered, 1)
+    is_done = outcome != SlotOutcome.unknown
+    assert bench.table.free_slots('svc') == int(is_done)
+    bench.clock.advance(1 + MARGIN_S - 0.01)
+    assert bench.table.free_slots('svc') == int(is_done)
+    bench.clock.advance(0.02)
+    assert bench.table.free_slots('svc') == 1
+
+
+def test_deadline_beyond_the_quarantine_is_an_error():
+    """Guards against work that outlasts the quarantine after a crash."""
+    with pytest.raises(InvariantError):
+        Bench().take(2.5)
+
+
+def test_listener_hears_of_freed_slots():
+    """Guards against queued requests that nobody wakes."""
+    bench, heard = Bench(1), []
+    bench.table.on_free(heard.append)
+    bench.take().release(SlotOutcome.answered, 0.1)
+    assert heard == ['svc']
+    for _ in range(3):
+        bench.take().release(SlotOutcome.unknown, 0.1)
+    assert heard == ['svc']
+    bench.table.refresh()
+    assert heard == ['svc']
+    bench.clock.advance(3)
+    bench.table.refresh()
+    assert heard == ['svc', 'svc']
+
+
+def test_drained_target_gets_no_new_work_and_returns_slowly():
+    """Guards against work for leaving targets and floods on cold ones."""
+    bench = Bench(2)
+    running = [bench.take() for _ in range(2)]
+    bench.drain(1, 't0')
+    assert [bench.take().target.name for _ in range(2)] == ['t1', 't1']
+    assert bench.take() is None
+    for slot in running:
+        slot.release(SlotOutcome.answered, 0.1)
+    bench.drain(2)
+    bench.table.refresh()
+    for expected in (1, 2, 3):
+        assert bench.table.state('t0').usable(bench.clock.now()) == expected
+        bench.clock.advance(SLOW_START_STEP_S)
+
+
+def test_signal_and_platform_mark_stop_new_work():
+    """Guards against a source that is ignored."""
+    bench = Bench(1)
+    bench.membership.mark_target_leaving('t0')
+    assert bench.take() is None
+    bench.membership.clear_target_leaving('t0')
+    bench.table.refresh()
+    assert bench.take() is not None
+
+
+def test_fast_errors_attract_no_traffic():
+    """Guards against a broken target that is free sooner than others."""
+    bench = Bench(3)
+    chosen = []
+    for _ in range(60):
+        slot = bench.take()
+        chosen.append(slot.target.name)
+        if slot.target.name == 't0':
+            slot.release(SlotOutcome.failed, 0.001)
+        else:
+            slot.release(SlotOutcome.answered, 0.2)
+        bench.clock.advance(0.05)
+    assert chosen.count('t0') <= EJECT_AFTER_FAILURES
+
+
+def test_ejection_grows_and_spares_half():
+    """Guards against failures that take most targets out of use."""
+    bench = Bench(4)
+    for name in ('t0', 't1', 't2', 't3'):
+        for _ in range(EJECT_AFTER_FAILURES):
+            bench.use_at(name, SlotOutcome.failed)
+    now = bench.clock.now()
+    states = [bench.table.state(f't{nr}') for nr in range(4)]
+    assert [each.health.is_ejected(now) for each in states].count(True) == 2
+    assert [each.usable(now) for each in states] == [0, 0, 1, 1]
+    health, lengths = TargetHealth(), []
+    for _ in range(8):
+        health.eject(now, allowed=True)
+        lengths.append(health.ejected_until - now)
+    assert lengths == [2, 4, 8, 16, 32, 60, 60, 60]
+
+
+def test_missing_results_eject_nothing():
+    """Guards against cancellations that count as failures of targets."""
+    bench = Bench(2)
+    for _ in range(20):
+        bench.use_at('t0', SlotOutcome.unknown)
+        bench.use_at('t0', SlotOutcome.not_run, 0)
+        bench.clock.advance(3)
+    assert not bench.table.state('t0').health.is_ejected(bench.clock.now())
+
+
+@pytest.mark.parametrize(
+    'reports,fresh',
+    [
+        ([(7, None)], False),
+        ([(7, None), (7, None)], False),
+        ([(7, None), (8, None)], True),
+        ([(7, 1)], True),
+        ([(7, 90000), (8, 90001)], False),
+        ([(7, -90000)], False),
+    ],
+)
+def test_frozen_reports_are_not_believed(reports, fresh):
+    """Guards against a target that repeats yesterday's figure."""
+    health = TargetHealth()
+    for load, age_s in reports:
+        health.report(load, 100, age_s)
+    assert bool(health.fresh_load(100)) == fresh
+    assert health.fresh_load(106) == 0
+
+
+def test_handover_keeps_slots_unused():
+    """Guards against a new owner that uses slots of the former one."""
+    first, second = Bench(1), Bench(1)
+    first.take()
+    first.take().release(SlotOutcome.unknown, 0.1)
+    handover = first.table.handover('t0')
+    assert handover == Handover(2, 2 + MARGIN_S)
+    second.table.gain('t0', handover)
+    assert second.table.free_slots('svc') == 1
+    assert second.table.handover('t0').running == 2
+    second.clock.advance(2 + MARGIN_S)
+    assert second.table.free_slots('svc') == 3
+
+
+class NaiveChoice:
+    """Chooses from the whole history, without any state of the table."""
+
+    def __init__(self, bench, count):
+        self.bench = bench
+        self.events = {f't{nr}': [] for nr in range(count)}
+
+    def latency(self, name):
+        smoothed = None
+        for _, outcome, latency_s in self.events[name]:
+            if outcome == SlotOutcome.answered:
+                smoothed = latency_s if smoothed is None else smoothed
+                smoothed += 0.2 * (latency_s - smoothed)
+        return smoothed
+
+    def choose(self, running, blocked):
+        now = self.bench.clock.now()
+        best = None
+        for name, events in self.events.items():
+            usable = 3 - sum(until > now for until in blocked[name])
+            if usable - running[name] <= 0:
+                continue
+            failing = any(
+                now - at < FAILING_S
+                for at, outcome, latency_s in events
+                if outcome == SlotOutcome.unknown
+                or (outcome == SlotOutcome.not_run and latency_s > 0)
+            )
+            measured, bucket = self.latency(name), 0
+            if measured is not None:
+                while 1e-4 * 1.25 ** (bucket + 1) <= measured:
+                    bucket += 1
+            key = (failing, running[name] / usable, bucket, name)
+            best = key if best is None else min(best, key)
+        return None if best is None else best[-1]
+
+
+CHOICES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(['take', 'take', 'end', 'time']),
+        strategies.integers(0, 20),
+        strategies.sampled_from([SlotOutcome.answered, SlotOutcome.unknown]),
+        strategies.sampled_from([0.00103, 0.011, 0.0127, 0.3]),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(steps=CHOICES)
+def test_choice_equals_the_naive_one(steps):
+    """Guards against state that drifts from the history of a target."""
+    bench = Bench(3)
+    naive = NaiveChoice(bench, 3)
+    taken, blocked = [], {f't{nr}': [] for nr in range(3)}
+    for action, number, outcome, latency_s in steps:
+        now = bench.clock.now()
+        if action == 'take':
+            running = {
+                name: sum(slot.target.name == name for slot, _ in taken)
+                for name in blocked
+            }
+            expected = naive.choose(running, blocked)
+            slot = bench.take()
+            assert (slot and slot.target.name) == expected
+            if slot is not None:
+                taken.append((slot, now + 2))
+        elif action == 'end' and taken:
+            slot, deadline_at = taken.pop(number % len(taken))
+            if now >= deadline_at:
+                outcome = SlotOutcome.answered
+            slot.release(outcome, latency_s)
+            naive.events[slot.target.name].append((now, outcome, latency_s))
+            if outcome == SlotOutcome.unknown:
+                blocked[slot.target.name].append(deadline_at + MARGIN_S)
+        elif action == 'time':
+            bench.clock.advance(number / 10)
