--- a/tests/builders.py
+++ b/tests/builders.py
@@ -122,7 +122,11 @@
     )
 
 
-def cell_topology(entries: int = 3, targets: int = 4) -> Topology:
+def cell_topology(
+    entries: int = 3,
+    targets: int = 4,
+    deadline_ms: int = 2000,
+) -> Topology:
     """Return one failure domain with one service."""
     return Topology(
         deployment='cell',
@@ -131,7 +135,7 @@
         services=(
             Service(
                 name='svc',
-                kinds=(Kind(name='read', max_deadline_ms=2000),),
+                kinds=(Kind(name='read', max_deadline_ms=deadline_ms),),
             ),
         ),
         instances=tuple(
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -49,6 +49,9 @@
         fut = asyncio.get_running_loop().create_future()
         cell, node = self._cell, self._node
         life = node.life
+        if node.pause_in_round:
+            node.pause_in_round = False
+            node.pause()
 
         def finish(outcome):
             if not fut.done():
@@ -62,14 +65,14 @@
         async def answer(other):
             received = Received(node.name, msg)
             reply = await other.transport.handle(received)
-            if not cell.lost():
+            if not cell.lost(node.name, peer):
                 cell.after(cell.delay(), lambda: back(reply))
 
         def back(reply):
             if node.life == life:
                 node.when_running(lambda: finish(Success(reply)))
 
-        if not cell.lost():
+        if not cell.lost(node.name, peer):
             cell.after(cell.delay(), deliver)
         lost = Failure(TransportError(peer, 'timeout'))
         cell.after(
@@ -86,11 +89,13 @@
         self.cell, self.name = cell, name
         self.clock = RateClock(cell, rate, 1000 * rate)
         self.life, self.up, self.paused = 0, False, False
+        self.pause_in_round = False
         self._waiting, self._task = [], None
 
     def start(self):
         self.life += 1
         self.up, self.paused, self._waiting = True, False, []
+        self.pause_in_round = False
         self.transport = SimTransport(self.cell, self)
         self.membership = Membership(
             self.cell.topology,
@@ -167,6 +172,7 @@
         self.now = 0.0
         self.loss = 0.0
         self.max_delay_s = 0.01
+        self._isolated = {}
         self.rng = random.Random(seed)
         self._loop = asyncio.new_event_loop()
         self._events, self._order = [], itertools.count()
@@ -186,7 +192,13 @@
         self._loop.run_until_complete(_pump())
         self._loop.close()
 
-    def lost(self):
+    def isolate(self, name, seconds):
+        """Lose all messages from and to an instance for a while."""
+        self._isolated[name] = self.now + seconds
+
+    def lost(self, *names):
+        if any(self._isolated.get(name, -1) > self.now for name in names):
+            return True
         return self.rng.random() < self.loss
 
     def delay(self):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -15,14 +15,15 @@
 from . import builders
 from .cell_sim import Cell
 
-LONGEST_S = 2.0
+#: Longer than a takeover, so that requests of a crashed owner outlast it.
+LONGEST_S = 8.0
 #: Takeover, quarantine, and rounds to claim, release and claim again.
-SETTLED_S = TAKEOVER_S + LONGEST_S + DEADLINE_MARGIN_S + 8
+SETTLED_S = TAKEOVER_S + LONGEST_S + DEADLINE_MARGIN_S + 4
 NODES = strategies.integers(0, 3)
 
 
 def _cell(entries=3, **kwargs):
-    cell = Cell(builders.cell_topology(entries), **kwargs)
+    cell = Cell(builders.cell_topology(entries, 4, 8000), **kwargs)
     for node in cell.nodes.values():
         node.start()
     return cell
@@ -146,6 +147,36 @@
             node.resume()
             self.cell.dispatch(node, 'svc', LONGEST_S)
 
+    @rule(
+        number=NODES,
+        first=strategies.sampled_from([0.7, 1.5, 2, 2.5, 2.9]),
+        then=strategies.sampled_from([2, 3, 4, 5]),
+        gap=strategies.sampled_from([0.002, 0.55]),
+        lost=strategies.booleans(),
+    )
+    def pause_twice(self, number, first, then, gap, lost):
+        """Pause between heartbeats and replies, wake shortly, pause."""
+        node = self._node(number)
+        if not node.up or node.paused:
+            return
+        node.pause_in_round = True
+        _work(self.cell, 1.25)
+        for seconds in (first, then):
+            _work(self.cell, seconds)
+            node.resume()
+            self.cell.isolate(node.name, gap if lost else 0)
+            self.cell.run(gap)
+            self.cell.dispatch(node, 'svc', LONGEST_S)
+            node.pause()
+        _work(self.cell, 1)
+        node.resume()
+
+    @rule(number=NODES, seconds=strategies.sampled_from([0.4, 0.8, 1.2]))
+    def burst(self, number, seconds):
+        """Lose all messages of an instance for less than SILENT_S."""
+        self.cell.isolate(self._node(number).name, seconds)
+        _work(self.cell, seconds)
+
     @rule(number=NODES)
     def pause_on(self, number):
         self._node(number).pause()
