--- a/tests/builders.py
+++ b/tests/builders.py
@@ -50,6 +50,16 @@
 )
 from cuminhoist.state import ControlState
 from cuminhoist.transport import ErrorReply, Transport
+from cuminhoist.settings import (
+    FailureDomain,
+    Instance,
+    Kind,
+    Service,
+    Settings,
+    Target,
+    Topology,
+    load_struct,
+)
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 CLUSTER_KEY = 'test-key'
@@ -579,3 +589,40 @@
             version=version,
             voters=tuple(self._cluster.logs),
         )
+def cell_topology(
+    entries: int = 3,
+    targets: int = 4,
+    deadline_ms: int = 2000,
+) -> Topology:
+    """Return one failure domain with one service."""
+    return Topology(
+        deployment='cell',
+        domains=(FailureDomain(name='d1', region='r1'),),
+        links=(),
+        services=(
+            Service(
+                name='svc',
+                kinds=(Kind(name='read', max_deadline_ms=deadline_ms),),
+            ),
+        ),
+        instances=tuple(
+            Instance(
+                name=f'e{number}',
+                domain='d1',
+                host='127.0.0.1',
+                http_port=20000 + number,
+                internal_port=21000 + number,
+            )
+            for number in range(entries)
+        ),
+        targets=tuple(
+            Target(
+                name=f't{number}',
+                service='svc',
+                domain='d1',
+                host='127.0.0.1',
+                port=22000 + number,
+            )
+            for number in range(targets)
+        ),
+    )
