--- /dev/null
+++ b/src/cuminhoist/checks.py
@@ -0,0 +1,342 @@
+"""Checks of the files and changes that operators write."""
+
+import ipaddress
+
+from .exceptions import FieldError
+from .faults import Faults
+from .lists import Allowances, Change, Configuration, Drain, Plans
+from .settings import Role, Service, Settings, Topology
+from .types import DrainScope
+
+MAX_DOMAINS = 1000
+MAX_SERVICES = 1000
+MAX_INSTANCES = 20_000
+MAX_TARGETS = 100_000
+MAX_BLOCKS = 10_000_000
+MAX_PLANS = 1000
+MAX_CALLERS = 100_000
+MAX_ALLOWANCES = 20_000
+MAX_DRAINS = 10_000
+MAX_WEIGHT = 1_000_000
+MIN_WEIGHT = 0.001
+MAX_RATE_PER_S = 1_000_000_000
+MAX_SECONDS = 3600
+MAX_DEADLINE_MS = 600_000
+MAX_SLOTS = 100_000
+MAX_MBIT_PER_S = 100_000_000
+#: Unix time in the year 2286; milliseconds by mistake are beyond it.
+MAX_UNIX_S = 10_000_000_000
+MAX_VERSION = 2**53
+LOG_LEVELS = ('TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
+
+
+def check_topology(
+    topology: Topology,
+    file: str = 'topology',
+) -> tuple[FieldError, ...]:
+    """Return the faults of a topology.
+
+    :param topology: the topology.
+    :param file: name of its file.
+    """
+    faults = Faults(file)
+    sizes = (
+        faults.count('domains', topology.domains, MAX_DOMAINS),
+        faults.count('services', topology.services, MAX_SERVICES),
+        faults.count('instances', topology.instances, MAX_INSTANCES),
+        faults.count('targets', topology.targets, MAX_TARGETS),
+        faults.count('blocks', topology.blocks, MAX_BLOCKS),
+    )
+    if not all(sizes):
+        return faults.result()
+    _check_domains(faults, topology)
+    for at, service in enumerate(topology.services):
+        _check_service(faults, f'services[{at}]', service)
+    faults.unique('services', (each.name for each in topology.services))
+    _check_instances(faults, topology)
+    _check_targets(faults, topology)
+    _check_blocks(faults, topology)
+    if topology.platform_url:
+        _check_url(faults, topology.platform_url)
+    return faults.result()
+
+
+def check_settings(
+    cfg: Settings,
+    topology: Topology | None = None,
+    file: str = 'settings',
+) -> tuple[FieldError, ...]:
+    """Return the faults of the settings of one daemon.
+
+    :param cfg: the settings.
+    :param topology: its topology, if that could be read.
+    :param file: name of its file.
+    """
+    faults = Faults(file)
+    faults.name('name', cfg.name)
+    faults.address(
+        '$',
+        cfg.host,
+        {'http_port': cfg.http_port, 'internal_port': cfg.internal_port},
+    )
+    if not cfg.cluster_key:
+        faults.add('cluster_key', 'must not be empty')
+    if not cfg.roles:
+        faults.add('roles', 'must not be empty', tuple(Role))
+    if Role.control in cfg.roles and not cfg.data_folder:
+        faults.add('data_folder', 'is needed by a control instance')
+    if cfg.logs.level not in LOG_LEVELS:
+        faults.known('logs.level', cfg.logs.level, LOG_LEVELS)
+    if cfg.statsd.host:
+        faults.address('statsd', cfg.statsd.host, {'port': cfg.statsd.port})
+    if topology is not None:
+        _check_listed(faults, cfg, topology)
+    return faults.result()
+
+
+def check_plans(plans: Plans, file: str = 'plans') -> tuple[FieldError, ...]:
+    """Return the faults of the list of plans.
+
+    :param plans: the list.
+    :param file: name of its file.
+    """
+    faults = Faults(file)
+    sizes = (
+        faults.count('plans', plans.plans, MAX_PLANS),
+        faults.count('callers', plans.callers, MAX_CALLERS),
+    )
+    if not all(sizes):
+        return faults.result()
+    for at, plan in enumerate(plans.plans):
+        faults.name(f'plans[{at}].name', plan.name)
+        faults.number(
+            f'plans[{at}].weight', plan.weight, MIN_WEIGHT, MAX_WEIGHT
+        )
+    faults.unique('plans', (each.name for each in plans.plans))
+    names = {each.name for each in plans.plans}
+    for at, caller in enumerate(plans.callers):
+        faults.name(f'callers[{at}].name', caller.name)
+        faults.known(f'callers[{at}].plan', caller.plan, names)
+    faults.unique('callers', (each.name for each in plans.callers))
+    return faults.result()
+
+
+def check_allowances(
+    allowances: Allowances,
+    topology: Topology,
+    plans: Plans | None = None,
+    file: str = 'allowances',
+) -> tuple[FieldError, ...]:
+    """Return the faults of the list of allowances.
+
+    :param allowances: the list.
+    :param topology: the deployment, which names services and kinds.
+    :param plans: the list of plans, if it is known.
+    :param file: name of its file.
+    """
+    faults = Faults(file)
+    sizes = (
+        faults.count('allowances', allowances.allowances, MAX_ALLOWANCES),
+        faults.count('shift_caps', allowances.shift_caps, MAX_SERVICES),
+    )
+    if not all(sizes):
+        return faults.result()
+    services = {service.name: service for service in topology.services}
+    names = None if plans is None else {plan.name for plan in plans.plans}
+    for at, item in enumerate(allowances.allowances):
+        field = f'allowances[{at}]'
+        faults.name(f'{field}.plan', item.plan)
+        if names is not None:
+            faults.known(f'{field}.plan', item.plan, names)
+        faults.known(f'{field}.service', item.service, services)
+        faults.number(f'{field}.rate_per_s', item.rate_per_s, 0, MAX_RATE_PER_S)
+        faults.number(f'{field}.burst_s', item.burst_s, 0.001, MAX_SECONDS)
+        _check_kinds(faults, field, item.kinds, services.get(item.service))
+    faults.unique(
+        'allowances',
+        ((each.plan, each.service) for each in allowances.allowances),
+    )
+    for at, cap in enumerate(allowances.shift_caps):
+        field = f'shift_caps[{at}]'
+        faults.known(f'{field}.service', cap.service, services)
+        faults.number(f'{field}.percent', cap.percent, 0, 100)
+        faults.number(f'{field}.window_s', cap.window_s, 1, MAX_SECONDS)
+    faults.unique(
+        'shift_caps', (each.service for each in allowances.shift_caps)
+    )
+    return faults.result()
+
+
+def check_drain(
+    drain: Drain,
+    topology: Topology,
+    file: str = 'drain',
+) -> tuple[FieldError, ...]:
+    """Return the faults of a drain.
+
+    :param drain: the drain.
+    :param topology: the deployment, which names what can be drained.
+    :param file: name of its file, or ``body``.
+    """
+    faults = Faults(file)
+    names: dict[DrainScope, set[str]] = {
+        DrainScope.upstream: {item.name for item in topology.targets},
+        DrainScope.domain: {item.name for item in topology.domains},
+        DrainScope.region: {item.region for item in topology.domains},
+        DrainScope.entry: {item.name for item in topology.entries()},
+    }
+    faults.known('name', drain.name, names[drain.scope])
+    faults.number('starts_at', drain.starts_at, 0, MAX_UNIX_S)
+    return faults.result()
+
+
+def check_change(
+    change: Change,
+    topology: Topology,
+    config: Configuration | None,
+    file: str = 'body',
+) -> tuple[FieldError, ...]:
+    """Return the faults of a change.
+
+    :param change: the change.
+    :param topology: the deployment.
+    :param config: the configuration in force, if there is one.
+    :param file: name of what holds the change.
+    """
+    faults = Faults(file)
+    faults.name('change_id', change.change_id)
+    faults.number('base_version', change.base_version, 0, MAX_VERSION)
+    parts = (change.plans, change.allowances, change.drain, change.undrain)
+    if sum(part is not None for part in parts) != 1:
+        faults.add(
+            '$',
+            'must set exactly one part',
+            ('plans', 'allowances', 'drain', 'undrain'),
+        )
+    found = faults.result()
+    if change.plans is not None:
+        found += check_plans(change.plans, f'{file}: plans')
+    if change.allowances is not None:
+        plans = None if config is None else config.plans
+        found += check_allowances(
+            change.allowances, topology, plans, f'{file}: allowances'
+        )
+    if change.drain is not None:
+        found += check_drain(change.drain, topology, f'{file}: drain')
+        if config is not None and len(config.drains) >= MAX_DRAINS:
+            found += (FieldError(file, 'drain', 'too many drains in force'),)
+    return found
+
+
+def _check_domains(faults: Faults, topology: Topology) -> None:
+    for at, domain in enumerate(topology.domains):
+        faults.name(f'domains[{at}].name', domain.name)
+        faults.name(f'domains[{at}].region', domain.region)
+    faults.unique('domains', (each.name for each in topology.domains))
+    regions = {item.region for item in topology.domains}
+    for at, link in enumerate(topology.links):
+        for region in link.regions:
+            faults.known(f'links[{at}].regions', region, regions)
+        if len(set(link.regions)) == 1:
+            faults.add(f'links[{at}].regions', 'joins a region with itself')
+        faults.number(
+            f'links[{at}].mbit_per_s', link.mbit_per_s, 1, MAX_MBIT_PER_S
+        )
+    pairs = (tuple(sorted(each.regions)) for each in topology.links)
+    faults.unique('links', pairs)
+
+
+def _check_service(faults: Faults, field: str, service: Service) -> None:
+    faults.name(f'{field}.name', service.name)
+    if not service.kinds:
+        faults.add(f'{field}.kinds', 'must not be empty')
+    for at, kind in enumerate(service.kinds):
+        inner = f'{field}.kinds[{at}]'
+        faults.name(f'{inner}.name', kind.name)
+        faults.number(f'{inner}.weight', kind.weight, MIN_WEIGHT, MAX_WEIGHT)
+        faults.number(
+            f'{inner}.max_deadline_ms', kind.max_deadline_ms, 1, MAX_DEADLINE_MS
+        )
+    faults.unique(f'{field}.kinds', (each.name for each in service.kinds))
+
+
+def _check_instances(faults: Faults, topology: Topology) -> None:
+    domains = {item.name for item in topology.domains}
+    listeners: list[object] = []
+    for at, item in enumerate(topology.instances):
+        field = f'instances[{at}]'
+        faults.name(f'{field}.name', item.name)
+        faults.known(f'{field}.domain', item.domain, domains)
+        ports = {
+            'http_port': item.http_port,
+            'internal_port': item.internal_port,
+        }
+        faults.address(field, item.host, ports)
+        if not item.roles:
+            faults.add(f'{field}.roles', 'must not be empty', tuple(Role))
+        if item.http_port == item.internal_port:
+            faults.add(f'{field}.internal_port', 'is also the http_port')
+        listeners.append((item.host, item.http_port))
+    faults.unique('instances', (each.name for each in topology.instances))
+    faults.unique('instances', listeners)
+    if not topology.controls():
+        faults.add('instances', 'none has the role control')
+
+
+def _check_targets(faults: Faults, topology: Topology) -> None:
+    domains = {item.name for item in topology.domains}
+    services = {item.name for item in topology.services}
+    for at, item in enumerate(topology.targets):
+        field = f'targets[{at}]'
+        faults.name(f'{field}.name', item.name)
+        faults.known(f'{field}.service', item.service, services)
+        faults.known(f'{field}.domain', item.domain, domains)
+        faults.address(field, item.host, {'port': item.port})
+        faults.number(f'{field}.slots', item.slots, 1, MAX_SLOTS)
+        faults.number(f'{field}.connections', item.connections, 1, MAX_SLOTS)
+    faults.unique('targets', (each.name for each in topology.targets))
+
+
+def _check_blocks(faults: Faults, topology: Topology) -> None:
+    domains = {item.name for item in topology.domains}
+    for at, block in enumerate(topology.blocks):
+        faults.known(f'blocks[{at}].domain', block.domain, domains)
+        try:
+            ipaddress.ip_network(block.network)
+        except ValueError as exc:
+            faults.add(f'blocks[{at}].network', str(exc))
+    faults.unique('blocks', (each.network for each in topology.blocks))
+
+
+def _check_url(faults: Faults, url: str) -> None:
+    scheme, _, rest = url.partition('://')
+    if scheme not in {'http', 'https'} or not rest:
+        faults.add('platform_url', f'{url!r} is not an HTTP address')
+
+
+def _check_kinds(
+    faults: Faults,
+    field: str,
+    kinds: tuple[str, ...],
+    service: Service | None,
+) -> None:
+    if service is None:
+        return
+    allowed = {kind.name for kind in service.kinds}
+    for at, kind in enumerate(kinds):
+        faults.known(f'{field}.kinds[{at}]', kind, allowed)
+    faults.unique(f'{field}.kinds', kinds)
+
+
+def _check_listed(faults: Faults, cfg: Settings, topology: Topology) -> None:
+    by_name = {item.name: item for item in topology.instances}
+    faults.known('name', cfg.name, by_name)
+    listed = by_name.get(cfg.name)
+    if listed is None:
+        return
+    for field in ('domain', 'host', 'http_port', 'internal_port'):
+        wanted = getattr(listed, field)
+        if getattr(cfg, field) != wanted:
+            faults.add(field, 'differs from the topology', (str(wanted),))
+    if set(cfg.roles) != set(listed.roles):
+        faults.add('roles', 'differ from the topology', listed.roles)
--- a/src/cuminhoist/control_api.py
+++ b/src/cuminhoist/control_api.py
@@ -1,35 +1,263 @@
 """HTTP interface for operators."""
 
+import hmac
 from typing import Any
 
-from litestar import get, post
+import msgspec
+from litestar import Request, Response, get, post
+from litestar.connection import ASGIConnection
+from litestar.exceptions import NotAuthorizedException
+from litestar.handlers.base import BaseRouteHandler
+from returns.result import Failure
 
-from .control import ControlLog
+from .accounts import AccountSource
+from .checks import check_change
+from .control import ControlLog, ReplicaStatus
+from .delivery import Delivery
+from .exceptions import FieldError
+from .fanout import FanOut, Held, Instances, Report, address_of
+from .faults import decode_error
+from .freshness import Currency
 from .inforce import ConfigInForce
-from .lists import Change, ChangeOutcome, Configuration
+from .lists import (
+    Accepted,
+    Change,
+    ChangeOutcome,
+    Configuration,
+    Conflict,
+    Drain,
+    Rejected,
+    Unavailable,
+)
+from .settings import Settings, Topology
+from .transport import Transport
 
+MAX_BODY_BYTES = 8 * 1024 * 1024
+_STATUS: dict[type[object], int] = {
+    Accepted: 200,
+    Conflict: 409,
+    Rejected: 422,
+    Unavailable: 503,
+}
+_AnyRequest = Request[Any, Any, Any]
+_Reply = Response[bytes]
 
-def change_handler(log: ControlLog) -> Any:
-    """Return the handler of changes.
 
-    :param log: decides on changes.
+class Invalid(msgspec.Struct, frozen=True, kw_only=True, tag='rejected'):
+    """A change with faults; it reads as :class:`Rejected` too."""
+
+    reason: str
+    errors: tuple[FieldError, ...]
+
+
+class ControlAddress(msgspec.Struct, frozen=True):
+    """A control instance and its HTTP address."""
+
+    name: str
+    address: str
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """What an instance says about itself.
+
+    :param age_ms: age of the confirmation of the version; -1 for none.
+    :param control: state of its control replica, if it has one.
+    :param controls: all control instances of the deployment.
+    """
+
+    name: str
+    incarnation: str
+    domain: str
+    version: int
+    plans_version: int
+    allowances_version: int
+    currency: Currency
+    age_ms: int
+    drains: tuple[Drain, ...]
+    control: ReplicaStatus | None
+    controls: tuple[ControlAddress, ...]
+
+
+class Initialised(msgspec.Struct, frozen=True):
+    """The cluster was initialised."""
+
+    cluster_id: str
+
+
+class ControlParts(msgspec.Struct, frozen=True, kw_only=True):
+    """The parts of an instance that operators' requests use.
+
+    :param log: the own control replica, None without that role.
+    :param accounts: accounts of the instance, None without them.
+    """
+
+    cfg: Settings
+    topology: Topology
+    incarnation: str
+    in_force: ConfigInForce
+    delivery: Delivery
+    transport: Transport
+    log: ControlLog | None = None
+    accounts: AccountSource | None = None
+
+
+class ControlApi:
+    """Answers operators' requests at one instance.
+
+    :param parts: the parts of the instance.
     """
 
-    @post('/v1/control/changes', status_code=200)
-    async def submit(data: Change) -> ChangeOutcome:
-        return await log.submit(data)
+    def __init__(self, parts: ControlParts) -> None:
+        self._parts = parts
+        self.fan_out = FanOut(
+            parts.cfg.name,
+            parts.topology,
+            parts.transport,
+            self._held,
+            parts.accounts,
+        )
 
-    return submit
+    async def submit(self, body: bytes) -> ChangeOutcome | Invalid:
+        """Decide on a change.
 
+        :param body: JSON of the change.
+        """
+        try:
+            change = msgspec.json.decode(body, type=Change)
+        except msgspec.DecodeError as exc:
+            return _invalid((decode_error('body', exc, Change),))
+        parts = self._parts
+        faults = check_change(change, parts.topology, self._known())
+        if faults:
+            return _invalid(faults)
+        if parts.log is None:
+            return self._not_control()
+        return await parts.log.submit(change)
 
-def config_handler(in_force: ConfigInForce) -> Any:
-    """Return the handler that shows the configuration in force.
+    async def init(self) -> Initialised | Rejected | Unavailable:
+        """Make the own empty replica the first voter of a cluster."""
+        if self._parts.log is None:
+            return self._not_control()
+        outcome = await self._parts.log.init()
+        if isinstance(outcome, Failure):
+            return Rejected(reason=outcome.failure())
+        return Initialised(outcome.unwrap())
 
-    :param in_force: the configuration of this instance.
+    def config(self) -> Configuration:
+        """Return the configuration in force, empty before the first."""
+        return self._parts.in_force.current or Configuration()
+
+    def status(self) -> Status:
+        """Return the state of the instance."""
+        parts = self._parts
+        config = self.config()
+        return Status(
+            name=parts.cfg.name,
+            incarnation=parts.incarnation,
+            domain=parts.cfg.domain,
+            version=parts.in_force.version,
+            plans_version=config.plans_version,
+            allowances_version=config.allowances_version,
+            currency=parts.delivery.currency(),
+            age_ms=parts.delivery.freshness.age_ms(),
+            drains=config.drains,
+            control=None if parts.log is None else parts.log.status(),
+            controls=tuple(
+                ControlAddress(control.name, address_of(control))
+                for control in parts.topology.controls()
+            ),
+        )
+
+    def _known(self) -> Configuration | None:
+        # Only the leader knows the plans that allowances may refer to; a
+        # follower may lag, and sends the operator to the leader instead.
+        log = self._parts.log
+        if log is None or log.status().role != 'leader':
+            return None
+        return log.committed()
+
+    def _held(self) -> Held:
+        return Held(
+            version=self._parts.in_force.version,
+            currency=self._parts.delivery.currency(),
+            incarnation=self._parts.incarnation,
+        )
+
+    def _not_control(self) -> Unavailable:
+        controls = self._parts.topology.controls()
+        return Unavailable(
+            reason='this instance has no control role',
+            leader=controls[0].name if controls else '',
+        )
+
+
+def control_handlers(parts: ControlParts) -> list[Any]:
+    """Return the handlers of operators' requests.
+
+    :param parts: the parts of the instance.
     """
+    control = ControlApi(parts)
+    guards = [_token_guard(parts.cfg.operator_token)]
+
+    @post(
+        '/v1/control/changes',
+        guards=guards,
+        request_max_body_size=MAX_BODY_BYTES,
+    )
+    async def submit(request: _AnyRequest) -> _Reply:
+        outcome = await control.submit(await request.body())
+        return _respond(outcome, _STATUS.get(type(outcome), 422))
+
+    @post('/v1/control/init', guards=guards)
+    async def init() -> _Reply:
+        outcome = await control.init()
+        is_done = isinstance(outcome, Initialised)
+        status = 503 if isinstance(outcome, Unavailable) else 409
+        return _respond(outcome, 200 if is_done else status)
+
+    @get('/v1/control/config', guards=guards, sync_to_thread=False)
+    def show_config() -> Configuration:
+        return control.config()
+
+    @get('/v1/status', guards=guards, sync_to_thread=False)
+    def show_status() -> Status:
+        return control.status()
+
+    @get('/v1/control/instances', guards=guards)
+    async def show_instances() -> Instances:
+        return await control.fan_out.instances()
+
+    @get('/v1/report', guards=guards)
+    async def show_report() -> Report:
+        return await control.fan_out.report()
+
+    return [submit, init, show_config, show_status, show_instances, show_report]
+
+
+def _token_guard(token: str) -> Any:
+    wanted = f'Bearer {token}'.encode()
+
+    def guard(
+        connection: ASGIConnection[Any, Any, Any, Any],
+        _handler: BaseRouteHandler,
+    ) -> None:
+        given = connection.headers.get('authorization', '').encode()
+        if token and not hmac.compare_digest(given, wanted):
+            raise NotAuthorizedException(
+                'header authorization: needs "Bearer" and the operator token',
+            )
+
+    return guard
+
+
+def _respond(body: object, status: int) -> _Reply:
+    return Response(
+        msgspec.json.encode(body),
+        status_code=status,
+        media_type='application/json',
+    )
 
-    @get('/v1/control/config', sync_to_thread=False)
-    def show() -> Configuration:
-        return in_force.current or Configuration()
 
-    return show
+def _invalid(errors: tuple[FieldError, ...]) -> Invalid:
+    reason = '; '.join(str(error) for error in errors[:10])
+    return Invalid(reason=reason, errors=errors[:100])
--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import secrets
 import signal
 import sys
 
@@ -12,7 +13,7 @@
 from .api import lookup_handler, services_handler
 from .codec import Codec
 from .clock import SystemClock
-from .control_api import change_handler, config_handler
+from .control_api import ControlParts, control_handlers
 from .delivery import Delivery
 from .entry import EntryService
 from .forwarding import HttpxTargetClient
@@ -92,10 +93,18 @@
         handlers = [
             services_handler(entry),
             lookup_handler(Lookup(self._topology, self._cfg.domain)),
-            config_handler(self.in_force),
+            *control_handlers(
+                ControlParts(
+                    cfg=self._cfg,
+                    topology=self._topology,
+                    incarnation=secrets.token_hex(8),
+                    in_force=self.in_force,
+                    delivery=self._delivery,
+                    transport=self._transport,
+                    log=self._log,
+                ),
+            ),
         ]
-        if self._log is not None:
-            handlers.append(change_handler(self._log))
         return Litestar(handlers, openapi_config=None)
 
 
--- /dev/null
+++ b/src/cuminhoist/queries.py
@@ -0,0 +1,347 @@
+"""Commands of the command-line tool that only show something."""
+
+import pathlib
+from collections.abc import Iterable
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from .checks import (
+    check_allowances,
+    check_plans,
+    check_settings,
+    check_topology,
+)
+from .control_api import Status
+from .exceptions import FieldError
+from .fanout import InstanceLine, Instances, Report
+from .faults import decode_error
+from .listdiff import DiffLine, diff_allowances, diff_plans
+from .lists import Allowances, Configuration, Plans
+from .lookup import LookupAnswer
+from .operatorclient import OperatorClient
+from .output import Grid, Output
+from .settings import Settings, Topology
+
+_Loaded = TypeVar('_Loaded', bound=msgspec.Struct)
+
+
+class Files(msgspec.Struct, frozen=True, kw_only=True):
+    """Paths of files that a command reads; empty for none."""
+
+    settings: str = ''
+    topology: str = ''
+    plans: str = ''
+    allowances: str = ''
+
+
+class Lists(msgspec.Struct, frozen=True, kw_only=True):
+    """The lists that a command read from files."""
+
+    plans: Plans | None = None
+    allowances: Allowances | None = None
+
+
+def load(path: str, kind: type[_Loaded]) -> Result[_Loaded, FieldError]:
+    """Read a JSON file; a fault names file, field and allowed values.
+
+    :param path: path of the file.
+    :param kind: type of its content.
+    """
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        return Failure(FieldError(path, '$', f'cannot read: {exc.strerror}'))
+    try:
+        return Success(msgspec.json.decode(content, type=kind))
+    except msgspec.DecodeError as exc:
+        return Failure(decode_error(path, exc, kind))
+
+
+def load_lists(files: Files) -> Result[Lists, tuple[FieldError, ...]]:
+    """Read and check lists without a topology.
+
+    :param files: paths of the lists.
+    """
+    errors: list[FieldError] = []
+    plans = _load_into(files.plans, Plans, errors)
+    allowances = _load_into(files.allowances, Allowances, errors)
+    if plans is not None:
+        errors.extend(check_plans(plans, files.plans))
+    if errors:
+        return Failure(tuple(errors))
+    return Success(Lists(plans=plans, allowances=allowances))
+
+
+def check(files: Files) -> Output:
+    """Check files without asking any instance.
+
+    :param files: paths of the files.
+    """
+    errors: list[FieldError] = []
+    cfg = _load_into(files.settings, Settings, errors)
+    topology_file = files.topology
+    if cfg is not None and not topology_file:
+        folder = pathlib.Path(files.settings).parent
+        topology_file = str(folder / cfg.topology)
+    topology = _load_into(topology_file, Topology, errors)
+    if topology is not None:
+        errors.extend(check_topology(topology, topology_file))
+    if cfg is not None:
+        errors.extend(check_settings(cfg, topology, files.settings))
+    plans = _load_into(files.plans, Plans, errors)
+    if plans is not None:
+        errors.extend(check_plans(plans, files.plans))
+    allowances = _load_into(files.allowances, Allowances, errors)
+    if allowances is not None and topology is not None:
+        errors.extend(
+            check_allowances(allowances, topology, plans, files.allowances),
+        )
+    elif allowances is not None:
+        errors.append(
+            FieldError(files.allowances, '$', 'needs --topology or --settings'),
+        )
+    if errors:
+        return errors_output(errors)
+    names = [name for name in msgspec.structs.astuple(files) if name]
+    if not names:
+        return Output.from_error('name at least one file to check')
+    return Output(lines=('No faults.',), content={'errors': []})
+
+
+def errors_output(errors: Iterable[FieldError]) -> Output:
+    """Return the output of faults in files.
+
+    :param errors: the faults.
+    """
+    found = tuple(errors)
+    return Output(
+        ok=False,
+        lines=tuple(str(error) for error in found),
+        content={'errors': found},
+    )
+
+
+async def show(client: OperatorClient) -> Output:
+    """Show the configuration in force.
+
+    :param client: client of any instance.
+    """
+    answer = await client.read('/v1/control/config', Configuration)
+    if isinstance(answer, Failure):
+        return Output.from_error(answer.failure())
+    config = answer.unwrap()
+    return Output(
+        lines=(
+            f'version {config.version}, plans {config.plans_version}, '
+            f'allowances {config.allowances_version}',
+        ),
+        grids=(
+            _structs('plans', config.plans.plans),
+            _structs('callers', config.plans.callers),
+            _structs('allowances', config.allowances.allowances),
+            _structs('shift caps', config.allowances.shift_caps),
+            _structs('drains', config.drains),
+        ),
+        content=config,
+    )
+
+
+async def diff(client: OperatorClient, files: Files) -> Output:
+    """Show how lists in files differ from the lists in force.
+
+    :param client: client of any instance.
+    :param files: paths of the lists.
+    """
+    loaded = load_lists(files)
+    if isinstance(loaded, Failure):
+        return errors_output(loaded.failure())
+    answer = await client.read('/v1/control/config', Configuration)
+    if isinstance(answer, Failure):
+        return Output.from_error(answer.failure())
+    lines = diff_of(answer.unwrap(), loaded.unwrap())
+    return Output(
+        lines=() if lines else ('No differences.',),
+        grids=diff_grids(lines),
+        content={'differences': lines},
+    )
+
+
+def diff_of(config: Configuration, lists: Lists) -> tuple[DiffLine, ...]:
+    """Return how lists differ from a configuration.
+
+    :param config: the configuration in force.
+    :param lists: the new lists.
+    """
+    lines: tuple[DiffLine, ...] = ()
+    if lists.plans is not None:
+        lines += diff_plans(config.plans, lists.plans)
+    if lists.allowances is not None:
+        lines += diff_allowances(config.allowances, lists.allowances)
+    return lines
+
+
+def diff_grids(lines: tuple[DiffLine, ...]) -> tuple[Grid, ...]:
+    """Return the table of differences, if there are any.
+
+    :param lines: the differences.
+    """
+    rows = tuple(
+        (line.sign, line.part, line.item, line.before, line.after)
+        for line in lines
+    )
+    columns = ('', 'list', 'item', 'before', 'after')
+    return (Grid('differences', columns, rows),) if rows else ()
+
+
+async def status(client: OperatorClient) -> Output:
+    """Show the state of an instance and what all others have in force.
+
+    :param client: client of any instance.
+    """
+    asked = await client.read('/v1/status', Status)
+    if isinstance(asked, Failure):
+        return Output.from_error(asked.failure())
+    answer = await client.read('/v1/control/instances', Instances)
+    if isinstance(answer, Failure):
+        return Output.from_error(answer.failure())
+    own, others = asked.unwrap(), answer.unwrap()
+    lines = [f'{own.name}: version {own.version}, {own.currency}']
+    if own.control is not None:
+        control = own.control
+        lines.append(
+            f'control: {control.role} of term {control.term}, leader '
+            f'{control.leader or "unknown"}, voters '
+            f'{", ".join(control.voters)} {control.fault}'.rstrip(),
+        )
+    return Output(
+        ok=all(line.held is not None for line in others.instances),
+        lines=tuple(lines),
+        grids=(
+            instances_grid(others.instances),
+            _structs('drains', own.drains),
+        ),
+        content={'status': own, 'instances': others},
+    )
+
+
+def instances_grid(lines: Iterable[InstanceLine]) -> Grid:
+    """Return the table of what instances have in force.
+
+    :param lines: the instances.
+    """
+    return Grid(
+        'instances',
+        ('instance', 'failure domain', 'version', 'state'),
+        tuple(
+            (line.name, line.domain, '-', f'no response: {line.reason}')
+            if line.held is None
+            else (
+                line.name,
+                line.domain,
+                str(line.held.version),
+                str(line.held.currency),
+            )
+            for line in lines
+        ),
+    )
+
+
+async def lookup(client: OperatorClient, service: str, caller: str) -> Output:
+    """Show which entry instances a caller should use.
+
+    :param client: client of any instance.
+    :param service: name of the service.
+    :param caller: name of the caller.
+    """
+    answer = await client.read(
+        '/v1/lookup', LookupAnswer, {'service': service, 'caller': caller}
+    )
+    if isinstance(answer, Failure):
+        return Output.from_error(answer.failure())
+    found = answer.unwrap()
+    return Output(
+        lines=(f'lifetime {found.lifetime_s:g} s',),
+        grids=(_structs('entry instances', found.entries),),
+        content=found,
+    )
+
+
+async def explain(
+    client: OperatorClient,
+    caller: str,
+    service: str,
+    kind: str,
+) -> Output:
+    """Show what would happen to a request.
+
+    :param client: client of any instance.
+    :param caller: name of the caller.
+    :param service: name of the service.
+    :param kind: kind of the request.
+    """
+    answer = await client.read(
+        '/v1/explain',
+        dict[str, Any],
+        {'caller': caller, 'service': service, 'kind': kind},
+    )
+    if isinstance(answer, Failure):
+        return Output.from_error(answer.failure())
+    found = answer.unwrap()
+    rows = tuple((name, str(text)) for name, text in found.items())
+    grid = Grid(f'{caller}, {service}, {kind}', ('what', 'value'), rows)
+    return Output(grids=(grid,), content=found)
+
+
+async def report(client: OperatorClient) -> Output:
+    """Show the accounts of all instances.
+
+    :param client: client of any instance.
+    """
+    answer = await client.read('/v1/report', Report)
+    if isinstance(answer, Failure):
+        return Output.from_error(answer.failure())
+    found = answer.unwrap()
+    lines: tuple[str, ...] = ()
+    if found.silent:
+        lines = (f'No response, not counted: {", ".join(found.silent)}',)
+    return Output(
+        ok=not found.silent,
+        lines=lines,
+        grids=(_structs('accounts', found.lines),),
+        content=found,
+    )
+
+
+def _structs(title: str, items: Iterable[msgspec.Struct]) -> Grid:
+    rows = tuple(items)
+    columns = rows[0].__struct_fields__ if rows else ('none',)
+    return Grid(
+        title,
+        columns,
+        tuple(
+            tuple(_cell(cell) for cell in msgspec.structs.astuple(row))
+            for row in rows
+        ),
+    )
+
+
+def _cell(cell: object) -> str:
+    if isinstance(cell, tuple):
+        return ', '.join(map(str, cell))
+    return f'{cell:g}' if isinstance(cell, float) else str(cell)
+
+
+def _load_into(
+    path: str,
+    kind: type[_Loaded],
+    errors: list[FieldError],
+) -> _Loaded | None:
+    if not path:
+        return None
+    loaded = load(path, kind)
+    if isinstance(loaded, Failure):
+        errors.append(loaded.failure())
+        return None
+    return loaded.unwrap()
--- a/src/cuminhoist/settings.py
+++ b/src/cuminhoist/settings.py
@@ -212,6 +212,7 @@
     :param cluster_key: key of the tags on internal messages.
     :param data_folder: folder of the durable state; control instances only.
     :param traces_file: file for spans as JSON lines; empty for none.
+    :param operator_token: token of operators' requests; empty for none.
     """
 
     name: InstanceName
@@ -224,6 +225,7 @@
     roles: tuple[Role, ...] = (Role.entry,)
     data_folder: str = ''
     traces_file: str = ''
+    operator_token: str = ''
     logs: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
 
