--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,6 +1,7 @@
 """Runs a deployment through a change, a drain and a crash."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 import tempfile
@@ -35,6 +36,7 @@
     refused: int = 0
     failed: int = 0
     lost: int = 0
+    refusals: dict[str, int] = {}
     violations: list[str] = []
 
 
@@ -182,6 +184,11 @@
         refused=endings.count('refused'),
         failed=endings.count('failed'),
         lost=endings.count('lost'),
+        refusals=collections.Counter(
+            outcome.reason
+            for outcome in evidence.outcomes
+            if outcome.result == 'refused'
+        ),
         violations=[*demo.found, *violations(local.topology, evidence)],
     )
 
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -8,8 +8,8 @@
 import httpx
 import msgspec
 
-from cuminhoist.daemon import Node
 from cuminhoist.lists import Allowances, Change, ChangeOutcome, Plans
+from cuminhoist.node import Node
 from cuminhoist.settings import Instance, Settings, Topology, load_struct
 
 from .standins import StandinUpstreams
@@ -18,6 +18,9 @@
 CLUSTER_KEY = 'demo-key'
 POLL_S = 0.02
 CHANGE_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 25.0
+#: Shorter than the default, so that a planned stop fits into a short run.
+LOOKUP_LIFETIME_S = 3.0
 
 
 def free_ports(count: int) -> list[int]:
@@ -91,6 +94,7 @@
         await self.apply(
             Change(change_id='demo-allowances', allowances=self.allowances),
         )
+        await self._wait_ready()
 
     async def start_node(self, instance: Instance) -> Node:
         """Start one instance.
@@ -103,14 +107,15 @@
             CLUSTER_KEY,
             str(self._data_folder / instance.name),
         )
+        cfg = msgspec.structs.replace(cfg, lookup_lifetime_s=LOOKUP_LIFETIME_S)
         node = Node(cfg, self.topology)
         await node.start()
         self.nodes[instance.name] = node
         return node
 
     async def stop(self) -> None:
-        """Stop all instances at once, then the upstreams."""
-        await asyncio.gather(*(node.stop() for node in self.nodes.values()))
+        """End all instances at once, then the upstreams."""
+        await asyncio.gather(*(node.kill() for node in self.nodes.values()))
         await self.upstreams.stop()
 
     async def kill(self, name: str) -> None:
@@ -170,6 +175,24 @@
                     return outcome
             await asyncio.sleep(POLL_S)
 
+    async def _wait_ready(self) -> None:
+        # A new instance cannot know what a former life left running, so it
+        # leaves slots unused for the longest deadline.
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while self._usable_slots() < self._ready_slots():
+                await asyncio.sleep(POLL_S)
+
+    def _usable_slots(self) -> int:
+        return sum(
+            node.entry.table.usable_slots(service.name)
+            for node in self.nodes.values()
+            if node.entry is not None
+            for service in self.topology.services
+        )
+
+    def _ready_slots(self) -> int:
+        return sum(target.slots for target in self.topology.targets)
+
     async def _init_control(self) -> None:
         first = self.topology.controls()[0]
         async with httpx.AsyncClient(trust_env=False) as http:
--- a/demo/standins.py
+++ b/demo/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 
@@ -18,6 +19,7 @@
     kind: str
     key: str
     body_bytes: int
+    request_id: str
 
 
 class UpstreamState:
@@ -85,7 +87,13 @@
             state.served.append(_record(scope, state, size))
         finally:
             state.in_flight -= 1
-        await _answer(send, 200, b'{"bytes": %d}' % size, [])
+        request_id = _request_id(scope).encode()
+        await _answer(
+            send,
+            200,
+            b'{"bytes": %d}' % size,
+            [(b'x-request-id', request_id)],
+        )
 
 
 def _listen(target: Target) -> socket.socket:
@@ -111,9 +119,15 @@
         headers.get(KIND_HEADER.encode(), ''),
         headers.get(KEY_HEADER.encode(), ''),
         size,
+        _request_id(scope),
     )
 
 
+def _request_id(scope: Any) -> str:
+    query = parse_qs(scope['query_string'].decode())
+    return str(query.get('id', [''])[0])
+
+
 async def _answer(
     send: Any,
     status: int,
--- a/src/cuminhoist/api.py
+++ b/src/cuminhoist/api.py
@@ -9,23 +9,25 @@
 from litestar.types import Receive, Scope, Send
 from returns.result import Failure, Result, Success
 
-from .entry import CallerRequest, EntryService
+from .entry import EntryService
 from .forwarding import Answer, BodyError, CarryError
 from .headers import (
     HOP_HEADER,
     RAN_HEADER,
     REFUSAL_HEADER,
-    framing,
     forward_headers,
-    return_headers,
+    framing,
     repeated,
+    return_headers,
 )
 from .hops import Hop, HopSigner, Route
 from .httpserver import MAX_HEADER_BYTES, MAX_HEADERS
 from .lookup import Lookup, LookupAnswer
 from .problems import Refusal, encode_problem, problem_headers
+from .requests import CallerRequest
 from .types import (
     CALLER_HEADER,
+    CLIENT_HEADER,
     DEADLINE_HEADER,
     KEY_HEADER,
     KIND_HEADER,
@@ -156,12 +158,18 @@
         path=f'/{rest}?{query}' if query else f'/{rest}',
         headers=forward_headers(headers),
         body=RequestBody(receive, framing(headers).has_body, MAX_BODY_BYTES),
+        client=_client_of(scope, named),
         deadline_s=deadline.unwrap(),
         key=named.get(KEY_HEADER, ''),
     )
     return _with_hop(req, named.get(HOP_HEADER), hops)
 
 
+def _client_of(scope: Any, named: dict[str, str]) -> str:
+    peer = scope.get('client') or ('', 0)
+    return named.get(CLIENT_HEADER) or str(peer[0])
+
+
 def _with_hop(
     req: CallerRequest,
     header: str | None,
--- a/src/cuminhoist/consensus.py
+++ b/src/cuminhoist/consensus.py
@@ -28,7 +28,8 @@
 from .lists import Change, ChangeOutcome, Configuration, Unavailable
 from .log import DurableLog
 from .logs import logger
-from .replica_core import Core, OnCorruption, Options
+from .replica_core import Core, Options
+from .settings import OnCorruption
 from .storage import Disk, DiskError, DiskErrorKind
 from .transport import ErrorReply, Transport
 
--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon: builds the parts of one instance and runs them."""
+"""The daemon: runs one instance until it is told to stop."""
 
 import asyncio
 import pathlib
@@ -6,128 +6,15 @@
 import sys
 
 import fire
-from litestar import Litestar
 from returns.result import Failure
 
-from .api import lookup_handler, services_handler
-from .blocks import BlockMap
-from .clock import SystemClock
-from .codec import Codec
-from .clock import SystemClock
-from .control_api import change_handler, config_handler
-from .delivery import Delivery
-from .entry import EntryService
-from .forwarding import HttpxTargetClient
-from .httpserver import HttpServer
-from .inforce import ConfigInForce
-from .locallog import LocalLog
 from .logs import configure_logs, logger
-from .lookup import DrainPlan, EntryView, Lookup
-from .settings import Role, Settings, Topology, load_struct
-from .transport import PynngTransport
+from .node import Node
+from .settings import Settings, Topology, load_struct
 
 _log = logger('daemon')
 
 
-class AllUsable(EntryView):
-    """A view that takes every instance for usable."""
-
-    def is_usable(self, name: str) -> bool:
-        """Return True.
-
-        :param name: name of the instance.
-        """
-        return True
-
-    def ticket_of(self, name: str) -> str:
-        """Return an empty ticket.
-
-        :param name: name of the instance.
-        """
-        return ''
-
-
-class Node:
-    """All parts of one instance.
-
-    :param cfg: settings of the instance.
-    :param topology: the deployment.
-    """
-
-    def __init__(self, cfg: Settings, topology: Topology) -> None:
-        self._cfg = cfg
-        self._topology = topology
-        own = topology.instance(cfg.name)
-        self.in_force = ConfigInForce()
-        self._transport = PynngTransport(
-            Codec(cfg.cluster_key, cfg.name),
-            own,
-            topology.instances,
-        )
-        self._client = HttpxTargetClient()
-        is_control = Role.control in cfg.roles
-        self._log = LocalLog(cfg.name) if is_control else None
-        self._delivery = Delivery(
-            cfg.name,
-            topology,
-            self.in_force,
-            self._transport,
-            SystemClock(),
-            self._log,
-        )
-        self._server = HttpServer.from_app(
-            self._app(),
-            cfg.host,
-            cfg.http_port,
-        )
-        self._tasks: list[asyncio.Task[None]] = []
-
-    async def start(self) -> None:
-        """Start all listeners and tasks."""
-        await self._transport.start()
-        self._tasks.append(asyncio.create_task(self._delivery.run()))
-        self._tasks.append(asyncio.create_task(self._server.serve()))
-        while not self._server.started:
-            await asyncio.sleep(0.01)
-        _log.info('Serving on port {}.', self._cfg.http_port)
-
-    async def stop(self) -> None:
-        """Finish running requests and stop."""
-        self._server.should_exit = True
-        server = self._tasks.pop()
-        for task in self._tasks:
-            task.cancel()
-        await server
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._client.close()
-        await self._transport.stop()
-
-    def _lookup(self) -> Lookup:
-        return Lookup(
-            self._topology,
-            self._topology.instance(self._cfg.name),
-            BlockMap.from_blocks(self._topology.blocks),
-            AllUsable(),
-            DrainPlan(self.in_force, SystemClock()),
-        )
-
-    def _app(self) -> Litestar:
-        entry = EntryService(
-            self._topology,
-            self.in_force,
-            self._client,
-            self._cfg.domain,
-        )
-        handlers = [
-            services_handler(entry),
-            lookup_handler(self._lookup()),
-            config_handler(self.in_force),
-        ]
-        if self._log is not None:
-            handlers.append(change_handler(self._log))
-        return Litestar(handlers, openapi_config=None)
-
-
 async def run_until_signal(node: Node) -> None:
     """Run an instance until SIGTERM or SIGINT.
 
--- a/src/cuminhoist/dispatch.py
+++ b/src/cuminhoist/dispatch.py
@@ -249,4 +249,3 @@
         exclude=exclude,
         charged=True,
     )
-
--- /dev/null
+++ b/src/cuminhoist/entryside.py
@@ -0,0 +1,244 @@
+"""Builds the parts of an entry instance and runs their tasks."""
+
+import asyncio
+import secrets
+from collections.abc import Coroutine
+from typing import Any, Self
+
+import msgspec
+
+from .accounting import Accounts
+from .admission import Admission
+from .attempts import LocalAttempts
+from .blocks import BlockMap
+from .borrowing import Borrower
+from .borrowing import partners_of as lenders_of
+from .clock import Clock
+from .dispatch import Dispatcher
+from .entry import EntryParts, EntryService
+from .forwarding import HttpxTargetClient
+from .grant_client import GrantClient
+from .grants import GrantTable
+from .hops import HopSigner
+from .inforce import ConfigInForce
+from .intake import Intake
+from .keys import KeyStore
+from .links import LinkBudget
+from .lookup import DrainPlan, Lookup
+from .membership import Membership
+from .ownership import Ownership
+from .peers import PeerClient
+from .platform import PlatformPoller
+from .probes import HttpxProbeClient, Prober
+from .rates import RateShares
+from .retries import RetryBudget
+from .routing import Router
+from .settings import Settings, Topology
+from .shift import ObservedCapacity, ShiftLimiter
+from .targets import TargetTable
+from .transport import Transport
+from .views import AccountLines, MembershipView
+
+REFRESH_S = 0.25
+
+
+class Base(msgspec.Struct, frozen=True, kw_only=True):
+    """What both roles of an instance share."""
+
+    cfg: Settings
+    topology: Topology
+    clock: Clock
+    transport: Transport
+    in_force: ConfigInForce
+
+
+class EntrySide:
+    """All parts of the entry role.
+
+    :param base: what both roles share.
+    :param membership: live and leaving instances and upstreams.
+    """
+
+    def __init__(self, base: Base, membership: Membership) -> None:
+        self._base = base
+        self.membership = membership
+        cfg, topology, clock = base.cfg, base.topology, base.clock
+        self.region = topology.region_of(cfg.domain)
+        self.table = TargetTable(topology, membership, clock)
+        self.keys = KeyStore(membership, clock)
+        self.ownership = Ownership(
+            topology,
+            membership,
+            base.transport,
+            clock,
+            self.table,
+            self.keys.epoch,
+        )
+        self.table.bind(self.ownership)
+        self.ownership.report_version(lambda: base.in_force.version)
+        self.accounts = Accounts(
+            clock,
+            topology,
+            base.in_force,
+            cfg.name,
+            membership.incarnation,
+        )
+        self.account_lines = AccountLines(self.accounts)
+        self.hops = HopSigner(cfg.cluster_key, cfg.name, clock)
+        self.lookup = self._build_lookup()
+        self._client = HttpxTargetClient(clock)
+        self._peers = PeerClient(self.hops, clock)
+        self._probe_client = HttpxProbeClient(cfg.probe_path)
+        self._rates = RateShares(
+            clock,
+            base.in_force,
+            len(topology.entries()),
+        )
+        self.grant_client = GrantClient.from_topology(
+            topology,
+            cfg.name,
+            clock,
+            base.transport,
+        )
+        self.service = EntryService(self._build_parts())
+
+    @classmethod
+    def from_base(cls, base: Base) -> Self:
+        """Build the parts of an instance.
+
+        :param base: what both roles share.
+        """
+        membership = Membership(
+            base.topology,
+            base.cfg.name,
+            base.clock,
+            base.in_force,
+        )
+        return cls(base, membership)
+
+    def tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return the long-lived tasks of the entry role."""
+        base = self._base
+        borrower = Borrower(
+            self._rates,
+            base.transport,
+            base.clock,
+            lenders_of(base.topology, base.cfg.name),
+            self.membership.incarnation,
+        )
+        prober = Prober(
+            self.table,
+            self.ownership,
+            self.membership,
+            self._probe_client,
+            base.clock,
+        )
+        poller = PlatformPoller(
+            base.topology.platform_url,
+            self.membership.apply_platform,
+        )
+        return (
+            self.ownership.run(),
+            self.ownership.run_partners(),
+            self.grant_client.run(),
+            borrower.run(),
+            prober.run(),
+            poller.run(),
+            self._refresh(),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
+        await self._peers.close()
+        await self._probe_client.close()
+
+    async def _refresh(self) -> None:
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            self.table.refresh()
+
+    def _build_lookup(self) -> Lookup:
+        base = self._base
+        return Lookup(
+            base.topology,
+            base.topology.instance(base.cfg.name),
+            BlockMap.from_blocks(base.topology.blocks),
+            MembershipView(self.membership, self.keys),
+            DrainPlan(base.in_force, base.clock),
+            base.cfg.lookup_lifetime_s,
+        )
+
+    def _build_parts(self) -> EntryParts:
+        base = self._base
+        topology, clock = base.topology, base.clock
+        capacity = ObservedCapacity(topology, self.region)
+        in_region = sum(
+            topology.region_of(entry.domain) == self.region
+            for entry in topology.entries()
+        )
+        shift = ShiftLimiter(clock, base.in_force, capacity, max(in_region, 1))
+        admission = Admission(
+            clock,
+            self.table,
+            self._rates,
+            shift,
+            self.region,
+        )
+        self._limit_connections()
+        local = LocalAttempts(
+            self._client,
+            self.membership,
+            capacity,
+            clock,
+        )
+        router = Router(
+            topology,
+            self.membership,
+            self.table,
+            admission,
+            self.grant_client,
+            clock,
+        )
+        own = topology.instance(base.cfg.name)
+        return EntryParts(
+            topology=topology,
+            own=own,
+            clock=clock,
+            membership=self.membership,
+            intake=Intake(topology, base.in_force, clock),
+            lookup=self.lookup,
+            rates=self._rates,
+            admission=admission,
+            local=local,
+            dispatcher=Dispatcher(
+                own,
+                router,
+                admission,
+                local,
+                self._peers,
+                RetryBudget(secrets.randbits(32)),
+                clock,
+            ),
+            keys=self.keys,
+            grants=GrantTable(
+                topology,
+                self.membership,
+                self.table,
+                base.in_force,
+                clock,
+                base.transport,
+            ),
+            links=LinkBudget(topology, self.region, clock),
+            accounts=self.accounts,
+        )
+
+    def _limit_connections(self) -> None:
+        for target in self._base.topology.targets:
+            if target.domain == self._base.cfg.domain:
+                self._client.address_of(
+                    msgspec.structs.replace(
+                        target,
+                        connections=self.table.connection_share(target.name),
+                    ),
+                )
--- a/src/cuminhoist/keyed.py
+++ b/src/cuminhoist/keyed.py
@@ -13,8 +13,8 @@
 from .intake import refuse
 from .key_records import (
     MAX_KEPT_BODY_BYTES,
-    FirstAnswer,
     Fingerprint,
+    FirstAnswer,
     JoinRun,
     Key,
     KeyRefusal,
--- a/src/cuminhoist/logs.py
+++ b/src/cuminhoist/logs.py
@@ -1,5 +1,6 @@
 """Logging set-up: short sentences with a fixed prefix for each part."""
 
+import logging
 import sys
 from typing import Any
 
@@ -23,6 +24,9 @@
 
     :param cfg: level and shape of the lines.
     """
+    # One line for each request of a library's client helps nobody.
+    for library in ('httpx', 'httpcore', 'uvicorn.access'):
+        logging.getLogger(library).setLevel(logging.WARNING)
     _root.remove()
     _root.configure(extra={'part': '-'})
     _root.add(
--- a/src/cuminhoist/lookup.py
+++ b/src/cuminhoist/lookup.py
@@ -229,6 +229,7 @@
     :param blocks: home failure domains of clients.
     :param view: live entry instances and their tickets.
     :param drains: which callers leave drained parts.
+    :param lifetime_s: how long clients may cache answers, in seconds.
     """
 
     def __init__(
@@ -238,12 +239,14 @@
         blocks: BlockMap,
         view: EntryView,
         drains: DrainPlan,
+        lifetime_s: float = LIFETIME_S,
     ) -> None:
         self._topology = topology
         self._own = own
         self._blocks = blocks
         self._view = view
         self._drains = drains
+        self._lifetime_s = lifetime_s
         self._region: dict[str, str] = {
             entry.name: entry.region for entry in topology.domains
         }
@@ -273,7 +276,7 @@
             service,
             home,
             tuple(self._address(entry) for entry in found),
-            LIFETIME_S,
+            self._lifetime_s,
         )
 
     def _first_entries(
--- /dev/null
+++ b/src/cuminhoist/node.py
@@ -0,0 +1,188 @@
+"""One instance: its parts, its listeners, its start and its stop."""
+
+import asyncio
+import pathlib
+import secrets
+from collections.abc import Coroutine
+from typing import Any
+
+from litestar import Litestar
+
+from .api import lookup_handler, services_handler
+from .clock import SystemClock
+from .codec import Codec
+from .consensus import Replica
+from .control_api import ControlParts, control_handlers
+from .delivery import Delivery
+from .entryside import Base, EntrySide
+from .httpserver import HttpServer
+from .inforce import ConfigInForce
+from .logs import logger
+from .replica_core import Options
+from .settings import Role, Settings, Topology
+from .storage import FileDisk
+from .transport import PynngTransport
+
+START_POLL_S = 0.01
+STOP_POLL_S = 0.1
+#: A stop goes on serving until no request has come for this long.
+QUIET_S = 1.0
+
+_log = logger('node')
+
+
+class Node:
+    """All parts of one instance.
+
+    :param cfg: settings of the instance.
+    :param topology: the deployment.
+    """
+
+    def __init__(self, cfg: Settings, topology: Topology) -> None:
+        self._cfg = cfg
+        self._topology = topology
+        self._clock = SystemClock()
+        self.in_force = ConfigInForce()
+        self._transport = PynngTransport(
+            Codec(cfg.cluster_key, cfg.name),
+            topology.instance(cfg.name),
+            topology.instances,
+        )
+        self.entry = self._build_entry()
+        self.replica = self._build_replica()
+        self._delivery = Delivery(
+            cfg.name,
+            topology,
+            self.in_force,
+            self._transport,
+            self._clock,
+            self.replica,
+        )
+        self._server = HttpServer.from_app(
+            self._app(),
+            cfg.host,
+            cfg.http_port,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start all listeners and tasks."""
+        await self._transport.start()
+        if self.replica is not None:
+            await self.replica.start()
+        self._spawn(self._delivery.run())
+        for coroutine in self.entry.tasks() if self.entry else ():
+            self._spawn(coroutine)
+        self._spawn(self._server.serve())
+        while not self._server.started:
+            await asyncio.sleep(START_POLL_S)
+        _log.info('Serves on port {}.', self._cfg.http_port)
+
+    async def stop(self) -> None:
+        """Stop without cutting a request.
+
+        Look-ups stop naming this instance first. It goes on serving while
+        clients may still hold an older look-up.
+        """
+        _log.info('Leaves; look-ups are cached for some time.')
+        if self.entry is not None:
+            await self._leave(self.entry)
+        await self._end()
+
+    async def kill(self) -> None:
+        """End at once, as a crash would."""
+        for conn in tuple(self._server.server_state.connections):
+            conn.transport.abort()
+        for listener in self._server.servers:
+            listener.close()
+        self._server.force_exit = True
+        await self._end()
+
+    async def _leave(self, entry: EntrySide) -> None:
+        await entry.ownership.leave()
+        self._server.start_drain()
+        cached_until = self._clock.now() + self._cfg.lookup_lifetime_s
+        last_until = cached_until + self._cfg.lookup_lifetime_s
+        while self._clock.now() < last_until:
+            await asyncio.sleep(STOP_POLL_S)
+            quiet_s = self._clock.now() - entry.service.last_arrival
+            if self._clock.now() >= cached_until and quiet_s >= QUIET_S:
+                break
+        entry.service.refuses_new = True
+
+    async def _end(self) -> None:
+        self._server.should_exit = True
+        server = self._tasks.pop()
+        await asyncio.gather(server, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.replica is not None:
+            await self.replica.stop()
+        if self.entry is not None:
+            await self.entry.close()
+        await self._transport.stop()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
+
+    def _build_entry(self) -> EntrySide | None:
+        if Role.entry not in self._cfg.roles:
+            return None
+        return EntrySide.from_base(
+            Base(
+                cfg=self._cfg,
+                topology=self._topology,
+                clock=self._clock,
+                transport=self._transport,
+                in_force=self.in_force,
+            ),
+        )
+
+    def _build_replica(self) -> Replica | None:
+        if Role.control not in self._cfg.roles:
+            return None
+        return Replica.from_config(
+            self._cfg.name,
+            tuple(peer.name for peer in self._topology.controls()),
+            self._transport,
+            self._clock,
+            FileDisk(pathlib.Path(self._cfg.data_folder)),
+            options=Options(on_corruption=self._cfg.on_corruption),
+        )
+
+    def _app(self) -> Litestar:
+        incarnation = (
+            self.entry.membership.incarnation
+            if self.entry
+            else secrets.token_hex(6)
+        )
+        handlers = control_handlers(
+            ControlParts(
+                cfg=self._cfg,
+                topology=self._topology,
+                incarnation=incarnation,
+                in_force=self.in_force,
+                delivery=self._delivery,
+                transport=self._transport,
+                log=self.replica,
+                accounts=self.entry.account_lines if self.entry else None,
+            ),
+        )
+        if self.entry is not None:
+            handlers.append(
+                services_handler(self.entry.service, self.entry.hops),
+            )
+            handlers.append(lookup_handler(self.entry.lookup))
+        return Litestar(
+            handlers,
+            openapi_config=None,
+            logging_config=None,
+        )
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.opt(exception=task.exception()).error('A task has failed.')
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -167,6 +167,21 @@
             self._release(name)
         self._hurry.set()
 
+    async def leave(self) -> None:
+        """Announce a planned stop; hand targets over if a peer is there.
+
+        Without a live peer the targets stay here until the end, because
+        nobody else could serve them.
+        """
+        if any(self._is_candidate(peer) for peer in self._peers):
+            self.release_all()
+        self._membership.leaving = True
+        partners = partners_of(self._topology, self._membership.name)
+        state = self._state()
+        await asyncio.gather(
+            *(self._beat(partner.name, state) for partner in partners),
+        )
+
     async def run(self) -> None:
         """Run rounds until cancelled."""
         while True:
--- a/src/cuminhoist/replica_core.py
+++ b/src/cuminhoist/replica_core.py
@@ -14,6 +14,7 @@
 from .lists import Change, ChangeOutcome, Configuration, Unavailable
 from .log import DurableLog, Vote
 from .logs import logger
+from .settings import OnCorruption
 from .state import ControlState
 from .storage import DiskError, DiskErrorKind
 from .transport import Transport
@@ -51,13 +52,6 @@
     compact_entries: int = 1000
 
 
-class OnCorruption(enum.StrEnum):
-    """What a replica with damaged files does."""
-
-    stop = 'stop'
-    rejoin = 'rejoin'
-
-
 class Options(msgspec.Struct, frozen=True, kw_only=True):
     """How a replica behaves.
 
--- a/src/cuminhoist/settings.py
+++ b/src/cuminhoist/settings.py
@@ -31,6 +31,13 @@
     control = 'control'
 
 
+class OnCorruption(enum.StrEnum):
+    """What a replica with damaged files does."""
+
+    stop = 'stop'
+    rejoin = 'rejoin'
+
+
 class _Strict(
     msgspec.Struct,
     frozen=True,
@@ -213,6 +220,10 @@
     :param data_folder: folder of the durable state; control instances only.
     :param traces_file: file for spans as JSON lines; empty for none.
     :param operator_token: token of operators' requests; empty for none.
+    :param on_corruption: what a control replica does with damaged files:
+        ``stop`` taking part, or ``rejoin`` as a new incarnation.
+    :param lookup_lifetime_s: how long clients may cache look-ups, in seconds.
+    :param probe_path: path of the targets' health and load report.
     """
 
     name: InstanceName
@@ -226,6 +237,9 @@
     data_folder: str = ''
     traces_file: str = ''
     operator_token: str = ''
+    on_corruption: OnCorruption = OnCorruption.stop
+    lookup_lifetime_s: float = 10
+    probe_path: str = '/load'
     logs: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
 
--- a/src/cuminhoist/types.py
+++ b/src/cuminhoist/types.py
@@ -16,6 +16,7 @@
 Incarnation = NewType('Incarnation', str)
 
 CALLER_HEADER = 'x-cuminhoist-caller'
+CLIENT_HEADER = 'x-cuminhoist-client'
 KIND_HEADER = 'x-cuminhoist-kind'
 DEADLINE_HEADER = 'x-cuminhoist-deadline-ms'
 KEY_HEADER = 'idempotency-key'
--- /dev/null
+++ b/src/cuminhoist/views.py
@@ -0,0 +1,58 @@
+"""What look-ups and operators see of the parts of an instance."""
+
+from .accounting import Accounts
+from .accounts import AccountLine, AccountSource
+from .keys import KeyStore
+from .lookup import EntryView
+from .membership import Membership
+
+
+class MembershipView(EntryView):
+    """Entry instances as membership knows them.
+
+    :param membership: live and leaving instances.
+    :param keys: tickets of this and other instances.
+    """
+
+    def __init__(self, membership: Membership, keys: KeyStore) -> None:
+        self._membership = membership
+        self._keys = keys
+
+    def is_usable(self, name: str) -> bool:
+        """Tell whether an instance is live and not leaving.
+
+        :param name: name of the instance.
+        """
+        return self._membership.is_entry_usable(name)
+
+    def ticket_of(self, name: str) -> str:
+        """Return the key ticket of an instance, empty if unknown.
+
+        :param name: name of the instance.
+        """
+        return self._keys.ticket_for(name) or ''
+
+
+class AccountLines(AccountSource):
+    """Accounts of an instance as lines.
+
+    :param accounts: the accounts.
+    """
+
+    def __init__(self, accounts: Accounts) -> None:
+        self._accounts = accounts
+
+    def snapshot(self) -> tuple[AccountLine, ...]:
+        """Return all lines since the start of the instance."""
+        return tuple(
+            AccountLine(
+                caller=line.caller,
+                service=line.service,
+                kind=line.kind,
+                outcome=line.outcome,
+                reason=line.reason,
+                count=line.count,
+                weight=line.weight,
+            )
+            for line in self._accounts.snapshot().lines
+        )
