--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -169,7 +169,10 @@
 
 async def _run(name: str, rate_per_s: float, seed: int) -> DemoReport:
     with tempfile.TemporaryDirectory() as folder:
-        local = deployment.LocalDeployment(name, pathlib.Path(folder))
+        local = deployment.LocalDeployment(
+            deployment.Lists.from_example(name),
+            pathlib.Path(folder),
+        )
         await local.start()
         demo = Demo(local, rate_per_s, seed)
         await demo.run()
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import socket
+from typing import Self
 
 import httpx
 import msgspec
@@ -63,23 +64,57 @@
     )
 
 
-class LocalDeployment:
-    """All instances and stand-in upstreams of an example.
+class Lists(msgspec.Struct, frozen=True):
+    """What makes up a deployment."""
 
-    :param name: folder of the example.
-    :param data_folder: parent of the instances' data folders.
-    """
+    topology: Topology
+    plans: Plans
+    allowances: Allowances
 
-    def __init__(self, name: str, data_folder: pathlib.Path) -> None:
+    @classmethod
+    def from_example(cls, name: str) -> Self:
+        """Read an example.
+
+        :param name: folder of the example.
+        """
         folder = EXAMPLES / name
-        self.topology = on_free_ports(
+        return cls(
             load_struct(folder / 'topology.json', Topology).unwrap(),
+            load_struct(folder / 'plans.json', Plans).unwrap(),
+            load_struct(folder / 'allowances.json', Allowances).unwrap(),
         )
-        self.plans = load_struct(folder / 'plans.json', Plans).unwrap()
-        self.allowances = load_struct(
-            folder / 'allowances.json',
-            Allowances,
-        ).unwrap()
+
+    def with_deadline(self, deadline_ms: int) -> Self:
+        """Return the same with one longest deadline for all kinds.
+
+        :param deadline_ms: the deadline.
+        """
+        replace = msgspec.structs.replace
+        services = tuple(
+            replace(
+                service,
+                kinds=tuple(
+                    replace(kind, max_deadline_ms=deadline_ms)
+                    for kind in service.kinds
+                ),
+            )
+            for service in self.topology.services
+        )
+        topology = replace(self.topology, services=services)
+        return replace(self, topology=topology)
+
+
+class LocalDeployment:
+    """All instances and stand-in upstreams of a deployment.
+
+    :param lists: topology and lists to run.
+    :param data_folder: parent of the instances' data folders.
+    """
+
+    def __init__(self, lists: Lists, data_folder: pathlib.Path) -> None:
+        self.topology = on_free_ports(lists.topology)
+        self.plans = lists.plans
+        self.allowances = lists.allowances
         self.upstreams = StandinUpstreams(self.topology.targets)
         self.nodes: dict[str, Node] = {}
         self._data_folder = data_folder
--- /dev/null
+++ b/tests/builders_delivery.py
@@ -0,0 +1,362 @@
+"""Builders of test data for delivery."""
+
+import asyncio
+from collections.abc import Callable
+
+import httpx
+import msgspec
+from litestar import Litestar
+from returns.result import Failure, Result, Success
+
+from cuminhoist.accounts import AccountLine, AccountSource
+from cuminhoist.clock import Clock, ManualClock
+from cuminhoist.codec import Codec, Message
+from cuminhoist.control import ControlLog, ReplicaStatus
+from cuminhoist.control_api import ControlParts, control_handlers
+from cuminhoist.delivery import Delivery
+from cuminhoist.deltas import ConfigStore
+from cuminhoist.exceptions import TransportError
+from cuminhoist.fanout import address_of
+from cuminhoist.inforce import ConfigInForce
+from cuminhoist.lists import (
+    Change,
+    ChangeOutcome,
+    Configuration,
+    Unavailable,
+)
+from cuminhoist.operatorclient import OperatorClient
+from cuminhoist.settings import (
+    FailureDomain,
+    Instance,
+    Role,
+    Topology,
+)
+from cuminhoist.state import ControlState
+from cuminhoist.transport import ErrorReply, Transport
+
+from .builders import (
+    CLUSTER_KEY,
+    EXAMPLES,
+    example_allowances,
+    example_plans,
+    example_topology,
+    free_ports,
+    on_free_ports,
+    plans_change,
+    settings_of,
+    small_allowances,
+    small_plans,
+)
+
+__all__ = (
+    'CLUSTER_KEY',
+    'ControlApps',
+    'EXAMPLES',
+    'FakeNetwork',
+    'FakeTransport',
+    'FixedAccounts',
+    'LoopClock',
+    'MemoryCluster',
+    'MemoryLog',
+    'example_allowances',
+    'example_plans',
+    'example_topology',
+    'free_ports',
+    'grid_topology',
+    'on_free_hosts',
+    'on_free_ports',
+    'plans_change',
+    'settings_of',
+    'small_allowances',
+    'small_plans',
+)
+
+
+def grid_topology(
+    domains: int,
+    per_domain: int,
+    controls: int = 3,
+) -> Topology:
+    """Return a topology with one control instance in the first domains."""
+    names = [f'dom-{number:02}' for number in range(domains)]
+    return Topology(
+        deployment='grid',
+        domains=tuple(
+            FailureDomain(name=name, region=f'reg-{at // 2}')
+            for at, name in enumerate(names)
+        ),
+        links=(),
+        services=(),
+        targets=(),
+        instances=tuple(
+            Instance(
+                name=f'{name}-{number:02}',
+                domain=name,
+                host='127.0.0.1',
+                http_port=1,
+                internal_port=1,
+                roles=(Role.control,)
+                if number == 0 and at < controls
+                else (Role.entry,),
+            )
+            for at, name in enumerate(names)
+            for number in range(per_domain)
+        ),
+    )
+
+
+class LoopClock(Clock):
+    """The time of the running event loop, which looptime controls."""
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return asyncio.get_running_loop().time() + 1000
+
+    def wall(self) -> float:
+        """Return Unix time in seconds."""
+        return self.now()
+
+
+class FakeNetwork:
+    """Carries frames between fake transports, with delays and cuts."""
+
+    def __init__(self, delay_s: float = 0.001) -> None:
+        self.transports: dict[str, FakeTransport] = {}
+        self.delay_s = delay_s
+        #: Tells whether frames from one instance to another get lost.
+        self.is_cut: Callable[[str, str], bool] = lambda _from, _to: False
+        #: Changes a reply on its way.
+        self.tamper: Callable[[str, Message], Message] = lambda _to, msg: msg
+        #: Instances that hold all frames until they resume.
+        self.paused: dict[str, asyncio.Event] = {}
+        self.calls: list[tuple[str, str, Message]] = []
+        self.reply_bytes = 0
+
+    async def carry(self, source: str, target: str) -> None:
+        """Wait as long as a frame takes; for ever if it is lost."""
+        await asyncio.sleep(self.delay_s)
+        is_lost = not {source, target} <= self.transports.keys()
+        if is_lost or self.is_cut(source, target):
+            await asyncio.Event().wait()
+        for name in (source, target):
+            if name in self.paused:
+                await self.paused[name].wait()
+
+
+class FakeTransport(Transport):
+    """A transport over a fake network, with encoded frames."""
+
+    def __init__(self, name: str, network: FakeNetwork) -> None:
+        super().__init__()
+        self._name = name
+        self._network = network
+        self._codec = Codec(CLUSTER_KEY, name)
+        network.transports[name] = self
+
+    async def call(
+        self,
+        peer: str,
+        msg: Message,
+        timeout_s: float,
+    ) -> Result[Message, TransportError]:
+        """Send a request and wait for its reply."""
+        network = self._network
+        network.calls.append((self._name, peer, msg))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await network.carry(self._name, peer)
+                target = network.transports[peer]
+                received = target._codec.decode(self._codec.encode(msg))
+                reply = await target.handle(received.unwrap())
+                frame = target._codec.encode(reply)
+                network.reply_bytes += len(frame)
+                await network.carry(peer, self._name)
+        except TimeoutError:
+            return Failure(TransportError(peer, 'timeout'))
+        reply = network.tamper(
+            self._name, self._codec.decode(frame).unwrap().message
+        )
+        if isinstance(reply, ErrorReply):
+            return Failure(TransportError(peer, reply.reason))
+        return Success(reply)
+
+
+class MemoryCluster:
+    """The state that in-memory control logs share."""
+
+    def __init__(self, names: tuple[str, ...], clock: Clock) -> None:
+        self.state = ControlState()
+        self.clock = clock
+        self.leader = names[0]
+        self.logs = {name: MemoryLog(name, self) for name in names}
+
+    async def change(self, change: Change) -> ChangeOutcome:
+        """Submit a change at the leader."""
+        return await self.logs[self.leader].submit(change)
+
+
+class MemoryLog(ControlLog):
+    """An in-memory control log; an isolated one keeps its old state."""
+
+    def __init__(self, name: str, cluster: MemoryCluster) -> None:
+        self._name = name
+        self._cluster = cluster
+        self._held: Configuration | None = None
+        self._isolated_at: float | None = None
+        self._listeners: list[Callable[[Configuration], None]] = []
+        self.submitted: list[Change] = []
+
+    def isolate(self) -> None:
+        """Cut the replica off from its majority."""
+        self._isolated_at = self._cluster.clock.now()
+
+    def heal(self) -> None:
+        """Connect the replica again."""
+        self._isolated_at = None
+        self.learn(self._cluster.state.config)
+
+    def learn(self, config: Configuration) -> None:
+        """Commit a configuration here, unless the replica is isolated."""
+        if self._isolated_at is None and config.version:
+            self._held = config
+            for listener in self._listeners:
+                listener(config)
+
+    async def submit(self, change: Change) -> ChangeOutcome:
+        """Decide on a change at the leader."""
+        self.submitted.append(change)
+        if self._isolated_at is not None or self._name != self._cluster.leader:
+            leader = self._cluster.leader
+            return Unavailable(reason='not the leader', leader=leader)
+        outcome = self._cluster.state.apply(change)
+        for log in self._cluster.logs.values():
+            log.learn(self._cluster.state.config)
+        return outcome
+
+    async def init(self) -> Result[str, str]:
+        """Refuse, as the cluster exists."""
+        return Failure('this replica belongs to a cluster')
+
+    def committed(self) -> Configuration | None:
+        """Return the newest committed configuration."""
+        return self._held
+
+    def confirmed_age_s(self) -> float | None:
+        """Return the age of the last proof."""
+        if self._isolated_at is None:
+            return 0
+        return self._cluster.clock.now() - self._isolated_at
+
+    def on_commit(self, listener: Callable[[Configuration], None]) -> None:
+        """Add a listener."""
+        self._listeners.append(listener)
+
+    def status(self) -> ReplicaStatus:
+        """Return the state of the replica."""
+        is_leader = self._name == self._cluster.leader
+        version = 0 if self._held is None else self._held.version
+        return ReplicaStatus(
+            name=self._name,
+            incarnation='i1',
+            cluster_id='c1',
+            role='leader' if is_leader else 'follower',
+            term=1,
+            leader=self._cluster.leader,
+            commit_index=version,
+            version=version,
+            voters=tuple(self._cluster.logs),
+        )
+
+
+class ControlApps:
+    """Operators' interfaces of all instances of a small deployment.
+
+    Instances without a control replica take each committed version at once.
+    """
+
+    def __init__(self, operator_token: str = '') -> None:
+        self.topology = on_free_hosts(
+            msgspec.structs.replace(
+                grid_topology(2, 2, controls=2),
+                services=example_topology().services,
+            ),
+        )
+        self.net = FakeNetwork()
+        self.accounts = FixedAccounts()
+        clock = ManualClock()
+        names = tuple(entry.name for entry in self.topology.controls())
+        self.cluster = MemoryCluster(names, clock)
+        self.apps: dict[str, Litestar] = {}
+        self.stores: dict[str, ConfigStore] = {}
+        for instance in self.topology.instances:
+            cfg = settings_of(self.topology, instance.name)
+            in_force = ConfigInForce()
+            transport = FakeTransport(instance.name, self.net)
+            log = self.cluster.logs.get(instance.name)
+            delivery = Delivery(
+                instance.name, self.topology, in_force, transport, clock, log
+            )
+            if log is None:
+                first = self.cluster.logs[names[0]]
+                first.on_commit(delivery.store.publish)
+            parts = ControlParts(
+                cfg=msgspec.structs.replace(cfg, operator_token=operator_token),
+                topology=self.topology,
+                incarnation=f'{instance.name}-i',
+                in_force=in_force,
+                delivery=delivery,
+                transport=transport,
+                log=log,
+                accounts=self.accounts,
+            )
+            self.stores[instance.name] = delivery.store
+            self.apps[instance.name] = Litestar(
+                control_handlers(parts), openapi_config=None
+            )
+
+    def url(self, name: str) -> str:
+        """Return the address of an instance."""
+        return address_of(self.topology.instance(name))
+
+    def client(
+        self,
+        name: str,
+        wrap: Callable[
+            [httpx.AsyncBaseTransport], httpx.AsyncBaseTransport
+        ] = lambda inner: inner,
+        token: str = '',
+    ) -> OperatorClient:
+        """Return a client of an instance that reaches all the others."""
+        mounts = {
+            self.url(one): wrap(httpx.ASGITransport(app))
+            for one, app in self.apps.items()
+        }
+        headers = {'authorization': f'Bearer {token}'} if token else {}
+        http = httpx.AsyncClient(mounts=mounts, headers=headers)
+        return OperatorClient(http, self.url(name), pause_s=0)
+
+
+class FixedAccounts(AccountSource):
+    """Accounts with one line."""
+
+    def snapshot(self) -> tuple[AccountLine, ...]:
+        """Return the line."""
+        line = AccountLine(
+            caller='acme',
+            service='catalogue',
+            kind='browse',
+            outcome='served',
+            reason='',
+            count=3,
+            weight=4.5,
+        )
+        return (line,)
+
+
+def on_free_hosts(topology: Topology) -> Topology:
+    """Return a topology whose instances have distinct addresses."""
+    instances = tuple(
+        msgspec.structs.replace(entry, http_port=8000 + at, internal_port=9000)
+        for at, entry in enumerate(topology.instances)
+    )
+    return msgspec.structs.replace(topology, instances=instances)
--- /dev/null
+++ b/tests/builders_ownership.py
@@ -0,0 +1,78 @@
+"""Builders of test data for ownership."""
+
+from cuminhoist.settings import (
+    FailureDomain,
+    Instance,
+    Kind,
+    Service,
+    Target,
+    Topology,
+)
+
+from .builders import (
+    CLUSTER_KEY,
+    EXAMPLES,
+    example_allowances,
+    example_plans,
+    example_topology,
+    free_ports,
+    on_free_ports,
+    plans_change,
+    settings_of,
+    small_allowances,
+    small_plans,
+)
+
+__all__ = (
+    'CLUSTER_KEY',
+    'EXAMPLES',
+    'cell_topology',
+    'example_allowances',
+    'example_plans',
+    'example_topology',
+    'free_ports',
+    'on_free_ports',
+    'plans_change',
+    'settings_of',
+    'small_allowances',
+    'small_plans',
+)
+
+
+def cell_topology(
+    entries: int = 3,
+    targets: int = 4,
+    deadline_ms: int = 2000,
+) -> Topology:
+    """Return one failure domain with one service."""
+    return Topology(
+        deployment='cell',
+        domains=(FailureDomain(name='d1', region='r1'),),
+        links=(),
+        services=(
+            Service(
+                name='svc',
+                kinds=(Kind(name='read', max_deadline_ms=deadline_ms),),
+            ),
+        ),
+        instances=tuple(
+            Instance(
+                name=f'e{number}',
+                domain='d1',
+                host='127.0.0.1',
+                http_port=20000 + number,
+                internal_port=21000 + number,
+            )
+            for number in range(entries)
+        ),
+        targets=tuple(
+            Target(
+                name=f't{number}',
+                service='svc',
+                domain='d1',
+                host='127.0.0.1',
+                port=22000 + number,
+            )
+            for number in range(targets)
+        ),
+    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,7 +12,7 @@
 from cuminhoist.slots import SlotOutcome
 from cuminhoist.types import Ran, Reason
 
-from .builders import AdmissionRig
+from .builders_admission import AdmissionRig
 
 
 def run(scenario):
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -15,7 +15,7 @@
 from cuminhoist.problems import Refusal
 from cuminhoist.types import Ran, Reason
 
-from . import builders
+from . import builders_carry as builders
 
 CLOSE = b'connection: close\r\n'
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,10 +1,8 @@
 """Tests of the replicated control log under faults."""
 
-import asyncio
 import os
 import random
 
-import pytest
 from hypothesis import HealthCheck, Phase, seed, settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -13,17 +11,12 @@
     rule,
     run_state_machine_as_test,
 )
-from returns.result import Failure
 
-from cuminhoist.consensus_messages import AppendRequest, InstallRequest
 from cuminhoist.lists import (
     Accepted,
     Change,
-    Conflict,
     Drain,
-    Unavailable,
 )
-from cuminhoist.replica_core import OnCorruption, Options, Timings
 from cuminhoist.types import DrainScope
 
 from . import builders
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -11,7 +11,7 @@
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.watch import Watch, WatchReply
 
-from . import builders
+from . import builders_delivery as builders
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime(start=0)]
 CHANGE_S = 0.1
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,7 +10,7 @@
 from cuminhoist.target_conn import HIGH_WATER_BYTES, WRITE_WATER_BYTES
 from cuminhoist.types import Ran, Reason
 
-from . import builders
+from . import builders_carry as builders
 
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 SHED = b'HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n'
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from . import builders
+from . import builders_carry as builders
 
 REQUEST = b'GET /%d HTTP/1.1\r\nhost: x\r\n\r\n'
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -23,7 +23,7 @@
 from cuminhoist.problems import Refusal
 from cuminhoist.types import Ran, Reason
 
-from . import builders
+from . import builders_ownership as builders
 
 NOT_SENT = Refusal(ran=Ran.not_run, reason=Reason.no_slot)
 PRINT = Fingerprint.from_request('POST', '/book')
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -17,7 +17,7 @@
 )
 from cuminhoist.types import Ran, Reason
 
-from .builders import LoopClock, example_topology
+from .builders_admission import LoopClock, example_topology
 
 REGION, OTHER = 'gogledd', 'de-cymru'
 LINK_BYTES_S = 4000 * 125_000
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -12,7 +12,7 @@
 from cuminhoist.membership import TAKEOVER_S
 from cuminhoist.ownership import DEADLINE_MARGIN_S
 
-from . import builders
+from . import builders_ownership as builders
 from .cell_sim import Cell
 
 #: Longer than a takeover, so that requests of a crashed owner outlast it.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,7 @@
 from cuminhoist.slots import SlotOutcome
 from cuminhoist.types import Ran, Reason
 
-from . import builders
+from . import builders_carry as builders
 
 ORIGIN = hop_of('entry-1', 'domain-1', 'region-1')
 ROUTE = Route('PUT', '/catalogue/a%2F?b=1', 'acme')
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -1,6 +1,6 @@
 """Tests of the probes of own targets."""
 
-from cuminhoist.probes import Prober, ProbeClient, ProbeResult
+from cuminhoist.probes import ProbeClient, Prober, ProbeResult
 from cuminhoist.slots import SlotOutcome
 
 from .test_targets import Bench, OwnAll
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -12,7 +12,7 @@
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.rates import LEASE_S, RateShares
 
-from .builders import FakeTransport, config_of, example_topology
+from .builders_admission import FakeTransport, config_of, example_topology
 
 CALLER, SERVICE = 'c0', 'catalogue'
 SLACK = 1e-6
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -19,7 +19,7 @@
 from cuminhoist.targets import TargetTable
 from cuminhoist.types import DrainScope
 
-from . import builders
+from . import builders_ownership as builders
 
 MARGIN_S = 0.5
 OUTCOMES = list(SlotOutcome)
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -6,7 +6,7 @@
 
 from cuminhoist.tree import FAN_OUT, DeliveryTree
 
-from . import builders
+from . import builders_delivery as builders
 
 
 @pytest.mark.parametrize(
