--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -99,7 +99,7 @@
         await self._end()
 
     async def _leave(self, entry: EntrySide) -> None:
-        await entry.ownership.leave()
+        await entry.ownership.announce_stop()
         self._server.start_drain()
         cached_until = self._clock.now() + self._cfg.lookup_lifetime_s
         last_until = cached_until + self._cfg.lookup_lifetime_s
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -1,6 +1,5 @@
 """Which instance of a cell may dispatch to which target."""
 
-import abc
 import asyncio
 from collections.abc import Callable, Iterable
 
@@ -9,7 +8,7 @@
 
 from .clock import Clock
 from .codec import Message
-from .heartbeats import Handover, Heartbeat, HeartbeatReply, ServiceSlots
+from .heartbeats import Handover, Heartbeat, HeartbeatReply
 from .lease import Lease
 from .logs import logger
 from .membership import (
@@ -18,44 +17,23 @@
     Membership,
     partners_of,
 )
-from .rendezvous import first, score
+from .rendezvous import first, ranked, score
 from .settings import Target, Topology
+from .target_load import DEADLINE_MARGIN_S, TargetLoad
 from .transport import ErrorReply, Transport
 
 ROUND_INTERVAL_S = 1.0
-#: After a failed round the next one comes sooner, so that one lost
-#: message does not cost the lease.
-RETRY_INTERVAL_S = 0.5
-CALL_TIMEOUT_S = 0.5
+#: A failed round is repeated at once: five attempts fit into the time
+#: after which a silent peer is taken for crashed.
+RETRY_INTERVAL_S = 0.3
+CALL_TIMEOUT_S = 0.3
 TICK_S = 0.25
-DEADLINE_MARGIN_S = 0.5
+#: Bound on the messages that announce a planned stop.
+ANNOUNCE_MAX = 32
 
 _log = logger('ownership')
 
 
-class TargetLoad(abc.ABC):
-    """What ownership needs to know and to change at the slot table."""
-
-    @abc.abstractmethod
-    def handover(self, target: str) -> Handover:
-        """Return what may still run at a target.
-
-        :param target: name of the target.
-        """
-
-    @abc.abstractmethod
-    def gain(self, target: str, handover: Handover) -> None:
-        """Take over a target whose former owner left requests running.
-
-        :param target: name of the target.
-        :param handover: slots to leave unused, and for how long.
-        """
-
-    @abc.abstractmethod
-    def services(self) -> dict[str, ServiceSlots]:
-        """Return the slots of each service at targets that are owned."""
-
-
 class _Released(msgspec.Struct):
     """A target that was released, and who was told what still ran."""
 
@@ -167,20 +145,28 @@
             self._release(name)
         self._hurry.set()
 
-    async def leave(self) -> None:
-        """Announce a planned stop; hand targets over if a peer is there.
+    async def announce_stop(self) -> int:
+        """Tell other instances of the stop; hand targets over to a peer.
 
         Without a live peer the targets stay here until the end, because
-        nobody else could serve them.
+        nobody else could serve them. Without the notice far instances would learn of the stop only when they
+        exchange state with this cell, and name it in look-ups meanwhile.
+
+        :returns: how many instances took note.
         """
+        self._membership.leaving = True
         if any(self._is_candidate(peer) for peer in self._peers):
             self.release_all()
-        self._membership.leaving = True
-        partners = partners_of(self._topology, self._membership.name)
+        own = self._membership.name
+        near = [entry.name for entry in partners_of(self._topology, own)]
+        others = ranked(own, (each.name for each in self._topology.entries()))
+        names = [*self._peers, *near, *others]
+        chosen = [name for name in dict.fromkeys(names) if name != own]
         state = self._state()
-        await asyncio.gather(
-            *(self._beat(partner.name, state) for partner in partners),
+        replies = await asyncio.gather(
+            *(self._beat(name, state) for name in chosen[:ANNOUNCE_MAX]),
         )
+        return sum(reply is not None for reply in replies)
 
     async def run(self) -> None:
         """Run rounds until cancelled."""
--- a/tests/cell_sim.py
+++ b/tests/cell_sim.py
@@ -49,9 +49,7 @@
         fut = asyncio.get_running_loop().create_future()
         cell, node = self._cell, self._node
         life = node.life
-        if node.pause_in_round:
-            node.pause_in_round = False
-            node.pause()
+        node.on_send()
 
         def finish(outcome):
             if not fut.done():
@@ -59,8 +57,8 @@
 
         def deliver():
             other = cell.nodes[peer]
-            # The receiver of a message can be paused; it gets it then.
-            other.when_running(lambda: cell.spawn(answer(other)))
+            # A paused receiver gets it later, unless it is deaf.
+            other.hear(lambda: cell.spawn(answer(other)))
 
         async def answer(other):
             received = Received(node.name, msg)
@@ -70,7 +68,7 @@
 
         def back(reply):
             if node.life == life:
-                node.when_running(lambda: finish(Success(reply)))
+                node.hear(lambda: finish(Success(reply)))
 
         if not cell.lost(node.name, peer):
             cell.after(cell.delay(), deliver)
@@ -89,13 +87,13 @@
         self.cell, self.name = cell, name
         self.clock = RateClock(cell, rate, 1000 * rate)
         self.life, self.up, self.paused = 0, False, False
-        self.pause_in_round = False
+        self.pause_in_round = self.deaf = False
         self._waiting, self._task = [], None
 
     def start(self):
         self.life += 1
         self.up, self.paused, self._waiting = True, False, []
-        self.pause_in_round = False
+        self.pause_in_round = self.deaf = False
         self.transport = SimTransport(self.cell, self)
         self.membership = Membership(
             self.cell.topology,
@@ -128,6 +126,15 @@
     def pause(self):
         self.paused = True
 
+    def hear(self, action):
+        if not (self.paused and self.deaf):
+            self.when_running(action)
+
+    def on_send(self):
+        if self.pause_in_round:
+            self.pause_in_round = False
+            self.pause()
+
     def resume(self):
         self.paused = False
         waiting, self._waiting = self._waiting, []
@@ -153,8 +160,10 @@
             self._task = self.cell.spawn(self._round(life))
 
     async def _round(self, life):
+        due_at = self.clock.now()
         succeeded = await self.ownership.run_round()
-        pause_s = ROUND_INTERVAL_S if succeeded else RETRY_INTERVAL_S
+        due_at += ROUND_INTERVAL_S if succeeded else RETRY_INTERVAL_S
+        pause_s = max(0.001, due_at - self.clock.now())
         if life == self.life:
             self._later(pause_s, lambda: self._begin(life))
 
