--- a/src/cuminhoist/delivery.py
+++ b/src/cuminhoist/delivery.py
@@ -17,6 +17,9 @@
 from .watch import POLL_HOLD_S, WatchServer
 from .watchclient import CONFIRMED_PAUSE_S, ISOLATED_AFTER_S, WatchClient
 
+#: Pause between looks at the own log while nothing is in force.
+EMPTY_PAUSE_S = 0.1
+
 
 class DeliveryOptions(msgspec.Struct, frozen=True):
     """How the configuration is delivered.
@@ -121,4 +124,7 @@
                 if is_late and self._in_force.current is None:
                     self.store.publish(committed)
                     self.freshness.mark_isolated()
-            await asyncio.sleep(CONFIRMED_PAUSE_S)
+            is_empty = self._in_force.current is None
+            await asyncio.sleep(
+                EMPTY_PAUSE_S if is_empty else CONFIRMED_PAUSE_S,
+            )
