--- a/benchmarks/delivery_cost.py
+++ b/benchmarks/delivery_cost.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 import statistics
 import threading
@@ -305,12 +306,12 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(('127.0.0.1', 0))
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(('127.0.0.1', 0))
+            ports.append(int(sock.getsockname()[1]))
     return ports
 
 
--- a/src/cuminhoist/deltas.py
+++ b/src/cuminhoist/deltas.py
@@ -163,8 +163,12 @@
         return old
     if delta.whole is not None:
         return delta.whole
-    gone = set(delta.removed)
-    kept = [item for at, item in enumerate(old) if at not in gone]
+    kept: list[_Item] = []
+    start = 0
+    for at in sorted(delta.removed):
+        kept.extend(old[start:at])
+        start = max(start, at + 1)
+    kept.extend(old[start:])
     out: list[_Item] = []
     cursor = 0
     for put in delta.put:
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -59,7 +59,8 @@
         ),
         (b'{"change_id":"c","drain":{"scope":"region","name":"x"}}', 'name'),
         (
-            b'{"change_id":"c","plans":{"plans":[{"name":"a","weight":1e999}]}}',
+            b'{"change_id":"c","plans":{"plans":'
+            b'[{"name":"a","weight":1e999}]}}',
             '$.plans.plans[0].weight',
         ),
         (
