--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,10 @@
 """Builders of test data."""
 
 import pathlib
+import random
+import socket
+from collections.abc import Callable
+from typing import Any
 
 import httpx
 import msgspec
@@ -14,6 +18,10 @@
 from cuminhoist.control_api import ControlParts, control_handlers
 from cuminhoist.delivery import Delivery
 from cuminhoist.deltas import ConfigStore
+from cuminhoist.admission import Admission, AdmissionRequest
+from cuminhoist.borrowing import Borrower
+from cuminhoist.clock import Clock, ManualClock
+from cuminhoist.codec import Message, Received
 from cuminhoist.exceptions import TransportError
 from cuminhoist.fanout import address_of
 from cuminhoist.inforce import ConfigInForce
@@ -40,6 +48,11 @@
 )
 from cuminhoist.state import ControlState
 from cuminhoist.transport import ErrorReply, Transport
+from cuminhoist.rates import RateShares
+from cuminhoist.settings import Settings, Target, Topology, load_struct
+from cuminhoist.shift import ObservedCapacity, ShiftLimiter
+from cuminhoist.slots import Slot, SlotOutcome, SlotSource
+from cuminhoist.transport import Transport
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 CLUSTER_KEY = 'test-key'
@@ -186,6 +199,19 @@
         self._network = network
         self._codec = Codec(CLUSTER_KEY, name)
         network.transports[name] = self
+    ``fate`` decides about each call: how many copies the peer handles, and
+    whether the reply arrives. Request and reply each take ``delay_s``; the
+    second copy arrives after the caller has its reply.
+    """
+
+    def __init__(self, name: str, network: dict[str, 'FakeTransport']) -> None:
+        super().__init__()
+        self.name = name
+        self.network = network
+        self.delay_s: float = 0
+        self.copies: list[asyncio.Task[Message]] = []
+        self.fate: Callable[[str, str], tuple[int, bool]] = lambda *_: (1, True)
+        network[name] = self
 
     async def call(
         self,
@@ -206,6 +232,20 @@
                 network.reply_bytes += len(frame)
                 await network.carry(peer, self._name)
         except TimeoutError:
+        copies, arrives = self.fate(self.name, peer)
+        delay_s = self.delay_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        reply: Message | None = None
+        if copies:
+            reply = await self._deliver(peer, msg)
+        if copies > 1:
+            second = self._deliver(peer, msg, 3 * delay_s)
+            self.copies.append(asyncio.create_task(second))
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        late = 2 * delay_s > timeout_s
+        if reply is None or late or not arrives:
             return Failure(TransportError(peer, 'timeout'))
         reply = network.tamper(
             self._name, self._codec.decode(frame).unwrap().message
@@ -214,6 +254,16 @@
             return Failure(TransportError(peer, reply.reason))
         return Success(reply)
 
+    async def _deliver(
+        self,
+        peer: str,
+        msg: Message,
+        delay_s: float = 0,
+    ) -> Message:
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        return await self.network[peer].handle(Received(self.name, msg))
+
 
 class MemoryCluster:
     """The state that in-memory control logs share."""
@@ -395,3 +445,93 @@
         for at, entry in enumerate(topology.instances)
     )
     return msgspec.structs.replace(topology, instances=instances)
+        return AdmissionRequest(**(values | fields))
+
+
+class RateFleet:
+    """Several instances on one clock and one network."""
+
+    def __init__(
+        self,
+        size: int,
+        rate_per_s: float = 80,
+        burst_s: float = 2,
+        calls_per_s: float = 5,
+        clock: Clock | None = None,
+    ) -> None:
+        self.clock = clock or ManualClock()
+        self.network: dict[str, FakeTransport] = {}
+        self.cfg = config_of(1, rate_per_s, burst_s)
+        self.calls_per_s = calls_per_s
+        self.names = [f'e{turn}' for turn in range(size)]
+        self.in_force: dict[str, ConfigInForce] = {}
+        self.shares: dict[str, RateShares] = {}
+        self.borrowers: dict[str, Borrower] = {}
+        self.admitted: list[tuple[float, float]] = []
+        for name in self.names:
+            self.start(name, '1')
+
+    def start(self, name: str, incarnation: str) -> None:
+        """Start an instance, or restart it without its memory."""
+        self.in_force[name] = ConfigInForce()
+        self.in_force[name].advance(self.cfg)
+        shares = RateShares(self.clock, self.in_force[name], len(self.names))
+        self.shares[name] = shares
+        self.borrowers[name] = Borrower(
+            shares,
+            FakeTransport(name, self.network),
+            self.clock,
+            tuple(peer for peer in self.names if peer != name),
+            incarnation,
+            self.calls_per_s,
+        )
+
+    def send(self, name: str, cost: float = 1) -> None:
+        """Offer a request; admitted ones are recorded."""
+        if self.shares[name].try_take('c0', 'catalogue', cost):
+            self.admitted.append((self.clock.now(), cost))
+
+    def worst_excess(
+        self,
+        rate: float,
+        burst: float,
+        since: float = 0,
+    ) -> float:
+        """Return by how much a window exceeds its bound at most."""
+        worst, potential = -burst, 0.0
+        last: float | None = None
+        # The level of a virtual bucket that leaks at the rate: it exceeds
+        # the burst exactly if some window exceeds rate x window + burst.
+        for at, cost in self.admitted:
+            if at < since:
+                continue
+            if last is not None:
+                potential = max(potential - (at - last) * rate, 0)
+            potential, last = potential + cost, at
+            worst = max(worst, potential - burst)
+        return worst
+
+    def drive(
+        self,
+        names: list[str],
+        seconds: float,
+        per_s: float,
+        seed: int = 1,
+    ) -> float:
+        """Offer a load at some instances; return the admitted rate."""
+        rng = random.Random(seed)
+        step = 0.01
+        next_call = {name: rng.random() for name in self.names}
+        before = len(self.admitted)
+        clock = self.clock
+        assert isinstance(clock, ManualClock)
+        for _ in range(int(seconds / step)):
+            clock.advance(step)
+            for name in names:
+                for _ in range(int(per_s * step)):
+                    self.send(name)
+                next_call[name] -= step
+                if next_call[name] <= 0:
+                    next_call[name] = 1 / self.calls_per_s
+                    asyncio.run(self.borrowers[name].borrow_once())
+        return (len(self.admitted) - before) / seconds
