--- a/src/cuminhoist/target_conn.py
+++ b/src/cuminhoist/target_conn.py
@@ -165,6 +165,7 @@
         self._parser: Any = None
         self._exchange: Exchange | None = None
         self._until_eof = False
+        self._whole = False
         self._head_bytes = 0
         self._reading = True
         self._closed = False
@@ -203,6 +204,7 @@
         encoded = exchange.head.encode()
         self._exchange = exchange
         self._until_eof = False
+        self._whole = False
         self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         exchange.conn = self
@@ -277,8 +279,11 @@
             return
         if not exchange.status and self._head_bytes > MAX_HEAD_BYTES:
             exchange.abort(httpx.RemoteProtocolError('head is too large'))
-        elif exchange.complete:
+        elif self._whole:
+            # The connection is free before the end is reported, so that the
+            # next request can have it at once.
             self._free(exchange)
+            exchange.finish()
 
     def eof_received(self) -> None:
         """End a body that is delimited by the close of the connection."""
@@ -314,7 +319,7 @@
     def on_headers_complete(self) -> None:
         """Take the end of the head from the parser."""
         exchange = self._exchange
-        if exchange is None or exchange.ended:
+        if exchange is None or self._whole:
             return
         status = int(self._parser.get_status_code())
         if status < _FIRST_FINAL_STATUS:
@@ -330,7 +335,7 @@
         exchange.head_arrived()
         if status in _NO_BODY_STATUS or exchange.head.method == b'HEAD':
             self._until_eof = False
-            exchange.finish()
+            self._whole = True
 
     def on_body(self, body: bytes) -> None:
         """Take body bytes from the parser.
@@ -338,7 +343,7 @@
         :param body: the bytes.
         """
         exchange = self._exchange
-        if exchange is None or exchange.ended:
+        if exchange is None or self._whole:
             self._reusable = False
         elif exchange.feed(body) and self._reading:
             self._reading = False
@@ -346,13 +351,13 @@
 
     def on_message_begin(self) -> None:
         """Notice an answer that follows a complete one."""
-        if self._exchange is None or self._exchange.ended:
+        if self._whole:
             self._reusable = False
 
     def on_message_complete(self) -> None:
         """Take the end of the answer from the parser."""
         if self._exchange is not None and self._exchange.status:
-            self._exchange.finish()
+            self._whole = True
 
     def _free(self, exchange: Exchange) -> None:
         self._exchange = None
--- a/src/cuminhoist/target_pool.py
+++ b/src/cuminhoist/target_pool.py
@@ -57,6 +57,9 @@
             if conn.usable and not self._expired(conn):
                 return conn
             conn.abort()
+        if self.open >= self.limits.connections:
+            # An aborted connection is closed in the next turn of the loop.
+            await asyncio.sleep(0)
         if self.open >= self.limits.connections:
             raise httpx.PoolTimeout('all connections are in use')
         return await self._connect(connect_s)
@@ -274,23 +277,15 @@
     report: Ended | None = request.extensions.get('on_end')
 
     def ended(exchange: Exchange) -> None:
-        if exchange.complete and exchange.conn is not None:
-            asyncio.get_running_loop().call_soon(
-                _keep_if_usable,
-                server,
-                exchange.conn,
-            )
+        conn = exchange.conn
+        if exchange.complete and conn is not None and conn.usable:
+            server.give_back(conn)
         if report is not None:
             report(exchange)
 
     return ended
 
 
-def _keep_if_usable(server: _Server, conn: Connection) -> None:
-    if conn.usable:
-        server.give_back(conn)
-
-
 def _limit_time(exchange: Exchange, left_s: float) -> None:
     exchange.timer = asyncio.get_running_loop().call_later(
         max(left_s, 0),
--- /dev/null
+++ b/tests/test_target_pool.py
@@ -0,0 +1,138 @@
+"""Tests of the connections to targets."""
+
+import asyncio
+import socket
+
+import httpx
+import pytest
+
+from cuminhoist import target_pool
+from cuminhoist.clock import ManualClock
+from cuminhoist.target_pool import Address, Limits, PoolTransport
+
+from . import builders
+
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+LAST = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok'
+
+
+def answering(answer):
+    async def script(server, reader, writer):
+        while True:
+            await server.head(reader)
+            writer.write(answer)
+
+    return script
+
+
+def request(port, host='127.0.0.1', **extensions):
+    return httpx.Request(
+        'GET',
+        f'http://{host}:{port}/',
+        extensions=extensions,
+    )
+
+
+@pytest.mark.parametrize('answer', [OK, LAST])
+async def test_connection_is_free_when_the_end_is_reported(answer):
+    """Guards against a refusal when a freed slot is used at once."""
+    pool = PoolTransport(Limits(1, 1))
+    tasks = []
+    most = []
+
+    def send_next(_exchange=None):
+        most.append(pool.open_connections(Address('127.0.0.1', server.port)))
+        if len(tasks) < 5:
+            req = request(server.port, on_end=send_next)
+            sending = pool.handle_async_request(req)
+            tasks.append(asyncio.create_task(sending))
+
+    async with builders.RawServer(answering(answer)) as server:
+        send_next()
+        while len(most) < 6:
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        await pool.aclose()
+    assert max(most) == 1
+    assert server.connections == (1 if answer == OK else 5)
+
+
+async def test_idle_connections_expire(monkeypatch):
+    """Guards against connections that a former owner keeps at a target."""
+    monkeypatch.setattr(target_pool, 'IDLE_S', 0.1)
+    clock = ManualClock()
+    pool = PoolTransport(Limits(2, 2), clock)
+    async with builders.RawServer(answering(OK)) as server:
+        address = Address('127.0.0.1', server.port)
+        for left_open in (1, 1):
+            response = await pool.handle_async_request(request(server.port))
+            assert await response.aread() == b'ok'
+            assert pool.open_connections(address) == left_open
+            clock.advance(1)
+        await asyncio.sleep(0.2)
+        assert pool.open_connections(address) == 0
+        await pool.handle_async_request(request(server.port))
+        pool.forget(address)
+        await asyncio.sleep(0)
+        assert pool.open_connections(address) == 0
+        await pool.aclose()
+    assert server.connections == 3
+
+
+async def test_connect_timeout_is_not_sent(monkeypatch):
+    """Guards against `unknown` where no connection was established."""
+    monkeypatch.setattr(target_pool, 'CONNECT_S', 0.1)
+    pool = PoolTransport(Limits(2, 2))
+    with socket.socket() as full:
+        full.bind(('127.0.0.1', 0))
+        full.listen(0)
+        port = full.getsockname()[1]
+        fill = [socket.socket() for _ in range(4)]
+        for sock in fill:
+            sock.setblocking(False)
+            sock.connect_ex(('127.0.0.1', port))
+        with pytest.raises(httpx.ConnectTimeout):
+            await pool.handle_async_request(request(port))
+        for sock in fill:
+            sock.close()
+    assert pool.open_connections(Address('127.0.0.1', port)) == 0
+
+
+async def test_names_are_refused():
+    """Guards against DNS in the request path."""
+    with pytest.raises(httpx.ConnectError):
+        await PoolTransport(Limits(1, 1)).handle_async_request(
+            request(80, host='localhost')
+        )
+
+
+async def test_split_requests_are_refused():
+    """Guards against a path that smuggles a second request."""
+    pool = PoolTransport(Limits(1, 1))
+    async with builders.RawServer(answering(OK)) as server:
+        req = request(server.port, target=b'/a HTTP/1.1\r\nx: y')
+        with pytest.raises(httpx.LocalProtocolError):
+            await pool.handle_async_request(req)
+        response = await pool.handle_async_request(request(server.port))
+        assert await response.aread() == b'ok'
+        await pool.aclose()
+    assert server.connections == 1
+    assert len(server.heads) == 1
+
+
+async def test_cancelled_connect_is_not_counted():
+    """Guards against connections that are counted for ever."""
+    pool = PoolTransport(Limits(1, 1))
+    async with builders.RawServer(answering(OK)) as server:
+        address = Address('127.0.0.1', server.port)
+        for turns in range(6):
+            task = asyncio.create_task(
+                pool.handle_async_request(request(server.port))
+            )
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            pool.forget(address)
+            await asyncio.sleep(0.01)
+            assert pool.open_connections(address) == 0
