--- a/src/cuminhoist/api.py
+++ b/src/cuminhoist/api.py
@@ -9,8 +9,8 @@
 from litestar.types import Receive, Scope, Send
 from returns.result import Failure, Result, Success
 
+from .attempts import Answer, BodyError, CarryError
 from .entry import CallerRequest, EntryService
-from .forwarding import Answer, BodyError, CarryError
 from .headers import (
     HOP_HEADER,
     RAN_HEADER,
@@ -40,6 +40,7 @@
 
 _MAX_DIGITS = 9
 _LATIN = 'latin-1'
+_NO_BODY_STATUS = frozenset((204, 304))
 
 
 class RequestBody:
@@ -206,6 +207,8 @@
 
 async def _send_answer(answer: Answer, scope: Any, send: Send) -> None:
     headers = return_headers(answer.headers)
+    if answer.status in _NO_BODY_STATUS:
+        headers = [pair for pair in headers if pair[0] != b'content-length']
     if any(name == b'date' for name, _ in headers):
         scope['state']['passes_date']()
     await send(
@@ -286,10 +289,14 @@
         self._gone.add_done_callback(self._cancel)
 
     async def __aexit__(self, kind: Any, _exc: Any, _trace: Any) -> bool:
+        # The callback may be on its way already; it must not cancel what
+        # follows this block.
+        task = self._task
+        self._task = None
         self._gone.remove_done_callback(self._cancel)
         cancelled = kind is asyncio.CancelledError and self._gone.done()
-        if cancelled and self._task is not None:
-            self._task.uncancel()
+        if cancelled and task is not None:
+            task.uncancel()
         return cancelled
 
     def _cancel(self, _gone: Any) -> None:
--- a/src/cuminhoist/peers.py
+++ b/src/cuminhoist/peers.py
@@ -3,20 +3,15 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .attempts import Answer, Attempt, CarryError
 from .clock import Clock, SystemClock
-from .forwarding import (
-    Answer,
-    Attempt,
-    CarryError,
-    StreamingClient,
-    target_outcome,
-)
+from .exchange import Exchange
 from .headers import HOP_HEADER, RAN_HEADER, REFUSAL_HEADER
 from .hops import Hop, HopSigner, Route
 from .problems import ProblemDetails, Refusal
 from .settings import Instance
 from .slots import SlotOutcome
-from .target_conn import Exchange
+from .streaming import StreamingClient, target_outcome
 from .target_pool import Address, Limits, PoolTransport
 from .types import Ran, Reason
 
--- a/src/cuminhoist/target_pool.py
+++ b/src/cuminhoist/target_pool.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from .clock import Clock, SystemClock
+from .exchange import Exchange, RequestHead
 from .settings import is_ip
-from .target_conn import Connection, Exchange, RequestHead
+from .target_conn import Connection
 
 #: Idle connections are closed after this time, so that a target that changes
 #: its owner does not keep connections of the old one.
@@ -278,7 +279,7 @@
 
     def ended(exchange: Exchange) -> None:
         conn = exchange.conn
-        if exchange.complete and conn is not None and conn.usable:
+        if exchange.complete and isinstance(conn, Connection) and conn.usable:
             server.give_back(conn)
         if report is not None:
             report(exchange)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -316,7 +316,12 @@
 ANSWERS = {
     'head': (b'HEAD', 200, [(b'content-length', b'7')], b'content-length: 7'),
     'no content': (b'GET', 204, [], b'HTTP/1.1 204'),
-    'unchanged': (b'GET', 304, [(b'etag', b'"x"')], b'etag: "x"'),
+    'unchanged': (
+        b'GET',
+        304,
+        [(b'etag', b'"x"'), (b'content-length', b'7')],
+        b'etag: "x"',
+    ),
     'date': (b'GET', 404, [(b'date', b'D'), (b'server', b'S')], b'date: D'),
 }
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,9 +5,10 @@
 import pytest
 from returns.result import Failure
 
+from cuminhoist.exchange import HIGH_WATER_BYTES
 from cuminhoist.forwarding import AnswerError, Attempt, HttpxTargetClient
 from cuminhoist.slots import SlotOutcome
-from cuminhoist.target_conn import HIGH_WATER_BYTES, WRITE_WATER_BYTES
+from cuminhoist.target_conn import WRITE_WATER_BYTES
 from cuminhoist.types import Ran, Reason
 
 from . import builders
@@ -171,7 +172,11 @@
 
 @pytest.mark.parametrize(
     'junk',
-    [b'not http\r\n\r\n', b'HTTP/1.1 200 OK\r\nx: ' + b'y' * 2**17],
+    [
+        b'not http\r\n\r\n',
+        b'HTTP/1.1 700 X\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nx: ' + b'y' * 2**17,
+    ],
 )
 async def test_malformed_head(junk):
     """Guards against a crash or unbounded memory on a broken answer."""
--- /dev/null
+++ b/tests/test_openapi.py
@@ -0,0 +1,37 @@
+"""Tests of the description of the interface."""
+
+import json
+
+from litestar import Litestar
+
+from cuminhoist.api import lookup_handler, services_handler
+from cuminhoist.lookup import Lookup
+from cuminhoist.openapi import openapi_config
+from cuminhoist.types import Ran, Reason
+
+from . import builders
+
+
+async def test_schema_names_everything_that_callers_use():
+    """Guards against a route, header or reason that callers cannot look up."""
+    topology = builders.example_topology()
+    lookup = Lookup(topology, topology.domains[0].name)
+    app = Litestar(
+        [services_handler(None), lookup_handler(lookup)],
+        openapi_config=openapi_config(),
+    )
+    async with builders.RunningServer(app) as server:
+        asked = b'GET %b HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
+        answer = await server.ask(asked % b'/v1/openapi.json')
+        refused = await server.ask(asked % b'/v1/services/')
+    schema = json.loads(answer.partition(b'\r\n\r\n')[2])
+    schemas = schema['components']['schemas']
+    assert '/v1/lookup' in schema['paths']
+    services = schema['paths']['/v1/services/{service}/{path}']
+    names = {part['name'] for part in services['parameters']}
+    assert {'x-cuminhoist-caller', 'x-cuminhoist-deadline-ms'} <= names
+    assert schemas['Ran']['enum'] == sorted(Ran)
+    assert schemas['Reason']['enum'] == sorted(Reason)
+    assert 'ran' in schemas['ProblemDetails']['required']
+    assert 'entries' in schemas['LookupAnswer']['required']
+    assert b'not-run' in refused
