--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -13,6 +13,7 @@
 from cuminhoist.forwarding import Attempt as TargetAttempt
 from cuminhoist.hops import Hop, HopSigner, Route
 from cuminhoist.problems import Refusal
+from cuminhoist.slots import SlotOutcome
 from cuminhoist.types import Ran, Reason
 
 from . import builders
@@ -366,3 +367,130 @@
     assert entry.requests[0].hop.origin == 'entry-1'
     assert problem['ran'] == 'not-run'
     assert entry.requests[1].hop is None
+
+
+class Path:
+    """An entry instance before one target with a raw script."""
+
+    def __init__(self, script) -> None:
+        self.target = builders.RawServer(script)
+        self.client = HttpxTargetClient()
+        self.ends = []
+        _, self.server = running(self._carry)
+
+    async def __aenter__(self):
+        await self.target.__aenter__()
+        await self.server.__aenter__()
+        return self
+
+    async def __aexit__(self, *_exc):
+        await self.server.__aexit__()
+        await self.client.close()
+        await self.target.__aexit__()
+
+    async def _carry(self, req):
+        attempt = TargetAttempt(
+            req.method,
+            req.path,
+            req.headers,
+            req.body,
+            60.0,
+            lambda outcome, _latency: self.ends.append(outcome),
+        )
+        target = builders.raw_target(self.target.port, connections=100)
+        return (await self.client.send(target, attempt)).unwrap()
+
+
+@pytest.mark.parametrize('answered', [False, True])
+async def test_disconnect_in_an_upload_cuts_it(answered):
+    """Guards against part of an upload that a target takes for the whole."""
+
+    async def script(target, reader, writer):
+        await target.head(reader)
+        if answered:
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n')
+        target.rest = await reader.read()
+        target.closed.set()
+
+    async with Path(script) as path:
+        reader, writer = await path.server.connect()
+        head = get(b'/v1/services/c/a', b'content-length: 9', method=b'PUT')
+        writer.write(head + b'part')
+        while not path.target.heads:
+            await asyncio.sleep(0.01)
+        if answered:
+            await builders.read_head(reader)
+        writer.close()
+        await path.target.closed.wait()
+    assert path.target.rest in (b'', b'part')
+    assert path.ends == [SlotOutcome.unknown]
+
+
+async def test_slow_upload_is_held_back_at_the_caller():
+    """Guards against uploads that pile up between caller and slow target."""
+    size = 64 * 2**20
+    gate = asyncio.Event()
+
+    async def script(target, reader, writer):
+        await target.head(reader)
+        await gate.wait()
+        left = size
+        while left:
+            left -= len(await reader.read(2**20))
+        writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+        await writer.drain()
+
+    async with Path(script) as path:
+        reader, writer = await path.server.connect()
+        length = b'content-length: %d' % size
+        writer.write(get(b'/v1/services/c/a', length, method=b'PUT'))
+        written = 0
+
+        async def upload():
+            nonlocal written
+            for _ in range(64):
+                writer.write(b'x' * 2**20)
+                await writer.drain()
+                written += 2**20
+
+        task = asyncio.create_task(upload())
+        before = -1
+        while before != written or not path.target.heads:
+            before = written
+            await asyncio.sleep(0.1)
+        # Two pairs of loopback sockets hold some MiB each.
+        assert written <= 24 * 2**20
+        gate.set()
+        await task
+        answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert path.ends == [SlotOutcome.answered]
+
+
+async def test_stop_cuts_no_carried_request():
+    """Guards against a stop that truncates answers on their way."""
+    gate = asyncio.Event()
+
+    async def script(target, reader, writer):
+        await target.head(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n')
+        writer.write(b'2\r\nab\r\n')
+        await gate.wait()
+        writer.write(b'2\r\ncd\r\n0\r\n\r\n')
+        await writer.drain()
+
+    async with Path(script) as path:
+        asks = [asyncio.create_task(path.server.ask(get())) for _ in range(30)]
+        while len(path.target.heads) < 30:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.create_task(path.server.stop())
+        await asyncio.sleep(0.2)
+        gate.set()
+        answers = await asyncio.gather(*asks)
+        await stopping
+    for answer in answers:
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.replace(b'4\r\nabcd', b'2\r\nab\r\n2\r\ncd').endswith(
+            b'2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n'
+        )
+    assert path.ends == [SlotOutcome.answered] * 30
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,6 +1,7 @@
 """Tests of the stop of the HTTP listener."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -144,3 +145,25 @@
         )
     assert answer.startswith(b'HTTP/1.1 200')
     assert answer.endswith(b'abcd')
+
+
+async def test_random_bytes_do_no_harm():
+    """Guards against a listener that dies or hangs of any input."""
+    rng = random.Random(7)
+    app = SlowApp(early=False)
+    app.gate.set()
+    good = REQUEST % 1 + b'POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc'
+    async with builders.RunningServer(app) as server:
+        for _ in range(300):
+            damaged = bytearray(good)
+            for _ in range(rng.randint(1, 8)):
+                damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+            reader, writer = await server.connect()
+            writer.write(bytes(damaged))
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+        answer = await server.ask(
+            b'GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
+        )
+        assert answer.endswith(b'abcd')
