--- a/demo/audit.py
+++ b/demo/audit.py
@@ -15,11 +15,13 @@
     """All that a run left behind.
 
     :param outcomes: what callers were told.
-    :param served: what the targets ran.
+    :param started: what the targets began to run.
+    :param served: what they ran to the end.
     :param most_in_flight: highest number of requests at once by target.
     """
 
     outcomes: tuple[Outcome, ...]
+    started: tuple[Served, ...]
     served: tuple[Served, ...]
     most_in_flight: dict[str, int]
 
@@ -36,6 +38,7 @@
         """
         return cls(
             tuple(outcomes),
+            tuple(upstreams.started()),
             tuple(upstreams.served()),
             {
                 state.target.name: state.most_in_flight
@@ -78,7 +81,7 @@
     }
     runs = collections.Counter(
         record.request_id
-        for record in evidence.served
+        for record in evidence.started
         if (services[record.target], record.kind) in single
     )
     for request_id, count in runs.items():
@@ -87,7 +90,7 @@
 
 
 def _not_run(evidence: Evidence) -> Iterator[str]:
-    ran = {record.request_id for record in evidence.served}
+    ran = {record.request_id for record in evidence.started}
     for outcome in evidence.outcomes:
         if outcome.ran == 'not-run' and outcome.request.request_id in ran:
             yield (
--- a/src/cuminhoist/attempts.py
+++ b/src/cuminhoist/attempts.py
@@ -1,134 +1,70 @@
-"""Attempts of a request at a target of this instance."""
+"""Attempts of a request and their answers."""
 
-import functools
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
-from returns.result import Failure, Result, Success
 
-from .clock import Clock
-from .forwarding import Answer, Attempt, TargetClient
-from .membership import Membership
+from .exceptions import CuminhoistError
 from .problems import Refusal
-from .requests import CheckedRequest
-from .shift import ObservedCapacity
-from .slots import Slot, SlotOutcome
-from .types import DRAINING_HEADER
+from .slots import SlotOutcome
 
-EndListener = Callable[[SlotOutcome], None]
+Headers = list[tuple[bytes, bytes]]
+OnEnd = Callable[[SlotOutcome, float], None]
 
-_DRAINING = (DRAINING_HEADER.encode(), b'1')
-_CLOSING = (b'connection', b'close')
 
+class CarryError(CuminhoistError):
+    """An exchange ended before its answer was whole.
 
-class AttemptEnd:
-    """The end of an attempt, which may come long after its answer began.
-
-    :param release: called once with the outcome and the latency.
+    :param refusal: the refusal that the caller gets if it can still be sent.
     """
 
-    def __init__(self, release: Callable[[SlotOutcome, float], None]) -> None:
-        self._release = release
-        self._listeners: list[EndListener] = []
-        self.outcome: SlotOutcome | None = None
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f'{refusal.reason}: {refusal.detail}')
+        self.refusal = refusal
+
+
+class BodyError(CarryError):
+    """The caller's body cannot be read on."""
+
 
-    def __call__(self, outcome: SlotOutcome, latency_s: float) -> None:
-        """End the attempt.
+class AnswerError(CarryError):
+    """The rest of a target's answer does not come."""
 
-        :param outcome: how it ended.
-        :param latency_s: time from dispatch to the end, in seconds.
-        """
-        if self.outcome is not None:
-            return
-        self.outcome = outcome
-        self._release(outcome, latency_s)
-        for listener in self._listeners:
-            listener(outcome)
 
-    def then(self, listener: EndListener) -> None:
-        """Call a listener at the end, or now if it is over.
+def _ignore(_outcome: SlotOutcome, _latency_s: float) -> None:
+    """Drop the report of an attempt that nobody accounts for."""
 
-        :param listener: called with the outcome.
-        """
-        if self.outcome is None:
-            self._listeners.append(listener)
-        else:
-            listener(self.outcome)
 
+class Attempt(msgspec.Struct, frozen=True):
+    """What is sent to a target.
+
+    :param timeout_s: time left until the caller's deadline, in seconds.
+    :param on_end: called exactly once with how the attempt ended and how
+        long it took, also when it is refused, cancelled or never read.
+    :param traceparent: trace context to pass on; empty for none.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: AsyncIterator[bytes]
+    timeout_s: float
+    on_end: OnEnd = _ignore
+    traceparent: str = ''
 
-class Dispatched(msgspec.Struct, frozen=True):
-    """An answer that has begun, and the end of its attempt."""
 
-    answer: Answer
-    end: AttemptEnd
+def _no_abort() -> None:
+    """Do nothing: the answer holds no connection."""
 
 
-class LocalAttempts:
-    """Sends attempts to the targets that this instance owns.
+class Answer(msgspec.Struct, frozen=True):
+    """The head of a target's answer and the stream of its body.
 
-    :param client: carries the attempts.
-    :param membership: learns which targets say that they leave.
-    :param capacity: learns how long requests take.
-    :param clock: time source.
+    :param body: raises :class:`AnswerError` if the rest does not come.
+    :param abort: gives the rest of the answer up; may be called at any time.
     """
 
-    def __init__(
-        self,
-        client: TargetClient,
-        membership: Membership,
-        capacity: ObservedCapacity,
-        clock: Clock,
-    ) -> None:
-        self._client = client
-        self._membership = membership
-        self._capacity = capacity
-        self._clock = clock
-
-    async def send(
-        self,
-        checked: CheckedRequest,
-        slot: Slot,
-    ) -> Result[Dispatched, Refusal]:
-        """Send a request to the target of a slot.
-
-        The slot is released when the attempt ends.
-
-        :param checked: the request.
-        :param slot: the right to send it.
-        """
-        end = AttemptEnd(functools.partial(self._release, checked, slot))
-        outcome = await self._client.send(
-            slot.target,
-            Attempt(
-                checked.req.method,
-                checked.req.path,
-                checked.req.headers,
-                checked.body.stream(),
-                checked.deadline_at - self._clock.now(),
-                on_end=end,
-                traceparent=checked.req.traceparent,
-            ),
-        )
-        if isinstance(outcome, Failure):
-            return outcome
-        answer = outcome.unwrap()
-        self._note_signal(slot.target.name, answer)
-        return Success(Dispatched(answer, end))
-
-    def _release(
-        self,
-        checked: CheckedRequest,
-        slot: Slot,
-        outcome: SlotOutcome,
-        latency_s: float,
-    ) -> None:
-        slot.release(outcome, latency_s)
-        if outcome == SlotOutcome.answered:
-            self._capacity.observe(checked.service.name, latency_s)
-
-    def _note_signal(self, target: str, answer: Answer) -> None:
-        leaving = _DRAINING in answer.headers or _CLOSING in answer.headers
-        if leaving:
-            self._membership.mark_target_leaving(target)
-        else:
-            self._membership.clear_target_leaving(target)
+    status: int
+    headers: Headers
+    body: AsyncIterator[bytes]
+    abort: Callable[[], None] = _no_abort
--- a/src/cuminhoist/dispatch.py
+++ b/src/cuminhoist/dispatch.py
@@ -6,9 +6,9 @@
 from returns.result import Failure, Result, Success
 
 from .admission import Admission, AdmissionRequest
-from .attempts import AttemptEnd, Dispatched, LocalAttempts
+from .localattempts import AttemptEnd, Dispatched, LocalAttempts
 from .clock import Clock
-from .forwarding import Attempt
+from .attempts import Attempt
 from .hops import Hop
 from .hops import Route as HopRoute
 from .intake import refuse
--- a/src/cuminhoist/entry.py
+++ b/src/cuminhoist/entry.py
@@ -7,10 +7,10 @@
 
 from .accounting import Accounts, Outcome, Ticket
 from .admission import Admission
-from .attempts import Dispatched, LocalAttempts
+from .localattempts import Dispatched, LocalAttempts
 from .clock import Clock
 from .dispatch import Dispatcher, admission_request
-from .forwarding import Answer
+from .attempts import Answer
 from .grants import GrantTable
 from .headers import framing
 from .hops import Hop
--- a/src/cuminhoist/entryside.py
+++ b/src/cuminhoist/entryside.py
@@ -9,7 +9,7 @@
 
 from .accounting import Accounts
 from .admission import Admission
-from .attempts import LocalAttempts
+from .localattempts import LocalAttempts
 from .blocks import BlockMap
 from .borrowing import Borrower
 from .borrowing import partners_of as lenders_of
--- a/src/cuminhoist/keyed.py
+++ b/src/cuminhoist/keyed.py
@@ -7,8 +7,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .attempts import AttemptEnd, Dispatched
-from .forwarding import Answer, CarryError
+from .localattempts import AttemptEnd, Dispatched
+from .attempts import Answer, CarryError
 from .headers import framing
 from .intake import refuse
 from .key_records import (
--- a/src/cuminhoist/requests.py
+++ b/src/cuminhoist/requests.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from .entitlements import Entitlement
-from .forwarding import Headers
+from .headers import Headers
 from .hops import Hop
 from .settings import Kind, Service
 
