Follow the hint of a join once

A replica that lost its disk was sent to itself when the others still named it as leader, and asked itself for ever. Found by the state machine (boot(number=0, count=3), lose disk of slot 0).

--- a/src/cuminhoist/consensus.py
+++ b/src/cuminhoist/consensus.py
@@ -252,12 +252,16 @@
         """Ask for a vote until this replica is a voter."""
         core = self._core
         turn = 0
+        hint = ''
         others = [name for name in core.declared if name != core.name]
         while others:
             if core.own not in core.membership.voters:
-                asked = core.leader or others[turn % len(others)]
+                # A hint is followed once: it may name a leader that is
+                # gone, or this replica before it lost its disk.
+                asked = hint if hint in others else others[turn % len(others)]
                 turn += 1
-                core.leader = await self._join(asked)
+                answer = await self._join(asked)
+                hint = '' if asked == hint else answer
             await asyncio.sleep(core.timings.join_pause_s)
 
     async def _join(self, asked: str) -> str:
