--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -531,3 +531,18 @@
         options,
         timings=msgspec.structs.replace(options.timings, **timings),
     )
+
+
+class Recorder:
+    """Counts requests to one replica that carry log content."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.requests: list[Message] = []
+        transport = world.nodes[name].transport
+        handle = transport.handle
+
+        async def record(received: Received) -> Message:
+            self.requests.append(received.message)
+            return await handle(received)
+
+        transport.handle = record  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,86 @@
+"""Tests of the replicated state."""
+
+import msgspec
+from hypothesis import given, settings, strategies
+
+from cuminhoist.lists import Accepted, Change, Conflict, Drain, Rejected
+from cuminhoist.state import EXPIRED, ControlState, StateImage
+from cuminhoist.types import DrainScope
+
+from . import builders
+
+
+def drain(change_id: str, seen: int, name: str = 'u1') -> Change:
+    """Return a drain whose author had seen a version."""
+    change = Change.from_drain(
+        change_id,
+        Drain(scope=DrainScope.upstream, name=name),
+    )
+    return msgspec.structs.replace(change, base_version=seen)
+
+
+def test_evicted_changes_are_never_run_again():
+    """Guards against an old resend that is taken for a new change."""
+    state = ControlState(max_applied=3)
+    first = drain('d0', 0)
+    plans = builders.plans_change('p0', 0)
+    assert state.apply(first) == Accepted(version=1)
+    assert state.apply(plans) == Accepted(version=2)
+    for number in range(5):
+        state.apply(drain(f'later-{number}', state.config.version))
+    for old in (first, plans, builders.plans_change('unknown', 1)):
+        assert state.apply(old) == Rejected(reason=EXPIRED)
+    assert state.config.version == 7
+    # The list did not change since, so its version is not too old.
+    assert state.apply(builders.plans_change('p1', 2)) == Accepted(version=8)
+    assert state.apply(drain('new', 8)) == Accepted(version=9)
+
+
+def test_conflicts_alone_expire_nothing_new():
+    """Guards against many lost conflicts that lock out every change."""
+    state = ControlState(max_applied=3)
+    state.apply(builders.plans_change('p0', 0))
+    for number in range(20):
+        outcome = state.apply(builders.plans_change(f'lost-{number}', 0))
+        assert not isinstance(outcome, Accepted)
+    assert state.apply(drain('new', 1)) == Accepted(version=2)
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 12),
+            strategies.integers(0, 5),
+            strategies.booleans(),
+        ),
+        max_size=40,
+    ),
+)
+def test_snapshot_gives_the_same_answers(steps):
+    """Guards against a snapshot that loses outcomes or runs one twice."""
+    state = ControlState(max_applied=4)
+    known: dict[str, Change] = {}
+    accepted: list[str] = []
+    for ident, base, is_drain in steps:
+        change_id = f'c{ident}'
+        made = (
+            drain(change_id, base, change_id)
+            if is_drain
+            else builders.plans_change(change_id, base)
+        )
+        change = known.setdefault(change_id, made)
+        image = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(state.image()),
+            type=StateImage,
+        )
+        copy = ControlState.from_image(image, max_applied=4)
+        before = state.config.version
+        outcome = state.apply(change)
+        assert copy.apply(change) == outcome
+        assert copy.config == state.config
+        if state.config.version > before:
+            accepted.append(change_id)
+        if isinstance(outcome, Conflict):
+            assert outcome.version != change.base_version
+    assert len(accepted) == len(set(accepted))
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,248 @@
+"""Tests of durable files, records and the log that uses them."""
+
+import asyncio
+import errno
+import os
+import pathlib
+
+import pytest
+from hypothesis import given, settings, strategies
+from returns.result import Failure, Success
+
+from cuminhoist import storage
+from cuminhoist.consensus_messages import Entry, Member, Position, Snapshot
+from cuminhoist.log import (
+    CREATING_FILE,
+    FILES,
+    LOG_FILE,
+    SNAPSHOT_FILE,
+    VOTE_FILE,
+    DurableLog,
+)
+from cuminhoist.state import ControlState
+from cuminhoist.storage import (
+    HEAD_BYTES,
+    DiskErrorKind,
+    FileDisk,
+    pack_record,
+    read_records,
+)
+
+PAYLOADS = strategies.lists(strategies.binary(max_size=40), max_size=6)
+
+
+def entries(start: int, end: int, term: int = 1) -> tuple[Entry, ...]:
+    """Return entries without changes."""
+    return tuple(Entry(index, term) for index in range(start, end + 1))
+
+
+async def opened(folder: pathlib.Path, incarnation: str = 'i1') -> DurableLog:
+    """Return the log in a folder."""
+    return (await DurableLog.open(FileDisk(folder), incarnation)).unwrap()
+
+
+def kind_of(result: object) -> DiskErrorKind:
+    """Return the kind of a failure."""
+    assert isinstance(result, Failure)
+    return result.failure().kind
+
+
+@given(payloads=PAYLOADS, cut=strategies.integers(0, 60))
+def test_torn_tail_is_dropped(payloads, cut):
+    """Guards against a torn write that hides the records before it."""
+    content = b''.join(pack_record(payload) for payload in payloads)
+    kept = content[: max(0, len(content) - cut)]
+    found = read_records(kept).unwrap()
+    complete = []
+    size = 0
+    for payload in payloads:
+        size += HEAD_BYTES + len(payload)
+        if size <= len(kept):
+            complete.append(payload)
+    assert found.payloads == tuple(complete)
+    assert found.size == sum(HEAD_BYTES + len(found) for found in complete)
+
+
+@given(
+    payloads=PAYLOADS.filter(bool),
+    place=strategies.integers(0, 10**6),
+    flip=strategies.integers(1, 255),
+)
+def test_damage_is_never_read(payloads, place, flip):
+    """Guards against damage, also of a length, that is taken for a tear."""
+    content = bytearray(b''.join(pack_record(entry) for entry in payloads))
+    content[place % len(content)] ^= flip
+    assert isinstance(read_records(bytes(content)), Failure)
+
+
+@pytest.mark.asyncio
+async def test_log_survives_restart(tmp_path):
+    """Guards against lost promises, entries and replaced entries."""
+    log = await opened(tmp_path)
+    vote = log.vote.__class__('i1', 'cluster', 7, Member('a', 'x'))
+    await log.save_vote(vote)
+    await log.append(entries(1, 9))
+    await log.append(entries(5, 6, term=2))
+    again = await opened(tmp_path, 'other')
+    assert again.vote == vote
+    assert again.last == Position(2, 6)
+    assert again.entries(1, 6) == (*entries(1, 4), *entries(5, 6, term=2))
+
+
+@pytest.mark.asyncio
+async def test_compaction_keeps_later_entries(tmp_path):
+    """Guards against entries lost or doubled by a compaction."""
+    log = await opened(tmp_path)
+    await log.append(entries(1, 9))
+    snapshot = Snapshot(
+        Position(1, 6),
+        log.membership,
+        ControlState().image(),
+    )
+    await log.compact(snapshot)
+    await log.append(entries(10, 11))
+    again = await opened(tmp_path)
+    assert again.loaded == snapshot
+    assert again.entries(7, 11) == entries(7, 11)
+    assert not again.holds(Position(2, 6))
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize('term', [1, 2])
+async def test_crash_between_snapshot_and_log(tmp_path, term):
+    """Guards against entries of another leader behind a new snapshot."""
+    log = await opened(tmp_path)
+    await log.append(entries(1, 9))
+    old = (tmp_path / LOG_FILE).read_bytes()
+    state = ControlState().image()
+    await log.compact(Snapshot(Position(term, 6), log.membership, state))
+    (tmp_path / LOG_FILE).write_bytes(old)
+    again = await opened(tmp_path)
+    assert again.last == (Position(1, 9) if term == 1 else Position(2, 6))
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize('name', sorted(FILES))
+@pytest.mark.parametrize('damage', ['empty', 'missing', 'flipped', 'short'])
+async def test_damaged_file_is_reported(tmp_path, name, damage):
+    """Guards against damaged files that are read as state."""
+    log = await opened(tmp_path)
+    await log.append(entries(1, 3))
+    path = tmp_path / name
+    content = path.read_bytes()
+    if damage == 'missing':
+        path.unlink()
+    elif damage == 'empty':
+        path.write_bytes(b'')
+    elif damage == 'flipped':
+        middle = len(content) // 2
+        flipped = bytes([content[middle] ^ 1])
+        path.write_bytes(content[:middle] + flipped + content[middle + 1 :])
+    else:
+        path.write_bytes(content[: HEAD_BYTES - 1])
+    found = await DurableLog.open(FileDisk(tmp_path), 'i2')
+    assert kind_of(found) is DiskErrorKind.corrupt
+
+
+@pytest.mark.asyncio
+async def test_unfinished_creation_starts_again(tmp_path):
+    """Guards against a first start that crashed and looks corrupt."""
+    await opened(tmp_path)
+    (tmp_path / CREATING_FILE).write_bytes(b'')
+    (tmp_path / VOTE_FILE).unlink()
+    assert (await opened(tmp_path, 'i2')).vote.incarnation == 'i2'
+
+
+@pytest.mark.asyncio
+async def test_missing_entries_before_log(tmp_path):
+    """Guards against a snapshot that is older than the log's start."""
+    log = await opened(tmp_path)
+    old = (tmp_path / SNAPSHOT_FILE).read_bytes()
+    await log.append(entries(1, 9))
+    state = ControlState().image()
+    await log.compact(Snapshot(Position(1, 6), log.membership, state))
+    (tmp_path / SNAPSHOT_FILE).write_bytes(old)
+    found = await DurableLog.open(FileDisk(tmp_path), 'i2')
+    assert kind_of(found) is DiskErrorKind.corrupt
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize('place', ['pwrite', 'fsync'])
+async def test_full_disk_and_space_again(tmp_path, monkeypatch, place):
+    """Guards against a half-written record in the middle of the log."""
+    log = await opened(tmp_path)
+    await log.append(entries(1, 3))
+    real = getattr(os, place)
+    calls = []
+
+    def no_space(fd, *args):
+        calls.append(fd)
+        if len(calls) == 1 and place == 'pwrite':
+            return real(fd, args[0][:7], args[1])
+        raise OSError(errno.ENOSPC, 'no space')
+
+    monkeypatch.setattr(storage.os, place, no_space)
+    assert kind_of(await log.append(entries(4, 5))) is DiskErrorKind.full
+    assert kind_of(await log.save_vote(log.vote)) is DiskErrorKind.full
+    assert log.last.index == 3
+    monkeypatch.setattr(storage.os, place, real)
+    assert isinstance(await log.append(entries(4, 4, term=2)), Success)
+    again = await opened(tmp_path)
+    assert again.entries(1, 4) == (*entries(1, 3), *entries(4, 4, term=2))
+    assert {path.name for path in tmp_path.iterdir()} == FILES
+
+
+@pytest.mark.asyncio
+async def test_failed_sync_is_no_full_disk(tmp_path, monkeypatch):
+    """Guards against going on after a sync that failed for good."""
+    log = await opened(tmp_path)
+
+    def broken(_fd):
+        raise OSError(errno.EIO, 'input/output error')
+
+    monkeypatch.setattr(storage.os, 'fsync', broken)
+    assert kind_of(await log.append(entries(1, 1))) is DiskErrorKind.failed
+
+
+@pytest.mark.asyncio
+async def test_loop_runs_during_sync(tmp_path, monkeypatch):
+    """Guards against a slow disk that blocks the event loop."""
+    log = await opened(tmp_path)
+    loop = asyncio.get_running_loop()
+    reached = asyncio.Event()
+    real = os.fsync
+
+    def slow(fd):
+        # Returns only after the loop ran a task in the meantime.
+        asyncio.run_coroutine_threadsafe(reached.wait(), loop).result(10)
+        real(fd)
+
+    monkeypatch.setattr(storage.os, 'fsync', slow)
+    writing = asyncio.create_task(log.append(entries(1, 1)))
+    await asyncio.sleep(0)
+    reached.set()
+    assert isinstance(await writing, Success)
+
+
+@settings(max_examples=30, deadline=None)
+@given(cut=strategies.integers(0, 400))
+def test_torn_log_keeps_a_prefix(tmp_path_factory, cut):
+    """Guards against a restart after a torn write of several entries."""
+
+    async def run(folder: pathlib.Path) -> None:
+        log = await opened(folder)
+        await log.append(entries(1, 3))
+        synced = (folder / LOG_FILE).stat().st_size
+        await log.append(entries(4, 9))
+        path = folder / LOG_FILE
+        content = path.read_bytes()
+        path.write_bytes(content[: max(synced, len(content) - cut)])
+        again = await opened(folder)
+        end = again.last.index
+        assert again.entries(1, end) == entries(1, end)
+        assert 3 <= end <= 9
+        await again.append(entries(end + 1, end + 1, term=2))
+        last = await opened(folder)
+        assert last.last == Position(2, end + 1)
+
+    asyncio.run(run(tmp_path_factory.mktemp('torn')))
