--- a/src/cuminhoist/dispatch.py
+++ b/src/cuminhoist/dispatch.py
@@ -6,12 +6,12 @@
 from returns.result import Failure, Result, Success
 
 from .admission import Admission, AdmissionRequest
-from .localattempts import AttemptEnd, Dispatched, LocalAttempts
-from .clock import Clock
 from .attempts import Attempt
+from .clock import Clock
 from .hops import Hop
 from .hops import Route as HopRoute
 from .intake import refuse
+from .localattempts import AttemptEnd, Dispatched, LocalAttempts
 from .peers import PeerClient, hop_of
 from .problems import Refusal
 from .requests import CheckedRequest
--- a/src/cuminhoist/entry.py
+++ b/src/cuminhoist/entry.py
@@ -7,10 +7,9 @@
 
 from .accounting import Accounts, Outcome, Ticket
 from .admission import Admission
-from .localattempts import Dispatched, LocalAttempts
+from .attempts import Answer
 from .clock import Clock
 from .dispatch import Dispatcher, admission_request
-from .attempts import Answer
 from .grants import GrantTable
 from .headers import framing
 from .hops import Hop
@@ -19,6 +18,7 @@
 from .keyed import KeyedRuns, require_key
 from .keys import KeyStore
 from .links import Direction, LinkBudget
+from .localattempts import Dispatched, LocalAttempts
 from .lookup import Lookup
 from .membership import Membership
 from .problems import Refusal
--- a/src/cuminhoist/entryside.py
+++ b/src/cuminhoist/entryside.py
@@ -9,7 +9,6 @@
 
 from .accounting import Accounts
 from .admission import Admission
-from .localattempts import LocalAttempts
 from .blocks import BlockMap
 from .borrowing import Borrower
 from .borrowing import partners_of as lenders_of
@@ -24,6 +23,7 @@
 from .intake import Intake
 from .keys import KeyStore
 from .links import LinkBudget
+from .localattempts import LocalAttempts
 from .lookup import DrainPlan, Lookup
 from .membership import Membership
 from .ownership import Ownership
--- a/src/cuminhoist/keyed.py
+++ b/src/cuminhoist/keyed.py
@@ -7,7 +7,6 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .localattempts import AttemptEnd, Dispatched
 from .attempts import Answer, CarryError
 from .headers import framing
 from .intake import refuse
@@ -21,6 +20,7 @@
     NewRun,
 )
 from .keys import KeyStore
+from .localattempts import AttemptEnd, Dispatched
 from .logs import logger
 from .problems import Refusal
 from .requests import CheckedRequest
--- a/src/cuminhoist/localattempts.py
+++ b/src/cuminhoist/localattempts.py
@@ -6,8 +6,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .clock import Clock
 from .attempts import Answer, Attempt
+from .clock import Clock
 from .forwarding import TargetClient
 from .membership import Membership
 from .problems import Refusal
--- a/tests/builders_delivery.py
+++ b/tests/builders_delivery.py
@@ -208,7 +208,8 @@
 
     def isolate(self) -> None:
         """Cut the replica off from its majority."""
-        self._isolated_at = self._cluster.clock.now()
+        if self._isolated_at is None:
+            self._isolated_at = self._cluster.clock.now()
 
     def heal(self) -> None:
         """Connect the replica again."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,6 @@
 
 import msgspec
 import pytest
-from loguru import logger
 from hypothesis import HealthCheck, Phase, event, seed, settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -15,6 +14,7 @@
     rule,
     run_state_machine_as_test,
 )
+from loguru import logger
 from returns.result import Failure, Success
 
 from cuminhoist.consensus_messages import (
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -9,7 +9,7 @@
 from cuminhoist.openapi import openapi_config
 from cuminhoist.types import Ran, Reason
 
-from . import builders
+from . import builders_carry as builders
 
 
 async def test_schema_names_everything_that_callers_use():
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -10,7 +10,12 @@
 from cuminhoist.borrowing import BorrowTokens, Want, partners_of
 from cuminhoist.rates import LEASE_S
 
-from .builders import LoopClock, RateFleet, config_of, example_topology
+from .builders_admission import (
+    LoopClock,
+    RateFleet,
+    config_of,
+    example_topology,
+)
 
 CALLER, SERVICE = 'c0', 'catalogue'
 SLACK = 1e-6
--- a/tests/test_scenarios_admission.py
+++ b/tests/test_scenarios_admission.py
@@ -12,7 +12,7 @@
 from cuminhoist.slots import SlotOutcome
 from cuminhoist.types import Reason
 
-from .builders import AdmissionRig, RateFleet, config_of
+from .builders_admission import AdmissionRig, RateFleet, config_of
 from .test_shift import worst_growth
 
 scenarios('scenarios/admission.feature')
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,7 +11,7 @@
 from cuminhoist.types import Ran, Reason
 from demo.standins import Behaviour, Crash, StandinUpstreams
 
-from . import builders
+from . import builders_carry as builders
 
 
 class Stage:
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -10,7 +10,7 @@
 from cuminhoist.clock import ManualClock
 from cuminhoist.target_pool import Address, Limits, PoolTransport
 
-from . import builders
+from . import builders_carry as builders
 
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 LAST = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok'
