Count silence of peers only while the process runs and calls

The state machine found two ways to two owners: a short pause and a short burst of lost messages together counted as 1.5 s of silence, and a peer that came back during a pause still counted as crashed.

--- a/src/cuminhoist/lease.py
+++ b/src/cuminhoist/lease.py
@@ -5,13 +5,17 @@
 
 LEASE_S = 3.0
 
-#: Longer than a round trip and a lost message, short enough that two
-#: rounds fit before the lease ends when a peer crashes.
+#: Counted from the first call that was not answered. Five calls fit into
+#: it, and it ends 0.5 s before the lease when a peer crashes.
 SILENT_S = 1.5
 
-#: The process wakes at least every 0.5 s. A longer gap means that it was
-#: paused, and silence of peers during a pause is no evidence.
-PAUSE_S = 0.75
+#: The process wakes every 0.1 s. Of a longer gap between two wakes only
+#: this much counts as silence of peers.
+RUN_STEP_S = 0.2
+
+#: After a gap this long all silences count from zero: a peer that was
+#: taken for crashed may have come back during the pause.
+PAUSE_S = 0.5
 
 
 class Lease:
@@ -33,7 +37,11 @@
         self._peers = peers
         self._until: float | None = None
         self._woke_at = clock.now()
-        self._trying_since = clock.now()
+        # Time that the process ran, without pauses.
+        self._running_s: float = 0
+        self._heard_at: dict[str, float | None] = {}
+        self._heard_running_s: dict[str, float] = {}
+        self._tried_running_s: dict[str, float] = {}
 
     @property
     def is_valid(self) -> bool:
@@ -44,23 +52,35 @@
         return not self._peers or self._clock.now() < self._until
 
     def wake(self) -> None:
-        """Note that the process runs; restart silences after a pause."""
-        now = self._clock.now()
-        if now - self._woke_at > PAUSE_S:
-            self._trying_since = now
-        self._woke_at = now
+        """Note that the process runs; count the time since the last call."""
+        gap_s = self._clock.now() - self._woke_at
+        self._woke_at += gap_s
+        self._running_s += min(gap_s, RUN_STEP_S)
+        if gap_s > PAUSE_S:
+            self._heard_at.clear()
+            self._tried_running_s.clear()
+        for peer in self._peers:
+            heard_at = self._membership.heard_at(peer)
+            if peer not in self._heard_at or heard_at != self._heard_at[peer]:
+                self._heard_at[peer] = heard_at
+                self._heard_running_s[peer] = self._running_s
+                self._tried_running_s.pop(peer, None)
+
+    def begin_round(self) -> None:
+        """Note that each peer is called now."""
+        self.wake()
+        for peer in self._peers:
+            self._tried_running_s.setdefault(peer, self._running_s)
 
     def is_silent(self, peer: str, limit_s: float) -> bool:
-        """Tell whether a peer was silent while this instance kept trying.
+        """Tell whether a peer was silent while this process ran.
 
         :param peer: name of the peer.
         :param limit_s: for how long, in seconds.
         """
-        heard_at = self._membership.heard_at(peer)
-        since = self._trying_since
-        if heard_at is not None:
-            since = max(since, heard_at)
-        return self._clock.now() - since >= limit_s
+        self.wake()
+        heard_s = self._heard_running_s.get(peer, 0)
+        return self._running_s - heard_s >= limit_s
 
     def renew(self, started_at: float, responded: frozenset[str]) -> bool:
         """End a round; extend the lease if the round succeeded.
@@ -69,9 +89,12 @@
         :param responded: names of the peers that responded.
         :returns: whether the round succeeded.
         """
-        limit_s = SILENT_S if self.is_valid else TAKEOVER_S
         missing = set(self._peers) - responded
-        if not all(self.is_silent(peer, limit_s) for peer in missing):
+        if self.is_valid:
+            is_alone = all(self._is_lost(peer) for peer in missing)
+        else:
+            is_alone = all(self.is_silent(peer, TAKEOVER_S) for peer in missing)
+        if not is_alone:
             return False
         # The lease counts from the start: peers may have heard this
         # instance for the last time right then.
@@ -80,3 +103,10 @@
             return False
         self._until = max(until, self._until or until)
         return True
+
+    def _is_lost(self, peer: str) -> bool:
+        # The time since the peer was heard would count the pause between
+        # two rounds, in which a single lost call can be the last one.
+        self.wake()
+        tried_s = self._tried_running_s.get(peer, self._running_s)
+        return self._running_s - tried_s >= SILENT_S
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -1,6 +1,7 @@
 """Which instance of a cell may dispatch to which target."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -27,7 +28,7 @@
 #: after which a silent peer is taken for crashed.
 RETRY_INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 0.3
-TICK_S = 0.25
+TICK_S = 0.1
 #: Bound on the messages that announce a planned stop.
 ANNOUNCE_MAX = 32
 
@@ -167,14 +168,9 @@
 
     async def run(self) -> None:
         """Run rounds until cancelled."""
-        while True:
-            due_at = self._clock.now() + ROUND_INTERVAL_S
-            if not await self.run_round():
-                due_at -= ROUND_INTERVAL_S - RETRY_INTERVAL_S
-            while self._clock.now() < due_at and not self._hurry.is_set():
-                await asyncio.sleep(TICK_S)
-                self.tick()
-            self._hurry.clear()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._run_rounds())
+            tasks.create_task(self._run_ticks())
 
     async def run_partners(self) -> None:
         """Exchange state with one partner in another domain at a time."""
@@ -195,6 +191,7 @@
         self.tick()
         self._settle()
         self._round += 1
+        self._lease.begin_round()
         started_at = self._clock.now()
         state = self._state()
         replies = await asyncio.gather(
@@ -212,6 +209,21 @@
             self._win(state.claims, found)
         return succeeded
 
+    async def _run_rounds(self) -> None:
+        while True:
+            due_at = self._clock.now() + ROUND_INTERVAL_S
+            if not await self.run_round():
+                due_at -= ROUND_INTERVAL_S - RETRY_INTERVAL_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(due_at - self._clock.now()):
+                    await self._hurry.wait()
+            self._hurry.clear()
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
     async def _beat(self, peer: str, state: Heartbeat) -> HeartbeatReply | None:
         result = await self._transport.call(peer, state, CALL_TIMEOUT_S)
         reply = result.value_or(None) if isinstance(result, Success) else None
