--- a/src/cuminhoist/platform.py
+++ b/src/cuminhoist/platform.py
@@ -26,22 +26,39 @@
     leaving: frozenset[str] = frozenset()
 
 
+class _Reply(msgspec.Struct, frozen=True):
+    """The list on the wire; a reply without a field is no list."""
+
+    live: frozenset[str]
+    leaving: frozenset[str]
+
+
 class PlatformPoller:
     """Reads the platform's list at a fixed interval.
 
     :param url: address of the list; empty for none.
     :param apply: called with each list that was read.
+    :param transport: carries the polls; None for the network.
     """
 
-    def __init__(self, url: str, apply: Callable[[PlatformList], None]) -> None:
+    def __init__(
+        self,
+        url: str,
+        apply: Callable[[PlatformList], None],
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         self._url = url
         self._apply = apply
+        self._transport = transport
 
     async def run(self) -> None:
         """Poll until cancelled; a failed poll leaves the last list valid."""
         if not self._url:
             return
-        async with httpx.AsyncClient(trust_env=False) as http:
+        async with httpx.AsyncClient(
+            trust_env=False,
+            transport=self._transport,
+        ) as http:
             while True:
                 polled = await self._poll(http)
                 if isinstance(polled, Success):
@@ -58,8 +75,7 @@
         if reply.status_code != httpx.codes.OK:
             return Failure(f'status {reply.status_code}')
         try:
-            return Success(
-                msgspec.json.decode(reply.content, type=PlatformList)
-            )
+            listed = msgspec.json.decode(reply.content, type=_Reply)
         except msgspec.DecodeError as exc:
             return Failure(str(exc))
+        return Success(PlatformList(listed.live, listed.leaving))
