--- a/src/cuminhoist/fairqueue.py
+++ b/src/cuminhoist/fairqueue.py
@@ -278,7 +278,6 @@
         flow.entries.append(entry)
         flow.live += 1
         if flow.live == 1:
-            flow.start = max(flow.start, self._virtual)
             self._place(flow, entry.caller)
         flow.backlog += entry.cost
         entry.queued = True
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -372,6 +372,26 @@
         if self.shares[name].try_take('c0', 'catalogue', cost):
             self.admitted.append((self.clock.now(), cost))
 
+    def level(self) -> float:
+        """Return what all instances could admit at this moment.
+
+        Tokens held, and loans that are still to be paid out. If it never
+        exceeds the burst and grows by the rate at most, then no window
+        exceeds rate x window + burst, whatever comes next.
+        """
+        now = self.clock.now()
+        total: float = 0
+        for shares in self.shares.values():
+            bucket = shares.bucket(('c0', 'catalogue'))
+            if bucket is None:
+                continue
+            bucket.settle(now)
+            total += bucket._tokens + sum(
+                loan.rate_per_s * max(loan.ends_at - now, 0)
+                for loan in bucket._borrowed
+            )
+        return total
+
     def worst_excess(
         self,
         rate: float,
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -111,6 +111,21 @@
             assert served[name] >= fair - 2 * MAX_COST - weight / 7 * 8, count
 
 
+def test_caller_gains_nothing_by_sending_one_at_a_time():
+    """Guards against flows that are forgotten before their turn is over."""
+    queue = FairQueue(ManualClock())
+    for _ in range(200):
+        _push(queue, 'steady')
+    served = {'steady': 0, 'single': 0}
+    _push(queue, 'single', MAX_COST)
+    for _ in range(200):
+        entry = queue.pop()
+        served[entry.caller] += entry.cost
+        if entry.caller == 'single':
+            _push(queue, 'single', MAX_COST)
+        assert served['single'] <= served['steady'] + 2 * MAX_COST
+
+
 def test_bounds_and_eviction():
     """Guards against callers that fill the queue and keep others out."""
     queue = FairQueue(ManualClock(), max_per_caller=4, max_total=6)
