Make no estimate of the wait before slots have come back

With slow targets, 0.1 s of waiting without a dispatch was read as a drain rate of zero, and all further requests were refused. Found by the benchmark, which holds the only slot.

--- a/benchmarks/admission_cost.py
+++ b/benchmarks/admission_cost.py
@@ -198,6 +198,21 @@
         return (time.perf_counter() - started) / QUEUED * 1e6
 
 
+async def bytes_per_waiting_admit() -> float:
+    """Return the memory of a waiting request with its task and future."""
+    bench = Bench()
+    held = (await bench.admission.admit(bench.request(0))).unwrap()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    tasks = [asyncio.create_task(bench.admit(turn)) for turn in range(QUEUED)]
+    await asyncio.sleep(0)
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    held.release(SlotOutcome.answered, 0)
+    await asyncio.gather(*tasks)
+    return (after - before) / QUEUED
+
+
 async def empty(turn: int) -> None:
     """Do nothing, as the base of comparison.
 
@@ -265,6 +280,7 @@
         'admit_shifted_us': shifted,
         'admit_queued_us': await bench.queued(),
         'bytes_per_queued_entry': bytes_per(QUEUED, _full_queue),
+        'bytes_per_waiting_admit': await bytes_per_waiting_admit(),
         'bytes_per_rate_bucket': bytes_per(CALLERS, _used_buckets),
     }
 
--- a/src/cuminhoist/admission.py
+++ b/src/cuminhoist/admission.py
@@ -325,12 +325,17 @@
         self._dispatch(service)
 
     def _rate_exceeded(self, req: AdmissionRequest) -> Refusal:
-        wait_s = self._rates.wait_s(req.caller, req.service, req.cost)
+        detail = f'The rate of plan {req.plan} for {req.service} is used up.'
+        if not self._rates.fits(req.caller, req.service, req.cost):
+            detail = (
+                f'The burst of plan {req.plan} for {req.service}, divided by '
+                f'the instances, is below the weight {req.cost:g}.'
+            )
         return refusal_of(
             req.plan,
             Reason.rate_exceeded,
-            f'The rate of plan {req.plan} for {req.service} is used up.',
-            wait_s,
+            detail,
+            self._rates.wait_s(req.caller, req.service, req.cost),
         )
 
     def _no_slot(self, req: AdmissionRequest, detail: str) -> Refusal:
--- a/src/cuminhoist/drainrate.py
+++ b/src/cuminhoist/drainrate.py
@@ -6,6 +6,9 @@
 DRAIN_S = 2.0
 #: No estimate is made before the queue was in use for this time.
 MIN_DRAIN_S = 0.1
+#: No estimate is made from fewer dispatches: before the first slots come
+#: back, nothing is known, and the rate must not be taken for zero.
+MIN_DISPATCHES = 5
 
 
 class DrainRate:
@@ -18,6 +21,7 @@
         self._at = now
         self._cost = float(0)
         self._busy_s = float(0)
+        self._dispatches = 0
 
     def pass_time(self, now: float, busy: bool) -> None:
         """Note the time since the last call.
@@ -38,10 +42,11 @@
         :param cost: weight of the request.
         """
         self._cost += cost
+        self._dispatches += 1
 
     @property
     def per_s(self) -> float | None:
         """Cost dispatched a second, or None if it is not known yet."""
-        if self._busy_s < MIN_DRAIN_S:
+        if self._busy_s < MIN_DRAIN_S or self._dispatches < MIN_DISPATCHES:
             return None
         return self._cost / self._busy_s
--- a/src/cuminhoist/rates.py
+++ b/src/cuminhoist/rates.py
@@ -287,6 +287,16 @@
         bucket = self.bucket((caller, service))
         return bucket.wait_s(cost, self._clock.now()) if bucket else 0
 
+    def fits(self, caller: str, service: str, cost: float) -> bool:
+        """Tell whether a request can ever be admitted by this instance.
+
+        :param caller: name of the caller.
+        :param service: name of the service.
+        :param cost: weight of the request's kind.
+        """
+        bucket = self.bucket((caller, service))
+        return bucket is not None and cost <= bucket.share.burst + ROUNDING
+
     def wanted(self) -> Iterator[tuple[Pair, float]]:
         """Return the pairs that run short, with the rate they lack."""
         now = self._clock.now()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -146,6 +146,8 @@
         refusal = (await rig.admission.admit(rig.request(cost=2))).failure()
         assert refusal.reason == Reason.rate_exceeded
         assert refusal.retry_after_ms == pytest.approx(2000, abs=2)
+        never = (await rig.admission.admit(rig.request(cost=3))).failure()
+        assert 'below the weight 3' in never.detail
 
     run(scenario)
 
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -159,6 +159,15 @@
     assert _push(queue, 'c1', deadline_at=clock.now() + 1).queued
 
 
+def test_no_estimate_before_the_first_slots_come_back():
+    """Guards against refusing all when slow targets have just started."""
+    clock = ManualClock()
+    queue = FairQueue(clock)
+    _push(queue, 'c0')
+    clock.advance(1)
+    assert _push(queue, 'c0', deadline_at=clock.now() + 2).queued
+
+
 def test_deadlines_pass_in_the_queue():
     """Guards against entries that are refused only at dispatch."""
     clock = ManualClock()
