--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -17,6 +17,7 @@
 )
 from returns.result import Failure, Success
 
+from cuminhoist.codec import Received
 from cuminhoist.consensus_messages import (
     AppendRequest,
     InstallRequest,
@@ -356,6 +357,22 @@
     assert world.loop.time() - age_s <= paused_at
 
 
+def test_late_heartbeat_confirms_nothing_new(world):
+    """Guards against an age that counts from a heartbeat's arrival."""
+    node = followers_of(world)[0]
+    leader = leader_of(world).name
+    recorder = Recorder(world, node.name)
+    world.advance(1)
+    late = recorder.requests[-1]
+    world.isolate(node.name)
+    isolated_at = world.loop.time()
+    accept(world, 'unseen')
+    world.advance(0.6)
+    world.wait(node.run(node.receive(Received(leader, late))))
+    age_s = node.replica.confirmed_age_s()
+    assert world.loop.time() - age_s <= isolated_at
+
+
 def test_one_winner_of_equal_base_versions(world):
     """Guards against concurrent changes that both win."""
     names = [node.name for node in followers_of(world)]
