--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -16,7 +16,8 @@
 #: Idle connections stay open this long after the start of a drain, so that a
 #: request that is already on its way still gets an answer.
 IDLE_GRACE_S = 1.0
-#: Longest time to finish running requests in a stop.
+#: Longest time to finish running requests in a stop, unless a deployment has
+#: longer deadlines.
 DRAIN_S = 30.0
 #: Time for a caller to read an answer that came before its whole body.
 LINGER_S = 2.0
@@ -176,15 +177,25 @@
     several servers may share one process.
     """
 
+    drain_s: float = DRAIN_S
+
     @classmethod
-    def from_app(cls, app: Any, host: str = '', port: int = 0) -> 'HttpServer':
+    def from_app(
+        cls,
+        app: Any,
+        host: str = '',
+        port: int = 0,
+        drain_s: float = DRAIN_S,
+    ) -> 'HttpServer':
         """Build a server for an ASGI application.
 
         :param app: the application.
         :param host: IP number to listen on.
         :param port: port to listen on.
+        :param drain_s: longest time to finish running requests in a stop; at
+            least the longest deadline, so that none is cut.
         """
-        return cls(
+        server = cls(
             uvicorn.Config(
                 app,
                 host=host,
@@ -200,6 +211,8 @@
                 server_header=False,
             ),
         )
+        server.drain_s = drain_s
+        return server
 
     def start_drain(self) -> None:
         """Send ``connection: close`` with each answer from now on.
@@ -227,7 +240,7 @@
         for sock in sockets or ():
             sock.close()
         await self._finish(IDLE_GRACE_S, close_idle=False)
-        await self._finish(DRAIN_S, close_idle=True)
+        await self._finish(self.drain_s, close_idle=True)
         for conn in self._connections():
             conn.abort()
         await asyncio.sleep(_STEP_S)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -114,6 +114,8 @@
         get(b'/v1/services/c/a', b'content-length: x'),
         get(b'/v1/services/c/a', b'content-length: 1', b'content-length: 2'),
         get(b'x:1', method=b'CONNECT'),
+        b'GET /v1/services/c/a HTTP/1.1\r\na: ' + b'x' * 40 * 1024,
+        b'GET /v1/services/c/' + b'x' * 40 * 1024,
         get(b'/v1/services/'),
         get(b'/v1/services//a'),
         get(b'/v1/%73ervices/c/a'),
@@ -161,6 +163,7 @@
     ('headers', 'body'),
     [
         ([b'content-length: 3'], b'abc'),
+        ([b'content-length: 3', b'connection: content-length'], b'abc'),
         ([b'transfer-encoding: chunked'], b'1\r\na\r\n2\r\nbc\r\n0\r\n\r\n'),
     ],
 )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of attempts against servers that fail in every way."""
 
 import asyncio
+import socket
 
 import pytest
 from returns.result import Failure
@@ -125,6 +126,26 @@
     assert ends == [SlotOutcome.answered] * 3
 
 
+async def test_close_that_the_loop_has_not_seen_is_recognised():
+    """Guards against a request written after the close has arrived."""
+
+    async def script(server, reader, writer):
+        await server.head(reader)
+        writer.write(OK)
+        server.sock = writer.get_extra_info('socket')
+        await reader.read()
+
+    ends = Ends()
+    async with builders.RawServer(script) as server:
+        client = HttpxTargetClient()
+        await read_all((await send(client, server, ends)).unwrap())
+        server.sock.shutdown(socket.SHUT_RDWR)
+        answer = (await send(client, server, ends)).unwrap()
+        assert await read_all(answer) == b'ok'
+    assert server.connections == 2
+    assert ends == [SlotOutcome.answered] * 2
+
+
 async def test_refused_connection_is_not_run():
     """Guards against `unknown` for a request that was never sent."""
     ends = Ends()
@@ -136,9 +157,11 @@
 
 
 async def test_names_are_not_resolved(monkeypatch):
-    """Guards against DNS in the request path."""
+    """Guards against DNS and proxies in the request path."""
     loop = asyncio.get_running_loop()
     monkeypatch.setattr(loop, 'getaddrinfo', None)
+    monkeypatch.setenv('http_proxy', 'http://127.0.0.1:9')
+    monkeypatch.setenv('ALL_PROXY', 'http://127.0.0.1:9')
     ends = Ends()
     async with builders.RawServer(answering(OK)) as server:
         client = HttpxTargetClient()
@@ -432,8 +455,9 @@
     ends = Ends()
     async with builders.RawServer(script) as server:
         server.gate = asyncio.Event()
+        client = HttpxTargetClient()
         outcome = await send(
-            HttpxTargetClient(),
+            client,
             server,
             ends,
             method='PUT',
@@ -443,8 +467,11 @@
         answer = outcome.unwrap()
         assert answer.status == 413
         assert await read_all(answer) == b'no'
+        # The rest of the upload must not run into the next request.
+        await read_all((await send(client, server, ends)).unwrap())
         server.gate.set()
-    assert ends == [SlotOutcome.answered]
+    assert server.connections == 2
+    assert ends == [SlotOutcome.answered] * 2
 
 
 async def test_failed_source_of_the_body_cuts_the_request():
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -95,10 +95,10 @@
 
 async def test_stop_is_bounded(monkeypatch):
     """Guards against a stop that waits for a hanging request for ever."""
-    monkeypatch.setattr('cuminhoist.httpserver.DRAIN_S', 0.1)
     monkeypatch.setattr('cuminhoist.httpserver.IDLE_GRACE_S', 0.1)
     app = SlowApp(early=False)
     async with builders.RunningServer(app) as server:
+        server.server.drain_s = 0.1
         reader, writer = await server.connect()
         writer.write(REQUEST % 1)
         while not app.running:
