--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of attempts against servers that fail in every way."""
 
 import asyncio
+import socket
 
 import pytest
 from returns.result import Failure
@@ -125,6 +126,26 @@
     assert ends == [SlotOutcome.answered] * 3
 
 
+async def test_close_that_the_loop_has_not_seen_is_recognised():
+    """Guards against a request written after the close has arrived."""
+
+    async def script(server, reader, writer):
+        await server.head(reader)
+        writer.write(OK)
+        server.sock = writer.get_extra_info('socket')
+        await reader.read()
+
+    ends = Ends()
+    async with builders.RawServer(script) as server:
+        client = HttpxTargetClient()
+        await read_all((await send(client, server, ends)).unwrap())
+        server.sock.shutdown(socket.SHUT_RDWR)
+        answer = (await send(client, server, ends)).unwrap()
+        assert await read_all(answer) == b'ok'
+    assert server.connections == 2
+    assert ends == [SlotOutcome.answered] * 2
+
+
 async def test_refused_connection_is_not_run():
     """Guards against `unknown` for a request that was never sent."""
     ends = Ends()
@@ -136,9 +157,11 @@
 
 
 async def test_names_are_not_resolved(monkeypatch):
-    """Guards against DNS in the request path."""
+    """Guards against DNS and proxies in the request path."""
     loop = asyncio.get_running_loop()
     monkeypatch.setattr(loop, 'getaddrinfo', None)
+    monkeypatch.setenv('http_proxy', 'http://127.0.0.1:9')
+    monkeypatch.setenv('ALL_PROXY', 'http://127.0.0.1:9')
     ends = Ends()
     async with builders.RawServer(answering(OK)) as server:
         client = HttpxTargetClient()
@@ -269,13 +292,22 @@
 
 async def test_deadline_before_the_head():
     """Guards against waiting for a silent target beyond the deadline."""
+
+    async def script(server, reader, writer):
+        await server.head(reader)
+        writer.write(OK)
+        await silent(server, reader, writer)
+
     ends = Ends()
-    async with builders.RawServer(silent) as server:
-        outcome = await send(HttpxTargetClient(), server, ends, timeout_s=0.05)
+    async with builders.RawServer(script) as server:
+        client = HttpxTargetClient()
+        # The connection is open before the time of the second one starts.
+        await read_all((await send(client, server, ends)).unwrap())
+        outcome = await send(client, server, ends, timeout_s=0.05)
         await server.closed.wait()
     assert outcome.failure().reason == Reason.target_timeout
     assert outcome.failure().ran == Ran.unknown
-    assert ends == [SlotOutcome.unknown]
+    assert ends == [SlotOutcome.answered, SlotOutcome.unknown]
 
 
 @pytest.mark.parametrize('read', [True, False])
@@ -283,8 +315,10 @@
     """Guards against a stalled body, read or not, that holds its slot."""
     ends = Ends()
     async with builders.RawServer(stalling) as server:
-        outcome = await send(HttpxTargetClient(), server, ends, timeout_s=0.1)
+        outcome = await send(HttpxTargetClient(), server, ends)
         answer = outcome.unwrap()
+        # The timer of the deadline runs out.
+        answer.body._exchange.timer._run()
         if read:
             with pytest.raises(AnswerError):
                 await read_all(answer)
@@ -421,8 +455,9 @@
     ends = Ends()
     async with builders.RawServer(script) as server:
         server.gate = asyncio.Event()
+        client = HttpxTargetClient()
         outcome = await send(
-            HttpxTargetClient(),
+            client,
             server,
             ends,
             method='PUT',
@@ -432,8 +467,11 @@
         answer = outcome.unwrap()
         assert answer.status == 413
         assert await read_all(answer) == b'no'
+        # The rest of the upload must not run into the next request.
+        await read_all((await send(client, server, ends)).unwrap())
         server.gate.set()
-    assert ends == [SlotOutcome.answered]
+    assert server.connections == 2
+    assert ends == [SlotOutcome.answered] * 2
 
 
 async def test_failed_source_of_the_body_cuts_the_request():
