--- a/src/cuminhoist/transport.py
+++ b/src/cuminhoist/transport.py
@@ -104,6 +104,7 @@
 
     async def stop(self) -> None:
         """Close all sockets."""
+        # A context that is closed after its socket raises when it is freed.
         for context in self._contexts:
             context.close()
         if self._server is not None:
@@ -142,11 +143,13 @@
         # would leave the task waiting for ever. Closing the context ends
         # the operation, so it runs in a task that is never cancelled.
         context = self._socket(peer).new_context()
+        self._contexts.append(context)
         exchange = asyncio.create_task(_send_and_receive(context, frame))
         exchange.add_done_callback(_retrieve_exception)
         try:
             return await asyncio.shield(exchange)
         finally:
+            self._contexts.remove(context)
             context.close()
 
     def _read_reply(
--- a/tests/builders_admission.py
+++ b/tests/builders_admission.py
@@ -278,6 +278,9 @@
         self.network: dict[str, FakeTransport] = {}
         self.cfg = config_of(1, rate_per_s, burst_s)
         self.calls_per_s = calls_per_s
+        self.rate_per_s = rate_per_s
+        self._leaky: float = 0
+        self._leaked_at: float = 0
         self.names = [f'e{turn}' for turn in range(size)]
         self.in_force: dict[str, ConfigInForce] = {}
         self.shares: dict[str, RateShares] = {}
@@ -305,6 +308,47 @@
         """Offer a request; admitted ones are recorded."""
         if self.shares[name].try_take('c0', 'catalogue', cost):
             self.admitted.append((self.clock.now(), cost))
+            self._leak(self.rate_per_s)
+            self._leaky += cost
+
+    def level(self) -> float:
+        """Return what all instances could admit at this moment.
+
+        Tokens held, and loans that are still to be paid out.
+        """
+        now = self.clock.now()
+        total: float = 0
+        for shares in self.shares.values():
+            bucket = shares.bucket(('c0', 'catalogue'))
+            if bucket is None:
+                continue
+            bucket.settle(now)
+            total += bucket._tokens + sum(
+                loan.rate_per_s * max(loan.ends_at - now, 0)
+                for loan in bucket._borrowed
+            )
+        return total
+
+    def excess_if_drained(self, rate: float, burst: float) -> float:
+        """Return the excess of a window if all tokens were used now.
+
+        :param rate: rate that holds over all instances.
+        :param burst: burst that holds over all instances.
+        """
+        self._leak(rate)
+        return self.level() + self._leaky - burst
+
+    def _leak(self, rate: float) -> None:
+        now = self.clock.now()
+        self._leaky = max(self._leaky - (now - self._leaked_at) * rate, 0)
+        self._leaked_at = now
+
+    def forget(self, rate: float) -> None:
+        """Forget what was admitted, when another rate starts to hold."""
+        self.admitted.clear()
+        self.rate_per_s = rate
+        self._leaky = 0
+        self._leaked_at = self.clock.now()
 
     def worst_excess(
         self,
