--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -14,7 +14,7 @@
 from .codec import Codec
 from .clock import SystemClock
 from .control_api import ControlParts, control_handlers
-from .delivery import Delivery
+from .delivery import Delivery, DeliveryOptions
 from .entry import EntryService
 from .forwarding import HttpxTargetClient
 from .httpserver import HttpServer
@@ -55,6 +55,7 @@
             self._transport,
             SystemClock(),
             self._log,
+            DeliveryOptions.from_topology(topology),
         )
         self._server = HttpServer.from_app(
             self._app(),
--- a/src/cuminhoist/delivery.py
+++ b/src/cuminhoist/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Self
 
 import msgspec
 
@@ -17,6 +18,14 @@
 from .watch import POLL_HOLD_S, WatchServer
 from .watchclient import CONFIRMED_PAUSE_S, ISOLATED_AFTER_S, WatchClient
 
+#: Up to this many instances, polls are short.
+SMALL_INSTANCES = 100
+#: A poll at a lost parent ends after 1.1 s, so that the children have a
+#: change within the 2 s that the current size requires.
+SMALL_HOLD_S = 0.5
+#: Pause between looks at the own log while nothing is in force.
+EMPTY_PAUSE_S = 0.1
+
 
 class DeliveryOptions(msgspec.Struct, frozen=True):
     """How the configuration is delivered.
@@ -28,6 +37,20 @@
     hold_s: float = POLL_HOLD_S
     live: Callable[[], frozenset[str]] | None = None
 
+    @classmethod
+    def from_topology(
+        cls,
+        topology: Topology,
+        live: Callable[[], frozenset[str]] | None = None,
+    ) -> Self:
+        """Build the options for the size of a deployment.
+
+        :param topology: the deployment.
+        :param live: returns the names of the live instances; all by default.
+        """
+        is_small = len(topology.instances) <= SMALL_INSTANCES
+        return cls(SMALL_HOLD_S if is_small else POLL_HOLD_S, live)
+
 
 class Delivery:
     """Keeps the configuration of an instance current.
@@ -121,4 +144,7 @@
                 if is_late and self._in_force.current is None:
                     self.store.publish(committed)
                     self.freshness.mark_isolated()
-            await asyncio.sleep(CONFIRMED_PAUSE_S)
+            is_empty = self._in_force.current is None
+            await asyncio.sleep(
+                EMPTY_PAUSE_S if is_empty else CONFIRMED_PAUSE_S,
+            )
--- a/src/cuminhoist/deltas.py
+++ b/src/cuminhoist/deltas.py
@@ -3,6 +3,8 @@
 import collections
 import enum
 import hashlib
+import itertools
+from collections.abc import Iterable
 from typing import Generic, Self, TypeVar
 
 import msgspec
@@ -126,11 +128,20 @@
     """
     if old == new:
         return None
-    before, after = set(old), set(new)
+    # Comparing is several times cheaper than hashing, and most changes are
+    # to one item of a long list.
+    start = _common(zip(old, new, strict=False))
+    tail = min(len(old), len(new)) - start
+    pairs = zip(reversed(old), reversed(new), strict=False)
+    end = _common(itertools.islice(pairs, tail))
+    olds, news = old[start : len(old) - end], new[start : len(new) - end]
+    before, after = set(olds), set(news)
     delta = ItemsDelta(
-        tuple(at for at, item in enumerate(old) if item not in after),
+        tuple(at for at, item in enumerate(olds, start) if item not in after),
         tuple(
-            Put(at, item) for at, item in enumerate(new) if item not in before
+            Put(at, item)
+            for at, item in enumerate(news, start)
+            if item not in before
         ),
     )
     changed = len(delta.removed) + len(delta.put)
@@ -152,8 +163,12 @@
         return old
     if delta.whole is not None:
         return delta.whole
-    gone = set(delta.removed)
-    kept = [item for at, item in enumerate(old) if at not in gone]
+    kept: list[_Item] = []
+    start = 0
+    for at in sorted(delta.removed):
+        kept.extend(old[start:at])
+        start = max(start, at + 1)
+    kept.extend(old[start:])
     out: list[_Item] = []
     cursor = 0
     for put in delta.put:
@@ -210,6 +225,15 @@
     )
 
 
+def _common(pairs: Iterable[tuple[object, object]]) -> int:
+    count = 0
+    for one, other in pairs:
+        if one != other:
+            break
+        count += 1
+    return count
+
+
 class _Stored(msgspec.Struct, frozen=True):
     """A step of the history and its msgpack."""
 
--- a/src/cuminhoist/freshness.py
+++ b/src/cuminhoist/freshness.py
@@ -81,6 +81,8 @@
 
         :param age_s: its age now, in seconds.
         """
+        if age_s < FRESH_S:
+            self._isolated = False
         proof_at = self._clock.now() - age_s
         if self._proof_at is not None and proof_at <= self._proof_at:
             return
@@ -111,7 +113,10 @@
     def confirmed_here(self) -> bool:
         """Tell whether the own control replica is a fresh source."""
         age = self._confirmed()
-        return age is not None and age < FRESH_S
+        is_fresh = age is not None and age < FRESH_S
+        if is_fresh:
+            self._isolated = False
+        return is_fresh
 
     def currency(self, version: int) -> Currency:
         """Return what is known about the version in force.
@@ -120,8 +125,7 @@
         """
         if version < 0:
             return Currency.empty
-        if self.is_fresh():
-            self._isolated = False
+        if self.confirmed_here() or self.is_fresh():
             return Currency.fresh
         return Currency.isolated if self._isolated else Currency.stale
 
--- a/src/cuminhoist/watchclient.py
+++ b/src/cuminhoist/watchclient.py
@@ -27,7 +27,8 @@
 #: A child on a fallback tries its preferred parent again after this time.
 RETURN_S = 30.0
 ISOLATED_AFTER_S = 3.0
-CONFIRMED_PAUSE_S = 0.25
+#: Pause of a control replica that confirms its version itself.
+CONFIRMED_PAUSE_S = 1.0
 
 _log = logger('delivery')
 
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,205 @@
+"""Tests of the checks of operators' files and changes."""
+
+import msgspec
+import pytest
+
+from cuminhoist.checks import (
+    check_allowances,
+    check_change,
+    check_drain,
+    check_plans,
+    check_settings,
+    check_topology,
+)
+from cuminhoist.faults import decode_error
+from cuminhoist.lists import (
+    Allowance,
+    Allowances,
+    Caller,
+    Change,
+    Drain,
+    Plan,
+    Plans,
+    ShiftCap,
+)
+from cuminhoist.settings import Block, Link, Settings
+
+from . import builders
+
+replace = msgspec.structs.replace
+_GOLD = Plan(name='gold')
+_ACME = Caller(name='acme', plan='gold')
+_RATE = Allowance(plan='gold', service='catalogue', rate_per_s=1)
+_NAN = float('nan')
+
+
+@pytest.mark.parametrize('deployment', ['porth-data', 'paora-whitcombe'])
+def test_examples_have_no_faults(deployment):
+    """Guards against checks that refuse a good deployment."""
+    topology = builders.example_topology(deployment)
+    plans = builders.example_plans(deployment)
+    allowances = builders.example_allowances(deployment)
+    assert check_topology(topology) == ()
+    assert check_plans(plans) == ()
+    assert check_allowances(allowances, topology, plans) == ()
+    for entry in topology.instances:
+        cfg = builders.settings_of(topology, entry.name, 'data')
+        assert check_settings(cfg, topology) == ()
+
+
+def _fields(errors):
+    return {error.field for error in errors}
+
+
+@pytest.mark.parametrize(
+    ('plans', 'field'),
+    [
+        (Plans(plans=(_GOLD, _GOLD)), 'plans[1]'),
+        (Plans(plans=(_GOLD,), callers=(_ACME, _ACME)), 'callers[1]'),
+        (Plans(callers=(_ACME,)), 'callers[0].plan'),
+        (Plans(plans=(Plan(name='x' * 65),)), 'plans[0].name'),
+        (Plans(plans=(Plan(name=''),)), 'plans[0].name'),
+        (Plans(plans=(Plan(name='a\nb'),)), 'plans[0].name'),
+        (Plans(plans=(replace(_GOLD, weight=-1),)), 'plans[0].weight'),
+        (Plans(plans=(replace(_GOLD, weight=_NAN),)), 'plans[0].weight'),
+        (Plans(plans=(_GOLD,) * 1001), 'plans'),
+        (Plans(callers=(_ACME,) * 100_001), 'callers'),
+    ],
+)
+def test_faults_of_plans(plans, field):
+    """Guards against lists that no instance could honour."""
+    assert field in _fields(check_plans(plans))
+
+
+@pytest.mark.parametrize(
+    ('item', 'field'),
+    [
+        (replace(_RATE, plan='tin'), 'allowances[0].plan'),
+        (replace(_RATE, service='other'), 'allowances[0].service'),
+        (replace(_RATE, kinds=('fly',)), 'allowances[0].kinds[0]'),
+        (replace(_RATE, kinds=('browse',) * 2), 'allowances[0].kinds[1]'),
+        (replace(_RATE, rate_per_s=-1), 'allowances[0].rate_per_s'),
+        (replace(_RATE, rate_per_s=float('inf')), 'allowances[0].rate_per_s'),
+        (replace(_RATE, burst_s=_NAN), 'allowances[0].burst_s'),
+        (ShiftCap(service='other'), 'shift_caps[0].service'),
+        (ShiftCap(service='catalogue', percent=101), 'shift_caps[0].percent'),
+        (ShiftCap(service='catalogue', window_s=0), 'shift_caps[0].window_s'),
+    ],
+)
+def test_faults_of_allowances(item, field):
+    """Guards against allowances for what does not exist."""
+    lists = Allowances(shift_caps=(item,))
+    if isinstance(item, Allowance):
+        lists = Allowances(allowances=(item,))
+    errors = check_allowances(
+        lists, builders.example_topology(), Plans(plans=(_GOLD,))
+    )
+    assert _fields(errors) == {field}
+
+
+def test_duplicate_allowance():
+    """Guards against two rates for one plan and service."""
+    lists = Allowances(allowances=(_RATE, _RATE))
+    errors = check_allowances(lists, builders.example_topology())
+    assert _fields(errors) == {'allowances[1]'}
+
+
+@pytest.mark.parametrize(
+    ('field', 'part', 'at', 'change'),
+    [
+        ('domains[1]', 'domains', 1, {'name': 'de-cymru-a'}),
+        ('links[0].regions', 'links', 0, {'regions': ('gogledd', 'mars')}),
+        ('links[0].regions', 'links', 0, {'regions': ('gogledd',) * 2}),
+        ('links[0].mbit_per_s', 'links', 0, {'mbit_per_s': -1}),
+        ('services[0].kinds', 'services', 0, {'kinds': ()}),
+        ('instances[0].host', 'instances', 0, {'host': 'localhost'}),
+        ('instances[0].http_port', 'instances', 0, {'http_port': 0}),
+        ('instances[0].domain', 'instances', 0, {'domain': 'mars'}),
+        ('instances[0].roles', 'instances', 0, {'roles': ()}),
+        ('targets[0].service', 'targets', 0, {'service': 'other'}),
+        ('targets[0].slots', 'targets', 0, {'slots': 0}),
+        ('targets[0].host', 'targets', 0, {'host': '::x'}),
+        ('blocks[0].network', 'blocks', 0, {'network': '10.0.0.0/40'}),
+        ('blocks[0].domain', 'blocks', 0, {'domain': 'mars'}),
+    ],
+)
+def test_faults_of_the_topology(field, part, at, change):
+    """Guards against a deployment that refers to nothing or to itself."""
+    topology = builders.example_topology()
+    items = list(getattr(topology, part))
+    items[at] = replace(items[at], **change)
+    errors = check_topology(replace(topology, **{part: tuple(items)}))
+    assert field in _fields(errors)
+    assert all(error.file == 'topology' for error in errors)
+
+
+def test_topology_without_control_and_with_equal_links():
+    """Guards against a deployment that nobody can configure."""
+    topology = builders.example_topology()
+    link = Link(regions=('gogledd', 'de-cymru'), mbit_per_s=1)
+    bare = replace(topology, links=(*topology.links, link), instances=())
+    fields = _fields(check_topology(bare))
+    assert fields >= {'instances', 'links[3]'}
+    block = Block(network='10.1.0.0/16', domain='de-cymru-a')
+    twice = replace(topology, blocks=(block, block))
+    assert _fields(check_topology(twice)) == {'blocks[1]'}
+
+
+@pytest.mark.parametrize(
+    ('field', 'change'),
+    [
+        ('domain', {'domain': 'gogledd-b'}),
+        ('$.host', {'host': 'example.org'}),
+        ('http_port', {'http_port': 1}),
+        ('roles', {'roles': ('entry',)}),
+        ('cluster_key', {'cluster_key': ''}),
+        ('data_folder', {'data_folder': ''}),
+        ('name', {'name': 'nobody'}),
+    ],
+)
+def test_faults_of_settings(field, change):
+    """Guards against a daemon that differs from the topology."""
+    topology = builders.example_topology()
+    cfg = builders.settings_of(topology, 'entry-gogledd-a-1', 'data')
+    assert field in _fields(check_settings(replace(cfg, **change), topology))
+
+
+def test_faults_of_drains_and_changes():
+    """Guards against a drain of nothing and a change of several parts."""
+    topology = builders.example_topology()
+    errors = check_drain(Drain(scope='region', name='mars'), topology)
+    assert errors[0].allowed == ('canolbarth', 'de-cymru', 'gogledd')
+    late = Drain(scope='region', name='gogledd', starts_at=1e13)
+    assert _fields(check_drain(late, topology)) == {'starts_at'}
+    both = Change(change_id='c', plans=Plans(), allowances=Allowances())
+    assert _fields(check_change(both, topology, None)) == {'$'}
+    nameless = Change(change_id='', plans=Plans(), base_version=-1)
+    fields = _fields(check_change(nameless, topology, None))
+    assert fields == {'change_id', 'base_version'}
+
+
+@pytest.mark.parametrize(
+    ('kind', 'body', 'field', 'allowed'),
+    [
+        (
+            Change,
+            b'{"change_id":"c","drain":{"scope":"x","name":"y"}}',
+            '$.drain.scope',
+            'region',
+        ),
+        (
+            Change,
+            b'{"change_id":"c","plans":{"plans":[{"nam":"y"}]}}',
+            '$.plans.plans[0]',
+            'weight',
+        ),
+        (Settings, b'{"nme": 1}', '$', 'cluster_key'),
+    ],
+)
+def test_decode_errors_name_the_allowed_values(kind, body, field, allowed):
+    """Guards against an error that does not say what would be right."""
+    with pytest.raises(msgspec.DecodeError) as caught:
+        msgspec.json.decode(body, type=kind)
+    error = decode_error('body', caught.value, kind)
+    assert error.field == field
+    assert allowed in error.allowed
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,189 @@
+"""Tests of the command-line tool against in-process instances."""
+
+import json
+
+import fire
+import httpx
+import msgspec
+import pytest
+
+from cuminhoist import cli, commands, queries
+from cuminhoist.cli import Cli
+from cuminhoist.lists import Drain
+
+from . import builders
+
+ENTRY, LEADER = 'dom-00-01', 'dom-00-00'
+
+
+@pytest.fixture
+def apps(monkeypatch):
+    made = builders.ControlApps()
+    monkeypatch.setattr(
+        cli.OperatorClient,
+        'from_url',
+        classmethod(lambda _cls, _url, token: made.client(ENTRY, token=token)),
+    )
+    return made
+
+
+@pytest.fixture
+def lists(tmp_path):
+    plans = tmp_path / 'plans.json'
+    plans.write_bytes(msgspec.json.encode(builders.small_plans()))
+    allowances = tmp_path / 'allowances.json'
+    allowances.write_bytes(msgspec.json.encode(builders.small_allowances()))
+    return [f'--plans={plans}', f'--allowances={allowances}']
+
+
+def _run(capsys, *words):
+    status = 0
+    try:
+        fire.Fire(Cli, command=[*words, '--url=http://x'], name='cuminhoist')
+    except SystemExit as exc:
+        status = int(exc.code)
+    written = capsys.readouterr()
+    return status, written.out + written.err
+
+
+def test_apply_show_and_diff(apps, lists, capsys):
+    """Guards against a tool that reports what did not happen."""
+    status, text = _run(capsys, 'diff', *lists)
+    assert status == 0
+    assert 'acme' in text
+    status, text = _run(capsys, 'apply', '--wait', '--json', *lists)
+    assert status == 0
+    answer = json.loads(text)
+    assert [one['part'] for one in answer['decisions']] == [
+        'plans',
+        'allowances',
+    ]
+    assert (answer['version'], answer['behind'], answer['silent']) == (
+        2,
+        [],
+        [],
+    )
+    assert _run(capsys, 'diff', *lists) == (0, 'No differences.\n')
+    assert _run(capsys, 'apply', *lists) == (0, 'Nothing to change.\n')
+    assert len(apps.cluster.logs[LEADER].submitted) == 2
+    status, text = _run(capsys, 'show')
+    assert (status, 'acme' in text) == (0, True)
+
+
+def test_drain_undrain_status_and_report(apps, capsys):
+    """Guards against a drain that is shown but not set."""
+    assert _run(capsys, 'drain', 'domain', 'dom-01')[0] == 0
+    assert apps.cluster.state.config.drains == (
+        Drain(scope='domain', name='dom-01'),
+    )
+    status, text = _run(capsys, 'status')
+    assert (status, 'dom-01' in text) == (0, True)
+    assert _run(capsys, 'undrain', 'domain', 'dom-01')[0] == 0
+    assert apps.cluster.state.config.drains == ()
+    status, text = _run(capsys, 'report', '--json')
+    assert json.loads(text)['lines'][0]['count'] == 12
+
+
+@pytest.mark.parametrize(
+    ('words', 'shown'),
+    [
+        (['drain', 'moon', 'x'], 'allowed: upstream, domain, region, entry'),
+        (['drain', 'region', 'mars'], 'allowed: reg-0'),
+        (['apply'], 'name --plans or --allowances'),
+        (['apply', '--plans=/nope.json'], '/nope.json'),
+        (['check'], 'name at least one file'),
+        (['init'], 'no control role'),
+        (['lookup', 'catalogue', 'acme'], '404'),
+        (['explain', 'acme', 'catalogue', 'browse'], '404'),
+    ],
+)
+def test_failures_have_a_status_and_a_clear_text(apps, capsys, words, shown):
+    """Guards against a script that goes on after a failure."""
+    status, text = _run(capsys, *words)
+    assert status == 1
+    assert shown in text
+
+
+def test_check_names_file_and_field(capsys, tmp_path):
+    """Guards against an error that cannot be found in the file."""
+    path = tmp_path / 'plans.json'
+    path.write_text('{"callers": [{"name": "a", "plan": "tin"}]}')
+    status, text = _run(capsys, 'check', f'--plans={path}')
+    assert status == 1
+    assert text.startswith(f'{path}: callers[0].plan: unknown')
+
+
+def test_token_is_sent(monkeypatch, capsys):
+    """Guards against a token that stays in the settings."""
+    made = builders.ControlApps(operator_token='secret')
+    monkeypatch.setattr(
+        cli.OperatorClient,
+        'from_url',
+        classmethod(lambda _cls, _url, token: made.client(ENTRY, token=token)),
+    )
+    assert _run(capsys, 'show')[0] == 1
+    assert _run(capsys, 'show', '--token=secret')[0] == 0
+
+
+class LossyTransport(httpx.AsyncBaseTransport):
+    """Loses the answers to the first requests that change something."""
+
+    def __init__(self, inner, losses):
+        self._inner = inner
+        self._losses = losses
+
+    async def handle_async_request(self, request):
+        reply = await self._inner.handle_async_request(request)
+        if request.method == 'POST' and self._losses:
+            self._losses.pop()
+            raise httpx.ReadTimeout('lost', request=request)
+        return reply
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_resend_after_a_lost_answer_keeps_the_change_id():
+    """Guards against a drain or list that is applied twice."""
+    apps = builders.ControlApps()
+    losses = [1, 2, 3]
+    client = apps.client(LEADER, lambda inner: LossyTransport(inner, losses))
+    output = await commands.drain(client, Drain(scope='domain', name='dom-01'))
+    assert output.ok, output.lines
+    assert not losses
+    sent = [
+        change.change_id
+        for log in apps.cluster.logs.values()
+        for change in log.submitted
+    ]
+    assert len(sent) >= 2
+    assert len(set(sent)) == 1
+    assert apps.cluster.state.config.version == 1
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_no_leader_ends_in_a_failure():
+    """Guards against a tool that waits for ever."""
+    apps = builders.ControlApps()
+    apps.cluster.leader = ''
+    client = apps.client(ENTRY)
+    output = await commands.drain(client, Drain(scope='domain', name='dom-01'))
+    assert not output.ok
+    assert 'no decision' in output.lines[0]
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_wait_names_who_is_behind_and_who_is_silent():
+    """Guards against a success while an instance has the old version."""
+    apps = builders.ControlApps()
+    apps.net.transports.pop('dom-01-01')
+    apps.cluster.logs['dom-01-00'].isolate()
+    client = apps.client(ENTRY)
+    drain = Drain(scope='domain', name='dom-01')
+    output = await commands.drain(client, drain, wait_s=2)
+    assert not output.ok
+    assert output.content['behind'] == ['dom-01-00']
+    assert output.content['silent'] == ['dom-01-01']
+    status = await queries.status(client)
+    assert not status.ok
--- /dev/null
+++ b/tests/test_control_api.py
@@ -0,0 +1,142 @@
+"""Tests of the operators' HTTP interface."""
+
+import httpx
+import msgspec
+import pytest
+
+from cuminhoist.control_api import Status
+from cuminhoist.fanout import Instances, Report
+from cuminhoist.lists import Change, Drain
+
+from . import builders
+
+pytestmark = pytest.mark.asyncio
+LEADER = 'dom-00-00'
+
+
+async def _post(apps, name, body, **headers):
+    transport = httpx.ASGITransport(apps.apps[name])
+    async with httpx.AsyncClient(transport=transport) as http:
+        return await http.post(
+            f'{apps.url(name)}/v1/control/changes',
+            content=body if isinstance(body, bytes) else _encode(body),
+            headers=headers,
+        )
+
+
+def _encode(change):
+    return msgspec.json.encode(change)
+
+
+async def test_outcomes_have_their_status():
+    """Guards against a client that takes a refusal for an acceptance."""
+    apps = builders.ControlApps()
+    first = builders.plans_change('c1', 0)
+    for _ in range(2):
+        accepted = await _post(apps, LEADER, first)
+        assert accepted.status_code == 200
+        assert accepted.json() == {'type': 'accepted', 'version': 1}
+    late = await _post(apps, LEADER, builders.plans_change('c2', 0, 7))
+    assert late.status_code == 409
+    assert late.json()['winner_id'] == 'c1'
+    follower = await _post(apps, 'dom-01-00', builders.plans_change('c3', 1))
+    assert follower.status_code == 503
+    assert follower.json()['leader'] == LEADER
+    entry = await _post(apps, 'dom-00-01', builders.plans_change('c4', 1))
+    assert entry.status_code == 503
+
+
+@pytest.mark.parametrize(
+    ('body', 'field'),
+    [
+        (b'{', '$'),
+        (b'[]', '$'),
+        (b'{"change_id": 5}', '$.change_id'),
+        (b'{"change_id": "c", "planz": {}}', '$'),
+        (
+            b'{"change_id":"c","drain":{"scope":"moon","name":"x"}}',
+            '$.drain.scope',
+        ),
+        (b'{"change_id":"c","drain":{"scope":"region","name":"x"}}', 'name'),
+        (
+            b'{"change_id":"c","plans":{"plans":'
+            b'[{"name":"a","weight":1e999}]}}',
+            '$.plans.plans[0].weight',
+        ),
+        (
+            b'{"change_id":"c","plans":{"plans":[{"name":"a","weight":-1}]}}',
+            'plans[0].weight',
+        ),
+        (
+            b'{"change_id":"c","allowances":{"allowances":[{"plan":"tin",'
+            b'"service":"catalogue","rate_per_s":1}]}}',
+            'allowances[0].plan',
+        ),
+    ],
+)
+async def test_faulty_bodies_never_reach_the_log(body, field):
+    """Guards against a bad change in the replicated state."""
+    apps = builders.ControlApps()
+    await _post(apps, LEADER, builders.plans_change('c1', 0))
+    reply = await _post(apps, LEADER, body)
+    assert reply.status_code == 422
+    assert reply.json()['type'] == 'rejected'
+    assert [error['field'] for error in reply.json()['errors']] == [field]
+    assert len(apps.cluster.logs[LEADER].submitted) == 1
+
+
+async def test_body_is_bounded():
+    """Guards against a body that takes up the memory of an instance."""
+    apps = builders.ControlApps()
+    reply = await _post(apps, LEADER, b' ' * (8 * 1024 * 1024 + 1))
+    assert reply.status_code == 413
+
+
+@pytest.mark.parametrize(
+    ('header', 'status'),
+    [
+        ('', 401),
+        ('Bearer wrong', 401),
+        ('Bearer \xe9', 401),
+        ('Bearer secret', 200),
+    ],
+)
+async def test_operator_token(header, status):
+    """Guards against changes by anyone who reaches the port."""
+    apps = builders.ControlApps(operator_token='secret')
+    reply = await _post(
+        apps,
+        LEADER,
+        builders.plans_change('c1', 0),
+        authorization=header.encode('latin-1'),
+    )
+    assert reply.status_code == status
+
+
+@pytest.mark.looptime
+async def test_status_and_instances():
+    """Guards against a silent instance that counts as current."""
+    apps = builders.ControlApps()
+    drain = Drain(scope='domain', name='dom-01')
+    await _post(apps, LEADER, builders.plans_change('c1', 0))
+    await _post(apps, LEADER, Change.from_drain('c2', drain))
+    apps.net.transports.pop('dom-01-01')
+    client = apps.client('dom-00-01')
+    status = (await client.read('/v1/status', Status)).unwrap()
+    assert (status.version, status.drains) == (2, (drain,))
+    assert status.control is None
+    assert [one.name for one in status.controls] == [LEADER, 'dom-01-00']
+    found = (await client.read('/v1/control/instances', Instances)).unwrap()
+    held = {
+        line.name: line.held and line.held.version for line in found.instances
+    }
+    assert found.version == 2
+    assert held == {
+        LEADER: 2,
+        'dom-00-01': 2,
+        'dom-01-00': 2,
+        'dom-01-01': None,
+    }
+    report = (await client.read('/v1/report', Report)).unwrap()
+    assert report.silent == ('dom-01-01',)
+    assert [(line.count, line.weight) for line in report.lines] == [(9, 13.5)]
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import msgspec
 import pytest
@@ -20,13 +21,13 @@
 class World:
     """Instances with their deliveries on one fake network."""
 
-    def __init__(self, topology=None, live=None):
+    def __init__(self, topology=None, hold_s=2.0):
         self.topology = topology or builders.grid_topology(3, 4)
         self.clock = builders.LoopClock()
         self.net = builders.FakeNetwork()
         names = tuple(entry.name for entry in self.topology.controls())
         self.cluster = builders.MemoryCluster(names, self.clock)
-        self.live = live
+        self.hold_s = hold_s
         self.nodes = {}
         self.tasks = {}
         self.versions = {}
@@ -44,7 +45,7 @@
                 builders.FakeTransport(name, self.net),
                 self.clock,
                 self.cluster.logs.get(name),
-                DeliveryOptions(live=self.live),
+                DeliveryOptions(self.hold_s),
             )
             self.nodes[name] = node
             self.tasks[name] = asyncio.create_task(node.run())
@@ -328,15 +329,36 @@
 
     world.net.tamper = tamper
     await world.change()
-    await asyncio.sleep(4)
-    if world.version(child) != 3:
-        assert world.nodes[child].store.in_force.current.plans != plans
-        encoded = world.nodes[child].store.encoded
-        assert encoded.digest == world.nodes['dom-00-00'].store.encoded.digest
+    await asyncio.sleep(7)
+    held = world.nodes[child].store
+    if field == 'digest':
+        assert world.version(child) == 3
+        assert held.in_force.current.plans == plans
+        assert world.currency(child) is Currency.stale
+    else:
+        good = world.nodes['dom-00-00'].store
+        assert held.encoded.digest == good.encoded.digest
+    assert world.nodes[child].client.rejected > 0 or field == 'snapshot'
     world.net.tamper = lambda _receiver, msg: msg
     await world.settle(child)
 
 
+async def test_delayed_replies_count_as_old(world):
+    """Guards against a delay on the way that makes a version look fresh."""
+    world.start()
+    await world.change()
+    await asyncio.sleep(5)
+    child = world.at_level(2)[0]
+    for log in world.cluster.logs.values():
+        log.isolate()
+    cut_at = world.clock.now()
+    world.net.delay_s = 0.2
+    while world.clock.now() < cut_at + 5:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(0.1)
+    assert world.currency(child) is Currency.stale
+
+
 async def test_replayed_reply_changes_nothing(world):
     """Guards against a duplicate or late reply that takes a node back."""
     world.start()
@@ -373,3 +395,94 @@
         polls = [node.server.polls for node in world.nodes.values()]
         assert max(polls) <= 16
     await world.close()
+
+
+async def test_lost_parent_at_the_current_size():
+    """Guards against a child of a lost parent that waits over 2 s."""
+    topology = builders.grid_topology(3, 4)
+    world = World(topology, DeliveryOptions.from_topology(topology).hold_s)
+    world.start()
+    await world.change()
+    await asyncio.sleep(5)
+    await world.kill(*[name for name in world.at_level(1)][::2])
+    await world.change()
+    await asyncio.sleep(2)
+    for name in world.tasks:
+        assert world.version(name) == 2
+    await world.close()
+
+
+@pytest.mark.parametrize('seed', range(8))
+async def test_random_faults(seed):
+    """Guards against a false claim to be fresh and a lost change.
+
+    An instance that says ``fresh`` has all that was committed 5 s ago or
+    earlier, whatever is cut, paused or restarted.
+    """
+    rng = random.Random(seed)
+    world = World(builders.grid_topology(3, 5))
+    world.start()
+    commits = [(world.clock.now(), 0)]
+    names = list(world.nodes)
+    cut = set()
+    world.net.is_cut = lambda one, two: (
+        frozenset((one[:6], two[:6])) in cut or {one, two} & cut
+    )
+    for _ in range(400):
+        await asyncio.sleep(0.25)
+        await _random_fault(rng, world, names, cut, commits)
+        old = world.clock.now() - 5.1
+        due = max([made for when, made in commits if when <= old] + [0])
+        for name in world.tasks:
+            if name not in world.net.paused:
+                if world.currency(name) is Currency.fresh:
+                    assert world.version(name) >= due, (name, due)
+    cut.clear()
+    for log in world.cluster.logs.values():
+        log.heal()
+    for name in list(world.net.paused):
+        world.net.paused.pop(name).set()
+    world.start(*[name for name in names if name not in world.tasks])
+    await world.change()
+    await asyncio.sleep(8)
+    for name in names:
+        assert world.version(name) == world.made, name
+        assert world.currency(name) is Currency.fresh
+    await world.close()
+
+
+async def _random_fault(rng, world, names, cut, commits):
+    name = rng.choice(names)
+    domains = ['dom-00', 'dom-01', 'dom-02']
+    match rng.randrange(14):
+        case 0 | 1 | 2:
+            leader = world.cluster.logs[world.cluster.leader]
+            if leader._isolated_at is None:
+                await world.change()
+                commits.append((world.clock.now(), world.made))
+        case 3:
+            cut.add(frozenset(rng.sample(domains, 2)))
+        case 4:
+            cut.add(name)
+        case 5 | 6:
+            cut.clear()
+        case 7 if name in world.tasks:
+            await world.kill(name)
+        case 8 | 9 if name not in world.tasks:
+            world.start(name)
+        case 10:
+            world.net.paused.setdefault(name, asyncio.Event())
+        case 11 if world.net.paused:
+            world.net.paused.pop(rng.choice(sorted(world.net.paused))).set()
+        case 12:
+            follower = rng.choice(
+                [
+                    log
+                    for log in world.cluster.logs
+                    if log != world.cluster.leader
+                ]
+            )
+            world.cluster.logs[follower].isolate()
+        case 13:
+            for log in world.cluster.logs.values():
+                log.heal()
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -38,3 +38,15 @@
     assert freshness.currency(4) is Currency.fresh
     clock.advance(0.2)
     assert freshness.currency(4) is Currency.stale
+
+
+def test_isolation_ends_with_a_fresh_confirmation():
+    """Guards against an instance that stays isolated, though it was not."""
+    clock = ManualClock()
+    freshness = Freshness(clock)
+    freshness.mark_isolated()
+    freshness.observe(60)
+    assert freshness.currency(4) is Currency.isolated
+    freshness.observe(0.5)
+    clock.advance(6)
+    assert freshness.currency(4) is Currency.stale
