Leave callers out of the normalisation of a configuration

The control replica decoded its whole encoded list on each change, so that numbers have one form. Callers hold text only. At 50,000 callers a change of one of them takes 27 ms instead of 64 ms of processor time (benchmarks.delivery_cost, two runs on the same shared machine).

--- a/src/cuminhoist/deltas.py
+++ b/src/cuminhoist/deltas.py
@@ -90,7 +90,17 @@
 
         :param config: the configuration.
         """
-        return cls.from_config(_configs.decode(_encoder.encode(config)))
+        # Callers have text only; decoding a long list of them is expensive.
+        callers = config.plans.callers
+        bare = msgspec.structs.replace(
+            config,
+            plans=Plans(plans=config.plans.plans),
+        )
+        normal = _configs.decode(_encoder.encode(bare))
+        plans = Plans(plans=normal.plans.plans, callers=callers)
+        return cls.from_config(
+            msgspec.structs.replace(normal, plans=plans),
+        )
 
 
 class TakeResult(enum.StrEnum):
