--- a/src/cuminhoist/fanout.py
+++ b/src/cuminhoist/fanout.py
@@ -13,8 +13,9 @@
 from .transport import ErrorReply, Transport
 
 ASK_TIMEOUT_S = 1.0
-#: Calls in flight at once; a reply takes about 0.4 ms of processor time.
-MAX_CALLS = 64
+#: Calls in flight at once. Handling all of their replies takes about 0.3 s,
+#: less than the timeout; 3,900 silent instances take 8 s.
+MAX_CALLS = 512
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/cuminhoist/operatorclient.py
+++ b/src/cuminhoist/operatorclient.py
@@ -14,6 +14,8 @@
 SUBMIT_ATTEMPTS = 12
 RETRY_PAUSE_S = 0.5
 REQUEST_TIMEOUT_S = 5.0
+#: An instance asks all others before it answers.
+READ_TIMEOUT_S = 15.0
 
 _Kind = TypeVar('_Kind')
 
@@ -75,7 +77,11 @@
         :param params: parameters of the query.
         """
         try:
-            reply = await self._http.get(f'{self._url}{path}', params=params)
+            reply = await self._http.get(
+                f'{self._url}{path}',
+                params=params,
+                timeout=READ_TIMEOUT_S,
+            )
         except httpx.HTTPError as exc:
             return Failure(f'{self._url}: no answer: {_text(exc)}')
         if reply.status_code != httpx.codes.OK:
