--- a/src/cuminhoist/fanout.py
+++ b/src/cuminhoist/fanout.py
@@ -13,8 +13,8 @@
 from .transport import ErrorReply, Transport
 
 ASK_TIMEOUT_S = 1.0
-#: Calls in flight at once. Handling all of their replies takes about 0.3 s,
-#: less than the timeout; 3,900 silent instances take 8 s.
+#: Calls in flight at once. At 0.6 ms a round trip they take 0.3 s, less than
+#: the timeout; 3,900 silent instances take eight timeouts.
 MAX_CALLS = 512
 
 
