--- a/benchmarks/baseline.py
+++ b/benchmarks/baseline.py
@@ -87,11 +87,13 @@
     :param seconds: length of a round.
     :param rounds: number of rounds.
     """
-    found: tuple[list[Measured], list[Measured]] = ([], [])
+    first_runs: list[Measured] = []
+    second_runs: list[Measured] = []
     for _ in range(rounds):
-        for probe, measured in zip(probes, found, strict=True):
-            measured.append(await measure(probe, in_flight, seconds))
-    first, second = (_median(measured) for measured in found)
+        first_runs.append(await measure(probes[0], in_flight, seconds))
+        second_runs.append(await measure(probes[1], in_flight, seconds))
+    first = _median(first_runs)
+    second = _median(second_runs)
     return Pair(
         name,
         in_flight,
--- a/src/cuminhoist/admission.py
+++ b/src/cuminhoist/admission.py
@@ -13,6 +13,7 @@
 from .settings import Target
 from .shift import ShiftLimiter
 from .slots import Slot, SlotOutcome, SlotSource
+from .tracing import Tracer
 from .types import Reason
 
 
@@ -109,6 +110,7 @@
     :param rates: rates of callers.
     :param shift: cap on traffic of other regions.
     :param region: region of this instance.
+    :param tracer: makes a span for each wait.
     """
 
     def __init__(
@@ -118,12 +120,14 @@
         rates: RateShares,
         shift: ShiftLimiter,
         region: str,
+        tracer: Tracer | None = None,
     ) -> None:
         self._clock = clock
         self._slots = slots
         self._rates = rates
         self._shift = shift
         self._region = region
+        self._tracer = tracer or Tracer()
         self._queues: dict[str, FairQueue[_Waiting]] = {}
         self._timers: dict[str, _Timer] = {}
         slots.on_free(self._dispatch)
@@ -143,7 +147,8 @@
         if slot is not None:
             return Success(AdmittedSlot(slot, self, req, charge))
         try:
-            outcome = await self._wait(req)
+            with self._tracer.span('queue'):
+                outcome = await self._wait(req)
         except asyncio.CancelledError:
             self.give_back(req, charge)
             raise
--- a/src/cuminhoist/api.py
+++ b/src/cuminhoist/api.py
@@ -11,6 +11,7 @@
 
 from .attempts import Answer, BodyError, CarryError
 from .entry import EntryService
+from .explain import Explainer, Explanation
 from .headers import (
     HOP_HEADER,
     RAN_HEADER,
@@ -26,6 +27,7 @@
 from .lookup import Lookup, LookupAnswer
 from .problems import Refusal, encode_problem, problem_headers
 from .requests import CallerRequest
+from .tracing import TRACEPARENT, Tracer
 from .types import (
     CALLER_HEADER,
     CLIENT_HEADER,
@@ -164,6 +166,7 @@
         client=_client_of(scope, named),
         deadline_s=deadline.unwrap(),
         key=named.get(KEY_HEADER, ''),
+        traceparent=named.get(TRACEPARENT, ''),
     )
     return _with_hop(req, named.get(HOP_HEADER), hops)
 
@@ -334,14 +337,35 @@
             self._task.cancel()
 
 
-def lookup_handler(lookup: Lookup) -> Any:
+def lookup_handler(lookup: Lookup, tracer: Tracer | None = None) -> Any:
     """Return the handler of look-ups.
 
     :param lookup: orders the entry instances.
+    :param tracer: makes a span for each look-up.
     """
+    spans = tracer or Tracer()
 
     @get('/v1/lookup', sync_to_thread=False)
     def find(service: str, caller: str, client: str = '') -> LookupAnswer:
-        return lookup.find(service, caller, client)
+        with spans.span('look-up', service=service):
+            return lookup.find(service, caller, client)
 
     return find
+
+
+def explain_handler(explainer: Explainer) -> Any:
+    """Return the handler that explains decisions.
+
+    :param explainer: explains them.
+    """
+
+    @get('/v1/explain', sync_to_thread=False)
+    def explain(
+        caller: str,
+        service: str,
+        kind: str,
+        client: str = '',
+    ) -> Explanation:
+        return explainer.explain(caller, service, kind, client)
+
+    return explain
--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -8,6 +8,7 @@
 import fire
 from returns.result import Failure
 
+from .checks import check_settings, check_topology
 from .logs import configure_logs, logger
 from .node import Node
 from .settings import Settings, Topology, load_struct
@@ -43,6 +44,12 @@
     topology = load_struct(path.parent / cfg.topology, Topology)
     if isinstance(topology, Failure):
         sys.exit(str(topology.failure()))
+    faults = (
+        *check_topology(topology.unwrap(), cfg.topology),
+        *check_settings(cfg, topology.unwrap(), settings),
+    )
+    if faults:
+        sys.exit('\n'.join(str(fault) for fault in faults))
     configure_logs(cfg.logs)
     asyncio.run(run_until_signal(Node(cfg, topology.unwrap())))
 
--- a/src/cuminhoist/dispatch.py
+++ b/src/cuminhoist/dispatch.py
@@ -18,6 +18,7 @@
 from .retries import RetryBudget
 from .routing import GrantRoute, LocalRoute, PeerRoute, Router
 from .settings import Instance
+from .tracing import Tracer
 from .types import Ran, Reason
 
 #: Hops of one request that may be refused before it is given up.
@@ -45,8 +46,8 @@
     last_hop: bool = False
 
 
-class Dispatcher:
-    """Sends requests to own targets, peers and other failure domains.
+class DispatchParts(msgspec.Struct, frozen=True, kw_only=True):
+    """What requests are sent through.
 
     :param own: this instance.
     :param router: chooses where an attempt goes.
@@ -54,26 +55,34 @@
     :param local: sends attempts to own targets.
     :param peers: sends attempts to other instances.
     :param budget: limits further attempts.
-    :param clock: time source.
+    :param tracer: makes a span for each hop.
     """
 
-    def __init__(
-        self,
-        own: Instance,
-        router: Router,
-        admission: Admission,
-        local: LocalAttempts,
-        peers: PeerClient,
-        budget: RetryBudget,
-        clock: Clock,
-    ) -> None:
-        self._own = own
-        self._router = router
-        self._admission = admission
-        self._local = local
-        self._peers = peers
-        self._budget = budget
-        self._clock = clock
+    own: Instance
+    router: Router
+    admission: Admission
+    local: LocalAttempts
+    peers: PeerClient
+    budget: RetryBudget
+    clock: Clock
+    tracer: Tracer
+
+
+class Dispatcher:
+    """Sends requests to own targets, peers and other failure domains.
+
+    :param parts: what it sends requests through.
+    """
+
+    def __init__(self, parts: DispatchParts) -> None:
+        self._own = parts.own
+        self._router = parts.router
+        self._admission = parts.admission
+        self._local = parts.local
+        self._peers = parts.peers
+        self._budget = parts.budget
+        self._clock = parts.clock
+        self._tracer = parts.tracer
 
     async def run(
         self,
@@ -135,9 +144,10 @@
         checked: CheckedRequest,
         progress: _Progress,
     ) -> Result[Dispatched, Refusal]:
-        admitted = await self._admission.admit(
-            admission_request(checked, progress.targets),
-        )
+        with self._tracer.span('admission'):
+            admitted = await self._admission.admit(
+                admission_request(checked, progress.targets),
+            )
         if isinstance(admitted, Failure):
             return admitted
         slot = admitted.unwrap()
@@ -171,26 +181,34 @@
         *,
         may_queue: bool,
     ) -> Result[Dispatched, Refusal]:
-        req = checked.req
         end = AttemptEnd(lambda _outcome, _latency_s: None)
-        outcome = await self._peers.send(
-            peer,
-            HopRoute(req.method, f'/{req.service}{req.path}', req.caller),
-            self._hop(checked, may_queue=may_queue),
-            Attempt(
-                req.method,
-                req.path,
-                req.headers,
-                checked.body.stream(),
-                checked.deadline_at - self._clock.now(),
-                on_end=end,
-                traceparent=req.traceparent,
-            ),
-        )
+        with self._tracer.span('peer hop', peer=peer.name):
+            outcome = await self._peers.send(
+                peer,
+                _hop_route(checked),
+                self._hop(checked, may_queue=may_queue),
+                self._hop_attempt(checked, end),
+            )
         if isinstance(outcome, Failure):
             return outcome
         return Success(Dispatched(outcome.unwrap(), end))
 
+    def _hop_attempt(
+        self,
+        checked: CheckedRequest,
+        end: AttemptEnd,
+    ) -> Attempt:
+        req = checked.req
+        return Attempt(
+            req.method,
+            req.path,
+            req.headers,
+            checked.body.stream(),
+            checked.deadline_at - self._clock.now(),
+            on_end=end,
+            traceparent=self._tracer.outgoing(req.traceparent),
+        )
+
     def _hop(self, checked: CheckedRequest, *, may_queue: bool) -> Hop:
         return msgspec.structs.replace(
             hop_of(self._own.name, self._own.domain, checked.home_region),
@@ -249,3 +267,8 @@
         exclude=exclude,
         charged=True,
     )
+
+
+def _hop_route(checked: CheckedRequest) -> HopRoute:
+    req = checked.req
+    return HopRoute(req.method, f'/{req.service}{req.path}', req.caller)
--- a/src/cuminhoist/entry.py
+++ b/src/cuminhoist/entry.py
@@ -1,7 +1,5 @@
 """The path of a request through an entry instance."""
 
-import functools
-
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -21,11 +19,14 @@
 from .localattempts import Dispatched, LocalAttempts
 from .lookup import Lookup
 from .membership import Membership
+from .metrics import Metrics
 from .problems import Refusal
 from .rates import RateShares
 from .requests import CallerRequest, CheckedRequest, ReplayBody
+from .routing import Router
 from .settings import Instance, Topology
-from .slots import SlotOutcome
+from .slots import SlotOutcome, SlotSource
+from .tracing import Tracer
 from .types import Ran, Reason
 
 _MS = 1000
@@ -54,6 +55,10 @@
     grants: GrantTable
     links: LinkBudget
     accounts: Accounts
+    slots: SlotSource
+    router: Router
+    tracer: Tracer
+    metrics: Metrics
 
 
 class EntryService:
@@ -79,8 +84,20 @@
         :param req: the request.
         """
         self.last_arrival = self._parts.clock.now()
-        if req.hop is not None:
-            return await self._serve_hop(req, req.hop)
+        with self._parts.tracer.span(
+            'request' if req.hop is None else 'hop',
+            incoming=req.traceparent,
+            service=req.service,
+            kind=req.kind,
+        ):
+            if req.hop is not None:
+                return await self._serve_hop(req, req.hop)
+            return await self._serve_counted(req)
+
+    async def _serve_counted(
+        self,
+        req: CallerRequest,
+    ) -> Result[Answer, Refusal]:
         ticket = self._parts.accounts.open(
             req.caller,
             req.service,
@@ -92,7 +109,7 @@
         except BaseException:
             ticket.close(Outcome.cancelled, Reason.cancelled)
             raise
-        return _accounted(ticket, outcome)
+        return self._accounted(ticket, outcome)
 
     async def _serve_caller(
         self,
@@ -271,29 +288,40 @@
         known = {entry.name for entry in self._parts.topology.domains}
         return hop.domain if hop.domain in known else self._parts.own.domain
 
+    def _accounted(
+        self,
+        ticket: Ticket,
+        outcome: Result[Dispatched, Refusal],
+    ) -> Result[Answer, Refusal]:
+        if isinstance(outcome, Failure):
+            refusal = outcome.failure()
+            self._close(ticket, _refused_as(refusal), refusal.reason)
+            return outcome
+        dispatched = outcome.unwrap()
+        dispatched.end.then(
+            lambda ended: self._close(ticket, _OUTCOMES[ended]),
+        )
+        return Success(dispatched.answer)
+
+    def _close(
+        self,
+        ticket: Ticket,
+        outcome: Outcome,
+        reason: str = '',
+    ) -> None:
+        ticket.close(outcome, reason)
+        service = ticket.names[1]
+        self._parts.metrics.count(f'requests.{service}.{outcome}')
+        if outcome == Outcome.answered:
+            spent_s = self._parts.clock.now() - ticket.opened_at
+            self._parts.metrics.timing(f'latency.{service}', spent_s)
+
     def _weight(self, req: CallerRequest) -> float:
         service = self._parts.topology.service(req.service)
         kind = service.kind(req.kind) if service else None
         return kind.weight if kind else 1
 
 
-def _accounted(
-    ticket: Ticket,
-    outcome: Result[Dispatched, Refusal],
-) -> Result[Answer, Refusal]:
-    if isinstance(outcome, Failure):
-        refusal = outcome.failure()
-        ticket.close(_refused_as(refusal), refusal.reason)
-        return outcome
-    dispatched = outcome.unwrap()
-    dispatched.end.then(functools.partial(_close, ticket))
-    return Success(dispatched.answer)
-
-
-def _close(ticket: Ticket, outcome: SlotOutcome) -> None:
-    ticket.close(_OUTCOMES[outcome])
-
-
 def _refused_as(refusal: Refusal) -> Outcome:
     if refusal.reason == Reason.cancelled:
         return Outcome.cancelled
--- a/src/cuminhoist/entryside.py
+++ b/src/cuminhoist/entryside.py
@@ -13,8 +13,9 @@
 from .borrowing import Borrower
 from .borrowing import partners_of as lenders_of
 from .clock import Clock
-from .dispatch import Dispatcher
+from .dispatch import Dispatcher, DispatchParts
 from .entry import EntryParts, EntryService
+from .explain import Explainer
 from .forwarding import HttpxTargetClient
 from .grant_client import GrantClient
 from .grants import GrantTable
@@ -26,6 +27,7 @@
 from .localattempts import LocalAttempts
 from .lookup import DrainPlan, Lookup
 from .membership import Membership
+from .metrics import metrics_from_config
 from .ownership import Ownership
 from .peers import PeerClient
 from .platform import PlatformPoller
@@ -36,6 +38,7 @@
 from .settings import Settings, Topology
 from .shift import ObservedCapacity, ShiftLimiter
 from .targets import TargetTable
+from .tracing import Tracer
 from .transport import Transport
 from .views import AccountLines, MembershipView
 
@@ -86,6 +89,8 @@
         self.account_lines = AccountLines(self.accounts)
         self.hops = HopSigner(cfg.cluster_key, cfg.name, clock)
         self.lookup = self._build_lookup()
+        self.tracer = Tracer.from_config(cfg.traces_file, cfg.name)
+        self._metrics = metrics_from_config(cfg.statsd)
         self._client = HttpxTargetClient(clock)
         self._peers = PeerClient(self.hops, clock)
         self._probe_client = HttpxProbeClient(cfg.probe_path)
@@ -100,7 +105,9 @@
             clock,
             base.transport,
         )
-        self.service = EntryService(self._build_parts())
+        parts = self._build_parts()
+        self.service = EntryService(parts)
+        self.explainer = Explainer(parts, parts.router)
 
     @classmethod
     def from_base(cls, base: Base) -> Self:
@@ -152,6 +159,8 @@
         await self._client.close()
         await self._peers.close()
         await self._probe_client.close()
+        self._metrics.close()
+        self.tracer.close()
 
     async def _refresh(self) -> None:
         while True:
@@ -184,6 +193,7 @@
             self._rates,
             shift,
             self.region,
+            self.tracer,
         )
         self._limit_connections()
         local = LocalAttempts(
@@ -191,6 +201,7 @@
             self.membership,
             capacity,
             clock,
+            self.tracer,
         )
         router = Router(
             topology,
@@ -212,13 +223,16 @@
             admission=admission,
             local=local,
             dispatcher=Dispatcher(
-                own,
-                router,
-                admission,
-                local,
-                self._peers,
-                RetryBudget(secrets.randbits(32)),
-                clock,
+                DispatchParts(
+                    own=own,
+                    router=router,
+                    admission=admission,
+                    local=local,
+                    peers=self._peers,
+                    budget=RetryBudget(secrets.randbits(32)),
+                    clock=clock,
+                    tracer=self.tracer,
+                ),
             ),
             keys=self.keys,
             grants=GrantTable(
@@ -231,6 +245,10 @@
             ),
             links=LinkBudget(topology, self.region, clock),
             accounts=self.accounts,
+            slots=self.table,
+            router=router,
+            tracer=self.tracer,
+            metrics=self._metrics,
         )
 
     def _limit_connections(self) -> None:
--- a/src/cuminhoist/localattempts.py
+++ b/src/cuminhoist/localattempts.py
@@ -14,6 +14,7 @@
 from .requests import CheckedRequest
 from .shift import ObservedCapacity
 from .slots import Slot, SlotOutcome
+from .tracing import Tracer
 from .types import DRAINING_HEADER
 
 EndListener = Callable[[SlotOutcome], None]
@@ -71,6 +72,7 @@
     :param membership: learns which targets say that they leave.
     :param capacity: learns how long requests take.
     :param clock: time source.
+    :param tracer: makes a span for each attempt.
     """
 
     def __init__(
@@ -79,11 +81,13 @@
         membership: Membership,
         capacity: ObservedCapacity,
         clock: Clock,
+        tracer: Tracer,
     ) -> None:
         self._client = client
         self._membership = membership
         self._capacity = capacity
         self._clock = clock
+        self._tracer = tracer
 
     async def send(
         self,
@@ -98,24 +102,29 @@
         :param slot: the right to send it.
         """
         end = AttemptEnd(functools.partial(self._release, checked, slot))
-        outcome = await self._client.send(
-            slot.target,
-            Attempt(
-                checked.req.method,
-                checked.req.path,
-                checked.req.headers,
-                checked.body.stream(),
-                checked.deadline_at - self._clock.now(),
-                on_end=end,
-                traceparent=checked.req.traceparent,
-            ),
-        )
+        with self._tracer.span('attempt', target=slot.target.name):
+            outcome = await self._client.send(
+                slot.target,
+                self._attempt(checked, end),
+            )
         if isinstance(outcome, Failure):
             return outcome
         answer = outcome.unwrap()
         self._note_signal(slot.target.name, answer)
         return Success(Dispatched(answer, end))
 
+    def _attempt(self, checked: CheckedRequest, end: AttemptEnd) -> Attempt:
+        req = checked.req
+        return Attempt(
+            req.method,
+            req.path,
+            req.headers,
+            checked.body.stream(),
+            checked.deadline_at - self._clock.now(),
+            on_end=end,
+            traceparent=self._tracer.outgoing(req.traceparent),
+        )
+
     def _release(
         self,
         checked: CheckedRequest,
--- a/src/cuminhoist/membership.py
+++ b/src/cuminhoist/membership.py
@@ -222,6 +222,15 @@
             return not self.leaving
         return not (self._says_leaving(name) or self._is_silent(name))
 
+    def is_gone(self, name: str) -> bool:
+        """Tell whether an instance says that it stops, or is silent.
+
+        :param name: name of the instance.
+        """
+        if name == self.name:
+            return False
+        return self._says_leaving(name) or self._is_silent(name)
+
     def view(self) -> tuple[EntryView, ...]:
         """Return what is known about each entry instance."""
         return tuple(self._view_of(entry) for entry in self._entries.values())
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -8,16 +8,17 @@
 
 from litestar import Litestar
 
-from .api import lookup_handler, services_handler
+from .api import explain_handler, lookup_handler, services_handler
 from .clock import SystemClock
 from .codec import Codec
 from .consensus import Replica
 from .control_api import ControlParts, control_handlers
-from .delivery import Delivery
+from .delivery import Delivery, DeliveryOptions
 from .entryside import Base, EntrySide
 from .httpserver import HttpServer
 from .inforce import ConfigInForce
 from .logs import logger
+from .openapi import openapi_config
 from .replica_core import Options
 from .settings import Role, Settings, Topology
 from .storage import FileDisk
@@ -57,6 +58,7 @@
             self._transport,
             self._clock,
             self.replica,
+            DeliveryOptions.from_topology(topology, self._live),
         )
         self._server = HttpServer.from_app(
             self._app(),
@@ -123,6 +125,16 @@
             await self.entry.close()
         await self._transport.stop()
 
+    def _live(self) -> frozenset[str]:
+        # Only direct evidence of a stop takes an instance out of the tree.
+        return frozenset(
+            instance.name
+            for instance in self._topology.instances
+            if self.entry is None
+            or Role.entry not in instance.roles
+            or not self.entry.membership.is_gone(instance.name)
+        )
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(_report_failure)
@@ -175,10 +187,13 @@
             handlers.append(
                 services_handler(self.entry.service, self.entry.hops),
             )
-            handlers.append(lookup_handler(self.entry.lookup))
+            handlers.append(
+                lookup_handler(self.entry.lookup, self.entry.tracer),
+            )
+            handlers.append(explain_handler(self.entry.explainer))
         return Litestar(
             handlers,
-            openapi_config=None,
+            openapi_config=openapi_config(),
             logging_config=None,
         )
 
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -150,8 +150,9 @@
         """Tell other instances of the stop; hand targets over to a peer.
 
         Without a live peer the targets stay here until the end, because
-        nobody else could serve them. Without the notice far instances would learn of the stop only when they
-        exchange state with this cell, and name it in look-ups meanwhile.
+        nobody else could serve them. Without the notice far instances
+        would learn of the stop only when they exchange state with this
+        cell, and name it in look-ups meanwhile.
 
         :returns: how many instances took note.
         """
--- a/tests/controlapps.py
+++ b/tests/controlapps.py
@@ -16,7 +16,7 @@
 from cuminhoist.operatorclient import OperatorClient
 from cuminhoist.settings import Topology
 
-from . import builders
+from . import builders_delivery as builders
 
 
 class ControlApps:
--- a/tests/deliveryworld.py
+++ b/tests/deliveryworld.py
@@ -6,7 +6,7 @@
 from cuminhoist.delivery import Delivery, DeliveryOptions
 from cuminhoist.inforce import ConfigInForce
 
-from . import builders
+from . import builders_delivery as builders
 
 
 class World:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -9,7 +9,7 @@
 from cuminhoist.freshness import Currency
 from cuminhoist.watch import Watch, WatchReply
 
-from . import builders
+from . import builders_delivery as builders
 from .deliveryworld import World
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime(start=0)]
--- a/tests/test_delivery_faults.py
+++ b/tests/test_delivery_faults.py
@@ -7,7 +7,7 @@
 
 from cuminhoist.freshness import Currency
 
-from . import builders
+from . import builders_delivery as builders
 from .deliveryworld import World
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime(start=0)]
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -5,17 +5,16 @@
 from litestar import Litestar
 
 from cuminhoist.api import lookup_handler, services_handler
-from cuminhoist.lookup import Lookup
 from cuminhoist.openapi import openapi_config
 from cuminhoist.types import Ran, Reason
 
 from . import builders_carry as builders
+from .test_lookup import make_lookup
 
 
 async def test_schema_names_everything_that_callers_use():
     """Guards against a route, header or reason that callers cannot look up."""
-    topology = builders.example_topology()
-    lookup = Lookup(topology, topology.domains[0].name)
+    lookup = make_lookup()
     app = Litestar(
         [services_handler(None), lookup_handler(lookup)],
         openapi_config=openapi_config(),
