--- a/src/cuminhoist/borrowing.py
+++ b/src/cuminhoist/borrowing.py
@@ -193,6 +193,7 @@
         finally:
             for pending in self._calling:
                 pending.cancel()
+            await asyncio.gather(*self._calling, return_exceptions=True)
 
     async def borrow_once(self) -> bool:
         """Ask one partner if a caller runs short.
