--- a/src/cuminhoist/forwarding.py
+++ b/src/cuminhoist/forwarding.py
@@ -1,6 +1,7 @@
 """One attempt of a request at a target."""
 
 import abc
+from collections.abc import Callable
 from typing import Self
 
 from returns.result import Failure, Result, Success
@@ -43,13 +44,20 @@
     """Sends attempts to targets over one pool of connections for each.
 
     :param clock: source of time.
+    :param on_close: called with the name of a target that closes an idle
+        connection, which may be the first sign that it leaves.
     """
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock | None = None,
+        on_close: Callable[[str], None] | None = None,
+    ) -> None:
         self._carrier = StreamingClient(
-            PoolTransport(Limits(1, 1), clock),
+            PoolTransport(Limits(1, 1), clock, self._closed),
             clock,
         )
+        self._on_close = on_close
         self._known: dict[str, Address] = {}
 
     @classmethod
@@ -113,3 +121,9 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._carrier.close()
+
+    def _closed(self, address: Address) -> None:
+        if self._on_close is not None:
+            for name, known in self._known.items():
+                if known == address:
+                    self._on_close(name)
--- a/src/cuminhoist/target_conn.py
+++ b/src/cuminhoist/target_conn.py
@@ -28,6 +28,8 @@
 
     def __init__(self, on_lost: Callable[['Connection'], None]) -> None:
         self.idle_since: float = 0
+        self.closed_idle = False
+        self._aborted = False
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._parser: Any = None
@@ -108,6 +110,7 @@
     def abort(self) -> None:
         """Close the connection at once."""
         self._reusable = False
+        self._aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -165,6 +168,7 @@
         :param exc: the error, if there was one.
         """
         self._closed = True
+        self.closed_idle = self._exchange is None and not self._aborted
         self._can_write.set()
         if self._exchange is not None:
             self._exchange.finish(
--- a/src/cuminhoist/target_pool.py
+++ b/src/cuminhoist/target_pool.py
@@ -37,10 +37,24 @@
     idle: int
 
 
+OnClose = Callable[[Address], None]
+
+
+def _ignore_close(_address: Address) -> None:
+    """Drop the notice that a server has closed an idle connection."""
+
+
 class _Server:
     """The connections to one server."""
 
-    def __init__(self, address: Address, limits: Limits, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Address,
+        limits: Limits,
+        clock: Clock,
+        on_close: OnClose,
+    ) -> None:
+        self._on_close = on_close
         self.address = address
         self.limits = limits
         self.open = 0
@@ -110,6 +124,8 @@
         self.open -= 1
         if conn in self._idle:
             self._idle.remove(conn)
+        if conn.closed_idle:
+            self._on_close(self.address)
 
     def _expired(self, conn: Connection) -> bool:
         return self._clock.now() - conn.idle_since > IDLE_S
@@ -157,9 +173,16 @@
 
     :param limits: bounds of the connections to each server.
     :param clock: source of time.
+    :param on_close: called when a server closes an idle connection.
     """
 
-    def __init__(self, limits: Limits, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        clock: Clock | None = None,
+        on_close: OnClose | None = None,
+    ) -> None:
+        self._on_close = on_close or _ignore_close
         self._limits = limits
         self._clock = clock or SystemClock()
         self._servers: dict[Address, _Server] = {}
@@ -248,7 +271,12 @@
         if server is None:
             if not is_ip(address.host):
                 raise httpx.ConnectError(f'{address.host} is no IP number')
-            server = _Server(address, self._limits, self._clock)
+            server = _Server(
+                address,
+                self._limits,
+                self._clock,
+                self._on_close,
+            )
             self._servers[address] = server
         return server
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -117,11 +117,14 @@
     """Guards against a request written to a connection that is closed."""
     ends = Ends()
     async with builders.RawServer(answering(OK, keep=False)) as server:
-        client = HttpxTargetClient()
-        for _ in range(3):
+        closed = []
+        client = HttpxTargetClient(on_close=closed.append)
+        for number in range(3):
             await read_all((await send(client, server, ends)).unwrap())
-            await asyncio.sleep(0.02)
+            while len(closed) <= number:
+                await asyncio.sleep(0.01)
         await client.close()
+    assert closed == ['raw'] * 3
     assert server.connections == 3
     assert ends == [SlotOutcome.answered] * 3
 
