--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -51,6 +51,7 @@
         body(),
         5.0,
         lambda outcome, _latency: ends.append(outcome),
+        '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01',
     )
     try:
         outcome = await client.send(peer, ROUTE, ORIGIN, attempt)
@@ -78,6 +79,9 @@
     seen = []
 
     async def serve(req):
+        named = dict(req.headers)
+        assert named[b'traceparent'].startswith(b'00-0af7651916cd43dd84')
+        assert 0 < req.deadline_s <= 5
         seen.append((req.hop.origin, req.hop.domain, req.hop.region, req.path))
         content = b''.join([chunk async for chunk in req.body])
 
