Turn Nagle's algorithm off at stand-in targets

Cause: asyncio sets TCP_NODELAY only on sockets with the protocol number of TCP; the stand-ins' listeners had none. The stop of the HTTP listener now goes through begin_stop, which announces the close at once.

--- a/benchmarks/baseline.sh
+++ b/benchmarks/baseline.sh
@@ -3,6 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
+export PYTHONPATH=src
 python=.venv/bin/python
 pids=()
 cleanup() {
--- a/demo/standins.py
+++ b/demo/standins.py
@@ -289,7 +289,13 @@
 
 
 def _listen(target: Target) -> socket.socket:
-    sock = socket.socket()
+    # Without the protocol number asyncio leaves Nagle's algorithm on, and
+    # each answer in two parts waits 40 ms for a delayed acknowledgement.
+    sock = socket.socket(
+        socket.AF_INET,
+        socket.SOCK_STREAM,
+        socket.IPPROTO_TCP,
+    )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((target.host, target.port))
     return sock
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -113,7 +113,7 @@
         entry.service.refuses_new = True
 
     async def _end(self) -> None:
-        self._server.should_exit = True
+        self._server.begin_stop()
         server = self._tasks.pop()
         await asyncio.gather(server, return_exceptions=True)
         for task in self._tasks:
