--- a/src/cuminhoist/membership.py
+++ b/src/cuminhoist/membership.py
@@ -8,6 +8,7 @@
 from .clock import Clock
 from .heartbeats import Heartbeat, PeerBrief
 from .inforce import ConfigInForce
+from .lists import Configuration
 from .platform import PlatformList
 from .rendezvous import ranked
 from .settings import Instance, Target, Topology
@@ -92,6 +93,8 @@
     ) -> None:
         self.incarnation = Incarnation(secrets.token_hex(6))
         self.leaving = False
+        #: Grows whenever a source says something new about targets.
+        self.revision = 0
         self.name = name
         self._topology = topology
         self._clock = clock
@@ -109,6 +112,7 @@
         self._briefs: dict[str, tuple[PeerBrief, float]] = {}
         self._platform = PlatformList()
         self._signals: set[str] = set()
+        in_force.subscribe(self._on_change)
 
     @property
     def own_signals(self) -> tuple[str, ...]:
@@ -122,7 +126,11 @@
         :param state: its state.
         """
         if sender in self._entries and sender != self.name:
+            known = self._records.get(sender)
             self._records[sender] = _Record(state, self._clock.now())
+            marks = known.state.leaving_targets if known else ()
+            if marks != state.leaving_targets:
+                self.revision += 1
 
     def hear_briefs(self, briefs: tuple[PeerBrief, ...]) -> None:
         """Record what a partner has heard about instances of its cell.
@@ -176,20 +184,25 @@
         :param listed: the list.
         """
         self._platform = listed
+        self.revision += 1
 
     def mark_target_leaving(self, name: str) -> None:
         """Record that an upstream said itself that it is leaving.
 
         :param name: name of the target.
         """
-        self._signals.add(name)
+        if name not in self._signals:
+            self._signals.add(name)
+            self.revision += 1
 
     def clear_target_leaving(self, name: str) -> None:
         """Record that an upstream answers without the leaving signal.
 
         :param name: name of the target.
         """
-        self._signals.discard(name)
+        if name in self._signals:
+            self._signals.remove(name)
+            self.revision += 1
 
     def is_target_leaving(self, name: str) -> bool:
         """Tell whether any source says that a target leaves.
@@ -248,6 +261,9 @@
             return None
         return record.state.incarnation, record.state.epoch
 
+    def _on_change(self, _cfg: Configuration) -> None:
+        self.revision += 1
+
     def _view_of(self, entry: Instance) -> EntryView:
         heard_at = self.heard_at(entry.name)
         state = self.state_of(entry.name)
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -111,6 +111,11 @@
         """Tell whether this instance may dispatch at all."""
         return self._lease.is_valid
 
+    @property
+    def held(self) -> set[str]:
+        """Targets that are owned while the lease is valid."""
+        return self._held
+
     def owns(self, target: str) -> bool:
         """Tell whether this instance may dispatch to a target now.
 
--- a/src/cuminhoist/targets.py
+++ b/src/cuminhoist/targets.py
@@ -17,6 +17,8 @@
 
 #: Difference of two readings of the clock within one request's path.
 _EPSILON_S = 0.1
+#: An announced drain starts at most this late.
+JUDGE_S = 0.1
 
 _Listener = Callable[[str], None]
 
@@ -41,6 +43,18 @@
     name: str
 
 
+class Judged(msgspec.Struct, frozen=True):
+    """Whether a target is leaving, as far as is known.
+
+    :param revision: revision of the membership that it was judged by.
+    :param until: monotonic time from which drains have to be read again.
+    """
+
+    is_leaving: bool
+    revision: int
+    until: float
+
+
 class TargetState:
     """Slots and observations of one target.
 
@@ -53,6 +67,7 @@
         self.running: dict[int, float] = {}
         self.reserved: list[Reserved] = []
         self.is_out = False
+        self.judged: Judged | None = None
 
     def blocked(self, now: float) -> int:
         """Return the slots that are unused but may not be given out.
@@ -68,9 +83,11 @@
 
         :param now: monotonic time.
         """
-        blocked = self.blocked(now)
-        left = max(0, self.target.slots - blocked)
-        return min(left, self.health.limit(self.target.slots, now))
+        left = self.target.slots
+        if self.reserved:
+            left = max(0, left - self.blocked(now))
+        limit = self.health.limit(self.target.slots, now)
+        return min(left, limit)
 
     def free(self, now: float) -> int:
         """Return the slots that may be taken.
@@ -190,10 +207,8 @@
         best = min(
             (
                 state
-                for state in self._services.get(service, ())
-                if state.target.name not in exclude
-                and state.free(now) > 0
-                and self._takes_work(state, now)
+                for state in self._working(service, now)
+                if state.target.name not in exclude and state.free(now) > 0
             ),
             key=lambda state: state.preference(now),
             default=None,
@@ -213,11 +228,7 @@
         :param service: name of the service.
         """
         now = self._clock.now()
-        return sum(
-            state.usable(now)
-            for state in self._services.get(service, ())
-            if self._takes_work(state, now)
-        )
+        return sum(state.usable(now) for state in self._working(service, now))
 
     def free_slots(self, service: str) -> int:
         """Return how many slots of a service are free now.
@@ -225,11 +236,7 @@
         :param service: name of the service.
         """
         now = self._clock.now()
-        return sum(
-            state.free(now)
-            for state in self._services.get(service, ())
-            if self._takes_work(state, now)
-        )
+        return sum(state.free(now) for state in self._working(service, now))
 
     def on_free(self, listener: Callable[[str], None]) -> None:
         """Call a listener with the service when a slot becomes free.
@@ -352,10 +359,31 @@
             state.target.name,
         )
 
+    def _working(self, service: str, now: float) -> list[TargetState]:
+        """Return the own targets of a service that take work."""
+        ownership = self._ownership
+        if ownership is None or not ownership.holds_lease():
+            return []
+        held = ownership.held
+        return [
+            state
+            for state in self._services.get(service, ())
+            if state.target.name in held and self._takes_work(state, now)
+        ]
+
+    def _is_leaving(self, state: TargetState, now: float) -> bool:
+        # The sources are many; to read them for each request took a third
+        # of its time.
+        judged = state.judged
+        revision = self._membership.revision
+        if judged and judged.revision == revision and now < judged.until:
+            return judged.is_leaving
+        is_leaving = self._membership.is_target_leaving(state.target.name)
+        state.judged = Judged(is_leaving, revision, now + JUDGE_S)
+        return is_leaving
+
     def _takes_work(self, state: TargetState, now: float) -> bool:
-        if not self._owns(state):
-            return False
-        if self._membership.is_target_leaving(state.target.name):
+        if self._is_leaving(state, now):
             state.is_out = True
             return False
         if state.is_out:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -28,9 +28,15 @@
 class OwnAll:
     """Ownership of every target."""
 
-    def owns(self, target):
+    def __init__(self, topology):
+        self.held = {target.name for target in topology.targets}
+
+    def holds_lease(self):
         return True
 
+    def owns(self, target):
+        return target in self.held
+
 
 class Bench:
     """A table that owns all targets of a cell."""
@@ -41,7 +47,7 @@
         topology = builders.cell_topology(1, targets)
         self.membership = Membership(topology, 'e0', self.clock, self.config)
         self.table = TargetTable(topology, self.membership, self.clock)
-        self.table.bind(OwnAll())
+        self.table.bind(OwnAll(topology))
 
     def take(self, seconds=2.0, exclude=frozenset()):
         deadline_at = self.clock.now() + seconds
