--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -22,6 +22,7 @@
     AppendRequest,
     InstallRequest,
     Member,
+    Membership,
     Position,
     VoteRequest,
 )
@@ -373,6 +374,69 @@
     assert world.loop.time() - age_s <= isolated_at
 
 
+def test_heartbeat_without_its_entries_confirms_nothing(world):
+    """Guards against an age for a state that lacks committed entries."""
+    node = followers_of(world)[0]
+    leader = leader_of(world).name
+    recorder = Recorder(world, node.name)
+    world.advance(1)
+    usual = recorder.requests[-1]
+    world.isolate(node.name)
+    before = world.loop.time() - node.replica.confirmed_age_s()
+    ahead = msgspec.structs.replace(
+        usual,
+        commit_index=usual.commit_index + 1,
+        echo=list(node.replica._follower._tokens)[-1],
+    )
+    world.wait(node.run(node.receive(Received(leader, ahead))))
+    after = world.loop.time() - node.replica.confirmed_age_s()
+    assert after == pytest.approx(before)
+
+
+def test_entry_of_an_older_term_waits_for_one_of_this_term(world):
+    """Guards against a commit that a later leader can still replace."""
+    leader = leader_of(world)
+    leadership = leader.replica._leadership
+    world.isolate(leader.name)
+    world.submit(leader.name, builders.plans_change('open', 0))
+    world.advance(0.05)
+    last = leader.core.log.last.index
+    committed = leader.core.commit_index
+    assert last == committed + 1
+    leadership._first_index = last + 1
+    for peer in leadership._peers.values():
+        peer.match = last
+    leadership._advance()
+    assert leader.core.commit_index == committed
+
+
+def test_one_membership_change_at_a_time(world):
+    """Guards against two changes whose majorities do not overlap."""
+    leader = leader_of(world)
+    leadership = leader.replica._leadership
+    lost = followers_of(world)[0]
+    world.isolate(leader.name)
+    rest = tuple(
+        voter
+        for voter in leader.core.membership.voters
+        if voter.name != lost.name
+    )
+    again = Member(lost.name, 'new')
+
+    async def change_twice() -> Position:
+        await leadership._append((leadership._entry(rest),))
+        at = leader.core.membership.at
+        leadership.join(again)
+        leadership._update_peers()
+        leadership._peers[again].match = at.index
+        assert leadership.has_lease()
+        await leadership._change_members()
+        return at
+
+    at = world.wait(leader.run(change_twice()))
+    assert leader.core.membership.at == at
+
+
 def test_one_winner_of_equal_base_versions(world):
     """Guards against concurrent changes that both win."""
     names = [node.name for node in followers_of(world)]
@@ -512,6 +576,24 @@
     assert (reply.granted, reply.reason) == (not reason, reason)
 
 
+def test_new_incarnation_gives_no_vote(world):
+    """Guards against a vote before the new incarnation was added."""
+    voter, candidate = followers_of(world)
+    usual = vote_request(world)
+    voters = tuple(
+        Member(voter.name, 'other') if member == voter.core.own else member
+        for member in usual.membership.voters
+    )
+    newer = Membership(Position(usual.last.term, usual.last.index + 1), voters)
+    leader_of(world).crash()
+    candidate.crash()
+    world.advance(1.1)
+    for trial in (True, False):
+        req = msgspec.structs.replace(usual, membership=newer, trial=trial)
+        reply = world.wait(voter.run(voter.replica._election.on_vote(req)))
+        assert reply.reason == 'this replica is no voter'
+
+
 def test_changes_need_a_majority_of_the_declared():
     """Guards against a first voter that accepts on its own."""
     world = World(3, seed=3)
