--- /dev/null
+++ b/tests/test_consensus_failures.py
@@ -0,0 +1,471 @@
+"""Directed tests of the control log, one for each named failure."""
+
+import msgspec
+import pytest
+from loguru import logger
+from returns.result import Failure, Success
+
+from cuminhoist.codec import Received
+from cuminhoist.consensus_messages import (
+    AppendRequest,
+    InstallRequest,
+    Member,
+    Membership,
+    Position,
+    VoteRequest,
+)
+from cuminhoist.lists import Accepted, Conflict, Unavailable
+from cuminhoist.replica_core import OnCorruption, Options
+
+from . import builders
+from .control_world import COMPACT_ENTRIES, Node, Recorder, World
+
+
+@pytest.fixture(autouse=True)
+def _no_logs():
+    logger.disable('cuminhoist')
+    yield
+    logger.enable('cuminhoist')
+
+
+@pytest.fixture
+def world():
+    """Return three replicas that form a cluster."""
+    made = World(3, seed=1)
+    made.boot()
+    yield made
+    made.close()
+
+
+def leader_of(world: World) -> Node:
+    """Return the leader after any election has ended."""
+    for _ in range(20):
+        leader = world.leader()
+        if leader is not None and leader.replica._leadership is not None:
+            if leader.replica._leadership.established:
+                return leader
+        world.advance(0.5)
+    raise AssertionError('no leader')
+
+
+def followers_of(world: World) -> list[Node]:
+    """Return all replicas but the leader."""
+    leader = leader_of(world)
+    return [node for node in world.nodes.values() if node is not leader]
+
+
+def accept(world: World, change_id: str) -> int:
+    """Return the version of a change that must be accepted."""
+    leader = leader_of(world)
+    base = leader.core.state.config.plans_version
+    change = builders.plans_change(change_id, base, len(world.changes) + 1)
+    outcome = world.decide(leader.name, change)
+    assert isinstance(outcome, Accepted), outcome
+    return outcome.version
+
+
+def test_silent_partition_of_the_leader(world):
+    """Guards against an isolated leader that accepts or confirms."""
+    old = leader_of(world)
+    accept(world, 'before')
+    world.isolate(old.name)
+    late = world.submit(old.name, builders.plans_change('late', 1))
+    world.advance(600)
+    assert isinstance(late.result(), Unavailable)
+    again = world.decide(old.name, builders.plans_change('late-2', 1))
+    assert isinstance(again, Unavailable)
+    assert old.replica.status().role != 'leader'
+    assert old.replica.confirmed_age_s() >= 599
+    assert leader_of(world) is not old
+    assert accept(world, 'during') == 2
+    term = leader_of(world).core.term
+    world.heal()
+    world.advance(3)
+    assert old.replica.committed().version == 2
+    assert leader_of(world).core.term == term
+
+
+def test_isolated_follower_raises_no_term(world):
+    """Guards against an election caused by a returning replica."""
+    node = followers_of(world)[0]
+    term = leader_of(world).core.term
+    world.isolate(node.name)
+    world.advance(60)
+    world.heal()
+    world.advance(5)
+    assert leader_of(world).core.term == term
+    assert node.core.term == term
+
+
+def test_paused_leader_wakes_with_expired_lease(world):
+    """Guards against a lease that counts from the reading of a reply."""
+    old = leader_of(world)
+    accept(world, 'before')
+    old.gate.clear()
+    world.advance(8)
+    assert accept(world, 'during') == 2
+    old.gate.set()
+    # The first answers after the wake are replies to requests that were
+    # sent before the pause.
+    outcome = world.decide(old.name, builders.plans_change('woken', 1))
+    assert isinstance(outcome, Unavailable)
+    assert old.replica.confirmed_age_s() >= 7.5
+    world.advance(3)
+    assert old.replica.committed().version == 2
+
+
+def test_leader_pauses_with_requests_under_way(world):
+    """Guards against replies that renew a lease long after the sending."""
+    old = leader_of(world)
+    world.network.delay_s = 0.2
+    world.advance(1.13)
+    old.gate.clear()
+    world.advance(0.9)
+    paused_at = world.loop.time() - 0.9
+    world.network.delay_s = 0.01
+    old.gate.set()
+    world.advance(0.001)
+    age_s = old.replica.confirmed_age_s()
+    assert world.loop.time() - age_s <= paused_at
+
+
+def test_late_heartbeat_confirms_nothing_new(world):
+    """Guards against an age that counts from a heartbeat's arrival."""
+    node = followers_of(world)[0]
+    leader = leader_of(world).name
+    recorder = Recorder(world, node.name)
+    world.advance(1)
+    late = recorder.requests[-1]
+    world.isolate(node.name)
+    isolated_at = world.loop.time()
+    accept(world, 'unseen')
+    world.advance(0.6)
+    world.wait(node.run(node.receive(Received(leader, late))))
+    age_s = node.replica.confirmed_age_s()
+    assert world.loop.time() - age_s <= isolated_at
+
+
+def test_heartbeat_without_its_entries_confirms_nothing(world):
+    """Guards against an age for a state that lacks committed entries."""
+    node = followers_of(world)[0]
+    leader = leader_of(world).name
+    recorder = Recorder(world, node.name)
+    world.advance(1)
+    usual = recorder.requests[-1]
+    world.isolate(node.name)
+    before = world.loop.time() - node.replica.confirmed_age_s()
+    ahead = msgspec.structs.replace(
+        usual,
+        commit_index=usual.commit_index + 1,
+        echo=list(node.replica._follower._tokens)[-1],
+    )
+    world.wait(node.run(node.receive(Received(leader, ahead))))
+    after = world.loop.time() - node.replica.confirmed_age_s()
+    assert after == pytest.approx(before)
+
+
+def test_entry_of_an_older_term_waits_for_one_of_this_term(world):
+    """Guards against a commit that a later leader can still replace."""
+    leader = leader_of(world)
+    leadership = leader.replica._leadership
+    world.isolate(leader.name)
+    world.submit(leader.name, builders.plans_change('open', 0))
+    world.advance(0.05)
+    last = leader.core.log.last.index
+    committed = leader.core.commit_index
+    assert last == committed + 1
+    leadership._first_index = last + 1
+    for peer in leadership._peers.values():
+        peer.match = last
+    leadership._advance()
+    assert leader.core.commit_index == committed
+
+
+def test_one_membership_change_at_a_time(world):
+    """Guards against two changes whose majorities do not overlap."""
+    leader = leader_of(world)
+    leadership = leader.replica._leadership
+    lost = followers_of(world)[0]
+    world.isolate(leader.name)
+    rest = tuple(
+        voter
+        for voter in leader.core.membership.voters
+        if voter.name != lost.name
+    )
+    again = Member(lost.name, 'new')
+
+    async def change_twice() -> Position:
+        await leadership._append((leadership._entry(rest),))
+        at = leader.core.membership.at
+        leadership.join(again)
+        leadership._update_peers()
+        leadership._peers[again].match = at.index
+        assert leadership.has_lease()
+        await leadership._change_members()
+        return at
+
+    at = world.wait(leader.run(change_twice()))
+    assert leader.core.membership.at == at
+
+
+def test_one_winner_of_equal_base_versions(world):
+    """Guards against concurrent changes that both win."""
+    names = [node.name for node in followers_of(world)]
+    tasks = [
+        world.submit(name, builders.plans_change(f'by-{name}', 0, number))
+        for number, name in enumerate(names, start=1)
+    ]
+    world.advance(2)
+    outcomes = {task.result() for task in tasks}
+    winner = next(
+        name
+        for name, task in zip(names, tasks, strict=True)
+        if task.result() == Accepted(version=1)
+    )
+    assert outcomes == {
+        Accepted(version=1),
+        Conflict(version=1, winner_id=f'by-{winner}'),
+    }
+
+
+def test_resend_gets_the_first_answer(world):
+    """Guards against a second run after leader change and compaction."""
+    accept(world, 'first')
+    leader = leader_of(world).name
+    lost = builders.plans_change('lost', 0)
+    assert isinstance(world.decide(leader, lost), Conflict)
+    for number in range(3 * COMPACT_ENTRIES):
+        accept(world, f'later-{number}')
+    assert leader_of(world).core.log.base.index > 0
+    leader_of(world).crash()
+    leader_of(world)
+    for node in world.nodes.values():
+        if not node.alive:
+            node.start()
+    world.advance(3)
+    for node in world.nodes.values():
+        for change_id in ('first', 'lost'):
+            change = world.changes[change_id]
+            outcome = world.decide(node.name, change)
+            assert outcome == world.decided[change_id]
+    assert (
+        leader_of(world).replica.committed().version == len(world.accepted) - 3
+    )
+
+
+def test_second_disk_is_lost_after_a_repair(world):
+    """Guards against a repaired replica that does not hold the state."""
+    versions = [accept(world, f'change-{number}') for number in range(5)]
+    for node in followers_of(world):
+        before = node.core.own
+        node.lose_disk()
+        node.start()
+        world.advance(6)
+        assert world.complete()
+        assert before not in world.voters()
+    leader_of(world).lose_disk()
+    world.advance(8)
+    assert leader_of(world).replica.committed().version == versions[-1]
+    assert accept(world, 'after') == versions[-1] + 1
+
+
+@pytest.mark.parametrize('missed', [COMPACT_ENTRIES - 6, 300])
+def test_catch_up_takes_one_round_trip(world, missed):
+    """Guards against a restart that fetches missed changes one by one."""
+    node = followers_of(world)[0]
+    node.crash()
+    for number in range(missed):
+        accept(world, f'missed-{number}')
+    node.start()
+    recorder = Recorder(world, node.name)
+    world.advance(2)
+    assert node.replica.committed().version == missed
+    carrying = [
+        req
+        for req in recorder.requests
+        if isinstance(req, InstallRequest)
+        or (isinstance(req, AppendRequest) and req.entries)
+    ]
+    assert len(carrying) == 1
+
+
+def test_new_incarnation_waits_for_its_vote():
+    """Guards against a vote of a replica that lost its promises."""
+    world = World(3, seed=2)
+    world.boot()
+    accept(world, 'kept')
+    lost = followers_of(world)[0]
+    lost.lose_disk()
+    lost.start()
+    leader_of(world).crash()
+    world.advance(60)
+    assert world.leader() is None
+    assert lost.replica.status().role == 'learner'
+    world.recover()
+    world.advance(8)
+    assert world.complete()
+    assert accept(world, 'after') == 2
+    world.close()
+
+
+def vote_request(world: World, **parts: object) -> VoteRequest:
+    """Return a request that a follower would grant but for some parts."""
+    one, other = followers_of(world)
+    usual = VoteRequest(
+        cluster_id=one.core.log.vote.cluster_id,
+        candidate=other.core.own,
+        term=one.core.term + 1,
+        trial=False,
+        last=one.core.log.last,
+        membership=one.core.membership,
+    )
+    return msgspec.structs.replace(usual, **parts)
+
+
+@pytest.mark.parametrize(
+    ('parts', 'reason'),
+    [
+        ({}, ''),
+        ({'cluster_id': 'another'}, 'another cluster'),
+        ({'candidate': Member('c9', 'x')}, 'the candidate is no voter'),
+        ({'candidate': Member('c1', 'old')}, 'the candidate is no voter'),
+        ({'term': 0}, 'an older term'),
+        ({'last': Position(1, 1)}, 'a shorter log'),
+    ],
+)
+def test_votes_are_refused(world, parts, reason):
+    """Guards against votes for replicas that must not lead."""
+    voter, candidate = followers_of(world)
+    req = vote_request(world, **parts)
+    early = world.wait(voter.run(voter.replica._election.on_vote(req)))
+    if not reason:
+        assert early.reason == 'a leader was heard'
+    leader_of(world).crash()
+    candidate.crash()
+    world.advance(1.1)
+    reply = world.wait(voter.run(voter.replica._election.on_vote(req)))
+    assert (reply.granted, reply.reason) == (not reason, reason)
+
+
+def test_new_incarnation_gives_no_vote(world):
+    """Guards against a vote before the new incarnation was added."""
+    voter, candidate = followers_of(world)
+    usual = vote_request(world)
+    voters = tuple(
+        Member(voter.name, 'other') if member == voter.core.own else member
+        for member in usual.membership.voters
+    )
+    newer = Membership(Position(usual.last.term, usual.last.index + 1), voters)
+    leader_of(world).crash()
+    candidate.crash()
+    world.advance(1.1)
+    for trial in (True, False):
+        req = msgspec.structs.replace(usual, membership=newer, trial=trial)
+        reply = world.wait(voter.run(voter.replica._election.on_vote(req)))
+        assert reply.reason == 'this replica is no voter'
+
+
+def test_changes_need_a_majority_of_the_declared():
+    """Guards against a first voter that accepts on its own."""
+    world = World(3, seed=3)
+    first = world.nodes['c0']
+    first.start()
+    world.advance(1)
+    assert isinstance(world.wait(first.run(first.replica.init())), Success)
+    assert isinstance(
+        world.wait(first.run(first.replica.init())),
+        Failure,
+    )
+    world.advance(3)
+    assert first.replica.status().role == 'leader'
+    change = builders.plans_change('early', 0)
+    assert isinstance(world.decide('c0', change), Unavailable)
+    world.nodes['c1'].start()
+    world.advance(5)
+    assert isinstance(world.decide('c1', change), Accepted)
+    world.close()
+
+
+def test_full_disks_and_space_again(world):
+    """Guards against an answer for a change that was not written."""
+    accept(world, 'before')
+    old = leader_of(world)
+    old.disk.full = True
+    outcome = world.decide(old.name, builders.plans_change('full', 1))
+    assert isinstance(outcome, Unavailable)
+    world.advance(6)
+    assert leader_of(world) is not old
+    accept(world, 'others')
+    for node in world.nodes.values():
+        node.disk.full = True
+    leader = leader_of(world)
+    late = builders.plans_change('all-full', 2)
+    assert isinstance(world.decide(leader.name, late), Unavailable)
+    for node in world.nodes.values():
+        node.disk.full = False
+    world.advance(15)
+    assert isinstance(world.decide(leader_of(world).name, late), Accepted)
+
+
+@pytest.mark.parametrize('choice', list(OnCorruption))
+def test_damaged_files(choice):
+    """Guards against damaged files that are read as state."""
+    world = World(3, seed=4)
+    world.options = Options(
+        timings=world.options.timings,
+        on_corruption=choice,
+    )
+    world.boot()
+    version = accept(world, 'kept')
+    node = followers_of(world)[0]
+    before = node.core.own
+    node.crash()
+    damaged = bytearray(node.disk.files['log'])
+    damaged[3] ^= 1
+    node.disk.files['log'] = bytes(damaged)
+    node.start()
+    world.advance(6)
+    status = node.replica.status()
+    if choice is OnCorruption.stop:
+        assert 'corrupt' in status.fault
+        assert node.replica.committed() is None
+        assert accept(world, 'two-are-enough') == version + 1
+    else:
+        assert status.incarnation != before.incarnation
+        assert node.replica.committed().version == version
+        assert next(iter(node.disk.aside.values()))['log'] == damaged
+        assert world.complete()
+    world.close()
+
+
+def test_restart_of_all_serves_nothing_unconfirmed(world):
+    """Guards against an old state that is served after a restart."""
+    version = accept(world, 'kept')
+    for node in world.nodes.values():
+        node.crash()
+    first, *others = world.nodes.values()
+    first.start()
+    world.advance(30)
+    assert first.replica.committed() is None
+    assert first.replica.confirmed_age_s() is None
+    for node in others:
+        node.start()
+    world.advance(6)
+    assert {
+        node.replica.committed().version for node in world.nodes.values()
+    } == {version}
+
+
+def test_listeners_hear_versions_in_order(world):
+    """Guards against a listener that sees an older configuration."""
+    heard: dict[str, list[int]] = {name: [] for name in world.names}
+    for name, node in world.nodes.items():
+        node.replica.on_commit(
+            lambda config, name=name: heard[name].append(config.version),
+        )
+    for number in range(30):
+        accept(world, f'change-{number}')
+    world.advance(2)
+    for versions in heard.values():
+        assert versions == sorted(set(versions))
+        assert versions[-1] == 30
