--- /dev/null
+++ b/tests/control_steps.py
@@ -0,0 +1,49 @@
+"""Steps that the directed tests of the control log share."""
+
+from cuminhoist.codec import Message, Received
+from cuminhoist.lists import Accepted
+
+from . import builders
+from .control_world import Node, World
+
+
+class Recorder:
+    """Counts requests to one replica that carry log content."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.requests: list[Message] = []
+        transport = world.nodes[name].transport
+        handle = transport.handle
+
+        async def record(received: Received) -> Message:
+            self.requests.append(received.message)
+            return await handle(received)
+
+        transport.handle = record  # type: ignore[method-assign]
+
+
+def leader_of(world: World) -> Node:
+    """Return the leader after any election has ended."""
+    for _ in range(20):
+        leader = world.leader()
+        if leader is not None and leader.replica._leadership is not None:
+            if leader.replica._leadership.established:
+                return leader
+        world.advance(0.5)
+    raise AssertionError('no leader')
+
+
+def followers_of(world: World) -> list[Node]:
+    """Return all replicas but the leader."""
+    leader = leader_of(world)
+    return [node for node in world.nodes.values() if node is not leader]
+
+
+def accept(world: World, change_id: str) -> int:
+    """Return the version of a change that must be accepted."""
+    leader = leader_of(world)
+    base = leader.core.state.config.plans_version
+    change = builders.plans_change(change_id, base, len(world.changes) + 1)
+    outcome = world.decide(leader.name, change)
+    assert isinstance(outcome, Accepted), outcome
+    return outcome.version
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -4,173 +4,30 @@
 import bisect
 import contextvars
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
-import msgspec
 from returns.result import Failure, Result, Success
 
-from cuminhoist.clock import Clock
 from cuminhoist.codec import Codec, Message, Received
 from cuminhoist.consensus import Replica
 from cuminhoist.consensus_messages import Entry, Member, VoteReply, VoteRequest
 from cuminhoist.exceptions import TransportError
 from cuminhoist.lists import Accepted, Change, ChangeOutcome, Drain, Unavailable
 from cuminhoist.replica_core import Options, Timings
-from cuminhoist.storage import Disk, DiskError, DiskErrorKind
 from cuminhoist.transport import Transport
 from cuminhoist.types import DrainScope
 
 from . import builders
-
-_node: contextvars.ContextVar['Node | None'] = contextvars.ContextVar(
-    'node',
-    default=None,
+from .control_fakes import (
+    FakeDisk,
+    LoopClock,
+    Network,
+    VirtualLoop,
+    current_node,
 )
-COMPACT_ENTRIES = 12
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop that skips all waiting."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._virtual_s = 1000.0
-        self.set_task_factory(_create_task)
-
-    def time(self) -> float:
-        return self._virtual_s
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:
-            due = self._scheduled[0]._when
-            self._virtual_s = max(self._virtual_s, due)
-        super()._run_once()
-
-
-def _create_task(
-    loop: Any, coro: Any, context: Any = None
-) -> asyncio.Task[Any]:
-    node = _node.get() if context is None else context.get(_node)
-    task = asyncio.Task(coro, loop=loop, context=context)
-    if node is not None:
-        node.tasks.add(task)
-        task.add_done_callback(node.tasks.discard)
-    return task
-
-
-class LoopClock(Clock):
-    """The time of a virtual loop."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
-
-    def now(self) -> float:
-        return self._loop.time()
 
-    def wall(self) -> float:
-        return self._loop.time()
-
-
-class FakeDisk(Disk):
-    """Files that are durable at the end of an operation.
-
-    A crash during an operation leaves a prefix of an appended write, and
-    either the old or the new content of a replaced file.
-    """
-
-    def __init__(self, rng: random.Random) -> None:
-        self.files: dict[str, bytes] = {}
-        self.aside: dict[str, dict[str, bytes]] = {}
-        self.full = False
-        self.delay_s = 0.002
-        self._rng = rng
-        self._life = 0
-        self._unsynced: Callable[[], None] | None = None
-
-    def crash(self) -> None:
-        """Lose what was not synced; operations of the old life never end."""
-        self._life += 1
-        if self._unsynced is not None:
-            self._unsynced()
-        self._unsynced = None
-
-    async def names(self) -> Result[tuple[str, ...], DiskError]:
-        return Success(tuple(self.files))
-
-    async def read(self, name: str) -> Result[bytes, DiskError]:
-        return Success(self.files[name])
-
-    async def write_at(
-        self, name: str, offset: int, content: bytes
-    ) -> Result[None, DiskError]:
-        def tear() -> None:
-            part = content[: self._rng.randint(0, len(content))]
-            self.files[name] = self.files[name][:offset] + part
-
-        def finish() -> None:
-            self.files[name] = self.files[name][:offset] + content
-
-        return await self._change(name, tear, finish)
-
-    async def replace(
-        self, name: str, content: bytes
-    ) -> Result[None, DiskError]:
-        def finish() -> None:
-            self.files[name] = content
-
-        def tear() -> None:
-            if self._rng.random() < 0.5:
-                finish()
-
-        return await self._change(name, tear, finish)
-
-    async def remove(self, name: str) -> Result[None, DiskError]:
-        self.files.pop(name, None)
-        return Success(None)
-
-    async def set_aside(self, label: str) -> Result[None, DiskError]:
-        self.aside[label] = self.files
-        self.files = {}
-        return Success(None)
-
-    async def _change(
-        self,
-        name: str,
-        tear: Callable[[], None],
-        finish: Callable[[], None],
-    ) -> Result[None, DiskError]:
-        life = self._life
-        if self.full:
-            return Failure(DiskError(DiskErrorKind.full, name, 'no space'))
-        self._unsynced = tear
-        await asyncio.sleep(self._rng.uniform(0, self.delay_s))
-        node = _node.get()
-        if node is not None:
-            await node.gate.wait()
-        if life != self._life:
-            await asyncio.Event().wait()
-        self._unsynced = None
-        finish()
-        return Success(None)
-
-
-class Network:
-    """Which messages get through, and how late."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.rng = rng
-        self.cut: set[tuple[str, str]] = set()
-        self.delay_s = 0.01
-        self.loss = 0.0
-        self.duplicates = 0.0
-
-    async def carry(self, source: str, target: str) -> None:
-        """Return when a message has arrived; never if it is lost."""
-        await asyncio.sleep(self.rng.uniform(0, self.delay_s))
-        lost = self.rng.random() < self.loss
-        if lost or (source, target) in self.cut:
-            await asyncio.Event().wait()
+COMPACT_ENTRIES = 12
 
 
 class FakeTransport(Transport):
@@ -236,7 +93,7 @@
         self.replica: Replica
         self.transport: FakeTransport
         self._context = contextvars.copy_context()
-        self._context.run(_node.set, self)
+        self._context.run(current_node.set, self)
 
     def run(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a task that ends when this node crashes."""
@@ -530,26 +387,3 @@
         if self.nodes[voter.name].ready and core.own == voter:
             held = self._held.get(voter, 0)
             self.expect(core.log.last.index >= held, f'{voter} lacks state')
-
-
-def replaced(options: Options, **timings: Any) -> Options:
-    """Return options with other timings."""
-    return msgspec.structs.replace(
-        options,
-        timings=msgspec.structs.replace(options.timings, **timings),
-    )
-
-
-class Recorder:
-    """Counts requests to one replica that carry log content."""
-
-    def __init__(self, world: World, name: str) -> None:
-        self.requests: list[Message] = []
-        transport = world.nodes[name].transport
-        handle = transport.handle
-
-        async def record(received: Received) -> Message:
-            self.requests.append(received.message)
-            return await handle(received)
-
-        transport.handle = record  # type: ignore[method-assign]
--- a/tests/test_consensus_failures.py
+++ b/tests/test_consensus_failures.py
@@ -3,7 +3,6 @@
 import msgspec
 import pytest
 from loguru import logger
-from returns.result import Failure, Success
 
 from cuminhoist.codec import Received
 from cuminhoist.consensus_messages import (
@@ -15,10 +14,10 @@
     VoteRequest,
 )
 from cuminhoist.lists import Accepted, Conflict, Unavailable
-from cuminhoist.replica_core import OnCorruption, Options
 
 from . import builders
-from .control_world import COMPACT_ENTRIES, Node, Recorder, World
+from .control_steps import Recorder, accept, followers_of, leader_of
+from .control_world import COMPACT_ENTRIES, World
 
 
 @pytest.fixture(autouse=True)
@@ -37,33 +36,6 @@
     made.close()
 
 
-def leader_of(world: World) -> Node:
-    """Return the leader after any election has ended."""
-    for _ in range(20):
-        leader = world.leader()
-        if leader is not None and leader.replica._leadership is not None:
-            if leader.replica._leadership.established:
-                return leader
-        world.advance(0.5)
-    raise AssertionError('no leader')
-
-
-def followers_of(world: World) -> list[Node]:
-    """Return all replicas but the leader."""
-    leader = leader_of(world)
-    return [node for node in world.nodes.values() if node is not leader]
-
-
-def accept(world: World, change_id: str) -> int:
-    """Return the version of a change that must be accepted."""
-    leader = leader_of(world)
-    base = leader.core.state.config.plans_version
-    change = builders.plans_change(change_id, base, len(world.changes) + 1)
-    outcome = world.decide(leader.name, change)
-    assert isinstance(outcome, Accepted), outcome
-    return outcome.version
-
-
 def test_silent_partition_of_the_leader(world):
     """Guards against an isolated leader that accepts or confirms."""
     old = leader_of(world)
@@ -363,109 +335,3 @@
         req = msgspec.structs.replace(usual, membership=newer, trial=trial)
         reply = world.wait(voter.run(voter.replica._election.on_vote(req)))
         assert reply.reason == 'this replica is no voter'
-
-
-def test_changes_need_a_majority_of_the_declared():
-    """Guards against a first voter that accepts on its own."""
-    world = World(3, seed=3)
-    first = world.nodes['c0']
-    first.start()
-    world.advance(1)
-    assert isinstance(world.wait(first.run(first.replica.init())), Success)
-    assert isinstance(
-        world.wait(first.run(first.replica.init())),
-        Failure,
-    )
-    world.advance(3)
-    assert first.replica.status().role == 'leader'
-    change = builders.plans_change('early', 0)
-    assert isinstance(world.decide('c0', change), Unavailable)
-    world.nodes['c1'].start()
-    world.advance(5)
-    assert isinstance(world.decide('c1', change), Accepted)
-    world.close()
-
-
-def test_full_disks_and_space_again(world):
-    """Guards against an answer for a change that was not written."""
-    accept(world, 'before')
-    old = leader_of(world)
-    old.disk.full = True
-    outcome = world.decide(old.name, builders.plans_change('full', 1))
-    assert isinstance(outcome, Unavailable)
-    world.advance(6)
-    assert leader_of(world) is not old
-    accept(world, 'others')
-    for node in world.nodes.values():
-        node.disk.full = True
-    leader = leader_of(world)
-    late = builders.plans_change('all-full', 2)
-    assert isinstance(world.decide(leader.name, late), Unavailable)
-    for node in world.nodes.values():
-        node.disk.full = False
-    world.advance(15)
-    assert isinstance(world.decide(leader_of(world).name, late), Accepted)
-
-
-@pytest.mark.parametrize('choice', list(OnCorruption))
-def test_damaged_files(choice):
-    """Guards against damaged files that are read as state."""
-    world = World(3, seed=4)
-    world.options = Options(
-        timings=world.options.timings,
-        on_corruption=choice,
-    )
-    world.boot()
-    version = accept(world, 'kept')
-    node = followers_of(world)[0]
-    before = node.core.own
-    node.crash()
-    damaged = bytearray(node.disk.files['log'])
-    damaged[3] ^= 1
-    node.disk.files['log'] = bytes(damaged)
-    node.start()
-    world.advance(6)
-    status = node.replica.status()
-    if choice is OnCorruption.stop:
-        assert 'corrupt' in status.fault
-        assert node.replica.committed() is None
-        assert accept(world, 'two-are-enough') == version + 1
-    else:
-        assert status.incarnation != before.incarnation
-        assert node.replica.committed().version == version
-        assert next(iter(node.disk.aside.values()))['log'] == damaged
-        assert world.complete()
-    world.close()
-
-
-def test_restart_of_all_serves_nothing_unconfirmed(world):
-    """Guards against an old state that is served after a restart."""
-    version = accept(world, 'kept')
-    for node in world.nodes.values():
-        node.crash()
-    first, *others = world.nodes.values()
-    first.start()
-    world.advance(30)
-    assert first.replica.committed() is None
-    assert first.replica.confirmed_age_s() is None
-    for node in others:
-        node.start()
-    world.advance(6)
-    assert {
-        node.replica.committed().version for node in world.nodes.values()
-    } == {version}
-
-
-def test_listeners_hear_versions_in_order(world):
-    """Guards against a listener that sees an older configuration."""
-    heard: dict[str, list[int]] = {name: [] for name in world.names}
-    for name, node in world.nodes.items():
-        node.replica.on_commit(
-            lambda config, name=name: heard[name].append(config.version),
-        )
-    for number in range(30):
-        accept(world, f'change-{number}')
-    world.advance(2)
-    for versions in heard.values():
-        assert versions == sorted(set(versions))
-        assert versions[-1] == 30
