--- a/benchmarks/ownership_cost.py
+++ b/benchmarks/ownership_cost.py
@@ -168,6 +168,15 @@
 class OwnAll(Ownership):
     """Ownership without peers."""
 
+    @property
+    def held(self) -> set[str]:
+        """Every target of the cell."""
+        return set(self._targets)
+
+    def holds_lease(self) -> bool:
+        """Tell that the lease is valid."""
+        return True
+
     def owns(self, target: str) -> bool:
         """Tell that every target is own.
 
