Let tests give an entry instance its own clients

Steering decisions of several instances together could only be tested over loopback and wall time. EntrySide takes an optional set of clients; the tests build whole instances on an in-memory network, fake targets and a controlled clock.

--- a/src/cuminhoist/entryside.py
+++ b/src/cuminhoist/entryside.py
@@ -55,14 +55,28 @@
     in_force: ConfigInForce
 
 
+class Clients(msgspec.Struct, frozen=True, kw_only=True):
+    """What carries requests and probes; tests give their own."""
+
+    targets: HttpxTargetClient
+    peers: PeerClient
+    probes: HttpxProbeClient
+
+
 class EntrySide:
     """All parts of the entry role.
 
     :param base: what both roles share.
     :param membership: live and leaving instances and upstreams.
+    :param clients: carry requests and probes; None for the network.
     """
 
-    def __init__(self, base: Base, membership: Membership) -> None:
+    def __init__(
+        self,
+        base: Base,
+        membership: Membership,
+        clients: Clients | None = None,
+    ) -> None:
         self._base = base
         self.membership = membership
         cfg, topology, clock = base.cfg, base.topology, base.clock
@@ -91,9 +105,14 @@
         self.lookup = self._build_lookup()
         self.tracer = Tracer.from_config(cfg.traces_file, cfg.name)
         self._metrics = metrics_from_config(cfg.statsd)
-        self._client = HttpxTargetClient(clock)
-        self._peers = PeerClient(self.hops, clock)
-        self._probe_client = HttpxProbeClient(cfg.probe_path)
+        clients = clients or Clients(
+            targets=HttpxTargetClient(clock),
+            peers=PeerClient(self.hops, clock),
+            probes=HttpxProbeClient(cfg.probe_path),
+        )
+        self._client = clients.targets
+        self._peers = clients.peers
+        self._probe_client = clients.probes
         self._rates = RateShares(
             clock,
             base.in_force,
--- /dev/null
+++ b/tests/steering_fleet.py
@@ -0,0 +1,306 @@
+"""Whole entry instances on the fakes of `steering_world`."""
+
+import asyncio
+import dataclasses
+import itertools
+import types
+from unittest import mock
+
+import looptime
+from returns.result import Failure
+
+from cuminhoist.entryside import Base, Clients, EntrySide
+from cuminhoist.inforce import ConfigInForce
+from cuminhoist.membership import Membership
+from cuminhoist.node import Node as DaemonNode
+from cuminhoist.requests import CallerRequest
+from cuminhoist.types import Ran
+
+from .builders import settings_of
+from .steering_world import (
+    CLIENT,
+    KIND_OF,
+    SLOTS,
+    FakePeers,
+    FakeProbes,
+    FakeTarget,
+    FakeTargets,
+    FakeTransport,
+    NodeClock,
+    config,
+    topology_of,
+)
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request of a caller and what the caller got."""
+
+    request: str
+    key: str
+    caller: str
+    instance: str
+    sent_at: float
+    result: str = 'open'
+    status: int = 0
+    reason: str = ''
+    ended_at: float = 0
+
+
+class Instance:
+    """One entry instance; `start` begins a new life of its process."""
+
+    def __init__(self, world, name):
+        self.world, self.name = world, name
+        self.domain = world.topology.instance(name).domain
+        self.cfg = settings_of(world.topology, name)
+        self.up = False
+        # Dictionaries keep the order of tasks the same in every run.
+        self.requests = {}
+        self._tasks = {}
+
+    def start(self, configuration):
+        self.up = True
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.clock = NodeClock(self.world)
+        self.transport = FakeTransport(self.world, self)
+        self.in_force = ConfigInForce()
+        self.in_force.advance(configuration)
+        base = Base(
+            cfg=self.cfg,
+            topology=self.world.topology,
+            clock=self.clock,
+            transport=self.transport,
+            in_force=self.in_force,
+        )
+        membership = Membership(
+            base.topology, self.name, self.clock, self.in_force
+        )
+        self.peers = FakePeers(self.world, self)
+        clients = Clients(
+            targets=FakeTargets(self.world, self),
+            peers=self.peers,
+            probes=FakeProbes(self.world),
+        )
+        with mock.patch('secrets.randbits', return_value=7):
+            self.entry = EntrySide(base, membership, clients)
+        for coroutine in self.entry.tasks():
+            self.spawn(coroutine)
+
+    def spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks[task] = True
+        task.add_done_callback(self._tasks.pop)
+        return task
+
+    def crash(self):
+        self.up = False
+        for task in (*self._tasks, *self.entry.service._keyed._tasks):
+            task.cancel()
+
+    def pause(self):
+        self.clock.frozen_at = self.clock.now()
+        self.gate.clear()
+
+    def resume(self):
+        self.clock.frozen_at = None
+        self.gate.set()
+
+    async def stop(self):
+        """Stop as the daemon does: hand over, serve on, then end."""
+        daemon = types.SimpleNamespace(
+            _server=types.SimpleNamespace(start_drain=lambda: None),
+            _clock=self.clock,
+            _cfg=self.cfg,
+        )
+        await DaemonNode._leave(daemon, self.entry)
+        while self.requests:
+            await asyncio.sleep(0.1)
+        self.crash()
+
+    async def serve(self, req):
+        await self.gate.wait()
+        task = asyncio.current_task()
+        self.requests[task] = True
+        try:
+            return await self.entry.service.serve(req)
+        finally:
+            self.requests.pop(task)
+
+    async def serve_hop(self, route, origin, attempt):
+        names = dict(attempt.headers)
+        _, service, path = route.path.split('/', 2)
+        return await self.serve(
+            CallerRequest(
+                service=service,
+                caller=route.caller,
+                kind=KIND_OF[service],
+                method=route.method,
+                path=f'/{path}',
+                headers=attempt.headers,
+                body=attempt.body,
+                deadline_s=attempt.timeout_s,
+                key=names.get(b'idempotency-key', b'').decode(),
+                hop=origin,
+            )
+        )
+
+
+class World:
+    """Instances, targets, the network between them, and all evidence."""
+
+    def __init__(self, per_domain=2, targets=2):
+        self.loop = looptime.new_event_loop(start=1000)
+        self.topology = topology_of(per_domain, targets)
+        self.targets = {
+            target.name: FakeTarget(self, target)
+            for target in self.topology.targets
+        }
+        self.nodes = {
+            entry.name: Instance(self, entry.name)
+            for entry in self.topology.entries()
+        }
+        self.runs, self.sent, self.cuts = [], [], set()
+        self._numbers = itertools.count()
+
+    def now(self):
+        return self.loop.time()
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    def start(self, configuration=None, warm_s=16):
+        """Start all instances; wait until every slow start is over."""
+        self.configuration = configuration or config()
+
+        async def begin():
+            for node in self.nodes.values():
+                node.start(self.configuration)
+            await asyncio.sleep(warm_s)
+
+        self.run(begin())
+        return self
+
+    def close(self):
+        async def end():
+            for node in self.nodes.values():
+                if node.up:
+                    node.crash()
+            await asyncio.sleep(0)
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
+        self.run(end())
+        self.loop.close()
+
+    def reaches(self, node, other):
+        """Tell whether messages of an instance arrive at another one."""
+        return other.up and (node.domain, other.domain) not in self.cuts
+
+    def cut(self, *, both=True):
+        self.cuts = {('a', 'b'), ('b', 'a')} if both else {('a', 'b')}
+
+    def heal(self):
+        self.cuts = set()
+
+    def apply(self, configuration, names):
+        for name in names:
+            self.nodes[name].in_force.advance(configuration)
+
+    async def send(
+        self,
+        name,
+        service='catalogue',
+        *,
+        caller='c0',
+        key='',
+        home='',
+        deadline_s=2,
+    ):
+        """Send one request to an instance and read the whole answer."""
+        node = self.nodes[name]
+        sent = Sent(f'r{next(self._numbers)}', key, caller, name, self.now())
+        self.sent.append(sent)
+        if not node.up:
+            sent.result = 'unreached'
+            return sent
+        req = CallerRequest(
+            service=service,
+            caller=caller,
+            kind=KIND_OF[service],
+            method='POST',
+            path='/x',
+            headers=[
+                (b'x-id', sent.request.encode()),
+                (b'idempotency-key', key.encode()),
+                (b'content-length', b'0'),
+            ],
+            body=_nothing(),
+            client=CLIENT[home or node.domain],
+            deadline_s=deadline_s,
+            key=key,
+        )
+        task = node.spawn(node.serve(req))
+        await asyncio.wait([task])
+        sent.ended_at = self.now()
+        if task.cancelled():
+            sent.result = 'lost'
+        elif isinstance(task.result(), Failure):
+            refusal = task.result().failure()
+            sent.result, sent.reason = str(refusal.ran), str(refusal.reason)
+        else:
+            answer = task.result().unwrap()
+            sent.result, sent.status = 'answered', answer.status
+            async for _ in answer.body:
+                pass
+            answer.abort()
+        return sent
+
+    async def load(self, names, seconds, per_s, **how):
+        """Send requests at a steady rate to instances in turn."""
+        tasks = []
+        turns = itertools.cycle(names)
+        for _ in range(int(seconds * per_s)):
+            tasks.append(asyncio.ensure_future(self.send(next(turns), **how)))
+            await asyncio.sleep(1 / per_s)
+        return await asyncio.gather(*tasks)
+
+    def violations(self):
+        """Return the broken invariants that the targets witness."""
+        found = [
+            f'{name} ran {fake.most} at once'
+            for name, fake in self.targets.items()
+            if fake.most > SLOTS
+        ]
+        ran = {run.request for run in self.runs}
+        found += [
+            f'{sent.request} ran, but got not-run ({sent.reason})'
+            for sent in self.sent
+            if sent.result == Ran.not_run and sent.request in ran
+        ]
+        keys = [run.key for run in self.runs if run.key]
+        found += [
+            f'{key} ran twice' for key in set(keys) if keys.count(key) > 1
+        ]
+        return found
+
+    def account_errors(self):
+        """Return instances whose accounts differ from the requests."""
+        found = []
+        for name, node in self.nodes.items():
+            if not node.up:
+                continue
+            lines = node.entry.accounts.snapshot().lines
+            counted = sum(line.count for line in lines)
+            arrived = sum(sent.instance == name for sent in self.sent)
+            if (counted, node.entry.accounts.open_tickets()) != (arrived, 0):
+                found.append(f'{name}: {counted} of {arrived}')
+        return found
+
+
+async def _nothing():
+    for chunk in ():
+        yield chunk
