Never say not-run after an attempt that may have run

The dispatcher now remembers an attempt that may have run and says unknown.

tests/test_dispatch.py fails without the change: requests that targets recorded as run got not-run (no-slot).

--- a/src/cuminhoist/dispatch.py
+++ b/src/cuminhoist/dispatch.py
@@ -37,13 +37,17 @@
 
 
 class _Progress(msgspec.Struct):
-    """What was tried for a request so far."""
+    """What was tried for a request so far.
+
+    :param may_have_run: whether an attempt may have run at its target.
+    """
 
     targets: frozenset[str] = frozenset()
     instances: frozenset[str] = frozenset()
     retries: int = 0
     refused_hops: int = 0
     last_hop: bool = False
+    may_have_run: bool = False
 
 
 class DispatchParts(msgspec.Struct, frozen=True, kw_only=True):
@@ -98,8 +102,11 @@
             outcome = await self._attempt(checked, progress)
             if isinstance(outcome, Success):
                 return outcome
-            if not await self._may_repeat(checked, outcome.failure(), progress):
-                return outcome
+            refusal = outcome.failure()
+            if refusal.ran == Ran.unknown:
+                progress.may_have_run = True
+            if not await self._may_repeat(checked, refusal, progress):
+                return Failure(_about_all(refusal, progress))
 
     async def send_to_home(
         self,
@@ -247,6 +254,17 @@
         return True
 
 
+def _about_all(refusal: Refusal, progress: _Progress) -> Refusal:
+    """Return a refusal that is true of all attempts of a request.
+
+    :param refusal: the refusal of the last attempt.
+    :param progress: what was tried before.
+    """
+    if progress.may_have_run:
+        return msgspec.structs.replace(refusal, ran=Ran.unknown)
+    return refusal
+
+
 def admission_request(
     checked: CheckedRequest,
     exclude: frozenset[str] = frozenset(),
