Add scenarios of several entry instances under faults

Slots, at most once, true not-run and complete accounts were tested for single parts or over loopback only. The scenarios run whole instances on an in-memory network and a controlled clock and are checked against what the targets saw.

--- a/tests/steering_fleet.py
+++ b/tests/steering_fleet.py
@@ -40,7 +40,9 @@
     key: str
     caller: str
     instance: str
+    home: str
     sent_at: float
+    life: EntrySide | None = None
     result: str = 'open'
     status: int = 0
     reason: str = ''
@@ -219,14 +221,26 @@
         key='',
         home='',
         deadline_s=2,
+        leave_after_s=None,
     ):
-        """Send one request to an instance and read the whole answer."""
+        """Send one request to an instance and read the whole answer.
+
+        The caller waits for it, or leaves after some time.
+        """
         node = self.nodes[name]
-        sent = Sent(f'r{next(self._numbers)}', key, caller, name, self.now())
+        sent = Sent(
+            f'r{next(self._numbers)}',
+            key,
+            caller,
+            name,
+            home or node.domain,
+            self.now(),
+        )
         self.sent.append(sent)
         if not node.up:
             sent.result = 'unreached'
             return sent
+        sent.life = node.entry
         req = CallerRequest(
             service=service,
             caller=caller,
@@ -244,7 +258,10 @@
             key=key,
         )
         task = node.spawn(node.serve(req))
-        await asyncio.wait([task])
+        await asyncio.wait([task], timeout=leave_after_s)
+        if not task.done():
+            task.cancel()
+            await asyncio.wait([task])
         sent.ended_at = self.now()
         if task.cancelled():
             sent.result = 'lost'
@@ -259,6 +276,18 @@
             answer.abort()
         return sent
 
+    def key(self, home, text):
+        """Return a key with a ticket of an instance that is up."""
+        return f'{self.nodes[home].entry.keys.current_ticket()}.{text}'
+
+    def owner_of(self, target):
+        """Return the name of the instance that dispatches to a target."""
+        return next(
+            node.name
+            for node in self.nodes.values()
+            if node.up and node.entry.ownership.owns(target)
+        )
+
     async def load(self, names, seconds, per_s, **how):
         """Send requests at a steady rate to instances in turn."""
         tasks = []
@@ -281,6 +310,14 @@
             for sent in self.sent
             if sent.result == Ran.not_run and sent.request in ran
         ]
+        first_run = {run.key: run.started_at for run in reversed(self.runs)}
+        found += [
+            f'{sent.key} had run, but got not-run ({sent.reason})'
+            for sent in self.sent
+            if sent.key
+            and sent.result == Ran.not_run
+            and first_run.get(sent.key, sent.ended_at) < sent.ended_at
+        ]
         keys = [run.key for run in self.runs if run.key]
         found += [
             f'{key} ran twice' for key in set(keys) if keys.count(key) > 1
@@ -295,7 +332,7 @@
                 continue
             lines = node.entry.accounts.snapshot().lines
             counted = sum(line.count for line in lines)
-            arrived = sum(sent.instance == name for sent in self.sent)
+            arrived = sum(sent.life is node.entry for sent in self.sent)
             if (counted, node.entry.accounts.open_tickets()) != (arrived, 0):
                 found.append(f'{name}: {counted} of {arrived}')
         return found
--- a/tests/steering_world.py
+++ b/tests/steering_world.py
@@ -144,9 +144,11 @@
         self.mode, self.work_s, self.draining = 'ok', 0.05, False
         self.running = 0
         self.most = 0
+        self.attempts = 0
 
     async def run(self, node, attempt):
         started_at = self.world.now()
+        self.attempts += 1
         if attempt.timeout_s <= 0:
             return self._end(attempt, 0, SlotOutcome.not_run, Reason.deadline)
         if self.mode == 'shed':
@@ -297,13 +299,15 @@
                 while not self._world.reaches(other, self._node) and other.up:
                     await asyncio.sleep(0.1)
         except TimeoutError:
+            _disconnect(task)
             return lost(Reason.target_timeout)
         except asyncio.CancelledError:
-            task.cancel()
+            _disconnect(task)
             attempt.on_end(SlotOutcome.unknown, 0)
             raise
         await self._node.gate.wait()
         if task.cancelled() or fate == 'after':
+            _disconnect(task)
             return lost(Reason.target_lost)
         return task.result()
 
@@ -311,6 +315,14 @@
         """Hold no connection."""
 
 
+def _disconnect(task):
+    """End a hop at the receiver, as a lost connection does."""
+    if not task.done():
+        task.cancel()
+    elif not task.cancelled() and isinstance(task.result(), Success):
+        task.result().unwrap().abort()
+
+
 def _hop_outcome(outcome):
     if isinstance(outcome, Success):
         failed = outcome.unwrap().status >= 500
