--- a/src/cuminhoist/accounting.py
+++ b/src/cuminhoist/accounting.py
@@ -1,10 +1,16 @@
 """Accounts of what became of every request."""
 
-import enum
-
-import msgspec
 from hdrh.histogram import HdrHistogram
 
+from .accounts import (
+    AccountLine,
+    AccountSnapshot,
+    AccountSource,
+    LatencyLine,
+    OpenedLine,
+    Outcome,
+    PromiseLine,
+)
 from .clock import Clock
 from .entitlements import Entitlements, Pair
 from .exceptions import InvariantError
@@ -22,70 +28,6 @@
 MAX_REASONS = 64
 
 
-class Outcome(enum.StrEnum):
-    """How a request ended."""
-
-    answered = 'answered'
-    #: The target answered with a server error.
-    failed = 'failed'
-    refused = 'refused'
-    unknown = 'unknown'
-    cancelled = 'cancelled'
-
-
-class AccountLine(msgspec.Struct, frozen=True):
-    """Requests with the same names, outcome and reason.
-
-    :param reason: why they were refused or are unknown; empty if answered.
-    :param count: number of requests.
-    :param weight: sum of their weights.
-    """
-
-    caller: str
-    service: str
-    kind: str
-    outcome: Outcome
-    reason: str
-    count: int
-    weight: float
-
-
-class PromiseLine(msgspec.Struct, frozen=True):
-    """What the plan promised a caller so far.
-
-    :param weight: rate share of the instance, integrated over time.
-    """
-
-    caller: str
-    service: str
-    weight: float
-
-
-class LatencyLine(msgspec.Struct, frozen=True):
-    """Latencies of answered requests.
-
-    :param histogram: encoded HDR histogram, in steps of 0.1 ms.
-    """
-
-    service: str
-    kind: str
-    histogram: bytes
-
-
-class AccountSnapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """All accounts of one life of an instance; figures only grow.
-
-    :param open_tickets: requests without an outcome yet.
-    """
-
-    instance: str
-    incarnation: str
-    lines: tuple[AccountLine, ...] = ()
-    promises: tuple[PromiseLine, ...] = ()
-    latencies: tuple[LatencyLine, ...] = ()
-    open_tickets: int = 0
-
-
 _LineKey = tuple[str, str, str, Outcome, str]
 
 
@@ -137,7 +79,7 @@
         return True
 
 
-class Accounts:
+class Accounts(AccountSource):
     """Counts the requests of one instance.
 
     :param clock: time source.
@@ -168,6 +110,7 @@
         self._reasons: set[str] = set()
         self._latencies: dict[Pair, HdrHistogram] = {}
         self._open = 0
+        self._opened: dict[Pair, int] = {}
         self._promises = _Promises(clock.now())
         in_force.subscribe(self._on_change)
 
@@ -191,6 +134,8 @@
             service = OTHER_NAME
             kind = OTHER_NAME
         self._open += 1
+        pair = (caller, service)
+        self._opened[pair] = self._opened.get(pair, 0) + 1
         names = (caller, service, kind)
         return Ticket(self, names, weight, self._clock.now())
 
@@ -242,6 +187,9 @@
                 AccountLine(*key, line.count, line.weight)
                 for key, line in self._sums.items()
             ),
+            opened=tuple(
+                OpenedLine(*pair, count) for pair, count in self._opened.items()
+            ),
             promises=self._promises.lines(self._clock.now()),
             latencies=tuple(
                 LatencyLine(service, kind, histogram.encode())
--- a/src/cuminhoist/accounts.py
+++ b/src/cuminhoist/accounts.py
@@ -1,58 +1,90 @@
-"""Interface between accounting and its readers."""
+"""Accounts of an instance as other instances read them."""
 
 import abc
-import collections
-from collections.abc import Iterable
+import enum
 
 import msgspec
 
 
-class AccountLine(msgspec.Struct, frozen=True, kw_only=True):
-    """How many requests ended in one way.
+class Outcome(enum.StrEnum):
+    """How a request ended."""
 
-    :param outcome: how they ended, such as ``served`` or ``refused``.
-    :param reason: why, empty for served requests.
-    :param count: how many requests.
-    :param weight: sum of the weights of their kinds.
+    answered = 'answered'
+    #: The target answered with a server error.
+    failed = 'failed'
+    refused = 'refused'
+    unknown = 'unknown'
+    cancelled = 'cancelled'
+
+
+class AccountLine(msgspec.Struct, frozen=True):
+    """Requests with the same names, outcome and reason.
+
+    :param reason: why they were refused or are unknown; empty if answered.
+    :param count: number of requests.
+    :param weight: sum of their weights.
     """
 
     caller: str
     service: str
     kind: str
-    outcome: str
+    outcome: Outcome
     reason: str
     count: int
     weight: float
 
 
-class AccountSource(abc.ABC):
-    """Counts the outcomes of the requests of one instance."""
+class PromiseLine(msgspec.Struct, frozen=True):
+    """What the plan promised a caller so far.
 
-    @abc.abstractmethod
-    def snapshot(self) -> tuple[AccountLine, ...]:
-        """Return all lines since the start of the instance."""
+    :param weight: rate share of the instance, integrated over time.
+    """
+
+    caller: str
+    service: str
+    weight: float
 
 
-def sum_lines(lines: Iterable[AccountLine]) -> tuple[AccountLine, ...]:
-    """Add up lines that differ only in count and weight.
+class OpenedLine(msgspec.Struct, frozen=True):
+    """Requests that have arrived, with an outcome or without.
 
-    :param lines: lines of any number of instances.
+    :param count: number of requests.
     """
-    counts: collections.Counter[tuple[str, ...]] = collections.Counter()
-    weights: dict[tuple[str, ...], float] = collections.defaultdict(float)
-    for line in lines:
-        key = (line.caller, line.service, line.kind, line.outcome, line.reason)
-        counts[key] += line.count
-        weights[key] += line.weight
-    return tuple(
-        AccountLine(
-            caller=key[0],
-            service=key[1],
-            kind=key[2],
-            outcome=key[3],
-            reason=key[4],
-            count=counts[key],
-            weight=weights[key],
-        )
-        for key in sorted(counts)
-    )
+
+    caller: str
+    service: str
+    count: int
+
+
+class LatencyLine(msgspec.Struct, frozen=True):
+    """Latencies of answered requests.
+
+    :param histogram: encoded HDR histogram, in steps of 0.1 ms.
+    """
+
+    service: str
+    kind: str
+    histogram: bytes
+
+
+class AccountSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """All accounts of one life of an instance; figures only grow.
+
+    :param open_tickets: requests without an outcome yet.
+    """
+
+    instance: str
+    incarnation: str
+    lines: tuple[AccountLine, ...] = ()
+    opened: tuple[OpenedLine, ...] = ()
+    promises: tuple[PromiseLine, ...] = ()
+    latencies: tuple[LatencyLine, ...] = ()
+    open_tickets: int = 0
+
+
+class AccountSource(abc.ABC):
+    """Counts the outcomes of the requests of one instance."""
+
+    @abc.abstractmethod
+    def snapshot(self) -> AccountSnapshot:
+        """Return all accounts since the start of the instance."""
--- a/src/cuminhoist/checks.py
+++ b/src/cuminhoist/checks.py
@@ -1,10 +1,11 @@
 """Checks of the files and changes that operators write."""
 
 import ipaddress
+import math
 
 from .exceptions import FieldError
 from .faults import Faults
-from .lists import Allowances, Change, Configuration, Drain, Plans
+from .lists import Allowance, Allowances, Change, Configuration, Drain, Plans
 from .settings import Role, Service, Settings, Topology
 from .types import DrainScope
 
@@ -21,6 +22,8 @@
 MIN_WEIGHT = 0.001
 MAX_RATE_PER_S = 1_000_000_000
 MAX_SECONDS = 3600
+MIN_LOOKUP_LIFETIME_S = 1
+MAX_LOOKUP_LIFETIME_S = 300
 MAX_DEADLINE_MS = 600_000
 MAX_SLOTS = 100_000
 MAX_MBIT_PER_S = 100_000_000
@@ -73,7 +76,7 @@
     :param file: name of its file.
     """
     faults = Faults(file)
-    faults.name('name', cfg.name)
+    faults.instance_name('name', cfg.name)
     faults.address(
         '$',
         cfg.host,
@@ -85,6 +88,14 @@
         faults.add('roles', 'must not be empty', tuple(Role))
     if Role.control in cfg.roles and not cfg.data_folder:
         faults.add('data_folder', 'is needed by a control instance')
+    faults.number(
+        'lookup_lifetime_s',
+        cfg.lookup_lifetime_s,
+        MIN_LOOKUP_LIFETIME_S,
+        MAX_LOOKUP_LIFETIME_S,
+    )
+    if not cfg.probe_path.startswith('/'):
+        faults.add('probe_path', f'{cfg.probe_path[:64]!r} must begin with "/"')
     if cfg.logs.level not in LOG_LEVELS:
         faults.known('logs.level', cfg.logs.level, LOG_LEVELS)
     if cfg.statsd.host:
@@ -152,6 +163,7 @@
         faults.number(f'{field}.rate_per_s', item.rate_per_s, 0, MAX_RATE_PER_S)
         faults.number(f'{field}.burst_s', item.burst_s, 0.001, MAX_SECONDS)
         _check_kinds(faults, field, item.kinds, services.get(item.service))
+        _check_rate(faults, field, item, topology)
     faults.unique(
         'allowances',
         ((each.plan, each.service) for each in allowances.allowances),
@@ -265,7 +277,7 @@
     listeners: list[object] = []
     for at, item in enumerate(topology.instances):
         field = f'instances[{at}]'
-        faults.name(f'{field}.name', item.name)
+        faults.instance_name(f'{field}.name', item.name)
         faults.known(f'{field}.domain', item.domain, domains)
         ports = {
             'http_port': item.http_port,
@@ -328,6 +340,38 @@
     faults.unique(f'{field}.kinds', kinds)
 
 
+def _check_rate(
+    faults: Faults,
+    field: str,
+    item: Allowance,
+    topology: Topology,
+) -> None:
+    service = topology.service(item.service)
+    entries = len(topology.entries())
+    weights = [
+        kind.weight
+        for kind in (service.kinds if service else ())
+        if not item.kinds or kind.name in item.kinds
+    ]
+    if not weights or not entries or not item.burst_s > 0:
+        return
+    # An instance's share of the burst must hold the heaviest request.
+    least = max(weights) * entries / item.burst_s
+    if item.rate_per_s < least:
+        faults.add(
+            f'{field}.rate_per_s',
+            f'{item.rate_per_s:g} is too low: requests of weight '
+            f'{max(weights):g} would always be refused; with burst_s '
+            f'{item.burst_s:g} and {entries} entry instances the least '
+            f'rate is {_round_up(least)}',
+        )
+
+
+def _round_up(number: float) -> str:
+    # Never below the number itself, which would be refused again.
+    return f'{math.ceil(number * 1000) / 1000:.12g}'
+
+
 def _check_listed(faults: Faults, cfg: Settings, topology: Topology) -> None:
     by_name = {item.name: item for item in topology.instances}
     faults.known('name', cfg.name, by_name)
--- a/src/cuminhoist/control_api.py
+++ b/src/cuminhoist/control_api.py
@@ -6,7 +6,11 @@
 import msgspec
 from litestar import Request, Response, get, post
 from litestar.connection import ASGIConnection
-from litestar.exceptions import NotAuthorizedException
+from litestar.exceptions import (
+    NotAuthorizedException,
+    NotFoundException,
+    PermissionDeniedException,
+)
 from litestar.handlers.base import BaseRouteHandler
 from returns.result import Failure
 
@@ -14,8 +18,9 @@
 from .checks import check_change
 from .control import ControlLog, ReplicaStatus
 from .delivery import Delivery
+from .entitlements import Entitlements
 from .exceptions import FieldError
-from .fanout import FanOut, Held, Instances, Report, address_of
+from .fanout import FanOut, Held, Instances, address_of
 from .faults import decode_error
 from .freshness import Currency
 from .inforce import ConfigInForce
@@ -29,8 +34,10 @@
     Rejected,
     Unavailable,
 )
+from .reports import Report
 from .settings import Settings, Topology
 from .transport import Transport
+from .types import CALLER_HEADER
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 _STATUS: dict[type[object], int] = {
@@ -109,6 +116,7 @@
 
     def __init__(self, parts: ControlParts) -> None:
         self._parts = parts
+        self.operator_token = parts.cfg.operator_token
         self.fan_out = FanOut(
             parts.cfg.name,
             parts.topology,
@@ -168,6 +176,25 @@
             ),
         )
 
+    async def report(self) -> Report:
+        """Return the accounts of all instances."""
+        entitlements = Entitlements.from_config(self.config())
+        return await self.fan_out.report(entitlements)
+
+    async def caller_report(self, caller: str, asked_by: str) -> Report:
+        """Return the accounts of one caller.
+
+        :param caller: name of the caller.
+        :param asked_by: name of the caller that asks.
+        """
+        if caller != asked_by:
+            raise PermissionDeniedException(
+                f'header {CALLER_HEADER}: must name the caller of the path',
+            )
+        if self.config().plans.caller(caller) is None:
+            raise NotFoundException(f'caller {caller[:64]!r} is on no plan')
+        return (await self.report()).for_caller(caller)
+
     def _known(self) -> Configuration | None:
         # Only the leader knows the plans that allowances may refer to; a
         # follower may lag, and sends the operator to the leader instead.
@@ -191,13 +218,12 @@
         )
 
 
-def control_handlers(parts: ControlParts) -> list[Any]:
-    """Return the handlers of operators' requests.
+def control_handlers(control: ControlApi) -> list[Any]:
+    """Return the handlers of operators' requests and callers' reports.
 
-    :param parts: the parts of the instance.
+    :param control: answers them.
     """
-    control = ControlApi(parts)
-    guards = [_token_guard(parts.cfg.operator_token)]
+    guards = [_token_guard(control.operator_token)]
 
     @post(
         '/v1/control/changes',
@@ -229,9 +255,26 @@
 
     @get('/v1/report', guards=guards)
     async def show_report() -> Report:
-        return await control.fan_out.report()
-
-    return [submit, init, show_config, show_status, show_instances, show_report]
+        return await control.report()
+
+    return [
+        submit,
+        init,
+        show_config,
+        show_status,
+        show_instances,
+        show_report,
+        _caller_handler(control),
+    ]
+
+
+def _caller_handler(control: ControlApi) -> Any:
+    @get('/v1/callers/{caller:str}/report')
+    async def show_own_report(caller: str, request: _AnyRequest) -> Report:
+        asked_by = request.headers.get(CALLER_HEADER, '')
+        return await control.caller_report(caller, asked_by)
+
+    return show_own_report
 
 
 def _token_guard(token: str) -> Any:
--- a/src/cuminhoist/entry.py
+++ b/src/cuminhoist/entry.py
@@ -3,7 +3,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .accounting import Accounts, Outcome, Ticket
+from .accounting import Accounts, Ticket
+from .accounts import Outcome
 from .admission import Admission
 from .attempts import Answer
 from .clock import Clock
--- a/src/cuminhoist/entryside.py
+++ b/src/cuminhoist/entryside.py
@@ -40,7 +40,7 @@
 from .targets import TargetTable
 from .tracing import Tracer
 from .transport import Transport
-from .views import AccountLines, MembershipView
+from .views import MembershipView
 
 REFRESH_S = 0.25
 
@@ -86,7 +86,6 @@
             cfg.name,
             membership.incarnation,
         )
-        self.account_lines = AccountLines(self.accounts)
         self.hops = HopSigner(cfg.cluster_key, cfg.name, clock)
         self.lookup = self._build_lookup()
         self.tracer = Tracer.from_config(cfg.traces_file, cfg.name)
--- a/src/cuminhoist/fanout.py
+++ b/src/cuminhoist/fanout.py
@@ -6,16 +6,21 @@
 import msgspec
 from returns.result import Success
 
-from .accounts import AccountLine, AccountSource, sum_lines
+from .accounts import AccountSnapshot, AccountSource
 from .codec import Message, message
+from .entitlements import Entitlements
 from .freshness import Currency
-from .settings import Instance, Topology
+from .ledger import AccountLedger
+from .reports import Report, report_of
+from .settings import Instance, Role, Topology
 from .transport import ErrorReply, Transport
 
 ASK_TIMEOUT_S = 1.0
 #: Calls in flight at once. At 0.6 ms a round trip they take 0.3 s, less than
 #: the timeout; 3,900 silent instances take eight timeouts.
 MAX_CALLS = 512
+#: What a crash loses of the accounts is at most this long.
+EXCHANGE_S = 5.0
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,9 +50,14 @@
 
 @message
 class ReportReply(Message, frozen=True):
-    """The accounts of an instance."""
+    """The accounts of an instance.
 
-    lines: tuple[AccountLine, ...]
+    :param current: accounts of its current life, None without them.
+    :param ended: last known accounts of lives of its cell that ended.
+    """
+
+    current: AccountSnapshot | None
+    ended: tuple[AccountSnapshot, ...] = ()
 
 
 class InstanceLine(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,16 +84,6 @@
     instances: tuple[InstanceLine, ...]
 
 
-class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """Accounts summed over all instances.
-
-    :param silent: instances that did not respond and are not in the sums.
-    """
-
-    lines: tuple[AccountLine, ...]
-    silent: tuple[str, ...]
-
-
 class FanOut:
     """Asks all instances of a deployment and answers such questions.
 
@@ -107,6 +107,9 @@
         self._transport = transport
         self._held = held
         self._accounts = accounts
+        self.ledger = AccountLedger()
+        self._cell = _cell_of(topology, own)
+        self._round: asyncio.Task[tuple[str, ...]] | None = None
         self._room = asyncio.Semaphore(MAX_CALLS)
         transport.register(StatusQuery, self._on_query)
         transport.register(ReportQuery, self._on_query)
@@ -114,7 +117,7 @@
     async def instances(self) -> Instances:
         """Return what each instance has in force."""
         asked = self._topology.instances
-        replies = await self._ask_all(StatusQuery())
+        replies = await self._ask_all(StatusQuery(), asked)
         lines = tuple(
             _line(instance, reply)
             for instance, reply in zip(asked, replies, strict=True)
@@ -122,25 +125,56 @@
         held = [line.held.version for line in lines if line.held is not None]
         return Instances(version=max(held, default=-1), instances=lines)
 
-    async def report(self) -> Report:
-        """Return the accounts of all instances."""
-        asked = self._topology.instances
-        replies = await self._ask_all(ReportQuery())
-        lines: list[AccountLine] = []
+    async def report(self, entitlements: Entitlements) -> Report:
+        """Return the accounts of all instances.
+
+        Reports that are asked for at the same time share one round of
+        calls, so that callers cannot multiply the load.
+
+        :param entitlements: what plans promise now.
+        """
+        if self._round is None or self._round.done():
+            self._round = asyncio.create_task(
+                self._hear(self._topology.instances)
+            )
+        silent = await asyncio.shield(self._round)
+        return report_of(self.ledger, entitlements, silent)
+
+    async def run_exchange(self) -> None:
+        """Ask the cell for its accounts again and again."""
+        peers = tuple(
+            peer
+            for peer in self._topology.instances
+            if peer.name in self._cell and peer.name != self._own
+        )
+        while peers:
+            await self._hear(peers)
+            await asyncio.sleep(EXCHANGE_S)
+
+    async def _hear(self, asked: tuple[Instance, ...]) -> tuple[str, ...]:
+        replies = await self._ask_all(ReportQuery(), asked)
         silent: list[str] = []
         for instance, reply in zip(asked, replies, strict=True):
             if isinstance(reply, ReportReply):
-                lines.extend(reply.lines)
+                self._learn(instance.name, reply)
             else:
                 silent.append(instance.name)
-        return Report(lines=sum_lines(lines), silent=tuple(silent))
+                self.ledger.silent(instance.name)
+        return tuple(silent)
 
-    async def _ask_all(self, query: Message) -> list[Message]:
+    def _learn(self, name: str, reply: ReportReply) -> None:
+        self.ledger.merge(reply.ended)
+        if reply.current is not None:
+            self.ledger.answered(name, reply.current.incarnation)
+            self.ledger.merge((reply.current,))
+
+    async def _ask_all(
+        self,
+        query: Message,
+        asked: tuple[Instance, ...],
+    ) -> list[Message]:
         return await asyncio.gather(
-            *(
-                self._ask(instance.name, query)
-                for instance in self._topology.instances
-            ),
+            *(self._ask(instance.name, query) for instance in asked),
         )
 
     async def _ask(self, name: str, query: Message) -> Message:
@@ -157,8 +191,17 @@
         if isinstance(msg, StatusQuery):
             return StatusReply(held=self._held())
         if self._accounts is None:
-            return ReportReply(lines=())
-        return ReportReply(lines=self._accounts.snapshot())
+            return ReportReply(current=None)
+        return ReportReply(
+            current=self._accounts.snapshot(),
+            ended=self.ledger.ended(self._cell),
+        )
+
+
+def _cell_of(topology: Topology, own: str) -> frozenset[str]:
+    if Role.entry not in topology.instance(own).roles:
+        return frozenset()
+    return frozenset(peer.name for peer in topology.cell(own))
 
 
 def address_of(instance: Instance) -> str:
--- a/src/cuminhoist/faults.py
+++ b/src/cuminhoist/faults.py
@@ -15,6 +15,7 @@
 #: More allowed values would hide the error message.
 MAX_SHOWN_VALUES = 40
 _NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]*')
+_INSTANCE_NAME = re.compile('[a-z0-9-]+')
 
 
 class Faults:
@@ -60,6 +61,22 @@
                 f'{text!r} is not a name: use letters, digits, ".", "_", "-"',
             )
 
+    def instance_name(self, field: str, text: str) -> None:
+        """Check that a text can be the name of an instance.
+
+        Idempotency keys have the name before a dot, so it holds none.
+
+        :param field: path of the field.
+        :param text: the name.
+        """
+        if len(text) > MAX_NAME_CHARS:
+            self.add(field, f'is longer than {MAX_NAME_CHARS} characters')
+        elif not _INSTANCE_NAME.fullmatch(text):
+            self.add(
+                field,
+                f'{text!r} is not an instance name: use a-z, 0-9 and "-"',
+            )
+
     def known(self, field: str, text: str, allowed: Collection[str]) -> None:
         """Check that a name refers to something that exists.
 
--- a/src/cuminhoist/ledger.py
+++ b/src/cuminhoist/ledger.py
@@ -1,15 +1,21 @@
 """Sums of the accounts of many instances."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
-from .accounting import (
+from .accounts import (
     AccountLine,
     AccountSnapshot,
+    OpenedLine,
     Outcome,
     PromiseLine,
 )
 from .entitlements import Pair
 
+#: An instance and one of its incarnations.
+Life = tuple[str, str]
+#: Ended lives that are kept; three days of 650 restarts.
+MAX_ENDED_LIVES = 2000
+
 _LineKey = tuple[str, str, str, Outcome, str]
 
 
@@ -17,12 +23,20 @@
     """Sums the snapshots of many instances.
 
     Snapshots may arrive late, twice or out of order: of each life of an
-    instance, every figure counts with the highest value seen.
+    instance, the newest snapshot counts. Figures of a life only grow, so
+    they tell which of two snapshots is newer.
+
+    :param max_ended: how many ended lives are kept.
     """
 
-    def __init__(self) -> None:
-        self._lines: dict[Pair, dict[_LineKey, AccountLine]] = {}
-        self._promises: dict[Pair, dict[Pair, PromiseLine]] = {}
+    def __init__(self, max_ended: int = MAX_ENDED_LIVES) -> None:
+        self._max_ended = max_ended
+        self._snapshots: dict[Life, AccountSnapshot] = {}
+        self._current: dict[str, str] = {}
+        self._silent: set[str] = set()
+        self._dropped: dict[Life, None] = {}
+        #: Ended lives that were dropped at the limit.
+        self.dropped = 0
 
     def merge(self, snapshots: Iterable[AccountSnapshot]) -> None:
         """Take snapshots into the sums.
@@ -31,24 +45,55 @@
         """
         for snapshot in snapshots:
             life = (snapshot.instance, snapshot.incarnation)
-            lines = self._lines.setdefault(life, {})
-            for line in snapshot.lines:
-                key = _key_of(line)
-                if key not in lines or lines[key].count < line.count:
-                    lines[key] = line
-            promises = self._promises.setdefault(life, {})
-            for promise in snapshot.promises:
-                pair = (promise.caller, promise.service)
-                if pair not in promises or (
-                    promises[pair].weight < promise.weight
-                ):
-                    promises[pair] = promise
+            held = self._snapshots.get(life)
+            if life in self._dropped:
+                continue
+            if held is None or _progress(held) < _progress(snapshot):
+                self._snapshots[life] = snapshot
+        self._drop_oldest()
+
+    def answered(self, instance: str, incarnation: str) -> None:
+        """Note the current life of an instance, as it says itself.
+
+        :param instance: name of the instance.
+        :param incarnation: identity of its process.
+        """
+        self._current[instance] = incarnation
+        self._silent.discard(instance)
+
+    def silent(self, instance: str) -> None:
+        """Note that an instance did not answer.
+
+        :param instance: name of the instance.
+        """
+        self._silent.add(instance)
+
+    def ended(self, instances: Collection[str]) -> tuple[AccountSnapshot, ...]:
+        """Return the last snapshots of lives that no longer answer.
+
+        :param instances: names of the instances that are of interest.
+        """
+        return tuple(
+            snapshot
+            for life, snapshot in self._snapshots.items()
+            if life[0] in instances and not self.is_current(life)
+        )
+
+    def is_current(self, life: Life) -> bool:
+        """Tell whether a life answered when it was asked last.
+
+        :param life: the life.
+        """
+        instance, incarnation = life
+        is_last = self._current.get(instance) == incarnation
+        return is_last and instance not in self._silent
 
     def lines(self) -> tuple[AccountLine, ...]:
         """Return the sums over all instances and lives."""
         sums: dict[_LineKey, tuple[int, float]] = {}
-        for lines in self._lines.values():
-            for key, line in lines.items():
+        for snapshot in self._snapshots.values():
+            for line in snapshot.lines:
+                key = _key_of(line)
                 count, weight = sums.get(key, (0, float(0)))
                 sums[key] = (count + line.count, weight + line.weight)
         return tuple(
@@ -59,14 +104,60 @@
     def promises(self) -> tuple[PromiseLine, ...]:
         """Return what plans promised, over all instances and lives."""
         sums: dict[Pair, float] = {}
-        for promises in self._promises.values():
-            for pair, promise in promises.items():
+        for snapshot in self._snapshots.values():
+            for promise in snapshot.promises:
+                pair = (promise.caller, promise.service)
                 sums[pair] = sums.get(pair, 0) + promise.weight
         return tuple(
             PromiseLine(caller, service, weight)
             for (caller, service), weight in sorted(sums.items())
         )
 
+    def unfinished(self, *, current: bool) -> tuple[OpenedLine, ...]:
+        """Return requests without an outcome by caller and service.
+
+        :param current: of lives that answer; otherwise of ended lives,
+            whose requests have no outcome that could still be learned.
+        """
+        sums: dict[Pair, int] = {}
+        for life, snapshot in self._snapshots.items():
+            if self.is_current(life) != current:
+                continue
+            for opened in snapshot.opened:
+                pair = (opened.caller, opened.service)
+                sums[pair] = sums.get(pair, 0) + opened.count
+            for line in snapshot.lines:
+                pair = (line.caller, line.service)
+                sums[pair] = sums.get(pair, 0) - line.count
+        return tuple(
+            OpenedLine(caller, service, count)
+            for (caller, service), count in sorted(sums.items())
+            if count > 0
+        )
+
+    def _drop_oldest(self) -> None:
+        # A silent instance may answer again, so its last life stays.
+        ended = [
+            life
+            for life in self._snapshots
+            if self._current.get(life[0], life[1]) != life[1]
+        ]
+        for life in ended[: max(len(ended) - self._max_ended, 0)]:
+            del self._snapshots[life]
+            self._dropped[life] = None
+            self.dropped += 1
+        # A dropped life that is heard again must not count as a new one.
+        for life in tuple(self._dropped)[: -self._max_ended]:
+            del self._dropped[life]
+
 
 def _key_of(line: AccountLine) -> _LineKey:
     return (line.caller, line.service, line.kind, line.outcome, line.reason)
+
+
+def _progress(snapshot: AccountSnapshot) -> tuple[int, int, float]:
+    return (
+        sum(line.count for line in snapshot.lines),
+        snapshot.open_tickets,
+        sum(promise.weight for promise in snapshot.promises),
+    )
--- a/src/cuminhoist/lists.py
+++ b/src/cuminhoist/lists.py
@@ -32,7 +32,7 @@
     """
 
     name: PlanName
-    weight: float = 1
+    weight: float = 1.0
 
 
 class Caller(_Strict, frozen=True):
@@ -77,7 +77,7 @@
     plan: PlanName
     service: ServiceName
     rate_per_s: float
-    burst_s: float = 2
+    burst_s: float = 2.0
     kinds: tuple[KindName, ...] = ()
 
 
@@ -90,8 +90,8 @@
     """
 
     service: ServiceName
-    percent: float = 10
-    window_s: float = 10
+    percent: float = 10.0
+    window_s: float = 10.0
 
 
 class Allowances(_Strict, frozen=True):
@@ -126,7 +126,7 @@
 
     scope: DrainScope
     name: str
-    starts_at: float = 0
+    starts_at: float = float(0)
 
 
 class Configuration(_Strict, frozen=True):
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -12,9 +12,10 @@
 from .clock import SystemClock
 from .codec import Codec
 from .consensus import Replica
-from .control_api import ControlParts, control_handlers
+from .control_api import ControlApi, ControlParts, control_handlers
 from .delivery import Delivery, DeliveryOptions
 from .entryside import Base, EntrySide
+from .httperrors import exception_handlers
 from .httpserver import HttpServer
 from .inforce import ConfigInForce
 from .logs import logger
@@ -60,6 +61,7 @@
             self.replica,
             DeliveryOptions.from_topology(topology, self._live),
         )
+        self.control = self._build_control()
         self._server = HttpServer.from_app(
             self._app(),
             cfg.host,
@@ -73,6 +75,7 @@
         if self.replica is not None:
             await self.replica.start()
         self._spawn(self._delivery.run())
+        self._spawn(self.control.fan_out.run_exchange())
         for coroutine in self.entry.tasks() if self.entry else ():
             self._spawn(coroutine)
         self._spawn(self._server.serve())
@@ -165,13 +168,13 @@
             options=Options(on_corruption=self._cfg.on_corruption),
         )
 
-    def _app(self) -> Litestar:
+    def _build_control(self) -> ControlApi:
         incarnation = (
             self.entry.membership.incarnation
             if self.entry
             else secrets.token_hex(6)
         )
-        handlers = control_handlers(
+        return ControlApi(
             ControlParts(
                 cfg=self._cfg,
                 topology=self._topology,
@@ -180,9 +183,12 @@
                 delivery=self._delivery,
                 transport=self._transport,
                 log=self.replica,
-                accounts=self.entry.account_lines if self.entry else None,
+                accounts=self.entry.accounts if self.entry else None,
             ),
         )
+
+    def _app(self) -> Litestar:
+        handlers = control_handlers(self.control)
         if self.entry is not None:
             handlers.append(
                 services_handler(self.entry.service, self.entry.hops),
@@ -195,6 +201,7 @@
             handlers,
             openapi_config=openapi_config(),
             logging_config=None,
+            exception_handlers=exception_handlers(),
         )
 
 
--- a/src/cuminhoist/queries.py
+++ b/src/cuminhoist/queries.py
@@ -15,13 +15,14 @@
 )
 from .control_api import Status
 from .exceptions import FieldError
-from .fanout import InstanceLine, Instances, Report
+from .fanout import InstanceLine, Instances
 from .faults import decode_error
 from .listdiff import DiffLine, diff_allowances, diff_plans
 from .lists import Allowances, Configuration, Plans
 from .lookup import LookupAnswer
 from .operatorclient import OperatorClient
 from .output import Grid, Output
+from .reports import Report
 from .settings import Settings, Topology
 
 _Loaded = TypeVar('_Loaded', bound=msgspec.Struct)
@@ -305,11 +306,14 @@
     found = answer.unwrap()
     lines: tuple[str, ...] = ()
     if found.silent:
-        lines = (f'No response, not counted: {", ".join(found.silent)}',)
+        silent = ', '.join(found.silent)
+        lines = (f'No response, counted as last heard: {silent}',)
+    if found.dropped_lives:
+        lines += (f'Ended lives not counted: {found.dropped_lives}',)
     return Output(
         ok=not found.silent,
         lines=lines,
-        grids=(_structs('accounts', found.lines),),
+        grids=(_structs('requests by caller and service', found.rows),),
         content=found,
     )
 
@@ -330,6 +334,8 @@
 def _cell(cell: object) -> str:
     if isinstance(cell, tuple):
         return ', '.join(map(str, cell))
+    if isinstance(cell, dict):
+        return ', '.join(f'{name} {cell[name]}' for name in sorted(cell))
     return f'{cell:g}' if isinstance(cell, float) else str(cell)
 
 
--- a/src/cuminhoist/settings.py
+++ b/src/cuminhoist/settings.py
@@ -89,7 +89,7 @@
     """
 
     name: KindName
-    weight: float = 1
+    weight: float = 1.0
     repeatable: bool = True
     max_deadline_ms: int = 5000
 
@@ -238,7 +238,7 @@
     traces_file: str = ''
     operator_token: str = ''
     on_corruption: OnCorruption = OnCorruption.stop
-    lookup_lifetime_s: float = 10
+    lookup_lifetime_s: float = 10.0
     probe_path: str = '/load'
     logs: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
--- a/src/cuminhoist/views.py
+++ b/src/cuminhoist/views.py
@@ -1,7 +1,5 @@
 """What look-ups and operators see of the parts of an instance."""
 
-from .accounting import Accounts
-from .accounts import AccountLine, AccountSource
 from .keys import KeyStore
 from .lookup import EntryView
 from .membership import Membership
@@ -31,28 +29,3 @@
         :param name: name of the instance.
         """
         return self._keys.ticket_for(name) or ''
-
-
-class AccountLines(AccountSource):
-    """Accounts of an instance as lines.
-
-    :param accounts: the accounts.
-    """
-
-    def __init__(self, accounts: Accounts) -> None:
-        self._accounts = accounts
-
-    def snapshot(self) -> tuple[AccountLine, ...]:
-        """Return all lines since the start of the instance."""
-        return tuple(
-            AccountLine(
-                caller=line.caller,
-                service=line.service,
-                kind=line.kind,
-                outcome=line.outcome,
-                reason=line.reason,
-                count=line.count,
-                weight=line.weight,
-            )
-            for line in self._accounts.snapshot().lines
-        )
--- a/tests/controlapps.py
+++ b/tests/controlapps.py
@@ -6,12 +6,18 @@
 import msgspec
 from litestar import Litestar
 
-from cuminhoist.accounts import AccountLine, AccountSource
+from cuminhoist.accounts import (
+    AccountLine,
+    AccountSnapshot,
+    AccountSource,
+    OpenedLine,
+)
 from cuminhoist.clock import ManualClock
-from cuminhoist.control_api import ControlParts, control_handlers
+from cuminhoist.control_api import ControlApi, ControlParts, control_handlers
 from cuminhoist.delivery import Delivery
 from cuminhoist.deltas import ConfigStore
 from cuminhoist.fanout import address_of
+from cuminhoist.httperrors import exception_handlers
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.operatorclient import OperatorClient
 from cuminhoist.settings import Topology
@@ -33,7 +39,8 @@
             ),
         )
         self.net = builders.FakeNetwork()
-        self.accounts = FixedAccounts()
+        self.accounts: dict[str, FixedAccounts] = {}
+        self.controls: dict[str, ControlApi] = {}
         clock = ManualClock()
         names = tuple(entry.name for entry in self.topology.controls())
         self.cluster = builders.MemoryCluster(names, clock)
@@ -50,6 +57,8 @@
             if log is None:
                 first = self.cluster.logs[names[0]]
                 first.on_commit(delivery.store.publish)
+            accounts = FixedAccounts(instance.name)
+            self.accounts[instance.name] = accounts
             parts = ControlParts(
                 cfg=msgspec.structs.replace(cfg, operator_token=operator_token),
                 topology=self.topology,
@@ -58,11 +67,15 @@
                 delivery=delivery,
                 transport=transport,
                 log=log,
-                accounts=self.accounts,
+                accounts=accounts,
             )
+            control = ControlApi(parts)
+            self.controls[instance.name] = control
             self.stores[instance.name] = delivery.store
             self.apps[instance.name] = Litestar(
-                control_handlers(parts), openapi_config=None
+                control_handlers(control),
+                openapi_config=None,
+                exception_handlers=exception_handlers(),
             )
 
     def url(self, name: str) -> str:
@@ -88,20 +101,31 @@
 
 
 class FixedAccounts(AccountSource):
-    """Accounts with one line."""
+    """Accounts with one line and one open request."""
 
-    def snapshot(self) -> tuple[AccountLine, ...]:
-        """Return the line."""
+    def __init__(self, instance: str) -> None:
+        self.instance = instance
+        self.incarnation = 'i1'
+        self.count = 3
+
+    def snapshot(self) -> AccountSnapshot:
+        """Return the accounts."""
         line = AccountLine(
             caller='acme',
             service='catalogue',
             kind='browse',
-            outcome='served',
+            outcome='answered',
             reason='',
-            count=3,
-            weight=4.5,
+            count=self.count,
+            weight=self.count * 1.5,
+        )
+        return AccountSnapshot(
+            instance=self.instance,
+            incarnation=self.incarnation,
+            lines=(line,),
+            opened=(OpenedLine('acme', 'catalogue', self.count + 1),),
+            open_tickets=1,
         )
-        return (line,)
 
 
 def on_free_hosts(topology: Topology) -> Topology:
--- a/tests/test_accounting.py
+++ b/tests/test_accounting.py
@@ -7,12 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cuminhoist.accounting import (
-    OTHER_NAME,
-    Accounts,
-    AccountSnapshot,
-    Outcome,
-)
+from cuminhoist.accounting import OTHER_NAME, Accounts
+from cuminhoist.accounts import AccountSnapshot, Outcome
 from cuminhoist.clock import ManualClock
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.ledger import AccountLedger
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -22,6 +22,7 @@
     Plans,
     ShiftCap,
 )
+from cuminhoist.queries import Files, check
 from cuminhoist.settings import Block, Link, Settings
 
 from . import builders_delivery as builders
@@ -29,7 +30,7 @@
 replace = msgspec.structs.replace
 _GOLD = Plan(name='gold')
 _ACME = Caller(name='acme', plan='gold')
-_RATE = Allowance(plan='gold', service='catalogue', rate_per_s=1)
+_RATE = Allowance(plan='gold', service='catalogue', rate_per_s=100)
 _NAN = float('nan')
 
 
@@ -203,3 +204,84 @@
     error = decode_error('body', caught.value, kind)
     assert error.field == field
     assert allowed in error.allowed
+
+
+@pytest.mark.parametrize('deployment', ['porth-data', 'paora-whitcombe'])
+def test_check_accepts_the_example_files(deployment):
+    """Guards against examples that an operator cannot start from."""
+    folder = builders.EXAMPLES / deployment
+    names = sorted((folder / 'settings').iterdir())
+    assert names
+    for name in names:
+        output = check(
+            Files(
+                settings=str(name),
+                plans=str(folder / 'plans.json'),
+                allowances=str(folder / 'allowances.json'),
+            ),
+        )
+        assert output.ok, output.lines
+
+
+@pytest.mark.parametrize(
+    ('name', 'is_good'),
+    [
+        ('entry-a-1', True),
+        ('a' * 64, True),
+        ('a' * 65, False),
+        ('entry.a', False),
+        ('Entry', False),
+        ('a_b', False),
+        ('a\n', False),
+        ('', False),
+    ],
+)
+def test_names_of_instances(name, is_good):
+    """Guards against names that idempotency keys cannot hold."""
+    topology = builders.example_topology()
+    first = replace(topology.instances[0], name=name)
+    changed = replace(topology, instances=(first, *topology.instances[1:]))
+    found = 'instances[0].name' in _fields(check_topology(changed))
+    assert found != is_good
+    cfg = replace(builders.settings_of(changed, name, 'data'), roles=('entry',))
+    assert ('name' in _fields(check_settings(cfg))) != is_good
+
+
+@pytest.mark.parametrize(
+    ('changes', 'field'),
+    [
+        ({'lookup_lifetime_s': 0.9}, 'lookup_lifetime_s'),
+        ({'lookup_lifetime_s': 300.1}, 'lookup_lifetime_s'),
+        ({'lookup_lifetime_s': _NAN}, 'lookup_lifetime_s'),
+        ({'lookup_lifetime_s': 1.0}, ''),
+        ({'lookup_lifetime_s': 300.0}, ''),
+        ({'probe_path': 'load'}, 'probe_path'),
+        ({'probe_path': ''}, 'probe_path'),
+        ({'data_folder': '', 'roles': ('control',)}, 'data_folder'),
+    ],
+)
+def test_ranges_of_settings(changes, field):
+    """Guards against settings that break stops, probes or the log."""
+    topology = builders.example_topology()
+    name = topology.instances[0].name
+    cfg = replace(builders.settings_of(topology, name, 'data'), **changes)
+    assert _fields(check_settings(cfg)) == ({field} if field else set())
+
+
+@pytest.mark.parametrize('kinds', [(), ('browse',)])
+def test_least_rate_of_an_allowance(kinds):
+    """Guards against a plan whose heaviest requests are always refused."""
+    topology = builders.example_topology()
+    heaviest = max(
+        kind.weight
+        for kind in topology.service('catalogue').kinds
+        if not kinds or kind.name in kinds
+    )
+    least = heaviest * len(topology.entries()) / _RATE.burst_s
+    plans = Plans(plans=(_GOLD,))
+    for rate, is_good in ((least, True), (least * 0.99, False), (0, False)):
+        item = replace(_RATE, rate_per_s=rate, kinds=kinds)
+        lists = Allowances(allowances=(item,))
+        errors = check_allowances(lists, topology, plans)
+        assert bool(errors) != is_good
+        assert is_good or f'least rate is {least:g}' in str(errors[0])
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -5,8 +5,9 @@
 import pytest
 
 from cuminhoist.control_api import Status
-from cuminhoist.fanout import Instances, Report
+from cuminhoist.fanout import Instances
 from cuminhoist.lists import Change, Drain
+from cuminhoist.reports import Report
 
 from . import builders_delivery as builders
 from .controlapps import ControlApps
@@ -70,7 +71,7 @@
         ),
         (
             b'{"change_id":"c","allowances":{"allowances":[{"plan":"tin",'
-            b'"service":"catalogue","rate_per_s":1}]}}',
+            b'"service":"catalogue","rate_per_s":100}]}}',
             'allowances[0].plan',
         ),
     ],
--- /dev/null
+++ b/tests/test_httperrors.py
@@ -0,0 +1,35 @@
+"""Tests of errors of the HTTP interface outside the services."""
+
+import httpx
+import pytest
+
+from .controlapps import ControlApps
+
+pytestmark = pytest.mark.asyncio
+NAME = 'dom-00-01'
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'status', 'title'),
+    [
+        ('GET', '/v1/nothing', 404, 'Not Found'),
+        ('GET', '/', 404, 'Not Found'),
+        ('POST', '/v1/report', 405, 'Method Not Allowed'),
+        ('GET', '/v1/callers/acme/report', 403, 'Forbidden'),
+        ('GET', '/v1/status', 401, 'Unauthorized'),
+        ('POST', '/v1/control/changes', 401, 'Unauthorized'),
+    ],
+)
+async def test_errors_are_problems(method, path, status, title):
+    """Guards against errors that programs cannot read as problems."""
+    apps = ControlApps(operator_token='secret')
+    transport = httpx.ASGITransport(apps.apps[NAME])
+    async with httpx.AsyncClient(transport=transport) as http:
+        reply = await http.request(method, f'{apps.url(NAME)}{path}')
+    assert reply.headers['content-type'] == 'application/problem+json'
+    assert reply.status_code == status
+    found = reply.json()
+    assert set(found) == {'type', 'title', 'status', 'detail'}
+    assert (found['status'], found['title']) == (status, title)
+    assert found['type'].startswith('urn:cuminhoist:http:')
+    assert found['detail']
