--- a/src/cuminhoist/ledger.py
+++ b/src/cuminhoist/ledger.py
@@ -1,6 +1,6 @@
 """Sums of the accounts of many instances."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 import msgspec
 
@@ -45,6 +45,7 @@
     def __init__(self, max_ended: int = MAX_ENDED_LIVES) -> None:
         self._max_ended = max_ended
         self._snapshots: dict[Life, AccountSnapshot] = {}
+        self._lives: dict[str, set[Life]] = {}
         self._current: dict[str, str] = {}
         self._silent: set[str] = set()
         self._dropped: dict[Life, None] = {}
@@ -63,6 +64,7 @@
                 continue
             if held is None or _progress(held) < _progress(snapshot):
                 self._snapshots[life] = snapshot
+                self._lives.setdefault(snapshot.instance, set()).add(life)
         self._drop_oldest()
 
     def answered(self, instance: str, incarnation: str) -> None:
@@ -88,8 +90,7 @@
         """
         return tuple(
             KnownLife(life[0], life[1], _progress(snapshot))
-            for life, snapshot in self._snapshots.items()
-            if life[0] in instances
+            for life, snapshot in self._of(instances)
         )
 
     def news(
@@ -110,9 +111,8 @@
         }
         return tuple(
             snapshot
-            for life, snapshot in self._snapshots.items()
-            if life[0] in instances
-            and (with_current or not self.is_current(life))
+            for life, snapshot in self._of(instances)
+            if (with_current or not self.is_current(life))
             and (life not in before or before[life] < _progress(snapshot))
         )
 
@@ -172,7 +172,17 @@
             if count > 0
         )
 
+    def _of(
+        self,
+        instances: Collection[str],
+    ) -> Iterator[tuple[Life, AccountSnapshot]]:
+        for name in instances:
+            for life in self._lives.get(name, ()):
+                yield life, self._snapshots[life]
+
     def _drop_oldest(self) -> None:
+        if len(self._snapshots) <= len(self._lives) + self._max_ended:
+            return
         # A silent instance may answer again, so its last life stays.
         ended = [
             life
@@ -181,6 +191,7 @@
         ]
         for life in ended[: max(len(ended) - self._max_ended, 0)]:
             del self._snapshots[life]
+            self._lives[life[0]].remove(life)
             self._dropped[life] = None
             self.dropped += 1
         # A dropped life that is heard again must not count as a new one.
--- a/tests/test_httperrors.py
+++ b/tests/test_httperrors.py
@@ -1,7 +1,13 @@
 """Tests of errors of the HTTP interface outside the services."""
 
+import types
+
 import httpx
 import pytest
+from litestar import Litestar
+
+from cuminhoist.api import lookup_handler
+from cuminhoist.httperrors import exception_handlers
 
 from .controlapps import ControlApps
 
@@ -33,3 +39,33 @@
     assert (found['status'], found['title']) == (status, title)
     assert found['type'].startswith('urn:cuminhoist:http:')
     assert found['detail']
+
+
+def _fail(*_args):
+    raise ZeroDivisionError('secret')
+
+
+@pytest.mark.parametrize(
+    ('method', 'query', 'status', 'part'),
+    [
+        ('GET', '', 400, "'caller'"),
+        ('GET', '?caller=a', 400, "'service'"),
+        ('DELETE', '', 405, 'Not Allowed'),
+        ('GET', '?caller=a&service=b', 500, 'internal error'),
+    ],
+)
+async def test_errors_of_lookups(method, query, status, part):
+    """Guards against errors of look-ups that are no problems or tell all."""
+    lookup = types.SimpleNamespace(find=_fail)
+    app = Litestar(
+        [lookup_handler(lookup)],
+        openapi_config=None,
+        exception_handlers=exception_handlers(),
+    )
+    transport = httpx.ASGITransport(app)
+    async with httpx.AsyncClient(transport=transport) as http:
+        reply = await http.request(method, f'http://entry/v1/lookup{query}')
+    assert reply.status_code == reply.json()['status'] == status
+    assert reply.headers['content-type'] == 'application/problem+json'
+    assert part in reply.json()['detail']
+    assert 'secret' not in reply.text
