--- a/src/cuminhoist/fanout.py
+++ b/src/cuminhoist/fanout.py
@@ -6,16 +6,21 @@
 import msgspec
 from returns.result import Success
 
-from .accounts import AccountLine, AccountSource, sum_lines
+from .accounts import AccountSnapshot, AccountSource
 from .codec import Message, message
+from .entitlements import Entitlements
 from .freshness import Currency
-from .settings import Instance, Topology
+from .ledger import AccountLedger, KnownLife
+from .reports import Report, report_of
+from .settings import Instance, Role, Topology
 from .transport import ErrorReply, Transport
 
 ASK_TIMEOUT_S = 1.0
 #: Calls in flight at once. At 0.6 ms a round trip they take 0.3 s, less than
 #: the timeout; 3,900 silent instances take eight timeouts.
 MAX_CALLS = 512
+#: What a crash loses of the accounts is at most this long.
+EXCHANGE_S = 5.0
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,14 +45,27 @@
 
 @message
 class ReportQuery(Message, frozen=True):
-    """Ask an instance for its accounts."""
+    """Ask an instance for its accounts.
+
+    :param known: what the sender holds of the lives of the receiver's cell.
+    :param with_current: also ask what the receiver has heard of lives of
+        its cell that seem to go on; they may just have crashed.
+    """
+
+    known: tuple[KnownLife, ...] = ()
+    with_current: bool = False
 
 
 @message
 class ReportReply(Message, frozen=True):
-    """The accounts of an instance."""
+    """The accounts of an instance.
 
-    lines: tuple[AccountLine, ...]
+    :param current: accounts of its current life, None without them.
+    :param heard: accounts that it heard from its cell and the sender lacks.
+    """
+
+    current: AccountSnapshot | None
+    heard: tuple[AccountSnapshot, ...] = ()
 
 
 class InstanceLine(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,16 +92,6 @@
     instances: tuple[InstanceLine, ...]
 
 
-class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """Accounts summed over all instances.
-
-    :param silent: instances that did not respond and are not in the sums.
-    """
-
-    lines: tuple[AccountLine, ...]
-    silent: tuple[str, ...]
-
-
 class FanOut:
     """Asks all instances of a deployment and answers such questions.
 
@@ -107,6 +115,10 @@
         self._transport = transport
         self._held = held
         self._accounts = accounts
+        self.ledger = AccountLedger()
+        self._cells = _cells_of(topology)
+        self._cell = self._cells[own]
+        self._round: asyncio.Task[tuple[str, ...]] | None = None
         self._room = asyncio.Semaphore(MAX_CALLS)
         transport.register(StatusQuery, self._on_query)
         transport.register(ReportQuery, self._on_query)
@@ -114,7 +126,9 @@
     async def instances(self) -> Instances:
         """Return what each instance has in force."""
         asked = self._topology.instances
-        replies = await self._ask_all(StatusQuery())
+        replies = await asyncio.gather(
+            *(self._ask(instance.name, StatusQuery()) for instance in asked),
+        )
         lines = tuple(
             _line(instance, reply)
             for instance, reply in zip(asked, replies, strict=True)
@@ -122,26 +136,64 @@
         held = [line.held.version for line in lines if line.held is not None]
         return Instances(version=max(held, default=-1), instances=lines)
 
-    async def report(self) -> Report:
-        """Return the accounts of all instances."""
-        asked = self._topology.instances
-        replies = await self._ask_all(ReportQuery())
-        lines: list[AccountLine] = []
+    async def report(self, entitlements: Entitlements) -> Report:
+        """Return the accounts of all instances.
+
+        Reports that are asked for at the same time share one round of
+        calls, so that callers cannot multiply the load.
+
+        :param entitlements: what plans promise now.
+        """
+        if self._round is None or self._round.done():
+            self._round = asyncio.create_task(
+                self._hear(self._topology.instances, with_current=True)
+            )
+        silent = await asyncio.shield(self._round)
+        return report_of(self.ledger, entitlements, silent)
+
+    async def run_exchange(self) -> None:
+        """Ask the cell for its accounts again and again."""
+        peers = tuple(
+            peer
+            for peer in self._topology.instances
+            if peer.name in self._cell and peer.name != self._own
+        )
+        while peers:
+            await self._hear(peers, with_current=False)
+            await asyncio.sleep(EXCHANGE_S)
+
+    async def _hear(
+        self,
+        asked: tuple[Instance, ...],
+        *,
+        with_current: bool,
+    ) -> tuple[str, ...]:
+        replies = await asyncio.gather(
+            *(
+                self._ask(
+                    instance.name,
+                    ReportQuery(
+                        known=self.ledger.known(self._cells[instance.name]),
+                        with_current=with_current,
+                    ),
+                )
+                for instance in asked
+            ),
+        )
         silent: list[str] = []
         for instance, reply in zip(asked, replies, strict=True):
             if isinstance(reply, ReportReply):
-                lines.extend(reply.lines)
+                self._learn(instance.name, reply)
             else:
                 silent.append(instance.name)
-        return Report(lines=sum_lines(lines), silent=tuple(silent))
+                self.ledger.silent(instance.name)
+        return tuple(silent)
 
-    async def _ask_all(self, query: Message) -> list[Message]:
-        return await asyncio.gather(
-            *(
-                self._ask(instance.name, query)
-                for instance in self._topology.instances
-            ),
-        )
+    def _learn(self, name: str, reply: ReportReply) -> None:
+        self.ledger.merge(reply.heard)
+        if reply.current is not None:
+            self.ledger.answered(name, reply.current.incarnation)
+            self.ledger.merge((reply.current,))
 
     async def _ask(self, name: str, query: Message) -> Message:
         if name == self._own:
@@ -156,9 +208,30 @@
     async def _on_query(self, _sender: str, msg: Message) -> Message:
         if isinstance(msg, StatusQuery):
             return StatusReply(held=self._held())
-        if self._accounts is None:
-            return ReportReply(lines=())
-        return ReportReply(lines=self._accounts.snapshot())
+        if self._accounts is None or not isinstance(msg, ReportQuery):
+            return ReportReply(current=None)
+        return ReportReply(
+            current=self._accounts.snapshot(),
+            heard=self.ledger.news(
+                self._cell,
+                msg.known,
+                with_current=msg.with_current,
+            ),
+        )
+
+
+def _cells_of(topology: Topology) -> dict[str, frozenset[str]]:
+    by_domain: dict[str, set[str]] = {}
+    for entry in topology.entries():
+        by_domain.setdefault(entry.domain, set()).add(entry.name)
+    none: frozenset[str] = frozenset()
+    cells = {name: frozenset(names) for name, names in by_domain.items()}
+    return {
+        instance.name: cells[instance.domain]
+        if Role.entry in instance.roles
+        else none
+        for instance in topology.instances
+    }
 
 
 def address_of(instance: Instance) -> str:
