Give modules exact names and keep shared logic once

Several modules were written side by side. `requests` had the name of an HTTP library, and `intake` and `entryside` said little, so they are now `caller_request`, `request_checks` (class RequestChecks) and `entry_role` (classes EntryRole and InstanceContext).

- `rendezvous.digest_of` replaces three copies of the same hash in `tree`, `rendezvous` and `lookup`.
`tree` still prefers the lowest value and is not cached; a digest as a big-endian number has the same order as its bytes, so all assignments stay.
- `borrowing.partners_of` is `lenders_of`: it returns other instances than `membership.partners_of`.
- `CheckedRequest.attempt` replaces two copies in `dispatch` and `localattempts`; `refuse` stands with the other refusals.
- `locallog` was used by a benchmark only and is `benchmarks/local_log`.
- `benchmarks.rate_loans` loads its builders from where they are defined; it failed since they were moved.

--- a/benchmarks/delivery_cost.py
+++ b/benchmarks/delivery_cost.py
@@ -23,7 +23,6 @@
 from cuminhoist.deltas import ConfigStore, Encoded, diff
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.lists import Caller, Change, Configuration, Plan, Plans
-from cuminhoist.locallog import LocalLog
 from cuminhoist.settings import FailureDomain, Instance, Role, Topology
 from cuminhoist.transport import PynngTransport
 from cuminhoist.types import (
@@ -34,6 +33,8 @@
     RegionName,
 )
 
+from .local_log import LocalLog
+
 CHANGES = 200
 IDLE_S = 20
 CHILDREN = (1, 2, 4, 8)
--- a/src/cuminhoist/locallog.py
+++ b/benchmarks/local_log.py
@@ -4,9 +4,9 @@
 
 from returns.result import Result, Success
 
-from .control import ControlLog, ReplicaStatus
-from .lists import Change, ChangeOutcome, Configuration
-from .state import ControlState
+from cuminhoist.control import ControlLog, ReplicaStatus
+from cuminhoist.lists import Change, ChangeOutcome, Configuration
+from cuminhoist.state import ControlState
 
 
 class LocalLog(ControlLog):
--- a/benchmarks/rate_loans.py
+++ b/benchmarks/rate_loans.py
@@ -13,7 +13,7 @@
 import looptime
 
 # Loaded by name: the builders of test data are not typed strictly.
-_builders = importlib.import_module('tests.builders')
+_builders = importlib.import_module('tests.builders_admission')
 
 RATE_PER_S = 400.0
 BURST_S = 2.0
--- a/src/cuminhoist/api.py
+++ b/src/cuminhoist/api.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from .attempts import Answer, BodyError, CarryError
+from .caller_request import CallerRequest
 from .entry import EntryService
 from .explain import Explainer, Explanation
 from .headers import (
@@ -26,7 +27,6 @@
 from .logs import logger
 from .lookup import Lookup, LookupAnswer
 from .problems import Refusal, encode_problem, problem_headers
-from .requests import CallerRequest
 from .tracing import TRACEPARENT, Tracer
 from .types import (
     CALLER_HEADER,
--- a/src/cuminhoist/borrowing.py
+++ b/src/cuminhoist/borrowing.py
@@ -280,8 +280,8 @@
         partner.backoff_s = min(2 * partner.backoff_s, MAX_BACKOFF_S)
 
 
-def partners_of(topology: Topology, name: str) -> tuple[str, ...]:
-    """Return the peers of an instance: own domain, own region, others.
+def lenders_of(topology: Topology, name: str) -> tuple[str, ...]:
+    """Return whom an instance borrows from: own domain, own region, others.
 
     Peers of the same distance are taken in turn from the instance's own
     place in the list, so that instances do not all ask the same ones.
--- a/src/cuminhoist/requests.py
+++ b/src/cuminhoist/caller_request.py
@@ -1,9 +1,10 @@
-"""Requests on their way through an instance."""
+"""Requests of callers, before and after they are checked."""
 
 from collections.abc import AsyncIterator
 
 import msgspec
 
+from .attempts import Attempt, OnEnd
 from .entitlements import Entitlement
 from .headers import Headers
 from .hops import Hop
@@ -85,3 +86,20 @@
     home: str
     home_region: str
     body: ReplayBody
+
+    def attempt(self, now: float, on_end: OnEnd, traceparent: str) -> Attempt:
+        """Return an attempt that sends the request from its beginning.
+
+        :param now: monotonic time.
+        :param on_end: called with how the attempt ended.
+        :param traceparent: trace context to pass on.
+        """
+        return Attempt(
+            self.req.method,
+            self.req.path,
+            self.req.headers,
+            self.body.stream(),
+            self.deadline_at - now,
+            on_end=on_end,
+            traceparent=traceparent,
+        )
--- a/src/cuminhoist/dispatch.py
+++ b/src/cuminhoist/dispatch.py
@@ -7,14 +7,14 @@
 
 from .admission import Admission, AdmissionRequest
 from .attempts import Attempt
+from .caller_request import CheckedRequest
 from .clock import Clock
 from .hops import Hop
 from .hops import Route as HopRoute
-from .intake import refuse
 from .localattempts import AttemptEnd, Dispatched, LocalAttempts
 from .peers import PeerClient, hop_of
 from .problems import Refusal
-from .requests import CheckedRequest
+from .refusals import refuse
 from .retries import RetryBudget
 from .routing import GrantRoute, LocalRoute, PeerRoute, Router
 from .settings import Instance
@@ -198,15 +198,10 @@
         checked: CheckedRequest,
         end: AttemptEnd,
     ) -> Attempt:
-        req = checked.req
-        return Attempt(
-            req.method,
-            req.path,
-            req.headers,
-            checked.body.stream(),
-            checked.deadline_at - self._clock.now(),
-            on_end=end,
-            traceparent=self._tracer.outgoing(req.traceparent),
+        return checked.attempt(
+            self._clock.now(),
+            end,
+            self._tracer.outgoing(checked.req.traceparent),
         )
 
     def _hop(self, checked: CheckedRequest, *, may_queue: bool) -> Hop:
--- a/src/cuminhoist/entry.py
+++ b/src/cuminhoist/entry.py
@@ -6,12 +6,12 @@
 from .accounting import Accounts, Outcome, Ticket
 from .admission import Admission
 from .attempts import Answer
+from .caller_request import CallerRequest, CheckedRequest, ReplayBody
 from .clock import Clock
 from .dispatch import Dispatcher, admission_request
 from .grants import GrantTable
 from .headers import framing
 from .hops import Hop
-from .intake import Intake, refuse
 from .key_records import Key, parse_key
 from .keyed import KeyedRuns, require_key
 from .keys import KeyStore
@@ -22,7 +22,8 @@
 from .metrics import Metrics
 from .problems import Refusal
 from .rates import RateShares
-from .requests import CallerRequest, CheckedRequest, ReplayBody
+from .refusals import refuse
+from .request_checks import RequestChecks
 from .routing import Router
 from .settings import Instance, Topology
 from .slots import SlotOutcome, SlotSource
@@ -45,7 +46,7 @@
     own: Instance
     clock: Clock
     membership: Membership
-    intake: Intake
+    checks: RequestChecks
     lookup: Lookup
     rates: RateShares
     admission: Admission
@@ -122,10 +123,10 @@
                 retry_after_ms=1,
             )
         home = self._parts.lookup.home_of(req.client)
-        intake = self._parts.intake.check(req, home)
-        if isinstance(intake, Failure):
-            return intake
-        checked = intake.unwrap()
+        found = self._parts.checks.check(req, home)
+        if isinstance(found, Failure):
+            return found
+        checked = found.unwrap()
         cost = checked.kind.weight
         rates = self._parts.rates
         if not rates.try_take(req.caller, req.service, cost):
@@ -188,11 +189,11 @@
         hop: Hop,
     ) -> Result[Answer, Refusal]:
         home = self._hop_home(hop)
-        intake = self._parts.intake.check(req, home)
-        if isinstance(intake, Failure):
-            return intake
+        found = self._parts.checks.check(req, home)
+        if isinstance(found, Failure):
+            return found
         checked = msgspec.structs.replace(
-            intake.unwrap(),
+            found.unwrap(),
             home_region=hop.region,
         )
         key = parse_key(req.key) if not checked.kind.repeatable else None
--- a/src/cuminhoist/entryside.py
+++ b/src/cuminhoist/entry_role.py
@@ -10,8 +10,7 @@
 from .accounting import Accounts
 from .admission import Admission
 from .blocks import BlockMap
-from .borrowing import Borrower
-from .borrowing import partners_of as lenders_of
+from .borrowing import Borrower, lenders_of
 from .clock import Clock
 from .dispatch import Dispatcher, DispatchParts
 from .entry import EntryParts, EntryService
@@ -21,7 +20,6 @@
 from .grants import GrantTable
 from .hops import HopSigner
 from .inforce import ConfigInForce
-from .intake import Intake
 from .keys import KeyStore
 from .links import LinkBudget
 from .localattempts import LocalAttempts
@@ -33,6 +31,7 @@
 from .platform import PlatformPoller
 from .probes import HttpxProbeClient, Prober
 from .rates import RateShares
+from .request_checks import RequestChecks
 from .retries import RetryBudget
 from .routing import Router
 from .settings import Settings, Topology
@@ -45,7 +44,7 @@
 REFRESH_S = 0.25
 
 
-class Base(msgspec.Struct, frozen=True, kw_only=True):
+class InstanceContext(msgspec.Struct, frozen=True, kw_only=True):
     """What both roles of an instance share."""
 
     cfg: Settings
@@ -55,34 +54,36 @@
     in_force: ConfigInForce
 
 
-class EntrySide:
+class EntryRole:
     """All parts of the entry role.
 
-    :param base: what both roles share.
+    :param context: what both roles share.
     :param membership: live and leaving instances and upstreams.
     """
 
-    def __init__(self, base: Base, membership: Membership) -> None:
-        self._base = base
+    def __init__(
+        self, context: InstanceContext, membership: Membership
+    ) -> None:
+        self._context = context
         self.membership = membership
-        cfg, topology, clock = base.cfg, base.topology, base.clock
+        cfg, topology, clock = context.cfg, context.topology, context.clock
         self.region = topology.region_of(cfg.domain)
         self.table = TargetTable(topology, membership, clock)
         self.keys = KeyStore(membership, clock)
         self.ownership = Ownership(
             topology,
             membership,
-            base.transport,
+            context.transport,
             clock,
             self.table,
             self.keys.epoch,
         )
         self.table.bind(self.ownership)
-        self.ownership.report_version(lambda: base.in_force.version)
+        self.ownership.report_version(lambda: context.in_force.version)
         self.accounts = Accounts(
             clock,
             topology,
-            base.in_force,
+            context.in_force,
             cfg.name,
             membership.incarnation,
         )
@@ -96,41 +97,41 @@
         self._probe_client = HttpxProbeClient(cfg.probe_path)
         self._rates = RateShares(
             clock,
-            base.in_force,
+            context.in_force,
             len(topology.entries()),
         )
         self.grant_client = GrantClient.from_topology(
             topology,
             cfg.name,
             clock,
-            base.transport,
+            context.transport,
         )
         parts = self._build_parts()
         self.service = EntryService(parts)
         self.explainer = Explainer(parts, parts.router)
 
     @classmethod
-    def from_base(cls, base: Base) -> Self:
+    def from_context(cls, context: InstanceContext) -> Self:
         """Build the parts of an instance.
 
-        :param base: what both roles share.
+        :param context: what both roles share.
         """
         membership = Membership(
-            base.topology,
-            base.cfg.name,
-            base.clock,
-            base.in_force,
+            context.topology,
+            context.cfg.name,
+            context.clock,
+            context.in_force,
         )
-        return cls(base, membership)
+        return cls(context, membership)
 
     def tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the long-lived tasks of the entry role."""
-        base = self._base
+        context = self._context
         borrower = Borrower(
             self._rates,
-            base.transport,
-            base.clock,
-            lenders_of(base.topology, base.cfg.name),
+            context.transport,
+            context.clock,
+            lenders_of(context.topology, context.cfg.name),
             self.membership.incarnation,
         )
         prober = Prober(
@@ -138,10 +139,10 @@
             self.ownership,
             self.membership,
             self._probe_client,
-            base.clock,
+            context.clock,
         )
         poller = PlatformPoller(
-            base.topology.platform_url,
+            context.topology.platform_url,
             self.membership.apply_platform,
         )
         return (
@@ -168,25 +169,27 @@
             self.table.refresh()
 
     def _build_lookup(self) -> Lookup:
-        base = self._base
+        context = self._context
         return Lookup(
-            base.topology,
-            base.topology.instance(base.cfg.name),
-            BlockMap.from_blocks(base.topology.blocks),
+            context.topology,
+            context.topology.instance(context.cfg.name),
+            BlockMap.from_blocks(context.topology.blocks),
             MembershipView(self.membership, self.keys),
-            DrainPlan(base.in_force, base.clock),
-            base.cfg.lookup_lifetime_s,
+            DrainPlan(context.in_force, context.clock),
+            context.cfg.lookup_lifetime_s,
         )
 
     def _build_parts(self) -> EntryParts:
-        base = self._base
-        topology, clock = base.topology, base.clock
+        context = self._context
+        topology, clock = context.topology, context.clock
         capacity = ObservedCapacity(topology, self.region)
         in_region = sum(
             topology.region_of(entry.domain) == self.region
             for entry in topology.entries()
         )
-        shift = ShiftLimiter(clock, base.in_force, capacity, max(in_region, 1))
+        shift = ShiftLimiter(
+            clock, context.in_force, capacity, max(in_region, 1)
+        )
         admission = Admission(
             clock,
             self.table,
@@ -211,13 +214,13 @@
             self.grant_client,
             clock,
         )
-        own = topology.instance(base.cfg.name)
+        own = topology.instance(context.cfg.name)
         return EntryParts(
             topology=topology,
             own=own,
             clock=clock,
             membership=self.membership,
-            intake=Intake(topology, base.in_force, clock),
+            checks=RequestChecks(topology, context.in_force, clock),
             lookup=self.lookup,
             rates=self._rates,
             admission=admission,
@@ -239,9 +242,9 @@
                 topology,
                 self.membership,
                 self.table,
-                base.in_force,
+                context.in_force,
                 clock,
-                base.transport,
+                context.transport,
             ),
             links=LinkBudget(topology, self.region, clock),
             accounts=self.accounts,
@@ -252,8 +255,8 @@
         )
 
     def _limit_connections(self) -> None:
-        for target in self._base.topology.targets:
-            if target.domain == self._base.cfg.domain:
+        for target in self._context.topology.targets:
+            if target.domain == self._context.cfg.domain:
                 self._client.address_of(
                     msgspec.structs.replace(
                         target,
--- a/src/cuminhoist/explain.py
+++ b/src/cuminhoist/explain.py
@@ -5,8 +5,8 @@
 import msgspec
 from returns.result import Failure
 
+from .caller_request import CallerRequest, CheckedRequest
 from .entry import EntryParts
-from .requests import CallerRequest, CheckedRequest
 from .routing import (
     GrantRoute,
     LocalRoute,
@@ -80,13 +80,13 @@
         """
         parts = self._parts
         found = parts.lookup.find(service, caller, client)
-        intake = parts.intake.check(
+        verdict = parts.checks.check(
             _imagined(caller, service, kind),
             found.home,
         )
         entries = tuple(entry.name for entry in found.entries)
-        if isinstance(intake, Failure):
-            refusal = intake.failure()
+        if isinstance(verdict, Failure):
+            refusal = verdict.failure()
             return Explanation(
                 decision=f'refused: {refusal.reason} ({refusal.detail})',
                 instance=parts.own.name,
@@ -94,7 +94,7 @@
                 entries=entries,
                 plan=refusal.plan,
             )
-        return self._explain_checked(intake.unwrap(), found.home, entries)
+        return self._explain_checked(verdict.unwrap(), found.home, entries)
 
     def _explain_checked(
         self,
--- a/src/cuminhoist/keyed.py
+++ b/src/cuminhoist/keyed.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from .attempts import Answer, CarryError
+from .caller_request import CheckedRequest
 from .headers import framing
-from .intake import refuse
 from .key_records import (
     MAX_KEPT_BODY_BYTES,
     Fingerprint,
@@ -23,7 +23,7 @@
 from .localattempts import AttemptEnd, Dispatched
 from .logs import logger
 from .problems import Refusal
-from .requests import CheckedRequest
+from .refusals import refuse
 from .slots import SlotOutcome
 from .types import Ran, Reason
 
--- a/src/cuminhoist/localattempts.py
+++ b/src/cuminhoist/localattempts.py
@@ -7,11 +7,11 @@
 from returns.result import Failure, Result, Success
 
 from .attempts import Answer, Attempt
+from .caller_request import CheckedRequest
 from .clock import Clock
 from .forwarding import TargetClient
 from .membership import Membership
 from .problems import Refusal
-from .requests import CheckedRequest
 from .shift import ObservedCapacity
 from .slots import Slot, SlotOutcome
 from .tracing import Tracer
@@ -114,15 +114,10 @@
         return Success(Dispatched(answer, end))
 
     def _attempt(self, checked: CheckedRequest, end: AttemptEnd) -> Attempt:
-        req = checked.req
-        return Attempt(
-            req.method,
-            req.path,
-            req.headers,
-            checked.body.stream(),
-            checked.deadline_at - self._clock.now(),
-            on_end=end,
-            traceparent=self._tracer.outgoing(req.traceparent),
+        return checked.attempt(
+            self._clock.now(),
+            end,
+            self._tracer.outgoing(checked.req.traceparent),
         )
 
     def _release(
--- a/src/cuminhoist/lookup.py
+++ b/src/cuminhoist/lookup.py
@@ -2,7 +2,6 @@
 
 import abc
 import functools
-import hashlib
 import itertools
 import math
 
@@ -12,6 +11,7 @@
 from .clock import Clock
 from .inforce import ConfigInForce
 from .lists import Drain
+from .rendezvous import HASH_BYTES, digest_of
 from .settings import Instance, Topology
 from .types import DomainName, DrainScope
 
@@ -19,7 +19,6 @@
 #: Callers move away over this time before an announced drain starts, ten
 #: windows of the default shift cap.
 RAMP_S = 100.0
-_HASH_BYTES = 8
 #: Callers share their order of places with the others of their bucket.
 #: With 4096 buckets the share of a place is off by 0.8% (one sigma).
 BUCKETS = 4096
@@ -29,7 +28,7 @@
 _MOST_FAR_DOMAINS = 12
 #: Keeps failure domains without the service last.
 _NO_SLOTS_WEIGHT = 0.001
-_HASH_LIMIT = float(1 << (8 * _HASH_BYTES))
+_HASH_LIMIT = float(1 << (8 * HASH_BYTES))
 
 #: Entry instances in an answer by distance: the home failure domain, the
 #: rest of its region, other regions. Clients that cache the answer keep an
@@ -86,11 +85,7 @@
 
     :param parts: the names.
     """
-    digest = hashlib.blake2b(
-        '|'.join(parts).encode(),
-        digest_size=_HASH_BYTES,
-    ).digest()
-    return (int.from_bytes(digest) + 1) / (_HASH_LIMIT + 1)
+    return (digest_of(*parts) + 1) / (_HASH_LIMIT + 1)
 
 
 def bucket_of(caller: str) -> int:
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -14,7 +14,7 @@
 from .consensus import Replica
 from .control_api import ControlParts, control_handlers
 from .delivery import Delivery, DeliveryOptions
-from .entryside import Base, EntrySide
+from .entry_role import EntryRole, InstanceContext
 from .httpserver import HttpServer
 from .inforce import ConfigInForce
 from .logs import logger
@@ -100,7 +100,7 @@
         self._server.force_exit = True
         await self._end()
 
-    async def _leave(self, entry: EntrySide) -> None:
+    async def _leave(self, entry: EntryRole) -> None:
         await entry.ownership.announce_stop()
         self._server.start_drain()
         cached_until = self._clock.now() + self._cfg.lookup_lifetime_s
@@ -140,11 +140,11 @@
         task.add_done_callback(_report_failure)
         self._tasks.append(task)
 
-    def _build_entry(self) -> EntrySide | None:
+    def _build_entry(self) -> EntryRole | None:
         if Role.entry not in self._cfg.roles:
             return None
-        return EntrySide.from_base(
-            Base(
+        return EntryRole.from_context(
+            InstanceContext(
                 cfg=self._cfg,
                 topology=self._topology,
                 clock=self._clock,
--- a/src/cuminhoist/refusals.py
+++ b/src/cuminhoist/refusals.py
@@ -1,4 +1,6 @@
-"""Refusals of admission; all of them are certain not to have run."""
+"""Refusals of requests that certainly did not run."""
+
+from returns.result import Failure
 
 from .fairqueue import Full, TooLate
 from .problems import Refusal
@@ -10,6 +12,30 @@
 MAX_RETRY_S = 30.0
 
 
+def refuse(
+    reason: Reason,
+    detail: str,
+    plan: str = '',
+    retry_after_ms: int = 0,
+) -> Failure[Refusal]:
+    """Return the refusal of a request that was not run.
+
+    :param reason: why it is refused.
+    :param detail: one sentence for a person.
+    :param plan: plan of the caller, if known.
+    :param retry_after_ms: when to try again.
+    """
+    return Failure(
+        Refusal(
+            ran=Ran.not_run,
+            reason=reason,
+            detail=detail,
+            plan=plan,
+            retry_after_ms=retry_after_ms,
+        ),
+    )
+
+
 def refusal_of(
     plan: str, reason: Reason, detail: str, wait_s: float
 ) -> Refusal:
--- a/src/cuminhoist/rendezvous.py
+++ b/src/cuminhoist/rendezvous.py
@@ -4,9 +4,19 @@
 import hashlib
 from collections.abc import Iterable
 
+HASH_BYTES = 8
 _CACHED_SCORES = 65536
 
 
+def digest_of(*parts: str) -> int:
+    """Return a stable 64-bit hash of some names.
+
+    :param parts: the names, in order.
+    """
+    digest = hashlib.blake2b('|'.join(parts).encode(), digest_size=HASH_BYTES)
+    return int.from_bytes(digest.digest())
+
+
 @functools.lru_cache(maxsize=_CACHED_SCORES)
 def score(key: str, name: str) -> int:
     """Return the weight of a name for a key.
@@ -14,8 +24,7 @@
     :param key: what is to be assigned.
     :param name: a candidate.
     """
-    digest = hashlib.blake2b(f'{key}|{name}'.encode(), digest_size=8).digest()
-    return int.from_bytes(digest)
+    return digest_of(key, name)
 
 
 def ranked(key: str, names: Iterable[str]) -> list[str]:
--- a/src/cuminhoist/intake.py
+++ b/src/cuminhoist/request_checks.py
@@ -1,44 +1,21 @@
 """Checks of a request before anything is spent on it."""
 
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
+from .caller_request import CallerRequest, CheckedRequest, ReplayBody
 from .clock import Clock
 from .entitlements import Entitlements
 from .inforce import ConfigInForce
 from .lists import Configuration
 from .problems import Refusal
-from .requests import CallerRequest, CheckedRequest, ReplayBody
+from .refusals import refuse
 from .settings import Kind, Service, Topology
-from .types import Ran, Reason
+from .types import Reason
 
 _MS = 1000
 
 
-def refuse(
-    reason: Reason,
-    detail: str,
-    plan: str = '',
-    retry_after_ms: int = 0,
-) -> Failure[Refusal]:
-    """Return the refusal of a request that was not run.
-
-    :param reason: why it is refused.
-    :param detail: one sentence for a person.
-    :param plan: plan of the caller, if known.
-    :param retry_after_ms: when to try again.
-    """
-    return Failure(
-        Refusal(
-            ran=Ran.not_run,
-            reason=reason,
-            detail=detail,
-            plan=plan,
-            retry_after_ms=retry_after_ms,
-        ),
-    )
-
-
-class Intake:
+class RequestChecks:
     """Finds caller, service, kind, entitlement and deadline of requests.
 
     :param topology: the deployment.
--- a/src/cuminhoist/routing.py
+++ b/src/cuminhoist/routing.py
@@ -3,11 +3,11 @@
 import msgspec
 
 from .admission import Admission
+from .caller_request import CheckedRequest
 from .clock import Clock
 from .grant_client import GrantClient, GrantUse
 from .lookup import PlaceOrders, bucket_of
 from .membership import Membership
-from .requests import CheckedRequest
 from .settings import Instance, Topology
 from .slots import SlotSource
 
--- a/src/cuminhoist/tree.py
+++ b/src/cuminhoist/tree.py
@@ -1,9 +1,9 @@
 """Which instances feed which others with the configuration."""
 
 import functools
-import hashlib
 from collections.abc import Callable, Iterable
 
+from .rendezvous import digest_of
 from .settings import Instance, Role, Topology
 
 #: Children that an instance feeds while all its siblings are live.
@@ -14,15 +14,6 @@
 FALLBACKS = 2
 
 
-def score(salt: str, name: str) -> bytes:
-    """Return the rendezvous weight of a name; the lowest is preferred.
-
-    :param salt: what the names compete for.
-    :param name: name of a competitor.
-    """
-    return hashlib.blake2b(f'{salt}|{name}'.encode(), digest_size=8).digest()
-
-
 def layers_of(names: tuple[str, ...], relays: int) -> list[tuple[str, ...]]:
     """Cut the ranked members of a domain into layers of the tree.
 
@@ -82,7 +73,7 @@
             if Role.control not in entry.roles:
                 self._members.setdefault(entry.domain, []).append(entry.name)
         for domain, names in self._members.items():
-            names.sort(key=functools.partial(score, domain))
+            names.sort(key=functools.partial(digest_of, domain))
 
     def parents(self, own: str, live: frozenset[str]) -> tuple[str, ...]:
         """Return whom an instance polls, the preferred parent first.
@@ -166,19 +157,19 @@
         near.sort(key=lambda ctl: self._distance(own, ctl))
         return [ctl.name for ctl in near]
 
-    def _distance(self, own: str, other: Instance) -> tuple[int, bytes]:
+    def _distance(self, own: str, other: Instance) -> tuple[int, int]:
         domain = self._by_name[own].domain
         distance = 2
         if other.domain == domain:
             distance = 0
         elif self._regions[other.domain] == self._regions[domain]:
             distance = 1
-        return distance, score(own, other.name)
+        return distance, digest_of(own, other.name)
 
 
 def _ranker(parents: tuple[str, ...]) -> Callable[[str], list[str]]:
     def ranked(child: str) -> list[str]:
-        return sorted(parents, key=lambda name: score(child, name))
+        return sorted(parents, key=lambda name: digest_of(child, name))
 
     return ranked
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -7,7 +7,7 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from cuminhoist.borrowing import BorrowTokens, Want, partners_of
+from cuminhoist.borrowing import BorrowTokens, Want, lenders_of
 from cuminhoist.rates import LEASE_S
 
 from .builders_admission import (
@@ -189,7 +189,7 @@
     """Guards against borrowing over the inter-region link first."""
     topology = example_topology()
     for own in topology.entries():
-        peers = [topology.instance(p) for p in partners_of(topology, own.name)]
+        peers = [topology.instance(p) for p in lenders_of(topology, own.name)]
         assert len(peers) == len(topology.entries()) - 1
         distance = [
             2
