--- a/benchmarks/rate_loans.py
+++ b/benchmarks/rate_loans.py
@@ -13,7 +13,8 @@
 import looptime
 
 # Loaded by name: the builders of test data are not typed strictly.
-_builders = importlib.import_module('tests.builders_admission')
+_builders = importlib.import_module('tests.builders')
+_admission = importlib.import_module('tests.builders_admission')
 
 RATE_PER_S = 400.0
 BURST_S = 2.0
@@ -33,7 +34,7 @@
     :param demand_per_s: requests a second of the only caller.
     :param calls_per_s: bound of the calls for tokens.
     """
-    fleet = _builders.RateFleet(
+    fleet = _admission.RateFleet(
         instances,
         RATE_PER_S,
         BURST_S,
--- a/src/cuminhoist/__init__.py
+++ b/src/cuminhoist/__init__.py
@@ -0,0 +1,92 @@
+"""Global traffic steering across failure domains and regions.
+
+These are the names that a program needs to check the files of a deployment
+and to run an instance; everything else is imported from its module.
+"""
+
+from typing import TYPE_CHECKING, Any
+
+from .checks import (
+    check_allowances,
+    check_change,
+    check_drain,
+    check_plans,
+    check_settings,
+    check_topology,
+)
+from .exceptions import (
+    CuminhoistError,
+    FieldError,
+    InvariantError,
+    TransportError,
+)
+from .lists import (
+    Accepted,
+    Allowance,
+    Allowances,
+    Caller,
+    Change,
+    ChangeOutcome,
+    Configuration,
+    Conflict,
+    Drain,
+    Plan,
+    Plans,
+    Rejected,
+    ShiftCap,
+    Unavailable,
+)
+from .settings import Role, Settings, Topology, load_struct
+from .types import DrainScope, Ran, Reason
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = (
+    'Accepted',
+    'Allowance',
+    'Allowances',
+    'Caller',
+    'Change',
+    'ChangeOutcome',
+    'Configuration',
+    'Conflict',
+    'CuminhoistError',
+    'Drain',
+    'DrainScope',
+    'FieldError',
+    'InvariantError',
+    'Node',
+    'Plan',
+    'Plans',
+    'Ran',
+    'Reason',
+    'Rejected',
+    'Role',
+    'Settings',
+    'ShiftCap',
+    'Topology',
+    'TransportError',
+    'Unavailable',
+    'check_allowances',
+    'check_change',
+    'check_drain',
+    'check_plans',
+    'check_settings',
+    'check_topology',
+    'load_struct',
+)
+
+
+def __getattr__(name: str) -> Any:
+    """Import the node on first use.
+
+    Its libraries would add 40% to the start of the command-line tool.
+
+    :param name: name of a missing attribute.
+    """
+    if name != 'Node':
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    from .node import Node
+
+    return Node
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -86,7 +86,7 @@
         Look-ups stop naming this instance first. It goes on serving while
         clients may still hold an older look-up.
         """
-        _log.info('Leaves; look-ups are cached for some time.')
+        _log.info('Stopping; look-ups no longer name this instance.')
         if self.entry is not None:
             await self._leave(self.entry)
         await self._end()
--- a/src/cuminhoist/request_checks.py
+++ b/src/cuminhoist/request_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a request before anything is spent on it."""
+"""Checks of a caller's request against the configuration in force."""
 
 from returns.result import Result, Success
 
--- a/src/cuminhoist/routing.py
+++ b/src/cuminhoist/routing.py
@@ -6,8 +6,8 @@
 from .caller_request import CheckedRequest
 from .clock import Clock
 from .grant_client import GrantClient, GrantUse
-from .lookup import PlaceOrders, bucket_of
 from .membership import Membership
+from .place_orders import PlaceOrders, bucket_of
 from .settings import Instance, Topology
 from .slots import SlotSource
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,9 @@
 """Builders of test data."""
 
+import asyncio
 import pathlib
 
+from cuminhoist.clock import Clock
 from cuminhoist.lists import (
     Allowance,
     Allowances,
@@ -78,3 +80,21 @@
         base_version=base,
         plans=small_plans(weight),
     )
+
+
+class LoopClock(Clock):
+    """The time of the running event loop, which looptime controls.
+
+    :param offset_s: time at the start of the loop, in seconds.
+    """
+
+    def __init__(self, offset_s: float = 0) -> None:
+        self._offset_s = offset_s
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return asyncio.get_running_loop().time() + self._offset_s
+
+    def wall(self) -> float:
+        """Return Unix time in seconds."""
+        return self.now()
--- a/tests/builders_admission.py
+++ b/tests/builders_admission.py
@@ -27,40 +27,7 @@
 from cuminhoist.slots import Slot, SlotOutcome, SlotSource
 from cuminhoist.transport import Transport
 
-from .builders import (
-    CLUSTER_KEY,
-    EXAMPLES,
-    example_allowances,
-    example_plans,
-    example_topology,
-    free_ports,
-    on_free_ports,
-    plans_change,
-    settings_of,
-    small_allowances,
-    small_plans,
-)
-
-__all__ = (
-    'AdmissionRig',
-    'CLUSTER_KEY',
-    'EXAMPLES',
-    'FakeSlot',
-    'FakeSlots',
-    'FakeTransport',
-    'LoopClock',
-    'RateFleet',
-    'config_of',
-    'example_allowances',
-    'example_plans',
-    'example_topology',
-    'free_ports',
-    'on_free_ports',
-    'plans_change',
-    'settings_of',
-    'small_allowances',
-    'small_plans',
-)
+from .builders import LoopClock, example_topology
 
 
 def config_of(
@@ -147,16 +114,6 @@
         return await self.network[peer].handle(Received(self.name, msg))
 
 
-class LoopClock(Clock):
-    """The time of the running event loop, for tests under looptime."""
-
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        return self.now()
-
-
 class FakeSlot(Slot):
     """A slot that returns to its source when it is released."""
 
--- a/tests/builders_carry.py
+++ b/tests/builders_carry.py
@@ -5,37 +5,7 @@
 from cuminhoist.httpserver import HttpServer
 from cuminhoist.settings import Target
 
-from .builders import (
-    CLUSTER_KEY,
-    EXAMPLES,
-    example_allowances,
-    example_plans,
-    example_topology,
-    free_ports,
-    on_free_ports,
-    plans_change,
-    settings_of,
-    small_allowances,
-    small_plans,
-)
-
-__all__ = (
-    'CLUSTER_KEY',
-    'EXAMPLES',
-    'RawServer',
-    'RunningServer',
-    'example_allowances',
-    'example_plans',
-    'example_topology',
-    'free_ports',
-    'on_free_ports',
-    'plans_change',
-    'raw_target',
-    'read_head',
-    'settings_of',
-    'small_allowances',
-    'small_plans',
-)
+from .builders import free_ports
 
 
 async def read_head(reader: asyncio.StreamReader) -> bytes:
--- a/tests/builders_delivery.py
+++ b/tests/builders_delivery.py
@@ -24,39 +24,7 @@
 from cuminhoist.state import ControlState
 from cuminhoist.transport import ErrorReply, Transport
 
-from .builders import (
-    CLUSTER_KEY,
-    EXAMPLES,
-    example_allowances,
-    example_plans,
-    example_topology,
-    free_ports,
-    on_free_ports,
-    plans_change,
-    settings_of,
-    small_allowances,
-    small_plans,
-)
-
-__all__ = (
-    'CLUSTER_KEY',
-    'EXAMPLES',
-    'FakeNetwork',
-    'FakeTransport',
-    'LoopClock',
-    'MemoryCluster',
-    'MemoryLog',
-    'example_allowances',
-    'example_plans',
-    'example_topology',
-    'free_ports',
-    'grid_topology',
-    'on_free_ports',
-    'plans_change',
-    'settings_of',
-    'small_allowances',
-    'small_plans',
-)
+from .builders import CLUSTER_KEY
 
 
 def grid_topology(
@@ -92,18 +60,6 @@
     )
 
 
-class LoopClock(Clock):
-    """The time of the running event loop, which looptime controls."""
-
-    def now(self) -> float:
-        """Return monotonic time in seconds."""
-        return asyncio.get_running_loop().time() + 1000
-
-    def wall(self) -> float:
-        """Return Unix time in seconds."""
-        return self.now()
-
-
 class FakeNetwork:
     """Carries frames between fake transports, with delays and cuts."""
 
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -9,35 +9,6 @@
     Topology,
 )
 
-from .builders import (
-    CLUSTER_KEY,
-    EXAMPLES,
-    example_allowances,
-    example_plans,
-    example_topology,
-    free_ports,
-    on_free_ports,
-    plans_change,
-    settings_of,
-    small_allowances,
-    small_plans,
-)
-
-__all__ = (
-    'CLUSTER_KEY',
-    'EXAMPLES',
-    'cell_topology',
-    'example_allowances',
-    'example_plans',
-    'example_topology',
-    'free_ports',
-    'on_free_ports',
-    'plans_change',
-    'settings_of',
-    'small_allowances',
-    'small_plans',
-)
-
 
 def cell_topology(
     entries: int = 3,
--- a/tests/controlapps.py
+++ b/tests/controlapps.py
@@ -16,7 +16,13 @@
 from cuminhoist.operatorclient import OperatorClient
 from cuminhoist.settings import Topology
 
-from . import builders_delivery as builders
+from . import builders
+from .builders_delivery import (
+    FakeNetwork,
+    FakeTransport,
+    MemoryCluster,
+    grid_topology,
+)
 
 
 class ControlApps:
@@ -28,21 +34,21 @@
     def __init__(self, operator_token: str = '') -> None:
         self.topology = on_free_hosts(
             msgspec.structs.replace(
-                builders.grid_topology(2, 2, controls=2),
+                grid_topology(2, 2, controls=2),
                 services=builders.example_topology().services,
             ),
         )
-        self.net = builders.FakeNetwork()
+        self.net = FakeNetwork()
         self.accounts = FixedAccounts()
         clock = ManualClock()
         names = tuple(entry.name for entry in self.topology.controls())
-        self.cluster = builders.MemoryCluster(names, clock)
+        self.cluster = MemoryCluster(names, clock)
         self.apps: dict[str, Litestar] = {}
         self.stores: dict[str, ConfigStore] = {}
         for instance in self.topology.instances:
             cfg = builders.settings_of(self.topology, instance.name)
             in_force = ConfigInForce()
-            transport = builders.FakeTransport(instance.name, self.net)
+            transport = FakeTransport(instance.name, self.net)
             log = self.cluster.logs.get(instance.name)
             delivery = Delivery(
                 instance.name, self.topology, in_force, transport, clock, log
--- a/tests/deliveryworld.py
+++ b/tests/deliveryworld.py
@@ -6,18 +6,24 @@
 from cuminhoist.delivery import Delivery, DeliveryOptions
 from cuminhoist.inforce import ConfigInForce
 
-from . import builders_delivery as builders
+from . import builders
+from .builders_delivery import (
+    FakeNetwork,
+    FakeTransport,
+    MemoryCluster,
+    grid_topology,
+)
 
 
 class World:
     """Instances with their deliveries on one fake network."""
 
     def __init__(self, topology=None, hold_s=2.0):
-        self.topology = topology or builders.grid_topology(3, 4)
-        self.clock = builders.LoopClock()
-        self.net = builders.FakeNetwork()
+        self.topology = topology or grid_topology(3, 4)
+        self.clock = builders.LoopClock(offset_s=1000)
+        self.net = FakeNetwork()
         names = tuple(entry.name for entry in self.topology.controls())
-        self.cluster = builders.MemoryCluster(names, self.clock)
+        self.cluster = MemoryCluster(names, self.clock)
         self.hold_s = hold_s
         self.nodes = {}
         self.tasks = {}
@@ -33,7 +39,7 @@
                 name,
                 self.topology,
                 in_force,
-                builders.FakeTransport(name, self.net),
+                FakeTransport(name, self.net),
                 self.clock,
                 self.cluster.logs.get(name),
                 DeliveryOptions(self.hold_s),
--- a/tests/test_accounting.py
+++ b/tests/test_accounting.py
@@ -17,7 +17,8 @@
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.ledger import AccountLedger
 
-from .builders_admission import config_of, example_topology
+from .builders import example_topology
+from .builders_admission import config_of
 
 
 def accounts_at(clock, instance='e1', incarnation='1', in_force=None):
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -16,7 +16,7 @@
 from cuminhoist.slots import SlotOutcome
 from cuminhoist.types import Ran, Reason
 
-from . import builders_carry as builders
+from .builders_carry import RawServer, RunningServer, raw_target, read_head
 
 CLOSE = b'connection: close\r\n'
 
@@ -44,7 +44,7 @@
 def running(answer, hops=None):
     entry = FakeEntry(answer)
     app = Litestar([services_handler(entry, hops)], openapi_config=None)
-    return entry, builders.RunningServer(app)
+    return entry, RunningServer(app)
 
 
 async def echo(req):
@@ -180,14 +180,14 @@
         writer.write(b'HTTP/1.1 201 Made\r\ncontent-length: 2\r\n\r\nok')
         await writer.drain()
 
-    async with builders.RawServer(script) as target:
+    async with RawServer(script) as target:
         client = HttpxTargetClient()
 
         async def carry(req):
             attempt = TargetAttempt(
                 req.method, req.path, req.headers, req.body, 5.0
             )
-            sent = await client.send(builders.raw_target(target.port), attempt)
+            sent = await client.send(raw_target(target.port), attempt)
             return sent.unwrap()
 
         _, server = running(carry)
@@ -216,7 +216,7 @@
         with pytest.raises(TimeoutError):
             await asyncio.wait_for(reader.read(1), 0.05)
         admitted.set()
-        head = await builders.read_head(reader)
+        head = await read_head(reader)
         assert head.startswith(b'HTTP/1.1 100')
         writer.write(b'abc')
         rest = await reader.read()
@@ -280,7 +280,7 @@
     async with server:
         reader, writer = await server.connect()
         writer.write(get())
-        await builders.read_head(reader)
+        await read_head(reader)
         writer.close()
         await aborted.wait()
 
@@ -366,7 +366,7 @@
     """An entry instance before one target with a raw script."""
 
     def __init__(self, script) -> None:
-        self.target = builders.RawServer(script)
+        self.target = RawServer(script)
         self.client = HttpxTargetClient()
         self.ends = []
         _, self.server = running(self._carry)
@@ -390,7 +390,7 @@
             60.0,
             lambda outcome, _latency: self.ends.append(outcome),
         )
-        target = builders.raw_target(self.target.port, connections=100)
+        target = raw_target(self.target.port, connections=100)
         return (await self.client.send(target, attempt)).unwrap()
 
 
@@ -412,7 +412,7 @@
         while not path.target.heads:
             await asyncio.sleep(0.01)
         if answered:
-            await builders.read_head(reader)
+            await read_head(reader)
         writer.close()
         await path.target.closed.wait()
     assert path.target.rest in (b'', b'part')
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -24,7 +24,7 @@
 )
 from cuminhoist.settings import Block, Link, Settings
 
-from . import builders_delivery as builders
+from . import builders
 
 replace = msgspec.structs.replace
 _GOLD = Plan(name='gold')
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,7 +11,7 @@
 from cuminhoist.cli import Cli
 from cuminhoist.lists import Drain
 
-from . import builders_delivery as builders
+from . import builders
 from .controlapps import ControlApps
 
 ENTRY, LEADER = 'dom-00-01', 'dom-00-00'
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -8,7 +8,7 @@
 from cuminhoist.fanout import Instances, Report
 from cuminhoist.lists import Change, Drain
 
-from . import builders_delivery as builders
+from . import builders
 from .controlapps import ControlApps
 
 pytestmark = pytest.mark.asyncio
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -9,7 +9,7 @@
 from cuminhoist.freshness import Currency
 from cuminhoist.watch import Watch, WatchReply
 
-from . import builders_delivery as builders
+from .builders_delivery import grid_topology
 from .deliveryworld import World
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime(start=0)]
@@ -36,7 +36,7 @@
 
 async def test_every_level_stays_fresh_without_changes():
     """Guards against an age that adds up over the levels of the tree."""
-    world = World(builders.grid_topology(2, 30))
+    world = World(grid_topology(2, 30))
     world.start()
     await world.change()
     await asyncio.sleep(4)
@@ -307,7 +307,7 @@
 
 async def test_parent_bounds_the_polls_that_it_holds():
     """Guards against polls that use up all server contexts."""
-    world = World(builders.grid_topology(2, 30, controls=1))
+    world = World(grid_topology(2, 30, controls=1))
     world.start()
     await world.change()
     await asyncio.sleep(5)
@@ -321,7 +321,7 @@
 
 async def test_lost_parent_at_the_current_size():
     """Guards against a child of a lost parent that waits over 2 s."""
-    topology = builders.grid_topology(3, 4)
+    topology = grid_topology(3, 4)
     world = World(topology, DeliveryOptions.from_topology(topology).hold_s)
     world.start()
     await world.change()
--- a/tests/test_delivery_faults.py
+++ b/tests/test_delivery_faults.py
@@ -7,7 +7,7 @@
 
 from cuminhoist.freshness import Currency
 
-from . import builders_delivery as builders
+from .builders_delivery import grid_topology
 from .deliveryworld import World
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime(start=0)]
@@ -21,7 +21,7 @@
     earlier, whatever is cut, paused or restarted.
     """
     rng = random.Random(seed)
-    world = World(builders.grid_topology(3, 5))
+    world = World(grid_topology(3, 5))
     world.start()
     commits = [(world.clock.now(), 0)]
     names = list(world.nodes)
--- a/tests/test_deltas.py
+++ b/tests/test_deltas.py
@@ -18,7 +18,7 @@
 )
 from cuminhoist.types import DrainScope
 
-from . import builders_delivery as builders
+from . import builders
 
 _names = st.sampled_from(['a', 'b', 'c', 'd', 'e', 'f'])
 _numbers = st.sampled_from([0.0, 1, 1.0, 2.5, 7])
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,7 +12,8 @@
 from cuminhoist.target_conn import WRITE_WATER_BYTES
 from cuminhoist.types import Ran, Reason
 
-from . import builders_carry as builders
+from . import builders
+from .builders_carry import RawServer, raw_target
 
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 SHED = b'HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n'
@@ -60,7 +61,7 @@
 
 
 async def send(client, server, ends, **settings):
-    target = builders.raw_target(server.port)
+    target = raw_target(server.port)
     return await client.send(target, attempt(ends, **settings))
 
 
@@ -69,7 +70,7 @@
     moved = b'HTTP/1.1 302 Found\r\nlocation: /x\r\nset-cookie: a=b\r\n'
     script = answering(moved, b'content-length: 0\r\n\r\n')
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         for _ in range(2):
             answer = (await send(client, server, ends)).unwrap()
@@ -98,7 +99,7 @@
         await server.head(reader)
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         if reused:
             await read_all((await send(client, server, ends)).unwrap())
@@ -116,7 +117,7 @@
 async def test_closed_idle_connection_is_recognised():
     """Guards against a request written to a connection that is closed."""
     ends = Ends()
-    async with builders.RawServer(answering(OK, keep=False)) as server:
+    async with RawServer(answering(OK, keep=False)) as server:
         closed = []
         client = HttpxTargetClient(on_close=closed.append)
         for number in range(3):
@@ -139,7 +140,7 @@
         await reader.read()
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         await read_all((await send(client, server, ends)).unwrap())
         server.sock.shutdown(socket.SHUT_RDWR)
@@ -153,7 +154,7 @@
     """Guards against `unknown` for a request that was never sent."""
     ends = Ends()
     client = HttpxTargetClient()
-    target = builders.raw_target(builders.free_ports(1)[0])
+    target = raw_target(builders.free_ports(1)[0])
     refusal = (await client.send(target, attempt(ends))).failure()
     assert (refusal.ran, refusal.reason) == (Ran.not_run, Reason.no_target)
     assert ends == [SlotOutcome.not_run]
@@ -166,7 +167,7 @@
     monkeypatch.setenv('http_proxy', 'http://127.0.0.1:9')
     monkeypatch.setenv('ALL_PROXY', 'http://127.0.0.1:9')
     ends = Ends()
-    async with builders.RawServer(answering(OK)) as server:
+    async with RawServer(answering(OK)) as server:
         client = HttpxTargetClient()
         await read_all((await send(client, server, ends)).unwrap())
         await client.close()
@@ -187,7 +188,7 @@
     """Guards against a truncated answer that passes for a whole one."""
     ends = Ends()
     script = answering(SCRIPTS[name], keep=False)
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         outcome = await send(client, server, ends)
         with pytest.raises(AnswerError) as caught:
@@ -207,7 +208,7 @@
 async def test_malformed_head(junk):
     """Guards against a crash or unbounded memory on a broken answer."""
     ends = Ends()
-    async with builders.RawServer(answering(junk, keep=False)) as server:
+    async with RawServer(answering(junk, keep=False)) as server:
         refusal = (await send(HttpxTargetClient(), server, ends)).failure()
     assert refusal.ran == Ran.unknown
     assert ends == [SlotOutcome.unknown]
@@ -223,7 +224,7 @@
         await reader.read()
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         for _ in range(2):
             answer = (await send(client, server, ends)).unwrap()
@@ -244,7 +245,7 @@
 async def test_answers_without_body(method, answer_head):
     """Guards against waiting for a body that never comes."""
     ends = Ends()
-    async with builders.RawServer(answering(answer_head)) as server:
+    async with RawServer(answering(answer_head)) as server:
         client = HttpxTargetClient()
         for _ in range(2):
             outcome = await send(client, server, ends, method=method)
@@ -259,7 +260,7 @@
     """Guards against losing the body of a server that ends it by closing."""
     ends = Ends()
     script = answering(b'HTTP/1.0 200 OK\r\n\r\nabc', keep=False)
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         answer = (await send(HttpxTargetClient(), server, ends)).unwrap()
         assert await read_all(answer) == b'abc'
     assert ends == [SlotOutcome.answered]
@@ -268,7 +269,7 @@
 async def test_load_shedding_is_not_run():
     """Guards against `unknown` for a request that the target refused."""
     ends = Ends()
-    async with builders.RawServer(answering(SHED)) as server:
+    async with RawServer(answering(SHED)) as server:
         client = HttpxTargetClient()
         for _ in range(2):
             refusal = (await send(client, server, ends)).failure()
@@ -302,7 +303,7 @@
         await silent(server, reader, writer)
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         # The connection is open before the time of the second one starts.
         await read_all((await send(client, server, ends)).unwrap())
@@ -317,7 +318,7 @@
 async def test_deadline_within_the_body(read):
     """Guards against a stalled body, read or not, that holds its slot."""
     ends = Ends()
-    async with builders.RawServer(stalling) as server:
+    async with RawServer(stalling) as server:
         outcome = await send(HttpxTargetClient(), server, ends)
         answer = outcome.unwrap()
         # The timer of the deadline runs out.
@@ -333,7 +334,7 @@
 async def test_cancellation_closes_the_connection(script):
     """Guards against a target that works on for a caller that has gone."""
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         client = HttpxTargetClient()
         task = asyncio.create_task(send(client, server, ends))
         while not server.heads:
@@ -350,9 +351,9 @@
 async def test_connections_stay_within_the_limit():
     """Guards against more connections than a target accepts."""
     ends = Ends()
-    async with builders.RawServer(stalling) as server:
+    async with RawServer(stalling) as server:
         client = HttpxTargetClient()
-        target = builders.raw_target(server.port, connections=2)
+        target = raw_target(server.port, connections=2)
         outcomes = await asyncio.gather(
             *(client.send(target, attempt(ends)) for _ in range(5))
         )
@@ -391,7 +392,7 @@
 
     ends = Ends()
     length = [(b'content-length', str(count * len(piece)).encode())]
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         server.gate = asyncio.Event()
         task = asyncio.create_task(
             send(
@@ -431,7 +432,7 @@
             written.append(2**20)
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         answer = (await send(HttpxTargetClient(), server, ends)).unwrap()
         await asyncio.sleep(0.2)
         assert answer.body._exchange._buffered <= 4 * HIGH_WATER_BYTES
@@ -456,7 +457,7 @@
         await server.gate.wait()
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         server.gate = asyncio.Event()
         client = HttpxTargetClient()
         outcome = await send(
@@ -490,7 +491,7 @@
         server.closed.set()
 
     ends = Ends()
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         outcome = await send(
             HttpxTargetClient(),
             server,
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -15,7 +15,7 @@
 from cuminhoist.slots import SlotSource
 from cuminhoist.transport import Transport
 
-from . import builders_ownership as builders
+from . import builders
 
 TOPOLOGY = builders.example_topology()
 HOME = 'entry-gogledd-a-1'
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from . import builders_carry as builders
+from .builders_carry import RunningServer, read_head
 
 REQUEST = b'GET /%d HTTP/1.1\r\nhost: x\r\n\r\n'
 
@@ -43,7 +43,7 @@
 
 
 async def read_answer(reader):
-    head = await builders.read_head(reader)
+    head = await read_head(reader)
     assert await reader.readexactly(4) == b'abcd'
     return head
 
@@ -52,7 +52,7 @@
 async def test_stop_cuts_no_request(early):
     """Guards against a stop that cuts running or just arriving requests."""
     app = SlowApp(early)
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         conns = [await server.connect() for _ in range(20)]
         idle = [await server.connect() for _ in range(5)]
         for number, (_, writer) in enumerate(conns):
@@ -80,7 +80,7 @@
     """Guards against refused requests while look-ups still name a server."""
     app = SlowApp(early=False)
     app.gate.set()
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         reader, writer = await server.connect()
         writer.write(REQUEST % 1)
         assert b'connection: close' not in await read_answer(reader)
@@ -97,7 +97,7 @@
     """Guards against a stop that waits for a hanging request for ever."""
     monkeypatch.setattr('cuminhoist.httpserver.IDLE_GRACE_S', 0.1)
     app = SlowApp(early=False)
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         server.server.drain_s = 0.1
         reader, writer = await server.connect()
         writer.write(REQUEST % 1)
@@ -121,7 +121,7 @@
         )
         await send({'type': 'http.response.body', 'body': b'abcd'})
 
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         reader, writer = await server.connect()
         size = 32 * 2**20
         writer.write(
@@ -138,7 +138,7 @@
     """Guards against a connection that is stuck in another protocol."""
     app = SlowApp(early=False)
     app.gate.set()
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         answer = await server.ask(
             b'GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n'
             b'upgrade: h2c\r\n\r\n'
@@ -153,7 +153,7 @@
     app = SlowApp(early=False)
     app.gate.set()
     good = REQUEST % 1 + b'POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc'
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         for _ in range(300):
             damaged = bytearray(good)
             for _ in range(rng.randint(1, 8)):
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -23,11 +23,11 @@
 from cuminhoist.problems import Refusal
 from cuminhoist.types import Ran, Reason
 
-from . import builders_ownership as builders
+from .builders_ownership import cell_topology
 
 NOT_SENT = Refusal(ran=Ran.not_run, reason=Reason.no_slot)
 PRINT = Fingerprint.from_request('POST', '/book')
-TOPOLOGY = builders.cell_topology()
+TOPOLOGY = cell_topology()
 
 
 def _store(clock=None, name='e0', **kwargs):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -17,7 +17,7 @@
 )
 from cuminhoist.types import Ran, Reason
 
-from .builders_admission import LoopClock, example_topology
+from .builders import LoopClock, example_topology
 
 REGION, OTHER = 'gogledd', 'de-cymru'
 # Without shrinking, a failure is reported in seconds and not minutes.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,7 +16,7 @@
 from cuminhoist.platform import PlatformList
 from cuminhoist.types import DrainScope
 
-from . import builders_ownership as builders
+from . import builders
 
 TOPOLOGY = builders.example_topology()
 OWN = 'entry-gogledd-a-1'
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -8,7 +8,7 @@
 from cuminhoist.openapi import openapi_config
 from cuminhoist.types import Ran, Reason
 
-from . import builders_carry as builders
+from .builders_carry import RunningServer
 from .test_lookup import make_lookup
 
 
@@ -19,7 +19,7 @@
         [services_handler(None), lookup_handler(lookup)],
         openapi_config=openapi_config(),
     )
-    async with builders.RunningServer(app) as server:
+    async with RunningServer(app) as server:
         asked = b'GET %b HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
         answer = await server.ask(asked % b'/v1/openapi.json')
         refused = await server.ask(asked % b'/v1/services/')
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -13,7 +13,6 @@
 )
 from returns.result import Success
 
-from cuminhoist.clock import Clock
 from cuminhoist.codec import Received
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.keys import KeyStore
@@ -23,7 +22,8 @@
 from cuminhoist.targets import TargetTable
 from cuminhoist.transport import Transport
 
-from . import builders_ownership as builders
+from . import builders
+from .builders_ownership import cell_topology
 from .cell_sim import Cell
 
 #: Longer than a takeover, so that requests of a crashed owner outlast it.
@@ -34,7 +34,7 @@
 
 
 def _cell(entries=3, **kwargs):
-    cell = Cell(builders.cell_topology(entries, 4, 8000), **kwargs)
+    cell = Cell(cell_topology(entries, 4, 8000), **kwargs)
     for node in cell.nodes.values():
         node.start()
     return cell
@@ -196,16 +196,6 @@
     cell.close()
 
 
-class LoopClock(Clock):
-    """The virtual time of the event loop."""
-
-    def now(self):
-        return asyncio.get_running_loop().time()
-
-    def wall(self):
-        return self.now()
-
-
 class DirectTransport(Transport):
     """Hands messages to other instances of a dictionary of nodes."""
 
@@ -224,7 +214,7 @@
     """One instance that runs its own loops."""
 
     def __init__(self, topology, name, nodes):
-        clock, cfg = LoopClock(), ConfigInForce()
+        clock, cfg = builders.LoopClock(), ConfigInForce()
         self.transport = DirectTransport(name, nodes)
         self.members = Membership(topology, name, clock, cfg)
         self.table = TargetTable(topology, self.members, clock)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,8 @@
 from cuminhoist.slots import SlotOutcome
 from cuminhoist.types import Ran, Reason
 
-from . import builders_carry as builders
+from . import builders
+from .builders_carry import RawServer, RunningServer
 
 ORIGIN = hop_of('entry-1', 'domain-1', 'region-1')
 ROUTE = Route('PUT', '/catalogue/a%2F?b=1', 'acme')
@@ -69,7 +70,7 @@
             return await serve(req)
 
     hops = HopSigner('key', 'entry-2', SystemClock())
-    return builders.RunningServer(
+    return RunningServer(
         Litestar([services_handler(Entry(), hops)], openapi_config=None)
     )
 
@@ -121,7 +122,7 @@
         await server.head(reader)
 
     ends = []
-    async with builders.RawServer(script) as server:
+    async with RawServer(script) as server:
         got, _ = await send(server.port, ends)
     assert got.ran == Ran.unknown
     assert ends == [SlotOutcome.unknown]
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -10,12 +10,8 @@
 from cuminhoist.borrowing import BorrowTokens, Want, lenders_of
 from cuminhoist.rates import LEASE_S
 
-from .builders_admission import (
-    LoopClock,
-    RateFleet,
-    config_of,
-    example_topology,
-)
+from .builders import LoopClock, example_topology
+from .builders_admission import RateFleet, config_of
 
 CALLER, SERVICE = 'c0', 'catalogue'
 SLACK = 1e-6
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -17,7 +17,7 @@
     ShiftLimiter,
 )
 
-from .builders_admission import example_topology
+from .builders import example_topology
 
 WINDOW_S = 10
 GROWTH = 20
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,14 +11,15 @@
 from cuminhoist.types import Ran, Reason
 from demo.standins import Behaviour, Crash, StandinUpstreams
 
-from . import builders_carry as builders
+from . import builders
+from .builders_carry import raw_target
 
 
 class Stage:
     """One stand-in and a client."""
 
     async def __aenter__(self):
-        target = builders.raw_target(builders.free_ports(1)[0], slots=2)
+        target = raw_target(builders.free_ports(1)[0], slots=2)
         self.upstreams = StandinUpstreams((target,))
         self.state = self.upstreams.state('raw')
         self.client = HttpxTargetClient()
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -10,7 +10,7 @@
 from cuminhoist.clock import ManualClock
 from cuminhoist.target_pool import Address, Limits, PoolTransport
 
-from . import builders_carry as builders
+from .builders_carry import RawServer
 
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 LAST = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok'
@@ -47,7 +47,7 @@
             sending = pool.handle_async_request(req)
             tasks.append(asyncio.create_task(sending))
 
-    async with builders.RawServer(answering(answer)) as server:
+    async with RawServer(answering(answer)) as server:
         send_next()
         while len(most) < 6:
             await asyncio.sleep(0.01)
@@ -62,7 +62,7 @@
     monkeypatch.setattr(target_pool, 'IDLE_S', 0.1)
     clock = ManualClock()
     pool = PoolTransport(Limits(2, 2), clock)
-    async with builders.RawServer(answering(OK)) as server:
+    async with RawServer(answering(OK)) as server:
         address = Address('127.0.0.1', server.port)
         for left_open in (1, 1):
             response = await pool.handle_async_request(request(server.port))
@@ -109,7 +109,7 @@
 async def test_split_requests_are_refused():
     """Guards against a path that smuggles a second request."""
     pool = PoolTransport(Limits(1, 1))
-    async with builders.RawServer(answering(OK)) as server:
+    async with RawServer(answering(OK)) as server:
         req = request(server.port, target=b'/a HTTP/1.1\r\nx: y')
         with pytest.raises(httpx.LocalProtocolError):
             await pool.handle_async_request(req)
@@ -123,7 +123,7 @@
 async def test_cancelled_connect_is_not_counted():
     """Guards against connections that are counted for ever."""
     pool = PoolTransport(Limits(1, 1))
-    async with builders.RawServer(answering(OK)) as server:
+    async with RawServer(answering(OK)) as server:
         address = Address('127.0.0.1', server.port)
         for turns in range(6):
             task = asyncio.create_task(
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -19,7 +19,7 @@
 from cuminhoist.targets import TargetTable
 from cuminhoist.types import DrainScope
 
-from . import builders_ownership as builders
+from .builders_ownership import cell_topology
 
 MARGIN_S = 0.5
 OUTCOMES = list(SlotOutcome)
@@ -38,7 +38,7 @@
     def __init__(self, targets=4):
         self.clock = ManualClock()
         self.config = ConfigInForce()
-        topology = builders.cell_topology(1, targets)
+        topology = cell_topology(1, targets)
         self.membership = Membership(topology, 'e0', self.clock, self.config)
         self.table = TargetTable(topology, self.membership, self.clock)
         self.table.bind(OwnAll())
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -6,7 +6,7 @@
 
 from cuminhoist.tree import FAN_OUT, DeliveryTree
 
-from . import builders_delivery as builders
+from .builders_delivery import grid_topology
 
 
 @pytest.mark.parametrize(
@@ -15,7 +15,7 @@
 )
 def test_fan_out_and_levels(domains, per_domain, controls):
     """Guards against an overloaded parent, a cycle and an orphan."""
-    topology = builders.grid_topology(domains, per_domain, controls)
+    topology = grid_topology(domains, per_domain, controls)
     tree = DeliveryTree(topology)
     live = frozenset(entry.name for entry in topology.instances)
     # One tree per domain is enough to check in the largest deployment.
@@ -37,7 +37,7 @@
 
 def test_relays_of_all_domains_fit_below_the_control_replicas():
     """Guards against control replicas with more than eight children."""
-    topology = builders.grid_topology(73, 53, 19)
+    topology = grid_topology(73, 53, 19)
     tree = DeliveryTree(topology)
     live = frozenset(entry.name for entry in topology.instances)
     chosen = tree._relay_parents(live)
@@ -47,7 +47,7 @@
 
 def test_lost_relay_moves_few_children():
     """Guards against one loss that moves children of healthy parents."""
-    topology = builders.grid_topology(2, 30)
+    topology = grid_topology(2, 30)
     tree = DeliveryTree(topology)
     live = frozenset(entry.name for entry in topology.instances)
     names = [name for name in live if tree.level(name, live) == 3]
