--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -14,7 +14,7 @@
 from .consensus import Replica
 from .control_api import ControlApi, ControlParts, control_handlers
 from .delivery import Delivery, DeliveryOptions
-from .entryside import Base, EntrySide
+from .entry_role import EntryRole, InstanceContext
 from .httperrors import exception_handlers
 from .httpserver import HttpServer
 from .inforce import ConfigInForce
@@ -89,7 +89,7 @@
         Look-ups stop naming this instance first. It goes on serving while
         clients may still hold an older look-up.
         """
-        _log.info('Leaves; look-ups are cached for some time.')
+        _log.info('Stopping; look-ups no longer name this instance.')
         if self.entry is not None:
             await self._leave(self.entry)
         await self._end()
@@ -103,7 +103,7 @@
         self._server.force_exit = True
         await self._end()
 
-    async def _leave(self, entry: EntrySide) -> None:
+    async def _leave(self, entry: EntryRole) -> None:
         await entry.ownership.announce_stop()
         self._server.start_drain()
         cached_until = self._clock.now() + self._cfg.lookup_lifetime_s
@@ -143,11 +143,11 @@
         task.add_done_callback(_report_failure)
         self._tasks.append(task)
 
-    def _build_entry(self) -> EntrySide | None:
+    def _build_entry(self) -> EntryRole | None:
         if Role.entry not in self._cfg.roles:
             return None
-        return EntrySide.from_base(
-            Base(
+        return EntryRole.from_context(
+            InstanceContext(
                 cfg=self._cfg,
                 topology=self._topology,
                 clock=self._clock,
--- a/tests/steering_fleet.py
+++ b/tests/steering_fleet.py
@@ -9,11 +9,11 @@
 import looptime
 from returns.result import Failure
 
-from cuminhoist.entryside import Base, Clients, EntrySide
+from cuminhoist.caller_request import CallerRequest
+from cuminhoist.entry_role import Clients, EntryRole, InstanceContext
 from cuminhoist.inforce import ConfigInForce
 from cuminhoist.membership import Membership
 from cuminhoist.node import Node as DaemonNode
-from cuminhoist.requests import CallerRequest
 from cuminhoist.types import Ran
 
 from .builders import settings_of
@@ -68,7 +68,7 @@
         self.transport = FakeTransport(self.world, self)
         self.in_force = ConfigInForce()
         self.in_force.advance(configuration)
-        base = Base(
+        base = InstanceContext(
             cfg=self.cfg,
             topology=self.world.topology,
             clock=self.clock,
@@ -85,7 +85,7 @@
             probes=FakeProbes(self.world),
         )
         with mock.patch('secrets.randbits', return_value=7):
-            self.entry = EntrySide(base, membership, clients)
+            self.entry = EntryRole(base, membership, clients)
         for coroutine in self.entry.tasks():
             self.spawn(coroutine)
 
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -9,7 +9,7 @@
 from cuminhoist.lists import Change, Drain
 from cuminhoist.reports import Report
 
-from . import builders_delivery as builders
+from . import builders
 from .controlapps import ControlApps
 
 pytestmark = pytest.mark.asyncio
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -15,8 +15,8 @@
 from cuminhoist.ledger import AccountLedger
 from cuminhoist.reports import Report, report_of
 
-from .builders_admission import config_of, example_topology
-from .builders_delivery import plans_change
+from .builders import example_topology, plans_change
+from .builders_admission import config_of
 from .controlapps import ControlApps
 
 CONFIG = config_of(1, 90, 2, (1, 1))
