--- a/tests/test_httperrors.py
+++ b/tests/test_httperrors.py
@@ -48,8 +48,9 @@
 @pytest.mark.parametrize(
     ('method', 'query', 'status', 'part'),
     [
-        ('GET', '', 400, "'caller'"),
+        ('GET', '', 400, 'Missing required query parameter'),
         ('GET', '?caller=a', 400, "'service'"),
+        ('GET', '?service=a', 400, "'caller'"),
         ('DELETE', '', 405, 'Not Allowed'),
         ('GET', '?caller=a&service=b', 500, 'internal error'),
     ],
