--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 
 bench: setup
 	$(PY) -m benchmarks
+	benchmarks/baseline.sh
+
+fuzz: setup
+	CUMINHOIST_FUZZ=200 $(PY) -m pytest -s tests/test_consensus.py
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,131 @@
+"""Writes docs/CAPACITY.md from the measured slopes in benchmarks/slopes/."""
+
+import json
+import pathlib
+from typing import Any
+
+import msgspec
+
+ROOT = pathlib.Path(__file__).parent.parent
+SLOPES = ROOT / 'benchmarks' / 'slopes'
+PROSE = ROOT / 'benchmarks' / 'capacity_prose.md'
+PAGE = ROOT / 'docs' / 'CAPACITY.md'
+FIGURES = ROOT / 'benchmarks' / 'capacity_figures.json'
+
+SECONDS_A_DAY = 86_400
+BUDGETS = {'% core': 1.1, 'MB': 128.0, 'KB/s': 6.0, 'messages/s': 30.0}
+
+#: The size to design for, and what the design fixes.
+SIZE = {
+    'nodes': 3900.0,
+    'domains': 73.0,
+    'sites': 460.0,
+    'blocks': 4_900_000.0,
+    'lookups_per_s': 2_900_000.0,
+    'changes_per_day': 21_000.0,
+    'restarts_per_day': 650.0,
+    'fan_out': 8.0,
+    'cell_peers': 7.0,
+    'callers': 10_000.0,
+    'base_mb': 57.4,
+}
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """One line of the page.
+
+    :param formula: sum of products of names of slopes, sizes and numbers.
+    """
+
+    role: str
+    what: str
+    formula: str
+    unit: str
+    mechanism: str
+
+
+def _read(name: str) -> Any:
+    return json.loads((SLOPES / f'{name}.json').read_text())
+
+
+def slopes() -> dict[str, float]:
+    """Return the measured slopes by name."""
+    blocks = _read('block_map')[-1]
+    delivery = _read('delivery_cost')
+    busy, idle = delivery['changes'][-1], delivery['idle'][-1]
+    lists = next(row for row in delivery['sizes'] if row['callers'] == 10_000)
+    beat = _read('ownership_cost')['heartbeats'][-1]
+    control = _read('control_cost')['idle 5 replicas heartbeat 0.5 s']
+    return {
+        'block_bytes': blocks['megabytes'] * 1e6 / blocks['blocks'],
+        'block_lookup_us': blocks['lookup_us'],
+        'lookup_us': _read('lookup_cost')[-1]['repeated_us'],
+        'heartbeat_us': beat['cpu_us_per_call'],
+        'heartbeat_bytes': beat['bytes_sent_per_s'],
+        'parent_change_us': busy['parent_us_per_change_and_child'],
+        'child_change_us': busy['child_us_per_change'],
+        'change_bytes': busy['bytes_per_change_and_child'],
+        'hop_p99_ms': busy['hop_p99_ms'],
+        'parent_idle_us': idle['parent_us_per_s_and_child'],
+        'child_idle_us': idle['child_us_per_s'],
+        'snapshot_bytes_per_caller': lists['snapshot_bytes_per_caller'],
+        'control_change_ms': lists['control_ms_per_change'],
+        'leader_idle_percent': control['core_percent_leader_estimate'],
+        'leader_idle_bytes': control['leader_sent_bytes_per_s'],
+        'config_bytes': 166.0,
+    }
+
+
+def evaluate(formula: str, names: dict[str, float]) -> float:
+    """Return the value of a formula of ``+``, ``*`` and ``/``.
+
+    :param formula: the formula, with blanks between all parts.
+    :param names: values of the names.
+    """
+    return sum(_product(part.split(), names) for part in formula.split(' + '))
+
+
+def _product(parts: list[str], names: dict[str, float]) -> float:
+    product = _value(parts[0], names)
+    for sign, part in zip(parts[1::2], parts[2::2], strict=True):
+        factor = _value(part, names)
+        product = product * factor if sign == '*' else product / factor
+    return product
+
+
+def _value(part: str, names: dict[str, float]) -> float:
+    return names[part] if part in names else float(part)
+
+
+def render() -> str:
+    """Return the page."""
+    measured = slopes()
+    names = {**SIZE, **measured, 'day': float(SECONDS_A_DAY)}
+    lines = [
+        '| role | what | formula | figure | budget | mechanism |',
+        '|---|---|---|---|---|---|',
+    ]
+    rows = msgspec.json.decode(FIGURES.read_bytes(), type=list[Figure])
+    for figure in rows:
+        amount = evaluate(figure.formula, names)
+        budget = BUDGETS.get(figure.unit)
+        verdict = '' if budget is None else f'{budget:g}'
+        if budget is not None and amount > budget:
+            verdict = f'{verdict} **exceeded**'
+        lines.append(
+            f'| {figure.role} | {figure.what} | `{figure.formula}` | '
+            f'{amount:,.3g} {figure.unit} | {verdict} | {figure.mechanism} |',
+        )
+    table = [
+        '| name | value |',
+        '|---|---|',
+        *(f'| `{name}` | {amount:,.6g} |' for name, amount in names.items()),
+    ]
+    return PROSE.read_text().format(
+        figures='\n'.join(lines),
+        names='\n'.join(table),
+    )
+
+
+if __name__ == '__main__':
+    PAGE.write_text(render())
