--- a/src/cuminhoist/commands.py
+++ b/src/cuminhoist/commands.py
@@ -105,7 +105,11 @@
     :param wanted: the drain.
     :param wait_s: how long to wait until all instances have the change.
     """
-    change = Change.from_drain(_new_id(), wanted)
+    known = await client.read('/v1/control/config', Configuration)
+    if isinstance(known, Failure):
+        return Output.from_error(known.failure())
+    version = known.unwrap().version
+    change = Change.from_drain(_new_id(), wanted, version)
     return await _submit_all(client, [change], wait_s)
 
 
@@ -120,7 +124,14 @@
     :param wanted: the drain, of which scope and name count.
     :param wait_s: how long to wait until all instances have the change.
     """
-    change = Change(change_id=_new_id(), undrain=wanted)
+    known = await client.read('/v1/control/config', Configuration)
+    if isinstance(known, Failure):
+        return Output.from_error(known.failure())
+    change = Change(
+        change_id=_new_id(),
+        base_version=known.unwrap().version,
+        undrain=wanted,
+    )
     return await _submit_all(client, [change], wait_s)
 
 
--- a/src/cuminhoist/lists.py
+++ b/src/cuminhoist/lists.py
@@ -149,8 +149,9 @@
     """A change that an operator asks for; exactly one part is set.
 
     :param change_id: identity of the change; resends carry the same.
-    :param base_version: version of the list that the change replaces;
-        not used for drains, which are idempotent.
+    :param base_version: version of the list that the change replaces; for
+        drains the version of the configuration that their author read,
+        which tells a resend that is too old from a new change.
     :param plans: the new list of plans.
     :param allowances: the new list of allowances.
     :param drain: a drain to add.
@@ -165,13 +166,23 @@
     undrain: Drain | None = None
 
     @classmethod
-    def from_drain(cls, change_id: str, drain: Drain) -> Self:
+    def from_drain(
+        cls,
+        change_id: str,
+        drain: Drain,
+        base_version: int = FIRST_VERSION,
+    ) -> Self:
         """Build a change that announces a drain.
 
         :param change_id: identity of the change.
         :param drain: the drain.
+        :param base_version: version of the configuration that was read.
         """
-        return cls(change_id=change_id, drain=drain)
+        return cls(
+            change_id=change_id,
+            base_version=base_version,
+            drain=drain,
+        )
 
 
 class Accepted(msgspec.Struct, frozen=True, tag='accepted'):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,10 +6,11 @@
 import httpx
 import msgspec
 import pytest
+from returns.result import Success
 
 from cuminhoist import cli, commands, queries
 from cuminhoist.cli import Cli
-from cuminhoist.lists import Drain
+from cuminhoist.lists import Accepted, Configuration, Drain
 
 from . import builders
 from .controlapps import ControlApps
@@ -188,3 +189,30 @@
     assert output.content['silent'] == ['dom-01-01']
     status = await queries.status(client)
     assert not status.ok
+
+
+class RecordingClient:
+    """Answers reads with one configuration and records changes."""
+
+    def __init__(self, version):
+        self.version, self.changes = version, []
+
+    async def read(self, path, kind, query=None):
+        return Success(Configuration(version=self.version))
+
+    async def submit(self, change):
+        self.changes.append(change)
+        return Success(Accepted(version=self.version + 1))
+
+
+async def test_drains_carry_the_version_that_was_read():
+    """Guards against new drains that are refused as expired resends.
+
+    Control forgets old change ids; a drain that names no version could then
+    not be told from a resend of one that it forgot.
+    """
+    client = RecordingClient(version=7)
+    wanted = Drain(scope='domain', name='dom-01')
+    await commands.drain(client, wanted)
+    await commands.undrain(client, wanted)
+    assert [change.base_version for change in client.changes] == [7, 7]
