--- a/src/cuminhoist/cli.py
+++ b/src/cuminhoist/cli.py
@@ -221,3 +221,7 @@
 def main() -> None:
     """Run the command-line tool."""
     fire.Fire(Cli, name='cuminhoist')
+
+
+if __name__ == '__main__':
+    main()
