--- a/src/cuminhoist/daemon.py
+++ b/src/cuminhoist/daemon.py
@@ -6,6 +6,7 @@
 import sys
 
 import fire
+import msgspec
 from returns.result import Failure
 
 from .checks import check_settings, check_topology
@@ -50,10 +51,25 @@
     )
     if faults:
         sys.exit('\n'.join(str(fault) for fault in faults))
+    cfg = _resolved(cfg, path.parent)
     configure_logs(cfg.logs)
     asyncio.run(run_until_signal(Node(cfg, topology.unwrap())))
 
 
+def _resolved(cfg: Settings, folder: pathlib.Path) -> Settings:
+    """Return settings whose paths do not depend on the working folder.
+
+    :param cfg: settings as read.
+    :param folder: folder of their file.
+    """
+    paths = {
+        field: str((folder / getattr(cfg, field)).resolve())
+        for field in ('data_folder', 'traces_file')
+        if getattr(cfg, field)
+    }
+    return msgspec.structs.replace(cfg, **paths)
+
+
 def main() -> None:
     """Run the command line of the daemon."""
     fire.Fire(serve)
--- a/src/cuminhoist/settings.py
+++ b/src/cuminhoist/settings.py
@@ -217,7 +217,8 @@
 
     :param topology: path of the topology file, relative to this file.
     :param cluster_key: key of the tags on internal messages.
-    :param data_folder: folder of the durable state; control instances only.
+    :param data_folder: folder of the durable state; control instances only;
+        relative to this file, as is ``traces_file``.
     :param traces_file: file for spans as JSON lines; empty for none.
     :param operator_token: token of operators' requests; empty for none.
     :param on_corruption: what a control replica does with damaged files:
