--- a/src/cuminhoist/entry_role.py
+++ b/src/cuminhoist/entry_role.py
@@ -28,7 +28,7 @@
 from .metrics import metrics_from_config
 from .ownership import Ownership
 from .peers import PeerClient
-from .platform import PlatformPoller
+from .instance_list import PlatformPoller
 from .probes import HttpxProbeClient, Prober
 from .rates import RateShares
 from .request_checks import RequestChecks
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import re
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 import httpx
@@ -30,6 +30,19 @@
     def abort(self) -> None:
         """Close the connection at once."""
 
+    async def upload(
+        self,
+        exchange: 'Exchange',
+        body: AsyncIterator[bytes],
+        chunked: bool,
+    ) -> None:
+        """Write the body of a request with bounded memory.
+
+        :param exchange: the request.
+        :param body: the bytes.
+        :param chunked: whether to frame them as chunks.
+        """
+
     def resume_reading(self, buffered: int) -> None:
         """Read on when the buffer has been drained enough.
 
@@ -62,10 +75,18 @@
 
     :param head: the first lines of the request.
     :param on_done: called once, when the answer is complete or has failed.
+    :param echo: a header that the answer repeats, and its text. An answer
+        with another text belongs to an earlier request and is skipped.
     """
 
-    def __init__(self, head: RequestHead, on_done: Listener) -> None:
+    def __init__(
+        self,
+        head: RequestHead,
+        on_done: Listener,
+        echo: tuple[bytes, bytes] | None = None,
+    ) -> None:
         self.head = head
+        self.echo = echo
         self.status = 0
         self.headers: Headers = []
         self.sent = False
@@ -86,6 +107,13 @@
         """Whether nothing more arrives."""
         return self.complete or self.error is not None
 
+    def is_answer(self) -> bool:
+        """Tell whether the headers that have arrived are those of its answer."""
+        if self.echo is None:
+            return True
+        name, text = self.echo
+        return dict(self.headers).get(name, text) == text
+
     def head_arrived(self) -> None:
         """Note that status and headers are known."""
         self._head_seen = True
--- /dev/null
+++ b/src/cuminhoist/fleet/control_role.py
@@ -0,0 +1,298 @@
+"""A control instance: declared state, fleet, look-ups, dispatching."""
+
+import asyncio
+import pathlib
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+from returns.result import Result, Success
+
+from ..codec import Message
+from ..gateway.routes import RouteTable
+from ..logs import logger
+from ..register.acceptor import Acceptor, Files
+from ..register.ballots import Join, Learned
+from ..register.declared import (
+    Declared,
+    DrainDomain,
+    ReplaceConfiguration,
+)
+from ..register.replica import Replica
+from .control_links import BEAT_S, ControlLinks, Peer
+from .messages import EntrySeen, Hello, TargetList
+from .region_dispatch import RegionDispatch
+from .site import Address, Site
+from .target_feed import TargetFeed, TargetSource
+
+#: Entry instances of one look-up answer at most.
+MAX_LOOKUP_ENTRIES = 64
+#: Time for the others to learn that this instance leaves, in seconds.
+LEAVE_S = 0.8
+
+Decode = Callable[[bytes], Result[RouteTable, str]]
+_log = logger('control')
+
+
+class Acknowledged(msgspec.Struct, frozen=True):
+    """The order is in force and will stay so."""
+
+
+class Invalid(msgspec.Struct, frozen=True):
+    """The order is not valid and is never in force."""
+
+    reason: str
+
+
+class Undecided(msgspec.Struct, frozen=True):
+    """No quorum answered; the order may be in force or not."""
+
+
+OrderOutcome = Acknowledged | Invalid | Undecided
+
+
+class ControlRole:
+    """One control instance.
+
+    :param site: what the process knows of itself.
+    :param source: reads the list of targets.
+    :param decode: reads a configuration.
+    :param now: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        source: TargetSource,
+        decode: Decode,
+        now: Callable[[], float],
+    ) -> None:
+        self._site = site
+        self._decode = decode
+        self._routes: RouteTable | None = None
+        self.life = secrets.token_hex(6)
+        self.links = ControlLinks(
+            site,
+            Hello(
+                name=site.name,
+                life=self.life,
+                address=site.peers,
+                domain=site.domain,
+                region=site.region,
+                control=True,
+            ),
+            now,
+        )
+        self.replica = self._open_replica()
+        self.feed = TargetFeed(source, self._rank, now, self._on_targets)
+        self.dispatch = RegionDispatch(site.region, site.regions, now)
+        self._demand = self.dispatch.measure()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and take part."""
+        links = self.links
+        links.on_message = self._on_message
+        links.on_peer = self._on_peer
+        links.on_lost = self.dispatch.lost
+        links.on_call = self.replica.answer
+        if self.replica.known is not None:
+            self._on_learned(self.replica.known)
+        await links.start()
+        for coroutine in (
+            links.run_dialling(),
+            self.replica.run_orders(),
+            self.replica.run_membership(),
+            self.feed.run(),
+            self._run_beats(),
+        ):
+            self._spawn(coroutine)
+
+    async def stop(self) -> None:
+        """Tell the others, then end."""
+        self.links.leaving = True
+        self._beat()
+        await asyncio.sleep(LEAVE_S)
+        for task in self._tasks:
+            task.cancel()
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether a quorum of the voters is in reach."""
+        return self.replica.confirmed(
+            self.links.heard_voters(self.replica.name),
+        )
+
+    async def replace_configuration(self, body: bytes) -> OrderOutcome:
+        """Put a configuration in force unless a newer one is.
+
+        :param body: the configuration as an operator sent it.
+        """
+        decoded = self._decode(body)
+        if not isinstance(decoded, Success):
+            _log.bind(reason=decoded.failure()).info('configuration refused')
+            return Invalid(decoded.failure())
+        version = decoded.unwrap().version
+        state = await self.replica.submit(
+            ReplaceConfiguration(version=version, body=body),
+        )
+        in_force = state is not None and state.version >= version
+        _log.bind(
+            version=version,
+            held=state.version if state else None,
+            acknowledged=in_force,
+        ).info('configuration order')
+        return Acknowledged() if in_force else Undecided()
+
+    async def drain_domain(self, domain: str, *, drained: bool) -> OrderOutcome:
+        """Start or end the drain of a failure domain.
+
+        :param domain: the failure domain.
+        :param drained: whether its targets get nothing.
+        """
+        if domain not in self._site.regions:
+            return Invalid(f'unknown failure domain {domain!r}')
+        state = await self.replica.submit(
+            DrainDomain(domain=domain, drained=drained),
+        )
+        in_force = state is not None and (domain in state.drained) == drained
+        _log.bind(
+            domain=domain,
+            drained=drained,
+            acknowledged=in_force,
+        ).info('drain order')
+        return Acknowledged() if in_force else Undecided()
+
+    async def read_configuration(self) -> bytes | None:
+        """Return the newest configuration, or nothing if uncertain."""
+        state = await self.replica.read()
+        if state is None or not state.version:
+            return None
+        return state.body
+
+    def lookup(self, region: str, domain: str) -> list[Address]:
+        """Return where a caller connects.
+
+        :param region: region of the caller.
+        :param domain: failure domain of the caller.
+        """
+        entries = self.links.entries()
+        near = [entry for entry in entries if entry.region == region]
+        return [
+            entry.callers
+            for entry in _nearest_first(near or entries, domain)
+        ][:MAX_LOOKUP_ENTRIES]
+
+    def _open_replica(self) -> Replica:
+        site = self._site
+        files = Files(pathlib.Path(site.data_folder))
+        founders = None
+        if site.first_start:
+            founders = Declared.from_founders(site.seeds)
+        identity = files.open(site.peers.host, founders)
+        known = files.learned.load() or identity.founders
+        _log.bind(
+            voter=identity.voter,
+            index=known.index if known else None,
+            first_start=site.first_start,
+        ).info('state read from disk')
+        return Replica(
+            Acceptor.from_files(identity.voter, files),
+            known,
+            site.peers,
+            self.links,
+            self._on_learned,
+        )
+
+    def _rank(self) -> int:
+        names = [control.name for control in self.links.controls()]
+        return names.index(self._site.name) if self._site.name in names else 9
+
+    def _on_learned(self, state: Declared) -> None:
+        if state.body:
+            decoded = self._decode(state.body)
+            if isinstance(decoded, Success):
+                self._routes = decoded.unwrap()
+        self.links.add_addresses(
+            {voter.address for voter in state.everyone()},
+        )
+        self.links.send_to_entries(Learned(state=state))
+        if self._tasks:
+            self._update_dispatch()
+
+    def _on_targets(self, feed: TargetFeed) -> None:
+        message = feed.message()
+        self.links.send_to_entries(message)
+        if self._rank() == 0:
+            self.links.broadcast(message)
+        self._update_dispatch()
+
+    def _on_peer(self, peer: Peer) -> None:
+        known = self.replica.known
+        if known is not None:
+            peer.link.send(Learned(state=known))
+        if not peer.hello.control:
+            peer.link.send(self.feed.message())
+            peer.link.send(self._view(peer))
+
+    def _on_message(self, peer: Peer, msg: Message) -> None:
+        if isinstance(msg, Learned):
+            self.replica.learn(msg.state)
+        elif isinstance(msg, Join):
+            self.replica.on_join(msg)
+        elif isinstance(msg, TargetList):
+            self.feed.adopt(msg)
+        elif not peer.hello.control:
+            self.dispatch.received(peer, msg)
+
+    def _update_dispatch(self) -> None:
+        known = self.replica.known
+        self.dispatch.update(
+            self.feed.entries,
+            known.drained if known else frozenset(),
+            self._routes,
+            self.links.demand(self._demand),
+        )
+
+    async def _run_beats(self) -> None:
+        while True:
+            self._demand = self.dispatch.measure()
+            self._beat()
+            self._update_dispatch()
+            await asyncio.sleep(BEAT_S)
+
+    def _beat(self) -> None:
+        known = self.replica.known
+        index = known.index if known else -1
+        beat = self.links.beat(index, self.replica.name, self._demand)
+        for peer in self.links.peers.values():
+            if not peer.hello.control:
+                peer.link.send(self._view(peer))
+                continue
+            peer.link.send(beat)
+            lags = peer.beat is not None and peer.beat.index < index
+            if known is not None and lags:
+                peer.link.send(Learned(state=known))
+
+    def _view(self, peer: Peer) -> Message:
+        known = self.replica.known
+        return self.links.view_for(
+            peer.hello.region,
+            known.index if known else -1,
+            confirmed=self.confirmed,
+        )
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
+
+
+def _nearest_first(entries: list[EntrySeen], domain: str) -> list[EntrySeen]:
+    return sorted(entries, key=lambda entry: entry.domain != domain)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.opt(exception=task.exception()).error('task failed')
--- /dev/null
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -0,0 +1,244 @@
+"""An entry instance: links, knowledge, requests."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from returns.result import Success
+
+from ..codec import Message
+from ..gateway.passage import Passages
+from ..gateway.placing import Placer
+from ..gateway.recorder import Recorder
+from ..gateway.upstreams import Upstreams
+from ..gateway.wire import WireFormat
+from ..logs import logger
+from ..register.ballots import Learned
+from ..register.declared import Declared
+from ..steering.dispatch import Dispatcher
+from ..steering.supply import Terms, make_tracks, usable_entries
+from ..steering.targets import TargetEntry
+from .control_role import Decode
+from .entry_links import EntryLinks
+from .messages import DecisionNotice, Hello, TargetList, View
+from .region_dispatch import REGION_ROUND_TRIP_S
+from .site import Site
+from .target_feed import TargetFeed, TargetSource
+
+#: Without any list from a control instance for this long, an entry instance
+#: reads the list itself, in seconds.
+OWN_READ_S = 3.0
+#: Part of the list's limit of calls that entry instances use together.
+OWN_READ_PART = 0.3
+
+_log = logger('entry')
+
+
+class EntryInstance:
+    """One entry instance.
+
+    :param site: what the process knows of itself.
+    :param source: reads the list of targets.
+    :param decode: reads a configuration.
+    :param wire: how requests and answers look.
+    :param now: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        source: TargetSource,
+        decode: Decode,
+        wire: WireFormat,
+        now: Callable[[], float],
+    ) -> None:
+        self._site = site
+        self._decode = decode
+        self._now = now
+        self._declared: Declared | None = None
+        self.recorder = Recorder()
+        self.links = EntryLinks(
+            site,
+            Hello(
+                name=site.name,
+                life=secrets.token_hex(6),
+                address=site.peers,
+                domain=site.domain,
+                region=site.region,
+                control=False,
+                callers=site.callers,
+            ),
+            now,
+        )
+        self.placer = Placer(self.links, Dispatcher(), now)
+        self._upstreams = Upstreams(now)
+        self.passages = Passages(
+            wire,
+            self._upstreams,
+            self.placer,
+            self.recorder,
+            now,
+            site.bounds.retry_ratio,
+            site.bounds.retry_slack,
+        )
+        self.feed = TargetFeed(source, self._rank, now, self._on_targets)
+        self._region_entries = 1
+        self._tasks: list[asyncio.Task[None]] = []
+        self.leaving = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests are taken."""
+        known = self.passages.known
+        return (
+            not self.leaving
+            and known.routes is not None
+            and bool(known.targets)
+        )
+
+    async def start(self) -> None:
+        """Look for control instances."""
+        links = self.links
+        links.on_message = self._on_message
+        links.on_dispatcher = self.placer.dispatcher_lost
+        links.running = self._running
+        for coroutine in (links.run(), self.feed.run(), self._run_checks()):
+            self._spawn(coroutine)
+
+    def leave(self) -> None:
+        """Tell the control instances that no more requests are wanted."""
+        self.leaving = True
+        self.links.ready = False
+        self.links.tell_standing()
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _running(self) -> tuple[Any, ...]:
+        return tuple(self.placer.running.values())
+
+    def _rank(self) -> int:
+        # Entry instances read the list only while no control instance
+        # passes it on, and then so rarely that all of them together stay
+        # within a part of its limit.
+        pages = len(self.feed.entries) // 50 + 1
+        view = self.links.view()
+        entries = view.entries if view is not None else 8
+        limit = OWN_READ_PART * self._site.list_calls_per_s
+        pause_s = max(OWN_READ_S, entries * pages / max(limit, 1))
+        return round(pause_s * random.uniform(1, 1.5) / 0.6)  # noqa: S311
+
+    def _on_message(self, msg: Message) -> None:
+        if isinstance(msg, Learned):
+            self._on_declared(msg.state)
+        elif isinstance(msg, TargetList):
+            self.feed.adopt(msg)
+        elif isinstance(msg, DecisionNotice):
+            self.placer.settle(msg.decision)
+        elif isinstance(msg, View):
+            self._on_view(msg)
+
+    def _on_declared(self, state: Declared) -> None:
+        known = self._declared
+        if known is not None and state.index <= known.index:
+            return
+        self._declared = state
+        if state.body and (known is None or state.version > known.version):
+            decoded = self._decode(state.body)
+            if isinstance(decoded, Success):
+                self.passages.known.routes = decoded.unwrap()
+            else:
+                _log.bind(reason=decoded.failure()).error('state unreadable')
+        _log.bind(
+            index=state.index,
+            version=state.version,
+            drained=sorted(state.drained),
+        ).info('state in force')
+        self._update_targets()
+
+    def _on_view(self, view: View) -> None:
+        self.passages.known.entries = max(view.entries, 1)
+        count = max(view.region_entries, 1)
+        if count != self._region_entries:
+            self._region_entries = count
+            self._update_targets()
+
+    def _on_targets(self, feed: TargetFeed) -> None:
+        known = self.passages.known
+        known.targets = {entry.name: entry for entry in feed.entries}
+        known.list_at = feed.read_at
+        self._upstreams.keep_only(list(feed.entries))
+        self._update_targets()
+
+    def _update_targets(self) -> None:
+        """Give the own dispatcher a share of the slots.
+
+        It decides only while the region's dispatcher does not answer; the
+        entry instances of the region then share its targets evenly.
+        """
+        drained = self._declared.drained if self._declared else frozenset()
+        routes = self.passages.known.routes
+        services = routes.services if routes else {}
+        terms = Terms(
+            self._site.region,
+            self._site.regions,
+            drained,
+            REGION_ROUND_TRIP_S,
+            {
+                name: entry.cold_per_s / self._region_entries
+                for name, entry in services.items()
+            },
+        )
+        usable = usable_entries(self.feed.entries, drained)
+        self.passages.known.targets = {entry.name: entry for entry in usable}
+        by_service: dict[str, list[TargetEntry]] = {}
+        for entry in usable:
+            by_service.setdefault(entry.service, []).append(entry)
+        local = self.placer.local
+        names = {name for name, _ in local.services()} | by_service.keys()
+        for service in names:
+            entries = by_service.get(service, [])
+            tracks = make_tracks(
+                local.service(service).tracks,
+                entries,
+                {},
+                terms,
+                self._now(),
+            )
+            for track in tracks.values():
+                share = track.entry.slots / self._region_entries
+                track.slots = max(round(share), 1)
+            local.set_targets(service, tracks)
+
+    async def _run_checks(self) -> None:
+        while True:
+            if self.ready != self.links.ready:
+                self.links.ready = self.ready
+                self.links.tell_standing()
+                _log.bind(ready=self.ready).info('readiness')
+            self._record_beliefs()
+            await asyncio.sleep(0.1)
+
+    def _record_beliefs(self) -> None:
+        known = self.passages.known
+        beliefs = self.recorder.beliefs
+        routes = known.routes
+        beliefs.labels('config_version').set(routes.version if routes else 0)
+        beliefs.labels('targets').set(len(known.targets))
+        beliefs.labels('list_age_s').set(self._now() - known.list_at)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.opt(exception=task.exception()).error('task failed')
+
--- /dev/null
+++ b/src/cuminhoist/fleet/messages.py
@@ -0,0 +1,146 @@
+"""Messages by which instances know of each other."""
+
+import msgspec
+
+from ..codec import Message, message
+from ..steering.asks import Ask, Done, Granted, Refused
+from ..steering.supply import Demand
+from ..steering.targets import TargetEntry
+from .site import Address
+
+
+class ControlSeen(msgspec.Struct, frozen=True, order=True):
+    """A control instance as others name it."""
+
+    name: str
+    address: Address
+    domain: str
+    region: str
+
+
+class EntrySeen(msgspec.Struct, frozen=True, order=True):
+    """An entry instance that takes requests.
+
+    :param callers: where it listens for requests.
+    """
+
+    name: str
+    callers: Address
+    domain: str
+    region: str
+
+
+@message
+class Hello(Message, frozen=True):
+    """First message on a link, from both sides.
+
+    :param life: identity of this start of the process.
+    :param callers: where it listens for requests; entry instances only.
+    """
+
+    name: str
+    life: str
+    address: Address
+    domain: str
+    region: str
+    control: bool
+    callers: Address | None = None
+
+
+@message
+class Standing(Message, frozen=True):
+    """What an entry instance says of itself, regularly.
+
+    :param ready: whether it takes requests and does not leave.
+    """
+
+    ready: bool
+
+
+@message
+class Beat(Message, frozen=True):
+    """What a control instance says to the others, regularly.
+
+    :param index: of the newest declared state that it knows.
+    :param hears: voters that it has heard lately.
+    :param voter: its name as a voter.
+    :param entries: entry instances that are linked to it and take requests.
+    :param controls: control instances that it is linked to.
+    :param demand: what its region's requests need.
+    :param leaving: whether it is about to stop.
+    """
+
+    index: int
+    hears: frozenset[str]
+    voter: str
+    entries: tuple[EntrySeen, ...]
+    controls: tuple[ControlSeen, ...]
+    demand: tuple[Demand, ...]
+    leaving: bool
+
+
+@message
+class View(Message, frozen=True):
+    """What a control instance tells an entry instance, regularly.
+
+    :param index: of the newest declared state that it knows.
+    :param confirmed: whether it reaches a majority of the voters.
+    :param controls: all control instances that run.
+    :param dispatcher: name of the one that decides for this region.
+    :param entries: entry instances that take requests, in all regions.
+    :param region_entries: those of the receiver's region.
+    """
+
+    index: int
+    confirmed: bool
+    controls: tuple[ControlSeen, ...]
+    dispatcher: str
+    entries: int
+    region_entries: int
+
+
+@message
+class TargetList(Message, frozen=True):
+    """The list of targets.
+
+    :param age_s: time since it was read, in seconds.
+    """
+
+    age_s: float
+    targets: tuple[TargetEntry, ...]
+
+
+@message
+class AskNotice(Message, frozen=True):
+    """A request of an entry instance that needs a target."""
+
+    ask: Ask
+
+
+@message
+class DoneNotice(Message, frozen=True):
+    """The end of an attempt."""
+
+    done: Done
+
+
+@message
+class RunningNotice(Message, frozen=True):
+    """Attempts that another dispatcher had granted."""
+
+    running: tuple[Done, ...]
+
+
+@message
+class WithdrawNotice(Message, frozen=True):
+    """The caller of a waiting request has left."""
+
+    number: int
+    service: str
+
+
+@message
+class DecisionNotice(Message, frozen=True):
+    """The decision on a request."""
+
+    decision: Granted | Refused
--- /dev/null
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -0,0 +1,164 @@
+"""The dispatcher of a region: serves the asks of its entry instances."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from ..codec import Message
+from ..gateway.routes import RouteTable
+from ..logs import logger
+from ..steering.asks import Ask, Decision
+from ..steering.dispatch import Dispatcher
+from ..steering.supply import Demand, Terms, make_tracks, usable_entries
+from ..steering.targets import TargetEntry
+from .control_links import Peer
+from .messages import (
+    AskNotice,
+    DecisionNotice,
+    DoneNotice,
+    RunningNotice,
+    WithdrawNotice,
+)
+
+#: How often waiting requests are looked at, in seconds.
+TICK_S = 0.005
+#: Weight of the last half second in the demand of a service.
+DEMAND_SMOOTHING = 0.3
+#: Round trip between regions, in seconds.
+REGION_ROUND_TRIP_S = 0.07
+
+_log = logger('dispatch')
+
+
+class RegionDispatch:
+    """Decides on the requests of one region and measures its demand.
+
+    :param region: the region.
+    :param regions: region of each failure domain.
+    :param now: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        regions: Mapping[str, str],
+        now: Callable[[], float],
+    ) -> None:
+        self.dispatcher = Dispatcher()
+        self._region = region
+        self._regions = regions
+        self._now = now
+        self._askers: dict[str, Peer] = {}
+        self._offered: dict[str, int] = {}
+        self._demand: dict[str, float] = {}
+        self._measured_at = now()
+        self._ticker: asyncio.TimerHandle | None = None
+
+    def received(self, peer: Peer, msg: Message) -> None:
+        """Take a message of an entry instance.
+
+        :param peer: the entry instance.
+        :param msg: the message.
+        """
+        asker = f'{peer.hello.name}/{peer.hello.life}'
+        self._askers[asker] = peer
+        if isinstance(msg, AskNotice):
+            self._on_ask(asker, msg.ask)
+        elif isinstance(msg, DoneNotice):
+            self._tell(self.dispatcher.done(asker, msg.done, self._now()))
+        elif isinstance(msg, WithdrawNotice):
+            self.dispatcher.withdraw(asker, msg.number, msg.service)
+        elif isinstance(msg, RunningNotice):
+            for done in msg.running:
+                self.dispatcher.adopt(asker, done, self._now())
+
+    def lost(self, peer: Peer) -> None:
+        """Free everything of an entry instance whose link has ended.
+
+        :param peer: the entry instance.
+        """
+        asker = f'{peer.hello.name}/{peer.hello.life}'
+        if self._askers.pop(asker, None) is not None:
+            self.dispatcher.forget(asker, self._now())
+            self._tell(self.dispatcher.tick(self._now()))
+
+    def measure(self) -> tuple[Demand, ...]:
+        """Return the demand since the last measurement, smoothed."""
+        now = self._now()
+        elapsed_s = max(now - self._measured_at, 0.05)
+        self._measured_at = now
+        for name, queue in self.dispatcher.services():
+            rate = self._offered.pop(name, 0) / elapsed_s
+            slots = rate * queue.warm_run_s
+            before = self._demand.get(name, slots)
+            self._demand[name] = before + DEMAND_SMOOTHING * (slots - before)
+        return tuple(
+            Demand(self._region, name, slots)
+            for name, slots in self._demand.items()
+        )
+
+    def update(
+        self,
+        entries: tuple[TargetEntry, ...],
+        drained: frozenset[str],
+        routes: RouteTable | None,
+        demand: list[Demand],
+    ) -> None:
+        """Use a newer list of targets, state or demand.
+
+        :param entries: the listed targets.
+        :param drained: failure domains whose targets get nothing.
+        :param routes: routes in force.
+        :param demand: demand of all regions.
+        """
+        services = routes.services if routes else {}
+        terms = Terms(
+            self._region,
+            self._regions,
+            drained,
+            REGION_ROUND_TRIP_S,
+            {name: entry.cold_per_s for name, entry in services.items()},
+        )
+        by_service: dict[str, list[TargetEntry]] = {}
+        for entry in usable_entries(entries, drained):
+            by_service.setdefault(entry.service, []).append(entry)
+        known = {name for name, _ in self.dispatcher.services()}
+        for service in known | by_service.keys():
+            needs = {
+                need.region: need.slots
+                for need in demand
+                if need.service == service
+            }
+            tracks = make_tracks(
+                self.dispatcher.service(service).tracks,
+                by_service.get(service, []),
+                needs,
+                terms,
+                self._now(),
+            )
+            self.dispatcher.set_targets(service, tracks)
+        self._tell(self.dispatcher.tick(self._now()))
+
+    def _on_ask(self, asker: str, ask: Ask) -> None:
+        self._offered[ask.service] = self._offered.get(ask.service, 0) + 1
+        decision = self.dispatcher.offer(asker, ask, self._now())
+        if decision is None:
+            self._plan_tick()
+        else:
+            self._tell([(asker, decision)])
+
+    def _tell(self, decisions: list[tuple[str, Decision]]) -> None:
+        for asker, decision in decisions:
+            peer = self._askers.get(asker)
+            if peer is not None:
+                peer.link.send(DecisionNotice(decision=decision))
+
+    def _plan_tick(self) -> None:
+        if self._ticker is None:
+            loop = asyncio.get_running_loop()
+            self._ticker = loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticker = None
+        self._tell(self.dispatcher.tick(self._now()))
+        if any(queue.waiting for _, queue in self.dispatcher.services()):
+            self._plan_tick()
--- /dev/null
+++ b/src/cuminhoist/fleet/site.py
@@ -0,0 +1,78 @@
+"""What a process knows of itself and of its surroundings at the start."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Limits that the deployment sets.
+
+    :param retry_ratio: further attempts for each request of a service.
+    :param retry_window_s: length of the window of the ratio, in seconds.
+    :param retry_slack: further attempts in a window without any request.
+    :param stop_grace_s: time between SIGTERM and SIGKILL, in seconds.
+    :param lookup_ttl_s: longest life of a look-up answer, in seconds.
+    :param shift_part: most of a region's requests that may change the
+        region that serves them within two seconds.
+    """
+
+    retry_ratio: float = 0.1
+    retry_window_s: float = 10
+    retry_slack: float = 10
+    stop_grace_s: float = 6
+    lookup_ttl_s: float = 5
+    shift_part: float = 0.15
+
+
+class Site(msgspec.Struct, frozen=True):
+    """One process, its place and its listeners.
+
+    :param name: name of the instance.
+    :param regions: region of each failure domain.
+    :param peers: listens for other instances.
+    :param seeds: where other control instances listen for instances.
+    :param first_start: whether the whole deployment starts for the first
+        time, with empty disks.
+    :param data_folder: folder of the durable files; empty for none.
+    :param callers: listens for requests; entry instances only.
+    :param readiness: tells the platform whether it is ready.
+    :param operators: listens for operators; control instances only.
+    :param lookups: tells callers where to connect.
+    :param metrics: serves counters and histograms.
+    :param target_list: where the list of targets is.
+    :param list_calls_per_s: calls that the list takes from all instances.
+    """
+
+    name: str
+    domain: str
+    region: str
+    regions: Mapping[str, str]
+    peers: Address
+    seeds: tuple[Address, ...]
+    first_start: bool
+    data_folder: str
+    callers: Address | None
+    readiness: Address | None
+    operators: Address | None
+    lookups: Address | None
+    metrics: Address
+    target_list: Address
+    list_calls_per_s: float
+    bounds: Bounds = Bounds()
+
+    @property
+    def is_control(self) -> bool:
+        """Whether this is a control instance."""
+        return self.operators is not None
--- /dev/null
+++ b/src/cuminhoist/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Carries requests of callers to targets."""
--- /dev/null
+++ b/src/cuminhoist/gateway/passage.py
@@ -0,0 +1,424 @@
+"""The way of one request: route, targets, answer."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ..exchange import Headers
+from ..problems import Refusal
+from ..retries import RetryBudget
+from ..steering.asks import (
+    Ask,
+    Done,
+    Ending,
+    Granted,
+    RefusalReason,
+    Refused,
+)
+from ..steering.patience import Patience
+from ..steering.targets import TargetEntry
+from ..types import Ran, Reason
+from .answers import (
+    Send,
+    TargetAnswer,
+    not_run,
+    send_answer,
+    send_refusal,
+)
+from .attempt import Attempter, AttemptOutcome, abort, passed_headers
+from .bodies import CallerGone, Receive, RequestBody
+from .placing import Placer
+from .recorder import Recorder, log_request
+from .routes import Repeat, Route, RouteTable
+from .splits import Splitter
+from .upstreams import Upstreams
+from .wire import CallerRequest, WireFormat
+
+#: Round trip between a caller and its entry instance, in seconds.
+CALLER_PATH_S = 0.006
+#: Time kept for the final answer to reach the caller, in seconds.
+ANSWER_MARGIN_S = 0.02
+#: A further attempt that has less time than this, in seconds, is not made.
+MIN_ATTEMPT_S = 0.03
+#: When a caller comes back that was refused while no state was known.
+UNREADY_RETRY_S = 0.3
+#: Part of the deployment's limit of further attempts that is used: the
+#: instances do not agree on the number of requests at one moment.
+BUDGET_PART = 0.6
+MS = 1000
+
+
+class Knowledge(msgspec.Struct):
+    """What an entry instance knows; replaced as a whole when it changes.
+
+    :param routes: routes in force; none before the first configuration.
+    :param targets: usable and other listed targets by name.
+    :param list_at: when the list of targets was read.
+    :param entries: entry instances that share the budget of attempts.
+    :param refuses: whether new requests are refused, in a stop.
+    """
+
+    routes: RouteTable | None = None
+    targets: dict[str, TargetEntry] = msgspec.field(default_factory=dict)
+    list_at: float = float('-inf')
+    entries: int = 1
+    refuses: bool = False
+
+
+class _Run:
+    """State of one request on its way."""
+
+    def __init__(self, req: CallerRequest, route: Route, service: str) -> None:
+        self.req = req
+        self.route = route
+        self.service = service
+        self.arrived = float(0)
+        self.ends_at = float(0)
+        self.useful_until = float(0)
+        self.tried: list[str] = []
+        self.may_have_run = False
+        self.sent = False
+        self.waited_s = float(0)
+        self.trail: list[str] = []
+        self.kept_failure: TargetAnswer | None = None
+
+
+class Passages:
+    """Serves the requests of one entry instance.
+
+    :param wire: how requests and answers look.
+    :param upstreams: connections to targets.
+    :param placer: decides where requests go.
+    :param recorder: counts what happens.
+    :param now: returns monotonic time in seconds.
+    :param retry_ratio: further attempts for each request, over all
+        instances.
+    :param retry_slack: further attempts in a window without requests, over
+        all instances.
+    """
+
+    def __init__(
+        self,
+        wire: WireFormat,
+        upstreams: Upstreams,
+        placer: Placer,
+        recorder: Recorder,
+        now: Callable[[], float],
+        retry_ratio: float,
+        retry_slack: float,
+    ) -> None:
+        self.known = Knowledge()
+        self.running = 0
+        self._wire = wire
+        self._attempter = Attempter(wire, upstreams)
+        self._placer = placer
+        self._recorder = recorder
+        self._now = now
+        self._splitter = Splitter(random.Random())  # noqa: S311
+        self._budgets: dict[str, RetryBudget] = {}
+        self._retry_ratio = retry_ratio
+        self._retry_slack = retry_slack
+        self._patience: dict[str, Patience] = {}
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one request of a caller.
+
+        :param scope: the ASGI scope.
+        :param receive: reads from the caller.
+        :param send: sends to the caller.
+        """
+        self.running += 1
+        serving = asyncio.create_task(self._serve(scope, receive, send))
+        gone = scope['state']['gone']
+        try:
+            await asyncio.wait(
+                (serving, gone),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not serving.done():
+                serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+            if not serving.cancelled() and serving.exception() is not None:
+                raise serving.exception()  # type: ignore[misc]
+        finally:
+            self.running -= 1
+
+    async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        arrived = self._now()
+        req = self._wire.decode_request(scope)
+        refusal, route = self._find(req)
+        if refusal is not None or route is None:
+            refusal = refusal or not_run(Reason.unknown_service, 'No route.')
+            self._log_refusal(req, refusal)
+            await send_refusal(refusal, send, closes=self.known.refuses)
+            return
+        run = _Run(req, route, self._splitter.choose(route))
+        self._set_times(run, arrived)
+        body = RequestBody(receive)
+        outcome = 'gone'
+        try:
+            if req.has_body:
+                await body.read_start()
+            outcome = await self._pass(run, body, scope, send)
+        except CallerGone:
+            outcome = 'gone'
+        finally:
+            self._record(run, outcome)
+
+    def _find(self, req: CallerRequest) -> tuple[Refusal | None, Route | None]:
+        routes = self.known.routes
+        if routes is None or self.known.refuses:
+            reason = Reason.draining if self.known.refuses else Reason.no_state
+            return not_run(reason, 'Ask another one.', UNREADY_RETRY_S), None
+        return None, routes.find(req.host, req.path)
+
+    def _set_times(self, run: _Run, arrived: float) -> None:
+        route = run.route
+        left_s = route.timeout_s if run.req.left_s is None else run.req.left_s
+        # The objective runs from the first time that the caller asked.
+        patience = self._patience.setdefault(route.name, Patience())
+        elapsed_s = patience.elapsed_s(left_s)
+        run.arrived = arrived
+        run.ends_at = arrived + min(left_s, route.timeout_s) - ANSWER_MARGIN_S
+        run.useful_until = (
+            arrived + route.objective_s - elapsed_s - CALLER_PATH_S
+        )
+        self._budget(run.service).on_request()
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            share = max(self._retry_slack / max(self.known.entries, 1), 1)
+            budget = RetryBudget(
+                random.getrandbits(32),
+                self._retry_ratio * BUDGET_PART,
+                share * BUDGET_PART + 1,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    async def _pass(
+        self,
+        run: _Run,
+        body: RequestBody,
+        scope: Any,
+        send: Send,
+    ) -> str:
+        while True:
+            ask = self._ask(run)
+            decision, decider = await self._placer.place(ask)
+            if isinstance(decision, Refused):
+                run.trail.append(f'{decider}: {decision.reason}')
+                return await self._give_up(run, decision, send)
+            target = self.known.targets.get(decision.target)
+            run.waited_s += decision.waited_s
+            if target is None:
+                self._done(run, decision, Ending.withdrawn, 0)
+                run.tried.append(decision.target)
+                continue
+            ended = await self._attempt(run, body, target, decision, decider)
+            if self._may_retry(run, body, ended):
+                continue
+            if ended.answer is None:
+                return await self._fail(run, ended, send)
+            return await self._deliver(run, ended.answer, scope, send)
+
+    async def _attempt(
+        self,
+        run: _Run,
+        body: RequestBody,
+        target: TargetEntry,
+        decision: Granted,
+        decider: str,
+    ) -> AttemptOutcome:
+        started = self._now()
+        done = Done(
+            decision.number,
+            target.name,
+            run.service,
+            run.req.key,
+            Ending.withdrawn,
+            0,
+        )
+        self._placer.running[decision.number] = done
+        ending = Ending.withdrawn
+        try:
+            outcome = await self._attempter.send(
+                run.req,
+                body,
+                target,
+                run.ends_at - started,
+            )
+            ending = outcome.ending
+        finally:
+            run_s = self._now() - started
+            self._done(run, decision, ending, run_s)
+            run.tried.append(target.name)
+            run.trail.append(
+                f'{decider}: {target.name} {ending} {run_s * MS:.0f}ms',
+            )
+        if outcome.detail:
+            run.trail.append(outcome.detail)
+        run.may_have_run = run.may_have_run or outcome.may_have_run
+        return outcome
+
+    def _done(
+        self,
+        run: _Run,
+        decision: Granted,
+        ending: Ending,
+        run_s: float,
+    ) -> None:
+        self._recorder.attempts.labels(run.service, ending).inc()
+        self._placer.done(
+            Done(
+                decision.number,
+                decision.target,
+                run.service,
+                run.req.key,
+                ending,
+                run_s,
+            ),
+        )
+
+    def _may_retry(
+        self,
+        run: _Run,
+        body: RequestBody,
+        ended: AttemptOutcome,
+    ) -> bool:
+        if ended.ending in {Ending.answered, Ending.timeout}:
+            return False
+        if ended.may_have_run and run.route.repeat is Repeat.once:
+            return False
+        allowed = (
+            body.repeatable
+            and self._now() + MIN_ATTEMPT_S < run.ends_at
+            and len(run.tried) < run.route.max_targets
+        )
+        unsent = ended.ending is Ending.unreachable
+        if not allowed:
+            return False
+        if not unsent and not self._budget(run.service).try_retry():
+            return False
+        if ended.answer is not None:
+            run.kept_failure = ended.answer
+        return True
+
+    async def _give_up(self, run: _Run, refused: Refused, send: Send) -> str:
+        kept = run.kept_failure
+        if kept is not None and kept.whole:
+            headers = passed_headers(self._wire, kept)
+            await send_answer(kept, headers, send)
+            return f'answered-{kept.status}'
+        if run.may_have_run:
+            refusal = Refusal(
+                ran=Ran.unknown,
+                reason=Reason.target_lost,
+                detail='The attempt failed and there is no other target.',
+            )
+        elif refused.reason is RefusalReason.overload:
+            refusal = not_run(
+                Reason.queue_full,
+                'All targets are busy.',
+                refused.retry_after_s,
+            )
+        else:
+            refusal = not_run(
+                Reason.no_target,
+                'No target can serve it.',
+                refused.retry_after_s,
+            )
+        await send_refusal(refusal, send)
+        return f'refused-{refusal.reason}'
+
+    async def _fail(
+        self,
+        run: _Run,
+        ended: AttemptOutcome,
+        send: Send,
+    ) -> str:
+        if not run.may_have_run:
+            refusal = not_run(
+                Reason.target_refused,
+                'The target did not take it.',
+                UNREADY_RETRY_S,
+            )
+        else:
+            reason = Reason.target_lost
+            if ended.ending is Ending.timeout:
+                reason = Reason.target_timeout
+            refusal = Refusal(
+                ran=Ran.unknown,
+                reason=reason,
+                detail='The target gave no whole answer.',
+            )
+        await send_refusal(refusal, send)
+        return f'failed-{refusal.reason}'
+
+    async def _deliver(
+        self,
+        run: _Run,
+        answer: TargetAnswer,
+        scope: Any,
+        send: Send,
+    ) -> str:
+        headers: Headers = passed_headers(self._wire, answer)
+        try:
+            async with asyncio.timeout(
+                max(run.ends_at - self._now(), MIN_ATTEMPT_S),
+            ):
+                await send_answer(answer, headers, send)
+        except (Exception, asyncio.CancelledError) as exc:
+            # What has been sent must not look like a whole answer.
+            abort(answer.exchange)
+            scope['state']['abort']()
+            run.trail.append(f'answer cut: {exc!r}')
+            return 'cut'
+        return f'answered-{answer.status}'
+
+    def _ask(self, run: _Run) -> Ask:
+        now = self._now()
+        return Ask(
+            number=self._placer.next_number(),
+            service=run.service,
+            key=run.req.key,
+            useful_s=run.useful_until - now,
+            left_s=run.ends_at - now,
+            homes=run.route.homes,
+            excluded=tuple(run.tried),
+        )
+
+    def _record(self, run: _Run, outcome: str) -> None:
+        took_s = self._now() - run.arrived
+        self._recorder.requests.labels(run.service, outcome).inc()
+        self._recorder.latency.labels(run.service).observe(took_s)
+        self._recorder.waited.labels(run.service).observe(run.waited_s)
+        routes = self.known.routes
+        log_request(
+            id=run.req.request_id,
+            route=run.route.name,
+            service=run.service,
+            object=run.req.key,
+            left_ms=round((run.req.left_s or 0) * MS),
+            config_version=routes.version if routes else 0,
+            list_age_ms=round((self._now() - self.known.list_at) * MS),
+            waited_ms=round(run.waited_s * MS),
+            trail=run.trail,
+            outcome=outcome,
+            took_ms=round(took_s * MS),
+        )
+
+    def _log_refusal(self, req: CallerRequest, refusal: Refusal) -> None:
+        self._recorder.requests.labels('', refusal.reason).inc()
+        routes = self.known.routes
+        log_request(
+            id=req.request_id,
+            host=req.host,
+            path=req.path,
+            config_version=routes.version if routes else 0,
+            outcome=f'refused-{refusal.reason}',
+        )
--- /dev/null
+++ b/src/cuminhoist/gateway/recorder.py
@@ -0,0 +1,79 @@
+"""Counters, histograms and one log line for each request."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from ..logs import logger
+
+#: Upper bounds of the latency histograms, in seconds; objectives lie between
+#: 0.2 and 1 s, timeouts between 1 and 7 s.
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.2,
+    0.25,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.2,
+    2.0,
+    4.0,
+    8.0,
+)
+
+_log = logger('request')
+
+
+class Recorder:
+    """Counts what happens to requests, targets and dependencies."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'cuminhoist_requests',
+            'Requests by service and outcome.',
+            ('service', 'outcome'),
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            'cuminhoist_attempts',
+            'Attempts at targets by service and ending.',
+            ('service', 'ending'),
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            'cuminhoist_request_seconds',
+            'Time from the arrival of a request to its whole answer.',
+            ('service',),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waited = Histogram(
+            'cuminhoist_wait_seconds',
+            'Time that a request waited for a target.',
+            ('service',),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.beliefs = Gauge(
+            'cuminhoist_belief',
+            'Versions and ages of what decisions use.',
+            ('name',),
+            registry=self.registry,
+        )
+
+    def text(self) -> bytes:
+        """Return everything in the exposition format."""
+        return generate_latest(self.registry)
+
+
+def log_request(**fields: object) -> None:
+    """Write the line of one request.
+
+    :param fields: its identity, what decided it and how it ended.
+    """
+    _log.bind(**fields).info('request')
--- /dev/null
+++ b/src/cuminhoist/gateway/splits.py
@@ -0,0 +1,52 @@
+"""Divides the requests of a route among its services by weight."""
+
+import random
+
+from .routes import Route, Share
+
+
+class Splitter:
+    """Chooses a service for each request, close to the weights at any time.
+
+    Each route has one credit for each service. A request adds the weights
+    to the credits and goes to the highest one, which pays for it.
+
+    :param rng: source of the first credits, so that many instances do not
+        choose in step.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._credits: dict[tuple[str, tuple[Share, ...]], list[float]] = {}
+
+    def choose(self, route: Route) -> str:
+        """Return the service of the next request.
+
+        :param route: its route.
+        """
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        key = (route.name, shares)
+        total = sum(share.weight for share in shares)
+        credit = self._credits.setdefault(
+            key,
+            [self._rng.uniform(0, total) for _ in shares],
+        )
+        for number, share in enumerate(shares):
+            credit[number] += share.weight
+        best = max(
+            (number for number, share in enumerate(shares) if share.weight > 0),
+            key=lambda number: credit[number],
+            default=0,
+        )
+        credit[best] -= total
+        return shares[best].service
+
+    def keep_only(self, routes: set[str]) -> None:
+        """Forget the credits of other routes.
+
+        :param routes: names of the routes that are still declared.
+        """
+        for key in [key for key in self._credits if key[0] not in routes]:
+            self._credits.pop(key)
--- /dev/null
+++ b/src/cuminhoist/gateway/upstreams.py
@@ -0,0 +1,140 @@
+"""Connections to targets, kept for each start of a target."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+import msgspec
+
+from ..exchange import Exchange
+from ..steering.targets import TargetEntry
+from ..target_conn import Connection
+
+#: Time for a new connection within a region and between regions: three
+#: round trips between regions.
+CONNECT_S = 0.25
+#: Idle connections are used for this long unless the target says less.
+IDLE_S = 8.0
+#: Margin below the target's own idle timeout, which may run out while a
+#: request is on its way.
+IDLE_MARGIN_S = 1.5
+
+
+class _Pool:
+    """Idle connections to one target.
+
+    :param idle_s: how long an idle connection may be used.
+    """
+
+    def __init__(self) -> None:
+        self.idle: collections.deque[tuple[Connection, float]] = (
+            collections.deque()
+        )
+        self.idle_s = IDLE_S
+
+
+class ConnectOutcome(msgspec.Struct, frozen=True):
+    """A connection for one request, or why there is none.
+
+    :param reused: whether it has carried a request before.
+    """
+
+    conn: Connection | None
+    reused: bool = False
+    error: str = ''
+
+
+class Upstreams:
+    """Takes connections to targets and gives them back.
+
+    :param now: returns monotonic time in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._pools: dict[str, _Pool] = {}
+        self.opened = 0
+
+    async def take(
+        self,
+        target: TargetEntry,
+        left_s: float,
+    ) -> ConnectOutcome:
+        """Return a connection to a target.
+
+        :param target: the target.
+        :param left_s: time that the request has left, in seconds.
+        """
+        pool = self._pools.setdefault(pool_key(target), _Pool())
+        while pool.idle:
+            conn, since = pool.idle.pop()
+            if self._now() - since < pool.idle_s and conn.usable:
+                return ConnectOutcome(conn, reused=True)
+            conn.abort()
+        return await self._connect(target, min(CONNECT_S, left_s))
+
+    def give_back(self, target: TargetEntry, exchange: Exchange) -> None:
+        """Keep the connection of a finished request if it can be used.
+
+        :param target: the target.
+        :param exchange: the request.
+        """
+        conn = exchange.conn
+        pool = self._pools.get(pool_key(target))
+        if not isinstance(conn, Connection) or not conn.usable or pool is None:
+            return
+        if len(pool.idle) >= 2 * target.slots:
+            conn.abort()
+            return
+        pool.idle.append((conn, self._now()))
+
+    def note_idle_limit(self, target: TargetEntry, idle_s: float) -> None:
+        """Remember how long a target keeps idle connections.
+
+        :param target: the target.
+        :param idle_s: what it says, in seconds.
+        """
+        pool = self._pools.setdefault(pool_key(target), _Pool())
+        pool.idle_s = max(idle_s - IDLE_MARGIN_S, 0)
+
+    def keep_only(self, targets: list[TargetEntry]) -> None:
+        """Close the connections to all other targets.
+
+        :param targets: those that are still listed.
+        """
+        kept = {pool_key(target) for target in targets}
+        for name in self._pools.keys() - kept:
+            for conn, _ in self._pools.pop(name).idle:
+                conn.abort()
+
+    async def _connect(
+        self,
+        target: TargetEntry,
+        timeout_s: float,
+    ) -> ConnectOutcome:
+        self.opened += 1
+        conn = Connection(_ignore_loss)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.get_running_loop().create_connection(
+                    lambda: conn,
+                    target.address.host,
+                    target.address.port,
+                )
+        except TimeoutError:
+            return ConnectOutcome(None, error='connect timeout')
+        except OSError as exc:
+            return ConnectOutcome(None, error=f'connect: {exc.strerror}')
+        return ConnectOutcome(conn)
+
+
+def pool_key(target: TargetEntry) -> str:
+    """Return the identity of one start of a target.
+
+    :param target: the target.
+    """
+    return f'{target.name}/{target.born_ms}'
+
+
+def _ignore_loss(_conn: Connection) -> None:
+    """Drop the notice: a closed connection is found when it is taken."""
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -224,6 +224,11 @@
         for conn in self._connections():
             conn.start_drain()
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection of a caller is open."""
+        return bool(self._connections())
+
     def begin_stop(self) -> None:
         """Start the stop; the task of :meth:`serve` ends when it is done."""
         self.start_drain()
--- a/src/cuminhoist/membership.py
+++ b/src/cuminhoist/membership.py
@@ -9,7 +9,7 @@
 from .heartbeats import Heartbeat, PeerBrief
 from .inforce import ConfigInForce
 from .lists import Configuration
-from .platform import PlatformList
+from .instance_list import PlatformList
 from .rendezvous import ranked
 from .settings import Instance, Target, Topology
 from .types import DrainScope, Incarnation
--- /dev/null
+++ b/src/cuminhoist/platform/configuration.py
@@ -0,0 +1,163 @@
+"""The operators' configuration as the platform writes it."""
+
+from typing import Annotated
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..gateway.routes import (
+    CallerLimits,
+    Repeat,
+    Route,
+    RouteTable,
+    ServiceTerms,
+    Share,
+)
+
+_MS = 1000
+#: An objective this far above the timeout of its route is a mistake.
+_MAX_OBJECTIVE_EXCESS_MS = 60_000
+
+_REPEATS = {
+    'safe': Repeat.idempotent,
+    # Large answers; they may be repeated like reads.
+    'download': Repeat.idempotent,
+    'unsafe': Repeat.once,
+}
+
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: _Name
+    max_connections: int = 100
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 32 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    idle_timeout_ms: float = 30_000
+
+
+class _Split(msgspec.Struct, frozen=True):
+    #: Name of a service, not of one upstream.
+    backend: _Name
+    weight: float
+
+
+class _Path(msgspec.Struct, frozen=True):
+    name: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    #: Time for an answer of full value; the objective of the route.
+    aim_ms: float | None = None
+    priority: int = 0
+    #: Name of a service; either this or the split is given.
+    backend: str | None = None
+    traffic_split: tuple[_Split, ...] = ()
+    max_attempts: int = 1
+    allowed_regions: tuple[str, ...] | None = ()
+
+
+class _Host(msgspec.Struct, frozen=True):
+    hostname: _Name
+    paths: tuple[_Path, ...]
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: str
+    services: tuple[_Service, ...]
+    hosts: tuple[_Host, ...]
+    limits: _Limits = _Limits()
+
+
+def decode_routes(body: bytes) -> Result[RouteTable, str]:
+    """Return the routes of a configuration, or what is wrong with it.
+
+    :param body: the configuration as an operator sent it.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_Configuration)
+        return Success(_table(wire))
+    except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as exc:
+        return Failure(str(exc))
+
+
+def _table(wire: _Configuration) -> RouteTable:
+    services = {
+        entry.name: ServiceTerms(
+            entry.name,
+            entry.max_connections,
+            entry.cold_start_s,
+            entry.cold_per_s,
+        )
+        for entry in wire.services
+    }
+    hosts: dict[str, tuple[Route, ...]] = {}
+    for host in wire.hosts:
+        routes = [_route(entry, services) for entry in host.paths]
+        known = (*hosts.get(host.hostname.lower(), ()), *routes)
+        hosts[host.hostname.lower()] = tuple(
+            sorted(known, key=lambda route: -len(route.prefix)),
+        )
+    return RouteTable(
+        version=_version(wire.version),
+        hosts=hosts,
+        services=services,
+        limits=CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def _version(text: str) -> int:
+    if not text.startswith('r'):
+        raise ValueError(f'version {text!r} does not begin with r')
+    return int(text[1:])
+
+
+def _route(wire: _Path, services: dict[str, ServiceTerms]) -> Route:
+    shares = tuple(
+        Share(split.backend, split.weight) for split in wire.traffic_split
+    )
+    if not shares:
+        shares = (Share(wire.backend or '', 1),)
+    for share in shares:
+        if share.service not in services:
+            raise ValueError(
+                f'route {wire.name!r} names the unknown service '
+                f'{share.service!r}',
+            )
+    return Route(
+        name=wire.name,
+        prefix=wire.path_prefix,
+        repeat=_repeat(wire),
+        shares=shares,
+        timeout_s=wire.timeout_ms / _MS,
+        objective_s=_objective_ms(wire) / _MS,
+        max_targets=max(wire.max_attempts, 1),
+        rank=wire.priority,
+        homes=frozenset(wire.allowed_regions or ()),
+    )
+
+
+def _repeat(wire: _Path) -> Repeat:
+    repeat = _REPEATS.get(wire.type)
+    if repeat is None:
+        raise ValueError(f'route {wire.name!r} has unknown type {wire.type!r}')
+    return repeat
+
+
+def _objective_ms(wire: _Path) -> float:
+    objective_ms = wire.timeout_ms if wire.aim_ms is None else wire.aim_ms
+    if objective_ms >= wire.timeout_ms + _MAX_OBJECTIVE_EXCESS_MS:
+        raise ValueError(
+            f'route {wire.name!r} has its objective a minute or more above '
+            'its timeout',
+        )
+    return objective_ms
--- /dev/null
+++ b/src/cuminhoist/register/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated register that holds what operators declare."""
--- /dev/null
+++ b/src/cuminhoist/register/acceptor.py
@@ -0,0 +1,174 @@
+"""What a voter of the register promises and holds."""
+
+import asyncio
+import pathlib
+import secrets
+from typing import Self
+
+import msgspec
+from returns.result import Result, Success
+
+from ..codec import Message
+from ..logs import logger
+from ..storage import DiskError
+from .ballots import Accept, Ballot, Inquire, Prepare, Verdict
+from .declared import Declared
+from .store import DiskQueue, TwinFile, prepare_folder
+
+_log = logger('register')
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who an acceptor is; written before it answers anything.
+
+    :param voter: its name as a voter.
+    :param founders: the state of the new deployment, if it took part in it.
+    """
+
+    voter: str
+    founders: Declared | None = None
+
+
+class Held(msgspec.Struct, frozen=True):
+    """The state that an acceptor holds.
+
+    :param ballot: when it was accepted.
+    :param state: the state; none before the first.
+    """
+
+    ballot: Ballot = Ballot()
+    state: Declared | None = None
+
+
+class Files:
+    """Durable files of one acceptor.
+
+    :param folder: where they are.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.identity = TwinFile(folder, 'identity', Identity)
+        self.promised = TwinFile(folder, 'promised', Ballot)
+        self.held = TwinFile(folder, 'held', Held)
+        self.learned = TwinFile(folder, 'learned', Declared)
+
+    def open(self, host: str, founders: Declared | None) -> Identity:
+        """Return who the acceptor is; a new disk gets a new identity.
+
+        A founder keeps the name that the other founders know it by. An
+        acceptor whose disk is empty later may have promised something that
+        it no longer knows, so it takes a new name and has no vote until the
+        others give it one.
+
+        :param host: host of the instance.
+        :param founders: state of a new deployment; none if it is not new.
+        """
+        prepare_folder(self.folder)
+        identity = self.identity.load()
+        if identity is not None:
+            return identity
+        name = host
+        if founders is None or self.held.exists():
+            name = f'{host}#{secrets.token_hex(4)}'
+            founders = None
+        identity = Identity(name, founders)
+        self.identity.save(identity)
+        prepare_folder(self.folder)
+        return identity
+
+
+class Acceptor:
+    """Answers proposers; a promise is durable before it is given.
+
+    :param name: its name as a voter.
+    :param files: its files.
+    :param promised: highest ballot that it may follow.
+    :param held: the state that it holds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        files: Files,
+        promised: Ballot,
+        held: Held,
+    ) -> None:
+        self.name = name
+        self.held = held
+        self._files = files
+        self._promised = promised
+        self._disk = DiskQueue()
+        self._lock = asyncio.Lock()
+
+    @classmethod
+    def from_files(cls, name: str, files: Files) -> Self:
+        """Build an acceptor from what its disk holds.
+
+        :param name: its name as a voter.
+        :param files: its files.
+        """
+        held = files.held.load() or Held()
+        promised = files.promised.load() or Ballot()
+        return cls(name, files, max(promised, held.ballot), held)
+
+    async def answer(self, msg: Message) -> Verdict | None:
+        """Return the answer to a request of a proposer.
+
+        :param msg: the request.
+        """
+        if isinstance(msg, (Prepare, Accept, Inquire)):
+            if msg.voter != self.name:
+                return None
+        if isinstance(msg, Prepare):
+            return await self._prepare(msg)
+        if isinstance(msg, Accept):
+            return await self._accept(msg)
+        if isinstance(msg, Inquire):
+            return self._verdict(granted=True, with_state=True)
+        return None
+
+    async def remember(self, state: Declared) -> None:
+        """Write down a state that a quorum holds, for the next start.
+
+        :param state: the state.
+        """
+        async with self._lock:
+            await self._disk.run(self._files.learned.save, state)
+
+    async def _prepare(self, msg: Prepare) -> Verdict | None:
+        async with self._lock:
+            if msg.ballot <= self._promised:
+                return self._verdict(granted=False)
+            saved: Result[None, DiskError] = await self._disk.run(
+                self._files.promised.save,
+                msg.ballot,
+            )
+            if not isinstance(saved, Success):
+                return None
+            self._promised = msg.ballot
+            return self._verdict(granted=True, with_state=True)
+
+    async def _accept(self, msg: Accept) -> Verdict | None:
+        async with self._lock:
+            if msg.ballot < self._promised:
+                return self._verdict(granted=False)
+            held = Held(msg.ballot, msg.state)
+            saved: Result[None, DiskError] = await self._disk.run(
+                self._files.held.save,
+                held,
+            )
+            if not isinstance(saved, Success):
+                return None
+            self._promised = msg.ballot
+            self.held = held
+            return self._verdict(granted=True)
+
+    def _verdict(self, *, granted: bool, with_state: bool = False) -> Verdict:
+        return Verdict(
+            voter=self.name,
+            granted=granted,
+            promised=self._promised,
+            accepted=self.held.ballot,
+            state=self.held.state if with_state else None,
+        )
--- /dev/null
+++ b/src/cuminhoist/register/proposer.py
@@ -0,0 +1,234 @@
+"""Changes and reads the register through a quorum of its voters."""
+
+import abc
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from ..codec import Message
+from ..logs import logger
+from .ballots import Accept, Ballot, Inquire, Prepare, Verdict
+from .declared import Declared, Voter, apply_order, finish_voters
+
+#: Time for one phase; regions are 35 ms apart and a slow disk takes
+#: up to 150 ms a sync.
+PHASE_S = 0.9
+#: Pauses between attempts that met another proposer, in seconds.
+BACKOFF_S = (0.02, 0.12)
+#: Attempts of one change before the caller is told to ask again.
+MAX_ATTEMPTS = 12
+
+_log = logger('register')
+
+
+class VoterClient(abc.ABC):
+    """Carries requests to voters."""
+
+    @abc.abstractmethod
+    async def ask(
+        self,
+        voter: Voter,
+        msg: Message,
+        timeout_s: float,
+    ) -> Verdict | None:
+        """Return the answer of a voter, or nothing.
+
+        :param voter: whom to ask.
+        :param msg: the request.
+        :param timeout_s: longest time to wait, in seconds.
+        """
+
+
+class Read(msgspec.Struct, frozen=True):
+    """Answers of one phase.
+
+    :param best: newest state that any voter holds.
+    :param ballot: its ballot.
+    :param agreed: whether all voters that answered hold just that ballot.
+    """
+
+    best: Declared
+    ballot: Ballot
+    agreed: bool
+
+
+class Chosen(msgspec.Struct, frozen=True):
+    """A state that a quorum holds.
+
+    :param applied: whether the orders are in it.
+    """
+
+    state: Declared
+    applied: bool
+
+
+class Proposer:
+    """Proposes on behalf of one control instance.
+
+    A quorum is a majority of the voters, and of the former voters while a
+    change of voters is unfinished. The voters are part of the state: a
+    proposer that knows older ones finds the newer ones among the answers of
+    the older ones, and then needs a quorum of both.
+
+    :param name: name of this voter, unique among all starts with an empty
+        disk.
+    :param client: carries requests to voters.
+    :param known: newest state that this instance knows to be chosen.
+    :param rng: source of backoff times.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        client: VoterClient,
+        known: Callable[[], Declared],
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._client = client
+        self._known = known
+        self._rng = rng
+        self._round = 0
+        self._lock = asyncio.Lock()
+
+    async def change(self, orders: Sequence[Message]) -> Declared | None:
+        """Return a chosen state that holds the orders.
+
+        :param orders: applied one after the other.
+        :returns: nothing if no quorum answered; the orders may then be in
+            force or not.
+        """
+        async with self._lock:
+            pending = tuple(orders)
+            unsettled: Declared | None = None
+            for _ in range(MAX_ATTEMPTS):
+                chosen = await self._attempt(pending, unsettled)
+                if chosen is None:
+                    await asyncio.sleep(self._rng.uniform(*BACKOFF_S))
+                    continue
+                if chosen.applied:
+                    pending = ()
+                if chosen.state.settled and not pending:
+                    return chosen.state
+                unsettled = chosen.state
+        return None
+
+    async def read(self) -> Declared | None:
+        """Return the newest state, or nothing if that is not certain."""
+        found = await self._gather(lambda voter: Inquire(voter=voter.name))
+        if found is not None and found.agreed and found.best.settled:
+            return found.best
+        # Another proposer is at work, or one stopped halfway: the state is
+        # certain once a quorum has accepted it under one ballot.
+        return await self.change(())
+
+    async def _attempt(
+        self,
+        orders: Sequence[Message],
+        unsettled: Declared | None,
+    ) -> Chosen | None:
+        """Run one ballot.
+
+        :param orders: applied if no change of voters is unfinished.
+        :param unsettled: a state with an unfinished change of voters that
+            is known to be chosen; the change may then be finished.
+        """
+        self._round += 1
+        ballot = Ballot(self._round, self._name)
+        found = await self._gather(
+            lambda voter: Prepare(voter=voter.name, ballot=ballot),
+        )
+        if found is None:
+            return None
+        state = found.best
+        if state.settled:
+            for order in orders:
+                state = apply_order(state, order)
+        elif state == unsettled:
+            state = finish_voters(state)
+        if await self._spread(ballot, state):
+            return Chosen(state, applied=found.best.settled)
+        return None
+
+    async def _spread(self, ballot: Ballot, state: Declared) -> bool:
+        names: set[str] = set()
+        calls = [
+            asyncio.create_task(
+                self._client.ask(
+                    voter,
+                    Accept(voter=voter.name, ballot=ballot, state=state),
+                    PHASE_S,
+                ),
+            )
+            for voter in state.everyone()
+        ]
+        try:
+            for call in asyncio.as_completed(calls):
+                verdict = await call
+                if verdict is None:
+                    continue
+                self._round = max(self._round, verdict.promised.round)
+                if not verdict.granted:
+                    return False
+                names.add(verdict.voter)
+                if state.has_quorum(names):
+                    return True
+        finally:
+            self._leave(calls)
+        return False
+
+    async def _gather(
+        self,
+        request: Callable[[Voter], Message],
+    ) -> Read | None:
+        known = self._known()
+        answers: dict[str, Verdict] = {}
+        asked: dict[asyncio.Task[Verdict | None], Voter] = {}
+        done_voters: set[str] = set()
+        best, ballot = known, Ballot()
+        try:
+            while True:
+                for voter in {*known.everyone(), *best.everyone()}:
+                    if voter.name not in done_voters:
+                        done_voters.add(voter.name)
+                        call = self._client.ask(voter, request(voter), PHASE_S)
+                        asked[asyncio.create_task(call)] = voter
+                if not asked:
+                    return None
+                finished, _ = await asyncio.wait(
+                    asked,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in finished:
+                    asked.pop(task)
+                    verdict = task.result()
+                    if verdict is None:
+                        continue
+                    self._round = max(self._round, verdict.promised.round)
+                    if not verdict.granted:
+                        return None
+                    answers[verdict.voter] = verdict
+                    if verdict.state and verdict.accepted > ballot:
+                        best, ballot = verdict.state, verdict.accepted
+                names = set(answers)
+                if known.has_quorum(names) and best.has_quorum(names):
+                    break
+        finally:
+            self._leave(list(asked))
+        agreed = {verdict.accepted for verdict in answers.values()} == {ballot}
+        return Read(best, ballot, agreed)
+
+    def _leave(self, calls: list[asyncio.Task[Verdict | None]]) -> None:
+        # Answers that are no longer needed still arrive; the voters act on
+        # the requests all the same.
+        for call in calls:
+            if not call.done():
+                call.add_done_callback(_drop)
+
+
+def _drop(call: asyncio.Task[Verdict | None]) -> None:
+    if not call.cancelled() and call.exception() is not None:
+        _log.warning('voter call failed', error=repr(call.exception()))
+
--- /dev/null
+++ b/src/cuminhoist/register/replica.py
@@ -0,0 +1,363 @@
+"""One control instance's part in the register."""
+
+import abc
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+from returns.result import Success
+
+from ..codec import Codec, Message
+from ..fleet.site import Address
+from ..logs import logger
+from .acceptor import Acceptor
+from .ballots import Join, Learned, Submit, Submitted, Verdict
+from .declared import Declared, ReplaceVoters, Voter
+from .proposer import Proposer, VoterClient
+
+#: How often membership and unlearned states are looked at, in seconds.
+ROUND_S = 0.3
+#: Time for the instance that usually proposes; with an own attempt after it
+#: an operator still gets an answer within a second.
+SUBMIT_S = 0.55
+#: Voters at most: a majority of nine outlives any four.
+MAX_VOTERS = 9
+#: A voter that was silent this long may be replaced by a new instance, in
+#: seconds; restarts take less.
+REPLACE_AFTER_S = 3.0
+#: A request for a vote counts for this long, in seconds.
+JOIN_FRESH_S = 1.5
+#: Voters are not replaced in the first seconds of a process, which has not
+#: heard from all of them yet.
+WARM_UP_S = 6.0
+
+_log = logger('register')
+
+
+class ControlPeers(abc.ABC):
+    """What a replica needs of the other control instances."""
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        address: Address,
+        msg: Message,
+        timeout_s: float,
+    ) -> Message | None:
+        """Return the answer of a control instance, or nothing.
+
+        :param address: where it listens.
+        :param msg: the request.
+        :param timeout_s: longest time to wait, in seconds.
+        """
+
+    @abc.abstractmethod
+    def broadcast(self, msg: Message) -> None:
+        """Send a message to all linked control instances.
+
+        :param msg: the message.
+        """
+
+    @abc.abstractmethod
+    def silent_s(self, voter: str) -> float:
+        """Return for how long a voter has been silent, in seconds.
+
+        :param voter: name of the voter.
+        """
+
+
+class _Pending(msgspec.Struct):
+    """An order that waits for the next ballot."""
+
+    order: Message
+    fut: asyncio.Future[Declared | None]
+
+
+class Replica(VoterClient):
+    """Holds, changes and reads the declared state.
+
+    :param acceptor: what this instance holds.
+    :param known: newest state that is known to be chosen, if any.
+    :param address: where this instance listens.
+    :param peers: the other control instances.
+    :param on_learned: called with each newer chosen state.
+    """
+
+    def __init__(
+        self,
+        acceptor: Acceptor,
+        known: Declared | None,
+        address: Address,
+        peers: ControlPeers,
+        on_learned: Callable[[Declared], None],
+    ) -> None:
+        self.known = known
+        self._acceptor = acceptor
+        self._own = Voter(acceptor.name, address)
+        self._peers = peers
+        self._on_learned = on_learned
+        self._codec = Codec('', acceptor.name)
+        self._proposer = Proposer(
+            acceptor.name,
+            self,
+            self._known_state,
+            random.Random(),  # noqa: S311
+        )
+        self._pending: list[_Pending] = []
+        self._wake = asyncio.Event()
+        self._joining: dict[Voter, float] = {}
+        self._certain = False
+        self._unlearned_since: float | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of this instance as a voter."""
+        return self._own.name
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this instance has a vote in the known state."""
+        return self.known is not None and self._own in self.known.voters
+
+    def confirmed(self, heard: set[str]) -> bool:
+        """Tell whether a quorum of the voters is in reach.
+
+        :param heard: voters that hear this instance and are heard.
+        """
+        if self.known is None:
+            return False
+        return self.known.has_quorum({*heard, self.name})
+
+    async def submit(self, order: Message) -> Declared | None:
+        """Return the state once an order is chosen, or nothing.
+
+        :param order: the order.
+        """
+        preferred = self._preferred()
+        if preferred is not None and preferred != self._own:
+            reply = await self._peers.call(
+                preferred.address,
+                Submit(orders=(self._codec.encode(order),)),
+                SUBMIT_S,
+            )
+            if isinstance(reply, Submitted) and reply.state is not None:
+                self.learn(reply.state)
+                return reply.state
+        return await self._submit_here(order)
+
+    async def read(self) -> Declared | None:
+        """Return the newest state, or nothing if that is not certain."""
+        if self.known is None:
+            return None
+        state = await self._proposer.read()
+        if state is not None:
+            self.learn(state)
+        return state
+
+    def learn(self, state: Declared) -> None:
+        """Take a chosen state.
+
+        :param state: the state.
+        """
+        if self.known is not None and state.index <= self.known.index:
+            return
+        self.known = state
+        _log.bind(
+            index=state.index,
+            version=state.version,
+            drained=sorted(state.drained),
+            voters=[voter.name for voter in state.voters],
+        ).info('state learned')
+        self._on_learned(state)
+
+    async def ask(
+        self,
+        voter: Voter,
+        msg: Message,
+        timeout_s: float,
+    ) -> Verdict | None:
+        """Return the answer of a voter, or nothing.
+
+        :param voter: whom to ask.
+        :param msg: the request.
+        :param timeout_s: longest time to wait, in seconds.
+        """
+        if voter == self._own:
+            return await self._acceptor.answer(msg)
+        reply = await self._peers.call(voter.address, msg, timeout_s)
+        return reply if isinstance(reply, Verdict) else None
+
+    async def answer(self, msg: Message) -> Message | None:
+        """Return the answer to a call of another control instance.
+
+        :param msg: the request.
+        """
+        if isinstance(msg, Submit):
+            return await self._on_submit(msg)
+        return await self._acceptor.answer(msg)
+
+    def on_join(self, msg: Join) -> None:
+        """Note that an instance asks for a vote.
+
+        :param msg: the request.
+        """
+        voter = Voter(msg.voter, Address(msg.host, msg.port))
+        loop = asyncio.get_running_loop()
+        self._joining[voter] = loop.time()
+
+    async def run_orders(self) -> None:
+        """Propose what is submitted, many orders in one ballot."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            batch, self._pending = self._pending, []
+            if not batch:
+                continue
+            state = None
+            if self.known is not None:
+                state = await self._proposer.change(
+                    [entry.order for entry in batch],
+                )
+            if state is not None:
+                self.learn(state)
+                self._peers.broadcast(Learned(state=state))
+            for entry in batch:
+                if not entry.fut.done():
+                    entry.fut.set_result(state)
+
+    async def run_membership(self) -> None:
+        """Find states that nobody announced, ask for a vote, give votes."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        saved = -1
+        while True:
+            await asyncio.sleep(ROUND_S)
+            await self._find_unlearned(loop.time())
+            known = self.known
+            if known is None:
+                self._ask_for_vote()
+                continue
+            if known.index > saved:
+                saved = known.index
+                await self._acceptor.remember(known)
+            if not self.is_voter:
+                self._ask_for_vote()
+            elif self._preferred() == self._own:
+                await self._give_votes(known, loop.time(), began)
+
+    async def _find_unlearned(self, now: float) -> None:
+        held = self._acceptor.held.state
+        known_index = self.known.index if self.known else -1
+        behind = held is not None and held.index > known_index
+        if not behind:
+            self._unlearned_since = None
+        elif self._unlearned_since is None:
+            self._unlearned_since = now
+            return
+        if self._certain and not behind:
+            return
+        # The instance that proposed the state may have failed right after
+        # it acknowledged it.
+        state = await self.read()
+        if state is not None:
+            self._certain = True
+            self._peers.broadcast(Learned(state=state))
+
+    def _ask_for_vote(self) -> None:
+        address = self._own.address
+        self._peers.broadcast(
+            Join(voter=self.name, host=address.host, port=address.port),
+        )
+
+    async def _give_votes(
+        self,
+        known: Declared,
+        now: float,
+        began: float,
+    ) -> None:
+        fresh = [
+            voter
+            for voter, asked_at in self._joining.items()
+            if now - asked_at < JOIN_FRESH_S and voter not in known.voters
+        ]
+        if not fresh or not known.settled:
+            return
+        voters = next_voters(
+            known.voters,
+            sorted(fresh),
+            [
+                voter
+                for voter in known.voters
+                if now - began > WARM_UP_S
+                and self._peers.silent_s(voter.name) > REPLACE_AFTER_S
+            ],
+        )
+        if voters == known.voters:
+            return
+        _log.bind(voters=[voter.name for voter in voters]).info('voters change')
+        order = ReplaceVoters(seen=known.index, voters=voters)
+        await self._submit_here(order)
+
+    def _preferred(self) -> Voter | None:
+        if self.known is None:
+            return None
+        for voter in self.known.voters:
+            if voter == self._own or self._peers.silent_s(voter.name) < 1:
+                return voter
+        return None
+
+    def _known_state(self) -> Declared:
+        if self.known is None:
+            raise RuntimeError('no state is known')
+        return self.known
+
+    async def _submit_here(self, order: Message) -> Declared | None:
+        fut: asyncio.Future[Declared | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending.append(_Pending(order, fut))
+        self._wake.set()
+        return await fut
+
+    async def _on_submit(self, msg: Submit) -> Submitted:
+        orders = [self._codec.decode(frame) for frame in msg.orders]
+        states = await asyncio.gather(
+            *(
+                self._submit_here(order.unwrap().message)
+                for order in orders
+                if isinstance(order, Success)
+            ),
+        )
+        return Submitted(state=_newest(states))
+
+
+def next_voters(
+    voters: tuple[Voter, ...],
+    joining: Sequence[Voter],
+    silent: Sequence[Voter],
+) -> tuple[Voter, ...]:
+    """Return the voters after some instances have joined.
+
+    An instance that has lost its disk takes its own former place. Another
+    new instance takes the place of a silent voter, or a place of its own.
+
+    :param voters: the present voters.
+    :param joining: instances that ask for a vote.
+    :param silent: voters that may be replaced.
+    """
+    chosen = set(voters)
+    replaceable = list(silent)
+    for voter in joining:
+        former = [
+            other for other in chosen if other.address.host == voter.address.host
+        ]
+        if former:
+            chosen -= set(former)
+            replaceable = [other for other in replaceable if other not in former]
+        elif replaceable:
+            chosen.discard(replaceable.pop(0))
+        if len(chosen) < MAX_VOTERS:
+            chosen.add(voter)
+    return tuple(sorted(chosen))
+
--- a/src/cuminhoist/retries.py
+++ b/src/cuminhoist/retries.py
@@ -22,15 +22,24 @@
     start: the first ten requests of a process earn the first retry.
 
     :param seed: seed of the jitter.
+    :param earned: further attempts that one request earns.
+    :param most_saved: most earned attempts that are saved.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        earned: float = EARNED,
+        most_saved: float = MAX_SAVED,
+    ) -> None:
         self._random = random.Random(seed)  # noqa: S311
+        self._earned = earned
+        self._most_saved = most_saved
         self._saved = float(0)
 
     def on_request(self) -> None:
         """Count a request, whose first attempt is free."""
-        self._saved = min(self._saved + EARNED, MAX_SAVED)
+        self._saved = min(self._saved + self._earned, self._most_saved)
 
     def try_retry(self) -> bool:
         """Take a further attempt from the budget if there is one."""
--- /dev/null
+++ b/src/cuminhoist/steering/supply.py
@@ -0,0 +1,177 @@
+"""Which targets, and how many of their slots, a region's dispatcher uses.
+
+The load pattern that this answers: the regions peak one after the other, and
+one region has far fewer targets than callers. A region whose demand is below
+its own slots lends the rest to those above theirs, slot by slot, so that the
+number of requests that run in another region changes in small steps.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from ..rendezvous import ranked
+from .targets import TargetEntry, TargetState
+from .track import TargetTrack
+
+#: Slots that a region keeps beyond its mean demand, as a part of it: random
+#: arrivals need some room to be served without waiting.
+HEADROOM = 0.1
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """Slots that the requests of a region would keep busy.
+
+    :param slots: mean number of slots.
+    """
+
+    region: str
+    service: str
+    slots: float
+
+
+class Terms(msgspec.Struct, frozen=True):
+    """What a dispatcher knows beside the list of targets.
+
+    :param region: its own region.
+    :param regions: region of each failure domain.
+    :param drained: failure domains whose targets get nothing.
+    :param distance_s: round trip to another region, in seconds.
+    :param cold_per_s: requests a second that a cold target tolerates, by
+        service.
+    """
+
+    region: str
+    regions: Mapping[str, str]
+    drained: frozenset[str]
+    distance_s: float
+    cold_per_s: Mapping[str, float]
+
+
+def usable_entries(
+    entries: Iterable[TargetEntry],
+    drained: frozenset[str],
+) -> list[TargetEntry]:
+    """Return the targets that may get requests.
+
+    :param entries: the listed targets.
+    :param drained: failure domains whose targets get nothing.
+    """
+    return [
+        entry
+        for entry in entries
+        if entry.state is TargetState.ready and entry.domain not in drained
+    ]
+
+
+def lent_slots(
+    own: Mapping[str, float],
+    demand: Mapping[str, float],
+) -> dict[tuple[str, str], float]:
+    """Return how many slots each region lends to each other one.
+
+    :param own: slots of each region's own targets.
+    :param demand: slots that the requests of each region keep busy.
+    """
+    spare: dict[str, float] = {}
+    missing: dict[str, float] = {}
+    for region in {*own, *demand}:
+        needed = demand.get(region, 0) * (1 + HEADROOM)
+        excess = own.get(region, 0) - needed
+        if excess > 0:
+            spare[region] = excess
+        elif excess < 0:
+            missing[region] = -excess
+    total_spare = sum(spare.values())
+    total_missing = sum(missing.values())
+    if not total_spare or not total_missing:
+        return {}
+    moved = min(total_spare, total_missing)
+    return {
+        (lender, borrower): moved
+        * (spare[lender] / total_spare)
+        * (missing[borrower] / total_missing)
+        for lender in spare
+        for borrower in missing
+    }
+
+
+def allotted_slots(
+    entries: list[TargetEntry],
+    regions: Mapping[str, str],
+    demand: Mapping[str, float],
+) -> dict[str, dict[str, float]]:
+    """Return the slots of each target by region that uses them.
+
+    :param entries: usable targets of one service.
+    :param regions: region of each failure domain.
+    :param demand: slots that the requests of each region keep busy.
+    """
+    allotted = {
+        entry.name: {regions.get(entry.domain, ''): float(entry.slots)}
+        for entry in entries
+    }
+    own: dict[str, float] = {}
+    for entry in entries:
+        region = regions.get(entry.domain, '')
+        own[region] = own.get(region, 0) + entry.slots
+    for (lender, borrower), slots in sorted(lent_slots(own, demand).items()):
+        _lend(allotted, lender, borrower, round(slots))
+    return allotted
+
+
+def _lend(
+    allotted: dict[str, dict[str, float]],
+    lender: str,
+    borrower: str,
+    slots: int,
+) -> None:
+    # The order depends on the borrower alone, so that one slot more or less
+    # leaves the others where they are.
+    names = ranked(
+        borrower,
+        [name for name, users in allotted.items() if lender in users],
+    )
+    while slots > 0 and names:
+        for name in list(names):
+            users = allotted[name]
+            if not slots:
+                return
+            if users[lender] < 1:
+                names.remove(name)
+                continue
+            users[lender] -= 1
+            users[borrower] = users.get(borrower, 0) + 1
+            slots -= 1
+
+
+def make_tracks(
+    known: Mapping[str, TargetTrack],
+    entries: list[TargetEntry],
+    demand: Mapping[str, float],
+    terms: Terms,
+    now: float,
+) -> dict[str, TargetTrack]:
+    """Return the tracks of one service for one region's dispatcher.
+
+    :param known: present tracks by name; what they know is kept.
+    :param entries: usable targets of the service.
+    :param demand: slots that the requests of each region keep busy.
+    :param terms: what else the dispatcher knows.
+    :param now: monotonic time in seconds.
+    """
+    allotted = allotted_slots(entries, terms.regions, demand)
+    tracks: dict[str, TargetTrack] = {}
+    for entry in entries:
+        track = known.get(entry.name)
+        if track is None or track.entry.born_ms != entry.born_ms:
+            region = terms.regions.get(entry.domain, '')
+            away = region != terms.region
+            track = TargetTrack(entry, region, terms.distance_s * away)
+        track.entry = entry
+        track.slots = allotted[entry.name].get(terms.region, 0)
+        track.cold_per_s = terms.cold_per_s.get(entry.service) or float('inf')
+        if entry.cold_s > 0:
+            track.cold_until = max(track.cold_until, now + entry.cold_s)
+        tracks[entry.name] = track
+    return tracks
--- /dev/null
+++ b/src/cuminhoist/steering/track.py
@@ -0,0 +1,168 @@
+"""What is known of one target: its slots, speed, failures and objects."""
+
+import collections
+
+from .asks import Ending
+from .targets import TargetEntry
+
+#: Weight of a new observation in moving averages.
+SMOOTHING = 0.2
+#: A target whose failures exceed this part is set aside.
+MAX_FAILURE_PART = 0.5
+#: Failures in a row after which a target is set aside.
+MAX_FAILURES_IN_ROW = 3
+#: Time aside after the first failure period and the longest, in seconds; a
+#: crashed target stays on the list for some seconds.
+FIRST_ASIDE_S = 0.4
+LONGEST_ASIDE_S = 3.0
+#: A target that sheds has a full queue; the shortest run takes about this
+#: long, in seconds.
+SHED_PAUSE_S = 0.06
+#: Objects that a target is taken to hold; more would be guesses.
+MAX_WARM_OBJECTS = 32
+#: Time after which an observation of speed has faded, in seconds, so that a
+#: slow target is tried again.
+SPEED_MEMORY_S = 4.0
+#: Work of a cold target takes about twice as long.
+COLD_FACTOR = 2.0
+
+_FAILURES = frozenset((Ending.failed, Ending.lost, Ending.timeout))
+
+
+class TargetTrack:
+    """One start of a target as one dispatcher sees it.
+
+    :param entry: what the list says of it.
+    :param region: where it is.
+    :param distance_s: round trip beyond that of the nearest targets, in
+        seconds.
+    """
+
+    def __init__(
+        self,
+        entry: TargetEntry,
+        region: str = '',
+        distance_s: float = 0,
+    ) -> None:
+        self.entry = entry
+        self.region = region
+        self.distance_s = distance_s
+        self.slots: float = entry.slots
+        self.running = 0
+        self.cold_until = float('-inf')
+        self.cold_per_s = float('inf')
+        self.aside_until = float('-inf')
+        self._aside_s = FIRST_ASIDE_S
+        self._failure_part = float(0)
+        self._failures_in_row = 0
+        self._speed = float(1)
+        self._speed_at = float('-inf')
+        self._cold_tokens = float(1)
+        self._cold_at = float('-inf')
+        self._warm: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def is_warm(self, key: str) -> bool:
+        """Tell whether the target has lately worked on an object.
+
+        :param key: identity of the object.
+        """
+        return key in self._warm
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether a request may be sent now.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.running >= self.slots or now < self.aside_until:
+            return False
+        if self._failures_in_row >= MAX_FAILURES_IN_ROW and self.running:
+            # One request at a time finds out whether it has recovered.
+            return False
+        return now >= self.cold_until or self._cold_allowance(now) >= 1
+
+    def slowdown(self, now: float) -> float:
+        """Return how many times longer it works than the others.
+
+        :param now: monotonic time in seconds.
+        """
+        faded = min(max(now - self._speed_at, 0) / SPEED_MEMORY_S, 1)
+        speed = self._speed + (1 - self._speed) * faded
+        factor = COLD_FACTOR if now < self.cold_until else 1
+        return speed * factor / max(1 - self._failure_part, 0.2)
+
+    def start(self, key: str, now: float) -> None:
+        """Count a request that is sent.
+
+        :param key: identity of its object.
+        :param now: monotonic time in seconds.
+        """
+        self.running += 1
+        if now < self.cold_until:
+            self._cold_tokens = self._cold_allowance(now) - 1
+            self._cold_at = now
+        if key:
+            self._warm[key] = None
+            self._warm.move_to_end(key)
+            if len(self._warm) > MAX_WARM_OBJECTS:
+                self._warm.popitem(last=False)
+
+    def end(self, ending: Ending, ratio: float, now: float) -> None:
+        """Count the end of a request.
+
+        :param ending: how it ended.
+        :param ratio: its run time in terms of the expected one.
+        :param now: monotonic time in seconds.
+        """
+        self.running = max(self.running - 1, 0)
+        if ending is Ending.answered:
+            self._note_answer(ratio, now)
+        elif ending in _FAILURES:
+            self._note_failure(now)
+        elif ending is Ending.shed:
+            self.aside_until = max(self.aside_until, now + SHED_PAUSE_S)
+        elif ending in {Ending.unreachable, Ending.misdirected}:
+            self._failures_in_row = MAX_FAILURES_IN_ROW
+            self._set_aside(now)
+
+    def is_suspect(self) -> bool:
+        """Tell whether the last requests failed."""
+        return self._failures_in_row > 0
+
+    def _note_answer(self, ratio: float, now: float) -> None:
+        self._failures_in_row = 0
+        self._failure_part *= 1 - SMOOTHING
+        self._aside_s = FIRST_ASIDE_S
+        self._speed = self.slowdown_of_runs(now)
+        self._speed += SMOOTHING * (min(ratio, 20) - self._speed)
+        self._speed_at = now
+
+    def slowdown_of_runs(self, now: float) -> float:
+        """Return the speed alone, faded over time.
+
+        :param now: monotonic time in seconds.
+        """
+        faded = min(max(now - self._speed_at, 0) / SPEED_MEMORY_S, 1)
+        return self._speed + (1 - self._speed) * faded
+
+    def _note_failure(self, now: float) -> None:
+        self._failures_in_row += 1
+        self._failure_part += SMOOTHING * (1 - self._failure_part)
+        if (
+            self._failures_in_row >= MAX_FAILURES_IN_ROW
+            or self._failure_part > MAX_FAILURE_PART
+        ):
+            self._set_aside(now)
+
+    def _set_aside(self, now: float) -> None:
+        if now < self.aside_until:
+            return
+        self.aside_until = now + self._aside_s
+        self._aside_s = min(self._aside_s * 2, LONGEST_ASIDE_S)
+
+    def _cold_allowance(self, now: float) -> float:
+        elapsed = now - self._cold_at
+        if elapsed == float('inf'):
+            return 1
+        return min(self._cold_tokens + elapsed * self.cold_per_s, 1)
--- a/src/cuminhoist/target_conn.py
+++ b/src/cuminhoist/target_conn.py
@@ -36,6 +36,7 @@
         self._exchange: Exchange | None = None
         self._until_eof = False
         self._whole = False
+        self._skipping = False
         self._head_bytes = 0
         self._reading = True
         self._closed = False
@@ -200,6 +201,10 @@
         if status > _LAST_STATUS:
             exchange.abort(httpx.RemoteProtocolError(f'status {status}'))
             return
+        if not exchange.is_answer():
+            self._skipping = True
+            exchange.headers.clear()
+            return
         exchange.status = status
         named = dict(exchange.headers)
         chunked = b'chunked' in named.get(b'transfer-encoding', b'').lower()
@@ -218,6 +223,8 @@
         :param body: the bytes.
         """
         exchange = self._exchange
+        if self._skipping:
+            return
         if exchange is None or self._whole:
             self._reusable = False
         elif exchange.feed(body) and self._reading:
@@ -231,7 +238,10 @@
 
     def on_message_complete(self) -> None:
         """Take the end of the answer from the parser."""
-        if self._exchange is not None and self._exchange.status:
+        if self._skipping:
+            self._skipping = False
+            self._head_bytes = 0
+        elif self._exchange is not None and self._exchange.status:
             self._whole = True
 
     def _free(self, exchange: Exchange) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_instance_list.py
@@ -5,7 +5,7 @@
 import httpx
 import pytest
 
-from cuminhoist.platform import PlatformList, PlatformPoller
+from cuminhoist.instance_list import PlatformList, PlatformPoller
 
 
 @pytest.mark.looptime
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,7 @@
     Membership,
     partners_of,
 )
-from cuminhoist.platform import PlatformList
+from cuminhoist.instance_list import PlatformList
 from cuminhoist.types import DrainScope
 
 from . import builders
