Place requests by object, and free slots when the dispatcher changes

Cause: work on an object that a target holds takes about 0.3 of the time, so spreading requests evenly left targets evicting each other's objects; and a dispatcher that was chosen anew counted attempts that were never reported to it, so its slots leaked.

--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -108,7 +108,7 @@
         return self.complete or self.error is not None
 
     def is_answer(self) -> bool:
-        """Tell whether the headers that have arrived are those of its answer."""
+        """Tell whether the headers so far are those of its answer."""
         if self.echo is None:
             return True
         name, text = self.echo
--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -11,7 +11,15 @@
 from ..register.replica import ControlPeers
 from ..steering.supply import Demand
 from .link import Link, LinkHandler, Links
-from .messages import Beat, ControlSeen, EntrySeen, Hello, Standing, View
+from .messages import (
+    Beat,
+    ControlSeen,
+    EntrySeen,
+    Hello,
+    Roster,
+    Standing,
+    View,
+)
 from .site import Address, Site
 
 #: How often instances say what they know, in seconds.
@@ -66,6 +74,7 @@
         self._addresses: set[Address] = set(site.seeds)
         self._dialling: dict[Address, asyncio.Task[None]] = {}
         self._dialled: set[int] = set()
+        self._roster: tuple[EntrySeen, ...] = ()
 
     async def start(self) -> None:
         """Listen for links."""
@@ -239,6 +248,13 @@
                 seen |= set(peer.beat.entries)
         return sorted(seen)
 
+    def tell_roster(self) -> None:
+        """Send the entry instances to each other when they change."""
+        roster = tuple(self.entries())
+        if roster != self._roster:
+            self._roster = roster
+            self.send_to_entries(Roster(entries=roster))
+
     def demand(self, own: tuple[Demand, ...]) -> list[Demand]:
         """Return the demand of all regions; the largest report counts.
 
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -21,13 +21,12 @@
 )
 from ..register.replica import Replica
 from .control_links import BEAT_S, ControlLinks, Peer
-from .messages import EntrySeen, Hello, TargetList
+from .lookups import nearest_entries
+from .messages import Hello, Roster, TargetList
 from .region_dispatch import RegionDispatch
 from .site import Address, Site
 from .target_feed import TargetFeed, TargetSource
 
-#: Entry instances of one look-up answer at most.
-MAX_LOOKUP_ENTRIES = 64
 #: Time for the others to learn that this instance leaves, in seconds.
 LEAVE_S = 0.8
 
@@ -177,12 +176,7 @@
         :param region: region of the caller.
         :param domain: failure domain of the caller.
         """
-        entries = self.links.entries()
-        near = [entry for entry in entries if entry.region == region]
-        return [
-            entry.callers
-            for entry in _nearest_first(near or entries, domain)
-        ][:MAX_LOOKUP_ENTRIES]
+        return nearest_entries(self.links.entries(), region, domain)
 
     def _open_replica(self) -> Replica:
         site = self._site
@@ -234,6 +228,7 @@
             peer.link.send(Learned(state=known))
         if not peer.hello.control:
             peer.link.send(self.feed.message())
+            peer.link.send(Roster(entries=tuple(self.links.entries())))
             peer.link.send(self._view(peer))
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
@@ -263,6 +258,7 @@
             await asyncio.sleep(BEAT_S)
 
     def _beat(self) -> None:
+        self.links.tell_roster()
         known = self.replica.known
         index = known.index if known else -1
         beat = self.links.beat(index, self.replica.name, self._demand)
@@ -289,10 +285,6 @@
         self._tasks.append(task)
 
 
-def _nearest_first(entries: list[EntrySeen], domain: str) -> list[EntrySeen]:
-    return sorted(entries, key=lambda entry: entry.domain != domain)
-
-
 def _report_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _log.opt(exception=task.exception()).error('task failed')
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -22,9 +22,17 @@
 from ..steering.targets import TargetEntry
 from .control_role import Decode
 from .entry_links import EntryLinks
-from .messages import DecisionNotice, Hello, TargetList, View
+from .lookups import nearest_entries
+from .messages import (
+    DecisionNotice,
+    EntrySeen,
+    Hello,
+    Roster,
+    TargetList,
+    View,
+)
 from .region_dispatch import REGION_ROUND_TRIP_S
-from .site import Site
+from .site import Address, Site
 from .target_feed import TargetFeed, TargetSource
 
 #: Without any list from a control instance for this long, an entry instance
@@ -85,6 +93,7 @@
         )
         self.feed = TargetFeed(source, self._rank, now, self._on_targets)
         self._region_entries = 1
+        self._roster: tuple[EntrySeen, ...] = ()
         self._tasks: list[asyncio.Task[None]] = []
         self.leaving = False
 
@@ -107,6 +116,19 @@
         for coroutine in (links.run(), self.feed.run(), self._run_checks()):
             self._spawn(coroutine)
 
+    def lookup(self, region: str, domain: str) -> list[Address]:
+        """Return where a caller connects.
+
+        :param region: region of the caller.
+        :param domain: failure domain of the caller.
+        """
+        entries = [
+            entry
+            for entry in self._roster
+            if not self.leaving or entry.name != self._site.name
+        ]
+        return nearest_entries(entries, region, domain)
+
     def leave(self) -> None:
         """Tell the control instances that no more requests are wanted."""
         self.leaving = True
@@ -142,6 +164,8 @@
             self.placer.settle(msg.decision)
         elif isinstance(msg, View):
             self._on_view(msg)
+        elif isinstance(msg, Roster):
+            self._roster = msg.entries
 
     def _on_declared(self, state: Declared) -> None:
         known = self._declared
@@ -193,6 +217,7 @@
                 name: entry.cold_per_s / self._region_entries
                 for name, entry in services.items()
             },
+            {},
         )
         usable = usable_entries(self.feed.entries, drained)
         self.passages.known.targets = {entry.name: entry for entry in usable}
@@ -213,7 +238,7 @@
             for track in tracks.values():
                 share = track.entry.slots / self._region_entries
                 track.slots = max(round(share), 1)
-            local.set_targets(service, tracks)
+            local.set_targets(service, tracks, self._site.region)
 
     async def _run_checks(self) -> None:
         while True:
@@ -241,4 +266,3 @@
 def _report_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _log.opt(exception=task.exception()).error('task failed')
-
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -196,6 +196,8 @@
         chosen = self._controls.get(view.dispatcher)
         if chosen is self._dispatcher:
             return
+        if self._dispatcher is not None:
+            self._send(RunningNotice(running=()))
         self._dispatcher = chosen
         name = chosen.hello.name if chosen is not None else ''
         _log.bind(dispatcher=name).info('dispatcher chosen')
@@ -224,9 +226,7 @@
             _log.bind(dependency='control majority').info(state)
 
     def _dial_wanted(self) -> None:
-        linked = {
-            control.hello.address for control in self._controls.values()
-        }
+        linked = {control.hello.address for control in self._controls.values()}
         for address in self._wanted() - linked:
             task = self._dialling.get(address)
             if task is None or task.done():
@@ -263,5 +263,3 @@
 
 def _ignore() -> None:
     """Do nothing."""
-
-
--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -234,7 +234,7 @@
         fut = self._calls.get(reply.number)
         if fut is None or fut.done():
             return
-        decoded = self._codec.decode(reply.body) if reply.body else None
+        decoded = self._codec.decode(reply.body)
         valid = isinstance(decoded, Success)
         fut.set_result(decoded.unwrap().message if valid else None)
 
@@ -308,4 +308,3 @@
 
     def _link(self) -> Link:
         return Link(self._codec, self._handler)
-
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -99,6 +99,13 @@
     region_entries: int
 
 
+@message
+class Roster(Message, frozen=True):
+    """All entry instances that take requests, sent when they change."""
+
+    entries: tuple[EntrySeen, ...]
+
+
 @message
 class TargetList(Message, frozen=True):
     """The list of targets.
@@ -126,7 +133,10 @@
 
 @message
 class RunningNotice(Message, frozen=True):
-    """Attempts that another dispatcher had granted."""
+    """All attempts of an entry instance; replaces what was known of them.
+
+    Empty when the receiver is no longer the dispatcher of the sender.
+    """
 
     running: tuple[Done, ...]
 
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -68,6 +68,7 @@
         elif isinstance(msg, WithdrawNotice):
             self.dispatcher.withdraw(asker, msg.number, msg.service)
         elif isinstance(msg, RunningNotice):
+            self.dispatcher.forget(asker, self._now())
             for done in msg.running:
                 self.dispatcher.adopt(asker, done, self._now())
 
@@ -84,11 +85,12 @@
     def measure(self) -> tuple[Demand, ...]:
         """Return the demand since the last measurement, smoothed."""
         now = self._now()
+        self.dispatcher.expire(now)
         elapsed_s = max(now - self._measured_at, 0.05)
         self._measured_at = now
         for name, queue in self.dispatcher.services():
             rate = self._offered.pop(name, 0) / elapsed_s
-            slots = rate * queue.warm_run_s
+            slots = rate * queue.times.warm_s
             before = self._demand.get(name, slots)
             self._demand[name] = before + DEMAND_SMOOTHING * (slots - before)
         return tuple(
@@ -117,6 +119,10 @@
             drained,
             REGION_ROUND_TRIP_S,
             {name: entry.cold_per_s for name, entry in services.items()},
+            {
+                name: queue.times.warm_s
+                for name, queue in self.dispatcher.services()
+            },
         )
         by_service: dict[str, list[TargetEntry]] = {}
         for entry in usable_entries(entries, drained):
@@ -135,7 +141,7 @@
                 terms,
                 self._now(),
             )
-            self.dispatcher.set_targets(service, tracks)
+            self.dispatcher.set_targets(service, tracks, self._region)
         self._tell(self.dispatcher.tick(self._now()))
 
     def _on_ask(self, asker: str, ask: Ask) -> None:
@@ -160,5 +166,5 @@
     def _tick(self) -> None:
         self._ticker = None
         self._tell(self.dispatcher.tick(self._now()))
-        if any(queue.waiting for _, queue in self.dispatcher.services()):
+        if self.dispatcher.waits():
             self._plan_tick()
--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -134,4 +134,3 @@
 
 async def _send_body(send: Send, body: bytes, *, more: bool) -> None:
     await send({'type': 'http.response.body', 'body': body, 'more_body': more})
-
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -98,9 +98,11 @@
         if notes.idle_s is not None:
             self._upstreams.note_idle_limit(target, notes.idle_s)
         if notes.not_run:
-            abort(answer.exchange)
+            if not answer.whole or notes.misdirected:
+                abort(answer.exchange)
+            ending = Ending.declined if notes.has_room else Ending.shed
             return AttemptOutcome(
-                Ending.misdirected if notes.misdirected else Ending.shed,
+                Ending.misdirected if notes.misdirected else ending,
                 may_have_run=False,
                 detail=f'status {answer.status}, not run',
             )
--- a/src/cuminhoist/gateway/placing.py
+++ b/src/cuminhoist/gateway/placing.py
@@ -120,7 +120,8 @@
             self._local_numbers.discard(done.number)
             for _, decision in self.local.done('', done, self._now()):
                 self.settle(decision)
-        elif self._remote.available():
+        # A dispatcher that was chosen meanwhile has counted it as well.
+        if self._remote.available():
             self._remote.done(done)
 
     async def _place_remote(self, ask: Ask) -> Decision | None:
@@ -181,7 +182,5 @@
         self._ticker = None
         for _, decision in self.local.tick(self._now()):
             self.settle(decision)
-        if any(queue.waiting for _, queue in self.local.services()):
+        if self.local.waits():
             self._plan_tick()
-
-
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -41,12 +41,15 @@
     :param not_run: whether the target states that it did not run the
         request.
     :param misdirected: whether another target has the address.
+    :param has_room: whether it states that it has free slots; None if it
+        does not say.
     :param leaving: whether it closes the connection.
     :param idle_s: how long it keeps an idle connection; None if not said.
     """
 
     not_run: bool = False
     misdirected: bool = False
+    has_room: bool | None = None
     leaving: bool = False
     idle_s: float | None = None
 
--- a/src/cuminhoist/platform/apps.py
+++ b/src/cuminhoist/platform/apps.py
@@ -12,6 +12,7 @@
     Invalid,
     OrderOutcome,
 )
+from ..fleet.site import Address
 from ..gateway.answers import Send
 from ..gateway.bodies import CallerGone, Receive
 
@@ -27,6 +28,7 @@
 #: long, and a stopping instance serves for six seconds.
 LOOKUP_TTL_S = 1.5
 
+Lookup = Callable[[str, str], list[Address]]
 App = Callable[[Any, Receive, Send], Awaitable[None]]
 
 
@@ -56,10 +58,10 @@
     return answer
 
 
-def lookup_app(role: ControlRole, ttl_max_s: float) -> App:
+def lookup_app(lookup: Lookup, ttl_max_s: float) -> App:
     """Return the application that tells callers where to connect.
 
-    :param role: the control instance.
+    :param lookup: returns entry instances for a region and a domain.
     :param ttl_max_s: longest life of an answer, in seconds.
     """
 
@@ -68,7 +70,7 @@
             await _reply(send, 404, b'')
             return
         query = urllib.parse.parse_qs(scope['query_string'].decode('latin-1'))
-        addresses = role.lookup(
+        addresses = lookup(
             query.get('region', [''])[0],
             query.get('zone', [''])[0],
         )
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -88,7 +88,7 @@
         await role.start()
         self._listen(site.operators, operators_app(role))
         ttl_s = site.bounds.lookup_ttl_s
-        self._listen(site.lookups, lookup_app(role, ttl_s))
+        self._listen(site.lookups, lookup_app(role.lookup, ttl_s))
         self._listen(site.metrics, metrics_app(Recorder().text))
         self._spawn(self._watch_settings(role.links.replace_seeds))
         _log.bind(instance=site.name, life=role.life).info('started')
@@ -108,6 +108,8 @@
         )
         callers = self._listen(site.callers, entry.passages)
         self._listen(site.readiness, readiness_app(lambda: entry.ready))
+        ttl_s = site.bounds.lookup_ttl_s
+        self._listen(site.lookups, lookup_app(entry.lookup, ttl_s))
         self._listen(site.metrics, metrics_app(entry.recorder.text))
         await entry.start()
         self._spawn(self._watch_settings(entry.links.replace_seeds))
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -11,6 +11,8 @@
 #: A cookie; its text names the object that the request is about.
 _OBJECT_COOKIE = 'X-Affinity-Key'
 _NOT_RUN = b'x-not-executed'
+#: Running and waiting requests and slots of the target.
+_LOAD = b'x-server-load'
 
 _MISDIRECTED_STATUS = 421
 _MS = 1000
@@ -101,6 +103,7 @@
         return AnswerNotes(
             not_run=misdirected or _NOT_RUN in named,
             misdirected=misdirected,
+            has_room=_has_room(named.get(_LOAD, b'')),
             leaving=b'close' in named.get(b'connection', b'').lower(),
             idle_s=_keep_alive_s(named.get(b'keep-alive', b'')),
         )
@@ -145,6 +148,15 @@
         return None
 
 
+def _has_room(load: bytes) -> bool | None:
+    parts = load.split(b',')
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return None
+    return not waiting and running < slots
+
+
 def _keep_alive_s(text: bytes) -> float | None:
     for part in text.split(b','):
         name, _, content = part.strip().partition(b'=')
--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -231,4 +231,3 @@
 def _drop(call: asyncio.Task[Verdict | None]) -> None:
     if not call.cancelled() and call.exception() is not None:
         _log.warning('voter call failed', error=repr(call.exception()))
-
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -350,14 +350,22 @@
     replaceable = list(silent)
     for voter in joining:
         former = [
-            other for other in chosen if other.address.host == voter.address.host
+            other
+            for other in chosen
+            if other.address.host == voter.address.host
         ]
         if former:
             chosen -= set(former)
-            replaceable = [other for other in replaceable if other not in former]
+            replaceable = [
+                other for other in replaceable if other not in former
+            ]
         elif replaceable:
             chosen.discard(replaceable.pop(0))
         if len(chosen) < MAX_VOTERS:
             chosen.add(voter)
     return tuple(sorted(chosen))
 
+
+def _newest(states: Sequence[Declared | None]) -> Declared | None:
+    found = [state for state in states if state is not None]
+    return max(found, key=lambda state: state.index, default=None)
--- a/src/cuminhoist/steering/asks.py
+++ b/src/cuminhoist/steering/asks.py
@@ -67,6 +67,8 @@
     failed = 'failed'
     #: The target stated that it did not run the request.
     shed = 'shed'
+    #: The same, although it had free slots.
+    declined = 'declined'
     #: Another target has the address.
     misdirected = 'misdirected'
     #: The connection was lost or carried no valid answer.
--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -4,59 +4,104 @@
 a time, each of full use only within an objective that is little longer than
 its work. Every request that waits longer than its objective allows takes a
 slot from one that would still be in time, so a request waits only as long as
-its answer can be in time, and is refused at its arrival if the requests
-before it will take longer than that.
+its answer can be in time, and is refused at its arrival if that will not be.
 """
 
 import collections
 from collections.abc import Iterable
 
-from ..rendezvous import score
+import msgspec
+
 from .asks import Ask, Decision, Done, Ending, Granted, RefusalReason, Refused
-from .targets import TargetEntry
+from .placement import Option, Placement, RunTimes
 from .track import TargetTrack
 
-#: Weight of a new observation in the run times of a service.
+#: Least weight of a new observation in the run times of a service.
 SMOOTHING = 0.05
-#: Part of the first objective that a run is taken to last before any was
-#: seen.
-FIRST_RUN_PART = 0.7
-#: Work on an object that the target holds takes about this part.
-WARM_PART = 0.7
-#: Runs vary by about 15%; a start that leaves less than this much more than
-#: the mean is not in time often enough.
+#: Run times before any was seen, as parts of the first objective.
+FIRST_COLD_PART = 0.9
+FIRST_WARM_PART = 0.3
+#: A run that took this many times longer than expected says nothing of the
+#: service.
+OUTLIER_RATIO = 4.0
+#: Runs vary by about 15%; what is estimated to end this close to the
+#: objective is not in time often enough.
 RUN_SPREAD = 0.1
-#: A caller that is refused comes back after this time unless the estimate
-#: is longer, in seconds.
+#: When a refused caller may come back, in seconds.
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
-#: A request whose answer is late anyway waits at most this long for a slot
-#: that no other request needs, in seconds.
-LATE_WAIT_S = 0.03
+#: A request whose answer is late anyway waits at most this long for a slot,
+#: in seconds.
+LATE_WAIT_S = 0.05
+#: A waiting request is looked at again this long after its slot was due, in
+#: seconds.
+LOOK_AGAIN_S = 0.015
+#: Time after the deadline of an attempt in which its end is reported, in
+#: seconds.
+REPORT_S = 1.0
+#: An attempt that another dispatcher granted ends within this time, in
+#: seconds; its deadline is not known.
+ADOPTED_S = 2.0
+
+
+class _Started(msgspec.Struct, frozen=True):
+    """An attempt that holds a slot.
+
+    :param ends_at: when it must have ended.
+    """
+
+    service: str
+    target: str
+    key: str
+    ends_at: float
+    was_warm: bool = False
 
 
 class _Waiting:
-    """A request in the queue of a service."""
+    """A request in the queue of a service.
+
+    :param track: the target whose slot it waits for.
+    :param look_at: when another way to serve it is looked for.
+    """
 
     def __init__(self, asker: str, ask: Ask, now: float) -> None:
         self.asker = asker
         self.ask = ask
         self.since = now
         self.useful_until = now + ask.useful_s
+        self.track: TargetTrack | None = None
+        self.look_at = now
+
+    def wait_for(self, option: Option, now: float) -> None:
+        """Join the queue of a target.
+
+        :param option: the target and the expected wait.
+        :param now: monotonic time in seconds.
+        """
+        self.leave()
+        self.track = option.track
+        self.track.queued += 1
+        self.look_at = now + option.wait_s + LOOK_AGAIN_S
+
+    def leave(self) -> None:
+        """Leave the queue of the target."""
+        if self.track is not None:
+            self.track.queued -= 1
+            self.track = None
 
 
 class ServiceQueue:
     """Targets, run times and waiting requests of one service."""
 
     def __init__(self) -> None:
-        self.tracks: dict[str, TargetTrack] = {}
+        self.placement = Placement({}, '')
         self.waiting: collections.deque[_Waiting] = collections.deque()
-        self.warm_run_s = float(0)
-        self.cold_run_s = float(0)
+        self.times = RunTimes()
 
-    def slots(self) -> float:
-        """Return the slots of all targets."""
-        return sum(track.slots for track in self.tracks.values())
+    @property
+    def tracks(self) -> dict[str, TargetTrack]:
+        """All targets by name."""
+        return self.placement.tracks
 
     def learn(self, run_s: float, *, was_warm: bool) -> None:
         """Add the run time of an answered request.
@@ -64,30 +109,24 @@
         :param run_s: the time, in seconds.
         :param was_warm: whether its target held its object.
         """
+        times = self.times
         if was_warm:
-            self.warm_run_s += SMOOTHING * (run_s - self.warm_run_s)
+            times.warm_count += 1
+            weight = max(SMOOTHING, 1 / (times.warm_count + 1))
+            times.warm_s += weight * (run_s - times.warm_s)
         else:
-            self.cold_run_s += SMOOTHING * (run_s - self.cold_run_s)
+            times.cold_count += 1
+            weight = max(SMOOTHING, 1 / (times.cold_count + 1))
+            times.cold_s += weight * (run_s - times.cold_s)
 
     def expect(self, objective_s: float) -> None:
         """Take first run times from an objective.
 
         :param objective_s: time in which an answer is of full use.
         """
-        if not self.cold_run_s and objective_s > 0:
-            self.cold_run_s = objective_s * FIRST_RUN_PART / WARM_PART
-            self.warm_run_s = objective_s * FIRST_RUN_PART
-
-    def run_s(self, track: TargetTrack, key: str, now: float) -> float:
-        """Return the expected time until an answer of a target.
-
-        :param track: the target.
-        :param key: identity of the object.
-        :param now: monotonic time in seconds.
-        """
-        warm = track.is_warm(key)
-        base = self.warm_run_s if warm else self.cold_run_s
-        return base * track.slowdown(now) + track.distance_s
+        if not self.times.cold_s and objective_s > 0:
+            self.times.cold_s = objective_s * FIRST_COLD_PART
+            self.times.warm_s = objective_s * FIRST_WARM_PART
 
 
 class Dispatcher:
@@ -95,7 +134,7 @@
 
     def __init__(self) -> None:
         self._services: dict[str, ServiceQueue] = {}
-        self._started: dict[tuple[str, int], tuple[str, bool]] = {}
+        self._started: dict[tuple[str, int], _Started] = {}
 
     def service(self, name: str) -> ServiceQueue:
         """Return the queue of a service.
@@ -108,17 +147,23 @@
         """Return all services with their queues."""
         return self._services.items()
 
+    def waits(self) -> bool:
+        """Tell whether any request waits."""
+        return any(queue.waiting for queue in self._services.values())
+
     def set_targets(
         self,
         service: str,
         tracks: dict[str, TargetTrack],
+        region: str,
     ) -> None:
         """Replace the targets of a service.
 
         :param service: the service.
         :param tracks: its targets by name; known ones are kept objects.
+        :param region: region of the dispatcher.
         """
-        self.service(service).tracks = tracks
+        self.service(service).placement = Placement(tracks, region)
 
     def offer(self, asker: str, ask: Ask, now: float) -> Decision | None:
         """Decide on a request at its arrival.
@@ -130,17 +175,11 @@
         """
         queue = self.service(ask.service)
         queue.expect(ask.useful_s)
-        usable = _usable(queue, ask)
-        if not usable:
-            return Refused(ask.number, RefusalReason.no_target, MIN_RETRY_S)
         waiting = _Waiting(asker, ask, now)
-        chosen = self._choose(queue, waiting, usable, now)
-        if chosen is not None:
-            return self._grant(queue, waiting, chosen, now)
-        if self._may_wait(queue, waiting, usable, now):
+        decision = self._decide(queue, waiting, now)
+        if decision is None:
             queue.waiting.append(waiting)
-            return None
-        return self._refuse(queue, waiting, now)
+        return decision
 
     def done(
         self,
@@ -156,19 +195,14 @@
         :returns: decisions by entry instance.
         """
         started = self._started.pop((asker, done.number), None)
-        queue = self.service(done.service)
-        track = queue.tracks.get(done.target)
-        if started is None or track is None:
-            return self.tick(now)
-        was_warm = started[1]
-        expected = queue.warm_run_s if was_warm else queue.cold_run_s
-        run_s = max(done.run_s - track.distance_s, 0)
-        ratio = run_s / expected if expected else 1
-        if done.ending is Ending.answered:
-            if now >= track.cold_until and ratio < 3:
-                queue.learn(run_s, was_warm=was_warm)
-        track.end(done.ending, ratio, now)
-        return self._serve_waiting(queue, now)
+        if started is None:
+            return []
+        queue = self.service(started.service)
+        track = queue.tracks.get(started.target)
+        if track is None:
+            return []
+        self._note_end(queue, track, started, done, now)
+        return self._serve_queue_of(queue, track, now)
 
     def withdraw(self, asker: str, number: int, service: str) -> None:
         """Take a request out of the queue.
@@ -180,6 +214,7 @@
         queue = self.service(service)
         for waiting in queue.waiting:
             if waiting.asker == asker and waiting.ask.number == number:
+                waiting.leave()
                 queue.waiting.remove(waiting)
                 return
 
@@ -190,15 +225,22 @@
         :param now: monotonic time in seconds.
         """
         for queue in self._services.values():
-            queue.waiting = collections.deque(
-                entry for entry in queue.waiting if entry.asker != asker
-            )
-        for owner, number in [key for key in self._started if key[0] == asker]:
-            target, _ = self._started.pop((owner, number))
-            for queue in self._services.values():
-                track = queue.tracks.get(target)
-                if track is not None:
-                    track.end(Ending.withdrawn, 1, now)
+            for waiting in [
+                entry for entry in queue.waiting if entry.asker == asker
+            ]:
+                waiting.leave()
+                queue.waiting.remove(waiting)
+        for key in [key for key in self._started if key[0] == asker]:
+            self._free(self._started.pop(key), now)
+
+    def expire(self, now: float) -> None:
+        """Free attempts whose end was never reported.
+
+        :param now: monotonic time in seconds.
+        """
+        for key, started in list(self._started.items()):
+            if now > started.ends_at + REPORT_S:
+                self._free(self._started.pop(key), now)
 
     def tick(self, now: float) -> list[tuple[str, Decision]]:
         """Decide on waiting requests whose time has come.
@@ -208,7 +250,13 @@
         """
         decisions: list[tuple[str, Decision]] = []
         for queue in self._services.values():
-            decisions.extend(self._serve_waiting(queue, now))
+            for waiting in list(queue.waiting):
+                if now < waiting.look_at:
+                    continue
+                decision = self._decide(queue, waiting, now)
+                if decision is not None:
+                    queue.waiting.remove(waiting)
+                    decisions.append((waiting.asker, decision))
         return decisions
 
     def adopt(self, asker: str, done: Done, now: float) -> None:
@@ -220,100 +268,110 @@
         """
         track = self.service(done.service).tracks.get(done.target)
         if track is not None and (asker, done.number) not in self._started:
-            self._started[(asker, done.number)] = (done.target, False)
+            self._started[(asker, done.number)] = _Started(
+                done.service,
+                done.target,
+                done.key,
+                now + ADOPTED_S,
+            )
             track.start(done.key, now)
 
-    def _serve_waiting(
+    def _decide(
         self,
         queue: ServiceQueue,
+        waiting: _Waiting,
         now: float,
-    ) -> list[tuple[str, Decision]]:
-        decisions: list[tuple[str, Decision]] = []
-        for waiting in list(queue.waiting):
-            usable = _usable(queue, waiting.ask)
-            chosen = self._choose(queue, waiting, usable, now)
-            decision: Decision | None = None
-            if chosen is not None:
-                decision = self._grant(queue, waiting, chosen, now)
-            elif not usable or self._is_hopeless(queue, waiting, usable, now):
-                decision = self._refuse(queue, waiting, now)
-            if decision is not None:
-                queue.waiting.remove(waiting)
-                decisions.append((waiting.asker, decision))
-        return decisions
+    ) -> Decision | None:
+        ask = waiting.ask
+        waiting.leave()
+        options = list(
+            queue.placement.options(
+                ask.key,
+                queue.times,
+                now,
+                ask.homes,
+                ask.excluded,
+            ),
+        )
+        if not options:
+            return Refused(ask.number, RefusalReason.no_target, MIN_RETRY_S)
+        best = min(options, key=lambda option: option.total_s)
+        if not best.wait_s:
+            return self._grant(waiting, best.track, now)
+        if best.total_s * (1 + RUN_SPREAD) <= waiting.useful_until - now:
+            waiting.wait_for(best, now)
+            return None
+        return self._decide_late(queue, waiting, options, now)
 
-    def _choose(
+    def _decide_late(
         self,
         queue: ServiceQueue,
         waiting: _Waiting,
-        usable: list[TargetTrack],
+        options: list[Option],
         now: float,
-    ) -> TargetTrack | None:
-        """Return the target that a request is sent to now, if any."""
-        ask = waiting.ask
-        free = [track for track in usable if track.has_room(now)]
-        if not free:
+    ) -> Decision | None:
+        """Decide on a request that would be late after the shortest wait."""
+        free = [option for option in options if not option.wait_s]
+        if free:
+            soonest = min(free, key=lambda option: option.total_s)
+            return self._grant(waiting, soonest.track, now)
+        waited_s = now - waiting.since
+        soonest = min(options, key=lambda option: option.wait_s)
+        if waited_s + soonest.wait_s <= LATE_WAIT_S:
+            waiting.wait_for(soonest, now)
             return None
-        best = min(
-            free,
-            key=lambda track: (
-                queue.run_s(track, ask.key, now)
-                + queue.warm_run_s * 0.1 * track.running / track.slots,
-                -score(ask.key, track.entry.name),
-            ),
-        )
-        if best.is_warm(ask.key) or not ask.key:
-            return best
-        useful_s = waiting.useful_until - now
-        cold_in_time = queue.run_s(best, ask.key, now) <= useful_s
-        held = [track for track in usable if track.is_warm(ask.key)]
-        if not held or cold_in_time:
-            return best
-        # Only a target that holds the object can still be in time.
-        warm_s = min(queue.run_s(track, ask.key, now) for track in held)
-        wait_s = queue.warm_run_s / sum(track.slots for track in held)
-        return None if warm_s + wait_s <= useful_s else best
-
-    def _may_wait(
+        return self._refuse(queue, waiting, soonest)
+
+    def _serve_queue_of(
         self,
         queue: ServiceQueue,
-        waiting: _Waiting,
-        usable: list[TargetTrack],
+        track: TargetTrack,
         now: float,
-    ) -> bool:
-        slots = sum(track.slots for track in usable)
-        if not slots:
-            return False
-        run_s = min(queue.run_s(track, waiting.ask.key, now) for track in usable)
-        wait_s = queue.warm_run_s * (len(queue.waiting) + 1) / slots
-        slack_s = waiting.ask.useful_s - run_s * (1 + RUN_SPREAD)
-        if wait_s <= slack_s:
-            return True
-        return not queue.waiting and slack_s < 0 < waiting.ask.left_s - run_s
-
-    def _is_hopeless(
+    ) -> list[tuple[str, Decision]]:
+        decisions: list[tuple[str, Decision]] = []
+        if not track.queued:
+            return decisions
+        for waiting in list(queue.waiting):
+            if not track.has_room(now):
+                break
+            if waiting.track is track:
+                waiting.leave()
+                queue.waiting.remove(waiting)
+                granted = self._grant(waiting, track, now)
+                decisions.append((waiting.asker, granted))
+        return decisions
+
+    def _note_end(
         self,
         queue: ServiceQueue,
-        waiting: _Waiting,
-        usable: list[TargetTrack],
+        track: TargetTrack,
+        started: _Started,
+        done: Done,
         now: float,
-    ) -> bool:
-        run_s = min(queue.run_s(track, waiting.ask.key, now) for track in usable)
-        in_time = waiting.useful_until - now >= run_s
-        return not in_time and now - waiting.since >= LATE_WAIT_S
+    ) -> None:
+        times = queue.times
+        expected = times.warm_s if started.was_warm else times.cold_s
+        run_s = max(done.run_s - track.distance_s, 0)
+        ratio = run_s / expected if expected else 1
+        usual = now >= track.cold_until and ratio < OUTLIER_RATIO
+        if done.ending is Ending.answered and usual:
+            queue.learn(run_s, was_warm=started.was_warm)
+        track.end(done.ending, started.key, ratio, now)
 
     def _grant(
         self,
-        queue: ServiceQueue,
         waiting: _Waiting,
         track: TargetTrack,
         now: float,
     ) -> Granted:
         ask = waiting.ask
         name = track.entry.name
-        self._started[(waiting.asker, ask.number)] = (
+        self._started[(waiting.asker, ask.number)] = _Started(
+            ask.service,
             name,
-            track.is_warm(ask.key),
+            ask.key,
+            now + ask.left_s,
+            was_warm=track.is_warm(ask.key),
         )
         track.start(ask.key, now)
         return Granted(ask.number, name, now - waiting.since)
@@ -322,21 +380,12 @@
         self,
         queue: ServiceQueue,
         waiting: _Waiting,
-        now: float,
+        soonest: Option,
     ) -> Refused:
-        slots = max(queue.slots(), 1)
-        drain_s = queue.warm_run_s * len(queue.waiting) / slots
-        retry_s = min(max(MIN_RETRY_S, drain_s), MAX_RETRY_S)
+        retry_s = min(max(MIN_RETRY_S, soonest.wait_s), MAX_RETRY_S)
         return Refused(waiting.ask.number, RefusalReason.overload, retry_s)
 
-
-def _usable(queue: ServiceQueue, ask: Ask) -> list[TargetTrack]:
-    found = [
-        track
-        for name, track in queue.tracks.items()
-        if track.slots > 0
-        and name not in ask.excluded
-        and (not ask.homes or track.region in ask.homes)
-    ]
-    return found
-
+    def _free(self, started: _Started, now: float) -> None:
+        track = self.service(started.service).tracks.get(started.target)
+        if track is not None:
+            track.end(Ending.withdrawn, started.key, 1, now)
--- /dev/null
+++ b/src/cuminhoist/steering/placement.py
@@ -0,0 +1,128 @@
+"""Estimates when each target would answer a request, and picks one.
+
+The load pattern that this answers: work on an object that a target holds
+takes a third of the time, and no target holds all objects. Spread evenly,
+requests keep evicting each other's objects and the targets have half of
+their capacity. So each object has an order of targets in each region; a
+request waits for a target that holds its object as long as that is faster
+than work on another one from the start.
+"""
+
+import functools
+from collections.abc import Iterable
+
+import msgspec
+
+from ..rendezvous import ranked
+from .track import TargetTrack
+
+#: Added to the estimate for each place in the order of an object's targets,
+#: in seconds: it decides between targets that would be equally fast.
+RANK_STEP_S = 0.001
+#: Orders that are kept; a service has tens to thousands of objects in use.
+CACHED_ORDERS = 8192
+
+
+class RunTimes(msgspec.Struct):
+    """How long the requests of a service run.
+
+    :param warm_s: at a target that holds the object, in seconds.
+    :param cold_s: at another one, in seconds.
+    """
+
+    warm_s: float = 0
+    cold_s: float = 0
+    warm_count: int = 0
+    cold_count: int = 0
+
+
+class Option(msgspec.Struct, frozen=True):
+    """One way to serve a request.
+
+    :param wait_s: time until the target has room, in seconds; 0 if it has.
+    :param total_s: time until the answer, in seconds.
+    """
+
+    track: TargetTrack
+    wait_s: float
+    total_s: float
+
+
+@functools.lru_cache(maxsize=CACHED_ORDERS)
+def object_order(key: str, names: tuple[str, ...]) -> dict[str, int]:
+    """Return the place of each target in the order of an object.
+
+    :param key: identity of the object.
+    :param names: targets of one service in one region.
+    """
+    return {name: place for place, name in enumerate(ranked(key, names))}
+
+
+class Placement:
+    """Targets of one service as one dispatcher may use them.
+
+    :param tracks: the targets by name.
+    :param region: region of the dispatcher.
+    """
+
+    def __init__(self, tracks: dict[str, TargetTrack], region: str) -> None:
+        self.tracks = tracks
+        self.region = region
+        self.usable = [track for track in tracks.values() if track.slots > 0]
+        by_region: dict[str, list[str]] = {}
+        for name, track in tracks.items():
+            by_region.setdefault(track.region, []).append(name)
+        self._names = {
+            name: tuple(sorted(names)) for name, names in by_region.items()
+        }
+
+    def options(
+        self,
+        key: str,
+        times: RunTimes,
+        now: float,
+        homes: frozenset[str],
+        excluded: tuple[str, ...],
+    ) -> Iterable[Option]:
+        """Yield the ways to serve a request.
+
+        :param key: identity of its object, or empty.
+        :param times: how long requests of the service run.
+        :param now: monotonic time in seconds.
+        :param homes: regions that may serve it; empty for all.
+        :param excluded: targets that it was sent to before.
+        """
+        for track in self.usable:
+            name = track.entry.name
+            if name in excluded or (homes and track.region not in homes):
+                continue
+            order = object_order(key, self._names[track.region]) if key else {}
+            place = order.get(name, 0)
+            yield self._option(track, key, place, times, now)
+
+    def _option(
+        self,
+        track: TargetTrack,
+        key: str,
+        place: int,
+        times: RunTimes,
+        now: float,
+    ) -> Option:
+        warm = track.is_warm(key) or not key
+        if not warm and track.region != self.region and not place:
+            # Its own region sends the object there first.
+            warm = True
+        run_s = times.warm_s if warm else times.cold_s
+        wait_s = track.wait_s(times.warm_s, now)
+        warming_s = track.warming_s(key, times.cold_s, now)
+        if not warm and warming_s is not None:
+            wait_s = max(wait_s, warming_s)
+            run_s = times.warm_s
+        busy_s = times.warm_s * 0.1 * track.running / track.slots
+        total_s = (
+            wait_s
+            + run_s * track.slowdown(now)
+            + track.distance_s
+            + place * RANK_STEP_S
+        )
+        return Option(track, wait_s, total_s + busy_s)
--- a/src/cuminhoist/steering/supply.py
+++ b/src/cuminhoist/steering/supply.py
@@ -17,6 +17,8 @@
 #: Slots that a region keeps beyond its mean demand, as a part of it: random
 #: arrivals need some room to be served without waiting.
 HEADROOM = 0.1
+#: Shortest run that is reckoned with, in seconds.
+MIN_RUN_S = 0.02
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -39,6 +41,7 @@
     :param distance_s: round trip to another region, in seconds.
     :param cold_per_s: requests a second that a cold target tolerates, by
         service.
+    :param run_s: how long requests run, in seconds, by service.
     """
 
     region: str
@@ -46,6 +49,7 @@
     drained: frozenset[str]
     distance_s: float
     cold_per_s: Mapping[str, float]
+    run_s: Mapping[str, float]
 
 
 def usable_entries(
@@ -169,7 +173,10 @@
             away = region != terms.region
             track = TargetTrack(entry, region, terms.distance_s * away)
         track.entry = entry
-        track.slots = allotted[entry.name].get(terms.region, 0)
+        slots = allotted[entry.name].get(terms.region, 0)
+        # Requests on their way to another region keep no slot busy there.
+        run_s = terms.run_s.get(entry.service) or terms.distance_s
+        track.slots = slots * (1 + track.distance_s / max(run_s, MIN_RUN_S))
         track.cold_per_s = terms.cold_per_s.get(entry.service) or float('inf')
         if entry.cold_s > 0:
             track.cold_until = max(track.cold_until, now + entry.cold_s)
--- a/src/cuminhoist/steering/track.py
+++ b/src/cuminhoist/steering/track.py
@@ -19,7 +19,7 @@
 #: long, in seconds.
 SHED_PAUSE_S = 0.06
 #: Objects that a target is taken to hold; more would be guesses.
-MAX_WARM_OBJECTS = 32
+MAX_WARM_OBJECTS = 24
 #: Time after which an observation of speed has faded, in seconds, so that a
 #: slow target is tried again.
 SPEED_MEMORY_S = 4.0
@@ -49,6 +49,7 @@
         self.distance_s = distance_s
         self.slots: float = entry.slots
         self.running = 0
+        self.queued = 0
         self.cold_until = float('-inf')
         self.cold_per_s = float('inf')
         self.aside_until = float('-inf')
@@ -59,6 +60,7 @@
         self._speed_at = float('-inf')
         self._cold_tokens = float(1)
         self._cold_at = float('-inf')
+        self._warming: dict[str, float] = {}
         self._warm: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -102,21 +104,54 @@
         if now < self.cold_until:
             self._cold_tokens = self._cold_allowance(now) - 1
             self._cold_at = now
-        if key:
-            self._warm[key] = None
-            self._warm.move_to_end(key)
-            if len(self._warm) > MAX_WARM_OBJECTS:
-                self._warm.popitem(last=False)
+        if key and key not in self._warm:
+            self._warming.setdefault(key, now)
 
-    def end(self, ending: Ending, ratio: float, now: float) -> None:
+    def wait_s(self, run_s: float, now: float) -> float:
+        """Return the time until a request that comes now is sent.
+
+        :param run_s: how long requests run, in seconds.
+        :param now: monotonic time in seconds.
+        """
+        if self.has_room(now) and not self.queued:
+            return 0
+        ahead = self.queued + 1
+        aside_s = max(self.aside_until - now, 0)
+        return aside_s + run_s * self.slowdown(now) * ahead / self.slots
+
+    def warming_s(
+        self, key: str, cold_run_s: float, now: float
+    ) -> float | None:
+        """Return the time until the target holds an object, if it will soon.
+
+        :param key: identity of the object.
+        :param cold_run_s: how long the first request for it runs.
+        :param now: monotonic time in seconds.
+        """
+        since = self._warming.get(key)
+        if since is None:
+            return None
+        left_s = cold_run_s * self.slowdown(now) - (now - since)
+        return max(left_s, cold_run_s * 0.1)
+
+    def end(
+        self,
+        ending: Ending,
+        key: str,
+        ratio: float,
+        now: float,
+    ) -> None:
         """Count the end of a request.
 
         :param ending: how it ended.
+        :param key: identity of its object.
         :param ratio: its run time in terms of the expected one.
         :param now: monotonic time in seconds.
         """
         self.running = max(self.running - 1, 0)
+        self._warming.pop(key, None)
         if ending is Ending.answered:
+            self._hold(key)
             self._note_answer(ratio, now)
         elif ending in _FAILURES:
             self._note_failure(now)
@@ -126,6 +161,14 @@
             self._failures_in_row = MAX_FAILURES_IN_ROW
             self._set_aside(now)
 
+    def _hold(self, key: str) -> None:
+        if not key:
+            return
+        self._warm[key] = None
+        self._warm.move_to_end(key)
+        if len(self._warm) > MAX_WARM_OBJECTS:
+            self._warm.popitem(last=False)
+
     def is_suspect(self) -> bool:
         """Tell whether the last requests failed."""
         return self._failures_in_row > 0
