--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -298,11 +298,19 @@
             leaving=self.leaving,
         )
 
-    def view_for(self, region: str, index: int, *, confirmed: bool) -> View:
+    def view_for(
+        self,
+        region: str,
+        index: int,
+        demand: tuple[Demand, ...],
+        *,
+        confirmed: bool,
+    ) -> View:
         """Return what this instance tells an entry instance.
 
         :param region: region of the entry instance.
         :param index: of the newest declared state that it knows.
+        :param demand: what the requests of all regions need.
         :param confirmed: whether it reaches a quorum.
         """
         controls = self.controls()
@@ -314,6 +322,7 @@
             dispatcher=dispatcher_of(region, controls),
             entries=len(entries),
             region_entries=sum(entry.region == region for entry in entries),
+            demand=demand,
         )
 
     def _fresh(self) -> list[Peer]:
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -29,6 +29,9 @@
 
 #: Time for the others to learn that this instance leaves, in seconds.
 LEAVE_S = 0.8
+#: A control instance that has just started does not know all entry instances
+#: yet; its roster would hide the others, in seconds.
+ROSTER_AFTER_S = 2.0
 
 Decode = Callable[[bytes], Result[RouteTable, str]]
 _log = logger('control')
@@ -69,6 +72,8 @@
     ) -> None:
         self._site = site
         self._decode = decode
+        self._now = now
+        self._began_at = now()
         self._routes: RouteTable | None = None
         self.life = secrets.token_hex(6)
         self.links = ControlLinks(
@@ -228,7 +233,8 @@
             peer.link.send(Learned(state=known))
         if not peer.hello.control:
             peer.link.send(self.feed.message())
-            peer.link.send(Roster(entries=tuple(self.links.entries())))
+            if self._now() - self._began_at > ROSTER_AFTER_S:
+                peer.link.send(Roster(entries=tuple(self.links.entries())))
             peer.link.send(self._view(peer))
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
@@ -258,7 +264,8 @@
             await asyncio.sleep(BEAT_S)
 
     def _beat(self) -> None:
-        self.links.tell_roster()
+        if self._now() - self._began_at > ROSTER_AFTER_S:
+            self.links.tell_roster()
         known = self.replica.known
         index = known.index if known else -1
         beat = self.links.beat(index, self.replica.name, self._demand)
@@ -276,6 +283,7 @@
         return self.links.view_for(
             peer.hello.region,
             known.index if known else -1,
+            tuple(self.links.demand(self._demand)),
             confirmed=self.confirmed,
         )
 
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -18,7 +18,7 @@
 from ..register.ballots import Learned
 from ..register.declared import Declared
 from ..steering.dispatch import Dispatcher
-from ..steering.supply import Terms, make_tracks, usable_entries
+from ..steering.supply import Demand, Terms, make_tracks, usable_entries
 from ..steering.targets import TargetEntry
 from .control_role import Decode
 from .entry_links import EntryLinks
@@ -93,6 +93,7 @@
         )
         self.feed = TargetFeed(source, self._rank, now, self._on_targets)
         self._region_entries = 1
+        self._demand: tuple[Demand, ...] = ()
         self._roster: tuple[EntrySeen, ...] = ()
         self._tasks: list[asyncio.Task[None]] = []
         self.leaving = False
@@ -187,10 +188,9 @@
 
     def _on_view(self, view: View) -> None:
         self.passages.known.entries = max(view.entries, 1)
-        count = max(view.region_entries, 1)
-        if count != self._region_entries:
-            self._region_entries = count
-            self._update_targets()
+        self._region_entries = max(view.region_entries, 1)
+        if view.demand:
+            self._demand = view.demand
 
     def _on_targets(self, feed: TargetFeed) -> None:
         known = self.passages.known
@@ -217,7 +217,10 @@
                 name: entry.cold_per_s / self._region_entries
                 for name, entry in services.items()
             },
-            {},
+            {
+                name: queue.times.warm_s
+                for name, queue in self.placer.local.services()
+            },
         )
         usable = usable_entries(self.feed.entries, drained)
         self.passages.known.targets = {entry.name: entry for entry in usable}
@@ -227,17 +230,20 @@
         local = self.placer.local
         names = {name for name, _ in local.services()} | by_service.keys()
         for service in names:
-            entries = by_service.get(service, [])
+            needs = {
+                need.region: need.slots
+                for need in self._demand
+                if need.service == service
+            }
             tracks = make_tracks(
                 local.service(service).tracks,
-                entries,
-                {},
+                by_service.get(service, []),
+                needs,
                 terms,
                 self._now(),
             )
             for track in tracks.values():
-                share = track.entry.slots / self._region_entries
-                track.slots = max(round(share), 1)
+                track.slots /= self._region_entries
             local.set_targets(service, tracks, self._site.region)
 
     async def _run_checks(self) -> None:
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -89,6 +89,7 @@
     :param dispatcher: name of the one that decides for this region.
     :param entries: entry instances that take requests, in all regions.
     :param region_entries: those of the receiver's region.
+    :param demand: what the requests of all regions need.
     """
 
     index: int
@@ -97,6 +98,7 @@
     dispatcher: str
     entries: int
     region_entries: int
+    demand: tuple[Demand, ...] = ()
 
 
 @message
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -45,6 +45,9 @@
 MIN_ATTEMPT_S = 0.03
 #: When a caller comes back that was refused while no state was known.
 UNREADY_RETRY_S = 0.3
+#: The same after a target with free slots declined: there is room now, but
+#: the budget of attempts is spent.
+DECLINED_RETRY_S = 0.01
 #: Part of the deployment's limit of further attempts that is used: the
 #: instances do not agree on the number of requests at one moment.
 BUDGET_PART = 0.6
@@ -342,10 +345,11 @@
         send: Send,
     ) -> str:
         if not run.may_have_run:
+            declined = ended.ending is Ending.declined
             refusal = not_run(
                 Reason.target_refused,
                 'The target did not take it.',
-                UNREADY_RETRY_S,
+                DECLINED_RETRY_S if declined else UNREADY_RETRY_S,
             )
         else:
             reason = Reason.target_lost
--- a/src/cuminhoist/gateway/placing.py
+++ b/src/cuminhoist/gateway/placing.py
@@ -120,6 +120,8 @@
             self._local_numbers.discard(done.number)
             for _, decision in self.local.done('', done, self._now()):
                 self.settle(decision)
+        else:
+            self.local.observe(done, self._now())
         # A dispatcher that was chosen meanwhile has counted it as well.
         if self._remote.available():
             self._remote.done(done)
--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -276,6 +276,19 @@
             )
             track.start(done.key, now)
 
+    def observe(self, done: Done, now: float) -> None:
+        """Learn from an attempt that another dispatcher granted.
+
+        :param done: how it ended.
+        :param now: monotonic time in seconds.
+        """
+        queue = self.service(done.service)
+        track = queue.tracks.get(done.target)
+        if track is None or done.ending is not Ending.answered:
+            return
+        ratio = self._learn(queue, track, done, track.is_warm(done.key), now)
+        track.observe(done.key, ratio, now)
+
     def _decide(
         self,
         queue: ServiceQueue,
@@ -349,14 +362,29 @@
         done: Done,
         now: float,
     ) -> None:
+        ratio = self._learn(queue, track, done, started.was_warm, now)
+        track.end(done.ending, started.key, ratio, now)
+
+    def _learn(
+        self,
+        queue: ServiceQueue,
+        track: TargetTrack,
+        done: Done,
+        was_warm: bool,
+        now: float,
+    ) -> float:
+        """Learn a run time and return it in terms of the expected one."""
         times = queue.times
-        expected = times.warm_s if started.was_warm else times.cold_s
         run_s = max(done.run_s - track.distance_s, 0)
+        expected = times.warm_s if was_warm else times.cold_s
+        if not was_warm and run_s < (times.warm_s + times.cold_s) / 2:
+            # The target held the object although it was not known.
+            return run_s / times.warm_s if times.warm_s else 1
         ratio = run_s / expected if expected else 1
-        usual = now >= track.cold_until and ratio < OUTLIER_RATIO
+        usual = not track.is_cold(now) and ratio < OUTLIER_RATIO
         if done.ending is Ending.answered and usual:
-            queue.learn(run_s, was_warm=started.was_warm)
-        track.end(done.ending, started.key, ratio, now)
+            queue.learn(run_s, was_warm=was_warm)
+        return ratio
 
     def _grant(
         self,
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -108,16 +108,19 @@
         times: RunTimes,
         now: float,
     ) -> Option:
-        warm = track.is_warm(key) or not key
-        if not warm and track.region != self.region and not place:
-            # Its own region sends the object there first.
-            warm = True
+        # The first target of the order is taken to hold the object: its
+        # region sends the object there first, also before this dispatcher
+        # has started.
+        warm = track.is_warm(key) or not place
         run_s = times.warm_s if warm else times.cold_s
         wait_s = track.wait_s(times.warm_s, now)
         warming_s = track.warming_s(key, times.cold_s, now)
         if not warm and warming_s is not None:
             wait_s = max(wait_s, warming_s)
             run_s = times.warm_s
+        if track.untried and not place and not track.is_cold(now):
+            # A new target gets a request as soon as it is warm.
+            return Option(track, wait_s, 0)
         busy_s = times.warm_s * 0.1 * track.running / track.slots
         total_s = (
             wait_s
--- a/src/cuminhoist/steering/track.py
+++ b/src/cuminhoist/steering/track.py
@@ -49,6 +49,7 @@
         self.distance_s = distance_s
         self.slots: float = entry.slots
         self.running = 0
+        self.untried = True
         self.queued = 0
         self.cold_until = float('-inf')
         self.cold_per_s = float('inf')
@@ -72,6 +73,13 @@
         """
         return key in self._warm
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target has just started.
+
+        :param now: monotonic time in seconds.
+        """
+        return now < self.cold_until
+
     def has_room(self, now: float) -> bool:
         """Tell whether a request may be sent now.
 
@@ -101,6 +109,7 @@
         :param now: monotonic time in seconds.
         """
         self.running += 1
+        self.untried = False
         if now < self.cold_until:
             self._cold_tokens = self._cold_allowance(now) - 1
             self._cold_at = now
@@ -161,6 +170,17 @@
             self._failures_in_row = MAX_FAILURES_IN_ROW
             self._set_aside(now)
 
+    def observe(self, key: str, ratio: float, now: float) -> None:
+        """Count an answer to a request that another dispatcher granted.
+
+        :param key: identity of its object.
+        :param ratio: its run time in terms of the expected one.
+        :param now: monotonic time in seconds.
+        """
+        self.untried = False
+        self._hold(key)
+        self._note_answer(ratio, now)
+
     def _hold(self, key: str) -> None:
         if not key:
             return
