--- a/src/cuminhoist/steering/supply.py
+++ b/src/cuminhoist/steering/supply.py
@@ -6,6 +6,7 @@
 number of requests that run in another region changes in small steps.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -14,9 +15,9 @@
 from .targets import TargetEntry, TargetState
 from .track import TargetTrack
 
-#: Slots that a region keeps beyond its mean demand, as a part of it: random
-#: arrivals need some room to be served without waiting.
-HEADROOM = 0.1
+#: Slots that a region keeps beyond its mean demand, in terms of the square
+#: root of it: with random arrivals, that many keep waiting rare.
+HEADROOM_ROOTS = 2.0
 #: Shortest run that is reckoned with, in seconds.
 MIN_RUN_S = 0.02
 
@@ -80,7 +81,8 @@
     spare: dict[str, float] = {}
     missing: dict[str, float] = {}
     for region in {*own, *demand}:
-        needed = demand.get(region, 0) * (1 + HEADROOM)
+        mean = demand.get(region, 0)
+        needed = mean + HEADROOM_ROOTS * math.sqrt(mean)
         excess = own.get(region, 0) - needed
         if excess > 0:
             spare[region] = excess
