Let one control instance propose for all

Orders that a newer version has overtaken are now acknowledged without a ballot, reads need none when a quorum holds nothing newer, and pauses grow.

--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -27,6 +27,9 @@
 #: What another control instance said counts this long, in seconds: two of
 #: its messages may be late.
 FRESH_S = 1.6
+#: The instance that proposes for all was heard within this time, in seconds:
+#: one of its messages may be late.
+PROPOSER_FRESH_S = 1.1
 #: Pause before an address is dialled again, in seconds.
 REDIAL_S = 0.3
 
@@ -195,6 +198,20 @@
             if not peer.hello.control:
                 peer.link.send(msg)
 
+    def proposes(self, voter: str) -> bool:
+        """Tell whether a voter was heard just now and reaches a quorum.
+
+        :param voter: name of the voter.
+        """
+        limit = self._now() - PROPOSER_FRESH_S
+        return any(
+            peer.beat.confirmed and not peer.beat.leaving
+            for peer in self.peers.values()
+            if peer.beat is not None
+            and peer.beat.voter == voter
+            and peer.beat_at >= limit
+        )
+
     def silent_s(self, voter: str) -> float:
         """Return for how long a voter has been silent, in seconds.
 
@@ -277,15 +294,19 @@
         index: int,
         voter: str,
         demand: tuple[Demand, ...],
+        *,
+        confirmed: bool,
     ) -> Beat:
         """Return what this instance says to the others.
 
         :param index: of the newest declared state that it knows.
         :param voter: its name as a voter.
         :param demand: what the requests of its region need.
+        :param confirmed: whether it reaches a quorum of the voters.
         """
         return Beat(
             index=index,
+            confirmed=confirmed,
             hears=self.hearing(),
             voter=voter,
             entries=tuple(
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -268,7 +268,12 @@
             self.links.tell_roster()
         known = self.replica.known
         index = known.index if known else -1
-        beat = self.links.beat(index, self.replica.name, self._demand)
+        beat = self.links.beat(
+            index,
+            self.replica.name,
+            self._demand,
+            confirmed=self.confirmed,
+        )
         for peer in self.links.peers.values():
             if not peer.hello.control:
                 peer.link.send(self._view(peer))
--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -203,7 +203,7 @@
     def _take(self, frame: bytes) -> None:
         decoded = self._codec.decode(frame)
         if not isinstance(decoded, Success):
-            _log.warning('malformed frame', reason=decoded.failure())
+            _log.bind(reason=decoded.failure()).warning('malformed frame')
             self.close()
             return
         msg = decoded.unwrap().message
@@ -246,14 +246,18 @@
         self.sent_bytes += len(content)
         self._transport.write(content)
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            _log.warning('peer does not read', peer=str(self.peer))
+            _log.bind(peer=self._peer_name()).warning('peer does not read')
             self.close()
 
+    def _peer_name(self) -> str:
+        hello = getattr(self.peer, 'hello', None)
+        return str(getattr(hello, 'name', ''))
+
     def _watch(self) -> None:
         if self.ended:
             return
         if self._loop.time() - self._heard_at > SILENT_S:
-            _log.warning('link is silent', peer=str(self.peer))
+            _log.bind(peer=self._peer_name()).warning('link is silent')
             self.close()
             return
         self.send(KeepAlive())
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -68,9 +68,11 @@
     :param controls: control instances that it is linked to.
     :param demand: what its region's requests need.
     :param leaving: whether it is about to stop.
+    :param confirmed: whether it reaches a quorum of the voters.
     """
 
     index: int
+    confirmed: bool
     hears: frozenset[str]
     voter: str
     entries: tuple[EntrySeen, ...]
--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -15,10 +15,13 @@
 #: Time for one phase; regions are 35 ms apart and a slow disk takes
 #: up to 150 ms a sync.
 PHASE_S = 0.9
-#: Pauses between attempts that met another proposer, in seconds.
-BACKOFF_S = (0.02, 0.12)
+#: Longest pause after the first attempt that met another proposer, in
+#: seconds, and after any: a ballot between regions takes 0.15 s, and the
+#: pauses of all proposers must spread over several of them.
+FIRST_BACKOFF_S = 0.15
+MAX_BACKOFF_S = 0.8
 #: Attempts of one change before the caller is told to ask again.
-MAX_ATTEMPTS = 12
+MAX_ATTEMPTS = 6
 
 _log = logger('register')
 
@@ -103,10 +106,12 @@
         async with self._lock:
             pending = tuple(orders)
             unsettled: Declared | None = None
+            longest_s = FIRST_BACKOFF_S
             for _ in range(MAX_ATTEMPTS):
                 chosen = await self._attempt(pending, unsettled)
                 if chosen is None:
-                    await asyncio.sleep(self._rng.uniform(*BACKOFF_S))
+                    await asyncio.sleep(self._rng.uniform(0, longest_s))
+                    longest_s = min(longest_s * 2, MAX_BACKOFF_S)
                     continue
                 if chosen.applied:
                     pending = ()
@@ -117,7 +122,11 @@
 
     async def read(self) -> Declared | None:
         """Return the newest state, or nothing if that is not certain."""
+        known = self._known()
         found = await self._gather(lambda voter: Inquire(voter=voter.name))
+        if found is not None and found.best.index <= known.index:
+            # A newer chosen state would be held by one of the quorum.
+            return known
         if found is not None and found.agreed and found.best.settled:
             return found.best
         # Another proposer is at work, or one stopped halfway: the state is
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -13,14 +13,20 @@
 from ..logs import logger
 from .acceptor import Acceptor
 from .ballots import Join, Learned, Submit, Submitted, Verdict
-from .declared import Declared, ReplaceVoters, Voter
+from .declared import (
+    Declared,
+    ReplaceConfiguration,
+    ReplaceVoters,
+    Voter,
+)
 from .proposer import Proposer, VoterClient
 
 #: How often membership and unlearned states are looked at, in seconds.
 ROUND_S = 0.3
-#: Time for the instance that usually proposes; with an own attempt after it
-#: an operator still gets an answer within a second.
-SUBMIT_S = 0.55
+#: Time for the instance that usually proposes; operators wait a second.
+SUBMIT_S = 0.9
+#: A state that nobody has announced for this long is looked for, in seconds.
+UNLEARNED_S = 0.5
 #: Voters at most: a majority of nine outlives any four.
 MAX_VOTERS = 9
 #: A voter that was silent this long may be replaced by a new instance, in
@@ -59,6 +65,20 @@
         :param msg: the message.
         """
 
+    @abc.abstractmethod
+    def heard_voters(self, own: str) -> set[str]:
+        """Return the voters that hear this one and are heard.
+
+        :param own: name of this voter.
+        """
+
+    @abc.abstractmethod
+    def proposes(self, voter: str) -> bool:
+        """Tell whether a voter was heard just now and reaches a quorum.
+
+        :param voter: name of the voter.
+        """
+
     @abc.abstractmethod
     def silent_s(self, voter: str) -> float:
         """Return for how long a voter has been silent, in seconds.
@@ -132,19 +152,26 @@
     async def submit(self, order: Message) -> Declared | None:
         """Return the state once an order is chosen, or nothing.
 
+        One instance proposes for all: proposers that compete make each
+        other start again.
+
         :param order: the order.
         """
+        known = self.known
+        if known is not None and _is_overtaken(order, known):
+            return known
         preferred = self._preferred()
-        if preferred is not None and preferred != self._own:
-            reply = await self._peers.call(
-                preferred.address,
-                Submit(orders=(self._codec.encode(order),)),
-                SUBMIT_S,
-            )
-            if isinstance(reply, Submitted) and reply.state is not None:
-                self.learn(reply.state)
-                return reply.state
-        return await self._submit_here(order)
+        if preferred is None or preferred == self._own:
+            return await self._submit_here(order)
+        reply = await self._peers.call(
+            preferred.address,
+            Submit(orders=(self._codec.encode(order),)),
+            SUBMIT_S,
+        )
+        if isinstance(reply, Submitted) and reply.state is not None:
+            self.learn(reply.state)
+            return reply.state
+        return None
 
     async def read(self) -> Declared | None:
         """Return the newest state, or nothing if that is not certain."""
@@ -254,8 +281,8 @@
             self._unlearned_since = None
         elif self._unlearned_since is None:
             self._unlearned_since = now
-            return
-        if self._certain and not behind:
+        waited = behind and now - (self._unlearned_since or now) > UNLEARNED_S
+        if self._certain and not waited:
             return
         # The instance that proposed the state may have failed right after
         # it acknowledged it.
@@ -303,7 +330,11 @@
         if self.known is None:
             return None
         for voter in self.known.voters:
-            if voter == self._own or self._peers.silent_s(voter.name) < 1:
+            if voter == self._own and self.confirmed(
+                self._peers.heard_voters(self.name),
+            ):
+                return voter
+            if self._peers.proposes(voter.name):
                 return voter
         return None
 
@@ -332,6 +363,12 @@
         return Submitted(state=_newest(states))
 
 
+def _is_overtaken(order: Message, known: Declared) -> bool:
+    if isinstance(order, ReplaceConfiguration):
+        return order.version <= known.version
+    return False
+
+
 def next_voters(
     voters: tuple[Voter, ...],
     joining: Sequence[Voter],
