--- a/src/cuminhoist/register/acceptor.py
+++ b/src/cuminhoist/register/acceptor.py
@@ -13,7 +13,7 @@
 from ..storage import DiskError
 from .ballots import Accept, Ballot, Inquire, Prepare, Verdict
 from .declared import Declared
-from .store import DiskQueue, TwinFile, prepare_folder
+from .store import DiskQueue, ThreadDisk, TwinFile, prepare_folder
 
 _log = logger('register')
 
@@ -85,6 +85,7 @@
     :param files: its files.
     :param promised: highest ballot that it may follow.
     :param held: the state that it holds.
+    :param disk: runs its writes.
     """
 
     def __init__(
@@ -93,24 +94,37 @@
         files: Files,
         promised: Ballot,
         held: Held,
+        disk: DiskQueue,
     ) -> None:
         self.name = name
         self.held = held
         self._files = files
         self._promised = promised
-        self._disk = DiskQueue()
+        self._disk = disk
         self._lock = asyncio.Lock()
 
     @classmethod
-    def from_files(cls, name: str, files: Files) -> Self:
+    def from_files(
+        cls,
+        name: str,
+        files: Files,
+        disk: DiskQueue | None = None,
+    ) -> Self:
         """Build an acceptor from what its disk holds.
 
         :param name: its name as a voter.
         :param files: its files.
+        :param disk: runs its writes; a thread by default.
         """
         held = files.held.load() or Held()
         promised = files.promised.load() or Ballot()
-        return cls(name, files, max(promised, held.ballot), held)
+        return cls(
+            name,
+            files,
+            max(promised, held.ballot),
+            held,
+            disk or ThreadDisk(),
+        )
 
     async def answer(self, msg: Message) -> Verdict | None:
         """Return the answer to a request of a proposer.
--- a/src/cuminhoist/register/store.py
+++ b/src/cuminhoist/register/store.py
@@ -1,5 +1,6 @@
 """Durable values that are replaced as a whole with one sync."""
 
+import abc
 import asyncio
 import contextlib
 import os
@@ -81,8 +82,20 @@
         self._turn = 1 - self._turn
 
 
-class DiskQueue:
-    """Runs blocking disk operations one after the other in a thread."""
+class DiskQueue(abc.ABC):
+    """Runs blocking disk operations one after the other."""
+
+    @abc.abstractmethod
+    async def run(self, operation: Any, *args: Any) -> Result[Any, DiskError]:
+        """Return the outcome of an operation, or what the disk refused.
+
+        :param operation: the blocking function.
+        :param args: its arguments.
+        """
+
+
+class ThreadDisk(DiskQueue):
+    """Runs them in a thread, so that a slow disk holds nothing else up."""
 
     def __init__(self) -> None:
         self._thread = ThreadPoolExecutor(1, 'disk')
