--- a/src/cuminhoist/emulator/world.py
+++ b/src/cuminhoist/emulator/world.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-import math
 import random
 from collections.abc import Callable
 from typing import Self
@@ -11,7 +10,9 @@
 
 from ..steering.asks import Ask, Decision, Done, Ending, Granted
 from ..steering.dispatch import Dispatcher
-from ..steering.supply import Demand, Terms, make_tracks
+from ..steering.demand import DemandMeter
+from ..steering.supply import Terms, make_tracks
+from .bound import arrival_rate, best_part
 from .patterns import Pattern
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
@@ -22,7 +23,6 @@
 DISPATCHER_S = 0.003
 #: How often demand is measured and slots are lent, in seconds.
 SUPPLY_S = 0.5
-DEMAND_SMOOTHING = 0.3
 TICK_S = 0.005
 #: A request is sent to this many targets at most.
 MAX_TARGETS = 2
@@ -57,8 +57,6 @@
         self._order = itertools.count()
         self._numbers = itertools.count(1)
         self._asking: dict[int, _Asking] = {}
-        self._offered: dict[str, int] = {}
-        self._demand: dict[str, float] = {}
         self._retries = float(0)
         self.targets = {
             target.entry.name: target for target in self._make_targets()
@@ -66,7 +64,11 @@
         self.dispatchers = {
             region.name: Dispatcher() for region in pattern.regions
         }
-        self.report = Report(pattern.callers.objective_s, self._bound())
+        self._meters = {
+            region.name: DemandMeter(region.name, 0)
+            for region in pattern.regions
+        }
+        self.report = Report(pattern.callers.objective_s, best_part(pattern))
 
     @classmethod
     def from_pattern(cls, pattern: Pattern, seed: int = 1) -> Self:
@@ -110,13 +112,6 @@
             for number in range(region.targets)
         ]
 
-    def _bound(self) -> float:
-        work = self._pattern.work
-        slots = len(self.targets) * work.slots
-        rate = sum(region.per_s for region in self._pattern.regions)
-        capacity = slots / (work.cold_s * work.warm_part)
-        return min(1, capacity / rate) if rate else 1
-
     def _at(self, when: float, event: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), event))
 
@@ -131,21 +126,10 @@
         for target in self.targets.values():
             target.declined_part = part
 
-    def _rate(self, name: str) -> float:
-        region = next(
-            entry for entry in self._pattern.regions if entry.name == name
-        )
-        callers = self._pattern.callers
-        angle = 2 * math.pi * (self.now / callers.period_s + region.phase)
-        rate = region.per_s * (1 + callers.swing * math.sin(angle))
-        for burst in self._pattern.bursts:
-            inside = burst.at_s <= self.now < burst.at_s + burst.for_s
-            if inside and burst.region in {'', name}:
-                rate *= burst.factor
-        return rate
-
     def _plan_arrival(self, region: str) -> None:
-        gap_s = self._rng.expovariate(max(self._rate(region), 0.1))
+        gap_s = self._rng.expovariate(
+            max(arrival_rate(self._pattern, region, self.now), 0.1)
+        )
         if self.now + gap_s < self._pattern.length_s:
             self._after(gap_s, lambda: self._arrive(region))
 
@@ -164,7 +148,7 @@
     def _ask(self, asking: _Asking) -> None:
         number = next(self._numbers)
         self._asking[number] = asking
-        self._offered[asking.region] = self._offered.get(asking.region, 0) + 1
+        self._meters[asking.region].offered(SERVICE)
         objective_s = self._pattern.callers.objective_s
         ask = Ask(
             number=number,
@@ -279,19 +263,22 @@
         )
 
     def _supply(self) -> None:
-        demand = []
-        for name, dispatcher in self.dispatchers.items():
-            rate = self._offered.pop(name, 0) / SUPPLY_S
-            slots = rate * dispatcher.service(SERVICE).times.warm_s
-            before = self._demand.get(name, slots)
-            self._demand[name] = before + DEMAND_SMOOTHING * (slots - before)
-            demand.append(Demand(name, SERVICE, self._demand[name]))
+        demand = {
+            need.region: need.slots
+            for name, meter in self._meters.items()
+            for need in meter.measure(self.dispatchers[name].loads(), self.now)
+        }
         for name, dispatcher in self.dispatchers.items():
-            self._supply_region(name, dispatcher)
+            self._supply_region(name, dispatcher, demand)
         if self.now < self._pattern.length_s:
             self._after(SUPPLY_S, self._supply)
 
-    def _supply_region(self, name: str, dispatcher: Dispatcher) -> None:
+    def _supply_region(
+        self,
+        name: str,
+        dispatcher: Dispatcher,
+        demand: dict[str, float],
+    ) -> None:
         queue = dispatcher.service(SERVICE)
         terms = Terms(
             region=name,
@@ -304,7 +291,7 @@
         tracks = make_tracks(
             queue.tracks,
             [target.entry for target in self.targets.values()],
-            self._demand,
+            demand,
             terms,
             self.now,
         )
--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -9,7 +9,7 @@
 from ..codec import Codec, Message
 from ..logs import logger
 from ..register.replica import ControlPeers
-from ..steering.supply import Demand
+from ..steering.demand import Demand
 from .link import Link, LinkHandler, Links
 from .messages import (
     Beat,
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -18,7 +18,8 @@
 from ..register.ballots import Learned
 from ..register.declared import Declared
 from ..steering.dispatch import Dispatcher
-from ..steering.supply import Demand, Terms, make_tracks, usable_entries
+from ..steering.demand import Demand
+from ..steering.supply import Terms, make_tracks, usable_entries
 from ..steering.targets import TargetEntry
 from .control_role import Decode
 from .entry_links import EntryLinks
@@ -242,8 +243,8 @@
                 terms,
                 self._now(),
             )
-            for track in tracks.values():
-                track.slots /= self._region_entries
+            for pool in {track.pool for track in tracks.values()}:
+                pool.slots /= self._region_entries
             local.set_targets(service, tracks, self._site.region)
 
     async def _run_checks(self) -> None:
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -4,7 +4,7 @@
 
 from ..codec import Message, message
 from ..steering.asks import Ask, Done, Granted, Refused
-from ..steering.supply import Demand
+from ..steering.demand import Demand
 from ..steering.targets import TargetEntry
 from .site import Address
 
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -8,7 +8,8 @@
 from ..logs import logger
 from ..steering.asks import Ask, Decision
 from ..steering.dispatch import Dispatcher
-from ..steering.supply import Demand, Terms, make_tracks, usable_entries
+from ..steering.demand import Demand, DemandMeter
+from ..steering.supply import Terms, make_tracks, usable_entries
 from ..steering.targets import TargetEntry
 from .control_links import Peer
 from .messages import (
@@ -21,8 +22,6 @@
 
 #: How often waiting requests are looked at, in seconds.
 TICK_S = 0.005
-#: Weight of the last half second in the demand of a service.
-DEMAND_SMOOTHING = 0.3
 #: Round trip between regions, in seconds.
 REGION_ROUND_TRIP_S = 0.07
 
@@ -48,9 +47,7 @@
         self._regions = regions
         self._now = now
         self._askers: dict[str, Peer] = {}
-        self._offered: dict[str, int] = {}
-        self._demand: dict[str, float] = {}
-        self._measured_at = now()
+        self._meter = DemandMeter(region, now())
         self._ticker: asyncio.TimerHandle | None = None
 
     def received(self, peer: Peer, msg: Message) -> None:
@@ -86,17 +83,7 @@
         """Return the demand since the last measurement, smoothed."""
         now = self._now()
         self.dispatcher.expire(now)
-        elapsed_s = max(now - self._measured_at, 0.05)
-        self._measured_at = now
-        for name, queue in self.dispatcher.services():
-            rate = self._offered.pop(name, 0) / elapsed_s
-            slots = rate * queue.times.warm_s
-            before = self._demand.get(name, slots)
-            self._demand[name] = before + DEMAND_SMOOTHING * (slots - before)
-        return tuple(
-            Demand(self._region, name, slots)
-            for name, slots in self._demand.items()
-        )
+        return self._meter.measure(self.dispatcher.loads(), now)
 
     def update(
         self,
@@ -145,7 +132,7 @@
         self._tell(self.dispatcher.tick(self._now()))
 
     def _on_ask(self, asker: str, ask: Ask) -> None:
-        self._offered[ask.service] = self._offered.get(ask.service, 0) + 1
+        self._meter.offered(ask.service)
         decision = self.dispatcher.offer(asker, ask, self._now())
         if decision is None:
             self._plan_tick()
--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -18,6 +18,9 @@
 
 #: Least weight of a new observation in the run times of a service.
 SMOOTHING = 0.05
+#: Weight of a new observation in the part of the targets that hold what they
+#: should.
+HELD_SMOOTHING = 0.05
 #: Run times before any was seen, as parts of the first objective.
 FIRST_COLD_PART = 0.9
 FIRST_WARM_PART = 0.3
@@ -127,6 +130,7 @@
         if not self.times.cold_s and objective_s > 0:
             self.times.cold_s = objective_s * FIRST_COLD_PART
             self.times.warm_s = objective_s * FIRST_WARM_PART
+            self.times.mean_s = self.times.cold_s
 
 
 class Dispatcher:
@@ -147,6 +151,11 @@
         """Return all services with their queues."""
         return self._services.items()
 
+    def loads(self) -> Iterable[tuple[str, float, Iterable[TargetTrack]]]:
+        """Yield name, run time in seconds and targets of each service."""
+        for name, queue in self._services.items():
+            yield name, queue.times.warm_s, queue.tracks.values()
+
     def waits(self) -> bool:
         """Tell whether any request waits."""
         return any(queue.waiting for queue in self._services.values())
@@ -342,15 +351,14 @@
         now: float,
     ) -> list[tuple[str, Decision]]:
         decisions: list[tuple[str, Decision]] = []
-        if not track.queued:
-            return decisions
         for waiting in list(queue.waiting):
-            if not track.has_room(now):
-                break
-            if waiting.track is track:
+            wanted = waiting.track
+            if wanted is None or wanted.pool is not track.pool:
+                continue
+            if wanted.has_room(now):
                 waiting.leave()
                 queue.waiting.remove(waiting)
-                granted = self._grant(waiting, track, now)
+                granted = self._grant(waiting, wanted, now)
                 decisions.append((waiting.asker, granted))
         return decisions
 
@@ -377,7 +385,12 @@
         times = queue.times
         run_s = max(done.run_s - track.distance_s, 0)
         expected = times.warm_s if was_warm else times.cold_s
-        if not was_warm and run_s < (times.warm_s + times.cold_s) / 2:
+        if done.ending is Ending.answered:
+            times.mean_s += SMOOTHING * (run_s - times.mean_s)
+        held = run_s < (times.warm_s + times.cold_s) / 2
+        if not was_warm:
+            times.held_part += HELD_SMOOTHING * (held - times.held_part)
+        if not was_warm and held:
             # The target held the object although it was not known.
             return run_s / times.warm_s if times.warm_s else 1
         ratio = run_s / expected if expected else 1
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -21,6 +21,8 @@
 RANK_STEP_S = 0.001
 #: Orders that are kept; a service has tens to thousands of objects in use.
 CACHED_ORDERS = 8192
+#: Before any request it is open whether targets hold what they should.
+FIRST_HELD_PART = 0.2
 
 
 class RunTimes(msgspec.Struct):
@@ -28,13 +30,22 @@
 
     :param warm_s: at a target that holds the object, in seconds.
     :param cold_s: at another one, in seconds.
+    :param mean_s: of all requests, in seconds.
+    :param held_part: part of the requests whose object the first target of
+        its order held, although this dispatcher had not sent it there.
     """
 
     warm_s: float = 0
     cold_s: float = 0
+    mean_s: float = 0
+    held_part: float = FIRST_HELD_PART
     warm_count: int = 0
     cold_count: int = 0
 
+    def presumed_s(self) -> float:
+        """Return the run time at a target that should hold the object."""
+        return self.cold_s + self.held_part * (self.warm_s - self.cold_s)
+
 
 class Option(msgspec.Struct, frozen=True):
     """One way to serve a request.
@@ -68,7 +79,9 @@
     def __init__(self, tracks: dict[str, TargetTrack], region: str) -> None:
         self.tracks = tracks
         self.region = region
-        self.usable = [track for track in tracks.values() if track.slots > 0]
+        self.usable = [
+            track for track in tracks.values() if track.pool.slots > 0
+        ]
         by_region: dict[str, list[str]] = {}
         for name, track in tracks.items():
             by_region.setdefault(track.region, []).append(name)
@@ -108,11 +121,13 @@
         times: RunTimes,
         now: float,
     ) -> Option:
-        # The first target of the order is taken to hold the object: its
-        # region sends the object there first, also before this dispatcher
-        # has started.
-        warm = track.is_warm(key) or not place
+        warm = track.is_warm(key) or not key
         run_s = times.warm_s if warm else times.cold_s
+        if not warm and not place:
+            # Its region sends the object there first, also before this
+            # dispatcher has started.
+            run_s = times.presumed_s()
+        track.usual_run_s = times.cold_s
         wait_s = track.wait_s(times.warm_s, now)
         warming_s = track.warming_s(key, times.cold_s, now)
         if not warm and warming_s is not None:
--- a/src/cuminhoist/steering/supply.py
+++ b/src/cuminhoist/steering/supply.py
@@ -2,8 +2,9 @@
 
 The load pattern that this answers: the regions peak one after the other, and
 one region has far fewer targets than callers. A region whose demand is below
-its own slots lends the rest to those above theirs, slot by slot, so that the
-number of requests that run in another region changes in small steps.
+its own slots lends the rest to those above theirs. The borrower may use them
+at any target of the lender, so that it finds each object where the lender's
+own requests keep it.
 """
 
 import math
@@ -11,9 +12,8 @@
 
 import msgspec
 
-from ..rendezvous import ranked
 from .targets import TargetEntry, TargetState
-from .track import TargetTrack
+from .track import SlotPool, TargetTrack
 
 #: Slots that a region keeps beyond its mean demand, in terms of the square
 #: root of it: with random arrivals, that many keep waiting rare.
@@ -22,17 +22,6 @@
 MIN_RUN_S = 0.02
 
 
-class Demand(msgspec.Struct, frozen=True):
-    """Slots that the requests of a region would keep busy.
-
-    :param slots: mean number of slots.
-    """
-
-    region: str
-    service: str
-    slots: float
-
-
 class Terms(msgspec.Struct, frozen=True):
     """What a dispatcher knows beside the list of targets.
 
@@ -102,53 +91,35 @@
     }
 
 
-def allotted_slots(
+def region_pools(
     entries: list[TargetEntry],
-    regions: Mapping[str, str],
     demand: Mapping[str, float],
-) -> dict[str, dict[str, float]]:
-    """Return the slots of each target by region that uses them.
+    terms: Terms,
+    run_s: float,
+) -> dict[str, SlotPool]:
+    """Return the slots that one region's dispatcher uses in each region.
 
     :param entries: usable targets of one service.
-    :param regions: region of each failure domain.
     :param demand: slots that the requests of each region keep busy.
+    :param terms: what else the dispatcher knows.
+    :param run_s: how long requests of the service run, in seconds.
     """
-    allotted = {
-        entry.name: {regions.get(entry.domain, ''): float(entry.slots)}
-        for entry in entries
-    }
     own: dict[str, float] = {}
     for entry in entries:
-        region = regions.get(entry.domain, '')
+        region = terms.regions.get(entry.domain, '')
         own[region] = own.get(region, 0) + entry.slots
-    for (lender, borrower), slots in sorted(lent_slots(own, demand).items()):
-        _lend(allotted, lender, borrower, round(slots))
-    return allotted
-
-
-def _lend(
-    allotted: dict[str, dict[str, float]],
-    lender: str,
-    borrower: str,
-    slots: int,
-) -> None:
-    # The order depends on the borrower alone, so that one slot more or less
-    # leaves the others where they are.
-    names = ranked(
-        borrower,
-        [name for name, users in allotted.items() if lender in users],
-    )
-    while slots > 0 and names:
-        for name in list(names):
-            users = allotted[name]
-            if not slots:
-                return
-            if users[lender] < 1:
-                names.remove(name)
-                continue
-            users[lender] -= 1
-            users[borrower] = users.get(borrower, 0) + 1
-            slots -= 1
+    pools = {region: SlotPool() for region in own}
+    if terms.region in own:
+        pools[terms.region].slots = own[terms.region]
+    # Requests on their way to another region keep no slot busy there.
+    travel = 1 + terms.distance_s / max(run_s, MIN_RUN_S)
+    for (lender, borrower), slots in lent_slots(own, demand).items():
+        if lender == terms.region:
+            left = pools[lender].slots - slots
+            pools[lender].slots = max(left, 0)
+        elif borrower == terms.region:
+            pools[lender].slots = slots * travel
+    return pools
 
 
 def make_tracks(
@@ -166,19 +137,20 @@
     :param terms: what else the dispatcher knows.
     :param now: monotonic time in seconds.
     """
-    allotted = allotted_slots(entries, terms.regions, demand)
+    service = entries[0].service if entries else ''
+    run_s = terms.run_s.get(service, 0)
+    pools = region_pools(entries, demand, terms, run_s)
     tracks: dict[str, TargetTrack] = {}
     for entry in entries:
+        region = terms.regions.get(entry.domain, '')
         track = known.get(entry.name)
         if track is None or track.entry.born_ms != entry.born_ms:
-            region = terms.regions.get(entry.domain, '')
             away = region != terms.region
             track = TargetTrack(entry, region, terms.distance_s * away)
         track.entry = entry
-        slots = allotted[entry.name].get(terms.region, 0)
-        # Requests on their way to another region keep no slot busy there.
-        run_s = terms.run_s.get(entry.service) or terms.distance_s
-        track.slots = slots * (1 + track.distance_s / max(run_s, MIN_RUN_S))
+        track.slots = entry.slots
+        track.pool = pools[region]
+        track.pool.running += track.running
         track.cold_per_s = terms.cold_per_s.get(entry.service) or float('inf')
         if entry.cold_s > 0:
             track.cold_until = max(track.cold_until, now + entry.cold_s)
--- a/src/cuminhoist/steering/track.py
+++ b/src/cuminhoist/steering/track.py
@@ -29,6 +29,22 @@
 _FAILURES = frozenset((Ending.failed, Ending.lost, Ending.timeout))
 
 
+class SlotPool:
+    """Slots of all targets of one region that one dispatcher may use.
+
+    :param slots: how many requests may run at once.
+    :param running: how many do.
+    """
+
+    def __init__(self, slots: float = 0) -> None:
+        self.slots = slots
+        self.running = 0
+
+    def is_full(self) -> bool:
+        """Tell whether no further request may be sent."""
+        return self.running + 1 > self.slots and self.running > 0
+
+
 class TargetTrack:
     """One start of a target as one dispatcher sees it.
 
@@ -47,10 +63,12 @@
         self.entry = entry
         self.region = region
         self.distance_s = distance_s
-        self.slots: float = entry.slots
+        self.slots = entry.slots
+        self.pool = SlotPool(float('inf'))
         self.running = 0
         self.untried = True
         self.queued = 0
+        self.usual_run_s = float(0)
         self.cold_until = float('-inf')
         self.cold_per_s = float('inf')
         self.aside_until = float('-inf')
@@ -62,6 +80,7 @@
         self._cold_tokens = float(1)
         self._cold_at = float('-inf')
         self._warming: dict[str, float] = {}
+        self._running_since: collections.deque[float] = collections.deque()
         self._warm: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -87,6 +106,8 @@
         """
         if self.running >= self.slots or now < self.aside_until:
             return False
+        if self.pool.is_full():
+            return False
         if self._failures_in_row >= MAX_FAILURES_IN_ROW and self.running:
             # One request at a time finds out whether it has recovered.
             return False
@@ -97,10 +118,18 @@
 
         :param now: monotonic time in seconds.
         """
-        faded = min(max(now - self._speed_at, 0) / SPEED_MEMORY_S, 1)
-        speed = self._speed + (1 - self._speed) * faded
         factor = COLD_FACTOR if now < self.cold_until else 1
-        return speed * factor / max(1 - self._failure_part, 0.2)
+        slowdown = max(self.slowdown_of_runs(now), self._overdue(now))
+        return slowdown * factor / max(1 - self._failure_part, 0.2)
+
+    def speed(self, now: float) -> float:
+        """Return the part of its slots that does useful work.
+
+        :param now: monotonic time in seconds.
+        """
+        if now < self.aside_until:
+            return 0
+        return min(1 / self.slowdown(now), 1)
 
     def start(self, key: str, now: float) -> None:
         """Count a request that is sent.
@@ -109,6 +138,8 @@
         :param now: monotonic time in seconds.
         """
         self.running += 1
+        self.pool.running += 1
+        self._running_since.append(now)
         self.untried = False
         if now < self.cold_until:
             self._cold_tokens = self._cold_allowance(now) - 1
@@ -126,7 +157,11 @@
             return 0
         ahead = self.queued + 1
         aside_s = max(self.aside_until - now, 0)
-        return aside_s + run_s * self.slowdown(now) * ahead / self.slots
+        own_s = run_s * self.slowdown(now) * ahead / self.slots
+        if not self.pool.is_full():
+            return aside_s + own_s
+        pool_s = run_s / max(self.pool.slots, 1)
+        return aside_s + max(own_s, pool_s)
 
     def warming_s(
         self, key: str, cold_run_s: float, now: float
@@ -158,6 +193,9 @@
         :param now: monotonic time in seconds.
         """
         self.running = max(self.running - 1, 0)
+        self.pool.running = max(self.pool.running - 1, 0)
+        if self._running_since:
+            self._running_since.popleft()
         self._warming.pop(key, None)
         if ending is Ending.answered:
             self._hold(key)
@@ -209,6 +247,14 @@
         faded = min(max(now - self._speed_at, 0) / SPEED_MEMORY_S, 1)
         return self._speed + (1 - self._speed) * faded
 
+    def _overdue(self, now: float) -> float:
+        """Return how many times longer than usual the oldest request runs."""
+        if not self._running_since or not self.usual_run_s:
+            return 1
+        # Requests end in another order than they began, so this is the
+        # least that the oldest one has run.
+        return (now - self._running_since[0]) / self.usual_run_s / 2
+
     def _note_failure(self, now: float) -> None:
         self._failures_in_row += 1
         self._failure_part += SMOOTHING * (1 - self._failure_part)
--- /dev/null
+++ b/tests/steering/test_dispatch.py
@@ -0,0 +1,176 @@
+"""Tests of waiting, refusing and slots."""
+
+import msgspec
+
+from cuminhoist.steering.asks import Ending, Granted, Refused
+from cuminhoist.steering.dispatch import LATE_WAIT_S, REPORT_S
+
+from .builders import SERVICE, ask, dispatcher, done
+
+
+def test_free_slot_is_granted_at_once():
+    """Guards against a wait while a slot is free."""
+    assert isinstance(dispatcher().offer('e', ask(1), 0), Granted)
+
+
+def test_waits_while_the_answer_can_be_in_time():
+    """Guards against refusals that a short wait would have served."""
+    made = dispatcher(count=1)
+    granted = made.offer('e', ask(1), 0)
+    assert made.offer('e', ask(2), 0) is None
+    decisions = made.done('e', done(granted), 0.07)
+    assert [(asker, type(what)) for asker, what in decisions] == [
+        ('e', Granted),
+    ]
+
+
+def test_refused_at_arrival_when_the_wait_is_too_long():
+    """Guards against requests that wait for what cannot be in time."""
+    made = dispatcher(count=1)
+    decisions = [made.offer('e', ask(number), 0) for number in range(6)]
+    assert isinstance(decisions[0], Granted)
+    assert decisions[1] is None
+    assert isinstance(decisions[-1], Refused)
+    assert decisions[-1].retry_after_s > 0
+
+
+def test_late_request_gets_a_free_slot():
+    """Guards against refusing late requests while targets are idle."""
+    assert isinstance(dispatcher().offer('e', ask(1, useful_s=-1), 0), Granted)
+
+
+def test_late_request_does_not_wait_long():
+    """Guards against late requests that are held until their deadline."""
+    made = dispatcher(count=1)
+    made.offer('e', ask(1), 0)
+    decision = made.offer('e', ask(2, useful_s=-1), 0)
+    now = 0
+    while decision is None and now < 1:
+        now += 0.005
+        decision = next((what for _, what in made.tick(now)), None)
+    assert isinstance(decision, Refused)
+    assert now <= 3 * LATE_WAIT_S
+
+
+def test_object_stays_at_its_target():
+    """Guards against objects that wander and evict each other."""
+    made = dispatcher(count=4, slots=3)
+    targets = set()
+    for number in range(20):
+        granted = made.offer('e', ask(number, 'k'), number)
+        targets.add(granted.target)
+        made.done('e', done(granted, key='k'), number + 0.1)
+    assert len(targets) == 1
+
+
+def test_attempts_of_a_former_dispatcher_are_freed():
+    """Guards against slots that leak when the dispatcher changes.
+
+    Both dispatchers count an attempt that is under way; each must free it
+    when its end is reported to one of them.
+    """
+    made = dispatcher(count=1)
+    running = done(Granted(7, 't0'))
+    made.adopt('e', running, 0)
+    assert made.offer('e', ask(8), 0) is None
+    assert made.done('e', running, 0.05)
+    assert made.service(SERVICE).tracks['t0'].running == 1
+
+
+def test_unreported_attempts_expire():
+    """Guards against slots that stay taken when a report is lost."""
+    made = dispatcher(count=1)
+    made.offer('e', ask(1, left_s=1), 0)
+    made.expire(1 + REPORT_S + 0.1)
+    assert made.service(SERVICE).tracks['t0'].running == 0
+
+
+def test_lost_entry_instance_frees_its_slots():
+    """Guards against the slots and waits of an instance that is gone."""
+    made = dispatcher(count=1)
+    made.offer('e', ask(1), 0)
+    made.offer('e', ask(2), 0)
+    made.forget('e', 0.01)
+    assert isinstance(made.offer('f', ask(1), 0.02), Granted)
+    assert made.service(SERVICE).tracks['t0'].queued == 0
+
+
+def test_withdrawn_request_leaves_no_trace():
+    """Guards against grants to callers that have left."""
+    made = dispatcher(count=1)
+    granted = made.offer('e', ask(1), 0)
+    made.offer('e', ask(2), 0)
+    made.withdraw('e', 2, SERVICE)
+    assert not made.done('e', done(granted), 0.07)
+    assert made.service(SERVICE).tracks['t0'].queued == 0
+
+
+def test_declined_target_keeps_its_room():
+    """Guards against idle slots of targets that decline at random."""
+    made = dispatcher(count=1)
+    granted = made.offer('e', ask(1), 0)
+    made.done('e', done(granted, ending=Ending.declined), 0.01)
+    assert isinstance(made.offer('e', ask(2), 0.01), Granted)
+
+
+def test_target_that_fails_is_set_aside_and_tried_again():
+    """Guards against sending everything to a target that only fails."""
+    made = dispatcher(count=2)
+    names = []
+    for number in range(12):
+        granted = made.offer('e', ask(number), 0.001 * number)
+        names.append(granted.target)
+        ending = Ending.lost if granted.target == 't0' else Ending.answered
+        made.done('e', done(granted, ending=ending), 0.001 * number)
+    assert names.count('t0') <= 4
+    track = made.service(SERVICE).tracks['t0']
+    assert track.has_room(10)
+
+
+def test_homes_and_former_targets_are_left_out():
+    """Guards against serving a request outside its homes."""
+    made = dispatcher(count=2)
+    away = ask(1, homes=frozenset(('north',)))
+    assert isinstance(made.offer('e', away, 0), Refused)
+    again = msgspec.structs.replace(ask(2), excluded=('t0',))
+    assert made.offer('e', again, 0).target == 't1'
+
+
+def test_cold_target_gets_few_requests():
+    """Guards against crashing a target that has just started."""
+    made = dispatcher(count=1, slots=3)
+    track = made.service(SERVICE).tracks['t0']
+    track.cold_until = 10
+    track.cold_per_s = 4
+    sent = 0
+    for step in range(2000):
+        now = step / 1000
+        decision = made.offer('e', ask(step, useful_s=-1), now)
+        if isinstance(decision, Granted):
+            sent += 1
+            made.done('e', done(decision), now)
+        elif decision is None:
+            made.withdraw('e', step, SERVICE)
+    assert sent <= 2 * 4 + 1
+
+
+def test_new_target_is_tried():
+    """Guards against targets that join and get nothing."""
+    made = dispatcher(count=1, slots=3)
+    queue = made.service(SERVICE)
+    for number in range(60):
+        granted = made.offer('e', ask(number, f'k{number}'), number)
+        made.done('e', done(granted, key=f'k{number}'), number + 0.1)
+    tracks = dict(queue.tracks)
+    tracks['t9'] = dispatcher(count=1).service(SERVICE).tracks['t0']
+    tracks['t9'].entry = msgspec.structs.replace(
+        tracks['t9'].entry,
+        name='t9',
+    )
+    made.set_targets(SERVICE, tracks, 'south')
+    targets = set()
+    for number in range(60):
+        granted = made.offer('e', ask(100 + number, f'k{number}'), 100)
+        targets.add(granted.target)
+        made.done('e', done(granted, key=f'k{number}'), 100.1)
+    assert 't9' in targets
--- /dev/null
+++ b/tests/steering/test_supply.py
@@ -0,0 +1,91 @@
+"""Tests of the slots that regions lend to each other."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from cuminhoist.steering.supply import (
+    Terms,
+    lent_slots,
+    make_tracks,
+    region_pools,
+    usable_entries,
+)
+from cuminhoist.steering.targets import TargetState
+
+from .builders import SERVICE, target
+
+REGIONS = {'south-a': 'south', 'north-a': 'north', 'middle-a': 'middle'}
+
+_demand = st.dictionaries(
+    st.sampled_from(sorted(set(REGIONS.values()))),
+    st.floats(0, 60),
+)
+
+
+def _entries():
+    domains = ['south-a'] * 8 + ['north-a'] * 2 + ['middle-a'] * 6
+    return [
+        target(f't{number}', domain=domain)
+        for number, domain in enumerate(domains)
+    ]
+
+
+def _terms(region):
+    return Terms(region, REGIONS, frozenset(), 0, {}, {SERVICE: 0.07})
+
+
+@hypothesis.given(_demand)
+@hypothesis.settings(derandomize=True)
+def test_no_slot_is_given_twice(demand):
+    """Guards against two dispatchers that use the same slots."""
+    used = 0
+    for region in sorted(set(REGIONS.values())):
+        pools = region_pools(_entries(), demand, _terms(region), 0.07)
+        assert min(pool.slots for pool in pools.values()) >= 0
+        used += sum(pool.slots for pool in pools.values())
+    assert used <= sum(entry.slots for entry in _entries()) + 1e-6
+
+
+def test_nothing_is_lent_without_need():
+    """Guards against traffic between regions on a calm day."""
+    own = {'south': 24, 'north': 6, 'middle': 18}
+    demand = {'south': 5, 'north': 1.5, 'middle': 5}
+    assert not lent_slots(own, demand)
+
+
+def test_short_region_borrows_before_it_is_full():
+    """Guards against waits in a small region while others have room."""
+    own = {'south': 24, 'north': 6, 'middle': 18}
+    demand = {'south': 5, 'north': 4, 'middle': 5}
+    lent = lent_slots(own, demand)
+    assert sum(slots for (_, to), slots in lent.items() if to == 'north') >= 2
+
+
+def test_little_more_demand_moves_little():
+    """Guards against jumps of traffic between regions."""
+    own = {'south': 24, 'north': 6, 'middle': 18}
+    before = sum(lent_slots(own, {'north': 5}).values())
+    after = sum(lent_slots(own, {'north': 5.2}).values())
+    assert 0 < after - before < 0.5
+
+
+def test_drained_domains_and_leaving_targets_get_nothing():
+    """Guards against new work for what is leaving."""
+    entries = [
+        target('a'),
+        target('b', state=TargetState.draining),
+        target('c', domain='north-a'),
+    ]
+    usable = usable_entries(entries, frozenset(('north-a',)))
+    assert [entry.name for entry in usable] == ['a']
+
+
+def test_restart_under_the_same_name_is_another_target():
+    """Guards against taking a restarted target for one that holds objects."""
+    terms = Terms('south', REGIONS, frozenset(), 0.07, {}, {SERVICE: 0.07})
+    first = make_tracks({}, [target('a', born_ms=1)], {}, terms, 0)
+    first['a'].observe('k', 1, 0)
+    again = make_tracks(first, [target('a', born_ms=2)], {}, terms, 1)
+    assert not again['a'].is_warm('k')
+    same = make_tracks(first, [target('a', born_ms=1)], {}, terms, 1)
+    assert same['a'].is_warm('k')
