Use all targets when more than half of them are set aside; test requests on their way

A request before the first list of targets ended without an answer, as its log line held an infinite age.

--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -1,6 +1,7 @@
 """The way of one request: route, targets, answer."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -409,13 +410,17 @@
             object=run.req.key,
             left_ms=round((run.req.left_s or 0) * MS),
             config_version=routes.version if routes else 0,
-            list_age_ms=round((self._now() - self.known.list_at) * MS),
+            list_age_ms=self._list_age_ms(),
             waited_ms=round(run.waited_s * MS),
             trail=run.trail,
             outcome=outcome,
             took_ms=round(took_s * MS),
         )
 
+    def _list_age_ms(self) -> int | None:
+        age_s = self._now() - self.known.list_at
+        return None if math.isinf(age_s) else round(age_s * MS)
+
     def _log_refusal(self, req: CallerRequest, refusal: Refusal) -> None:
         self._recorder.requests.labels('', refusal.reason).inc()
         routes = self.known.routes
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -19,6 +19,9 @@
 #: Added to the estimate for each place in the order of an object's targets,
 #: in seconds: it decides between targets that would be equally fast.
 RANK_STEP_S = 0.001
+#: With a larger part of the targets set aside, failures are no reason to
+#: avoid any: the others could not carry the load.
+MAX_ASIDE_PART = 0.5
 #: Orders that are kept; a service has tens to thousands of objects in use.
 CACHED_ORDERS = 8192
 #: Before any request it is open whether targets hold what they should.
@@ -105,7 +108,10 @@
         :param homes: regions that may serve it; empty for all.
         :param excluded: targets that it was sent to before.
         """
+        aside = sum(track.is_aside(now) for track in self.usable)
+        scarce = aside > MAX_ASIDE_PART * len(self.usable)
         for track in self.usable:
+            track.indispensable = scarce
             name = track.entry.name
             if name in excluded or (homes and track.region not in homes):
                 continue
--- a/src/cuminhoist/steering/supply.py
+++ b/src/cuminhoist/steering/supply.py
@@ -69,9 +69,10 @@
     """
     spare: dict[str, float] = {}
     missing: dict[str, float] = {}
+    roots = _affordable_roots(own, demand)
     for region in {*own, *demand}:
         mean = demand.get(region, 0)
-        needed = mean + HEADROOM_ROOTS * math.sqrt(mean)
+        needed = mean + roots * math.sqrt(mean)
         excess = own.get(region, 0) - needed
         if excess > 0:
             spare[region] = excess
@@ -91,6 +92,19 @@
     }
 
 
+def _affordable_roots(
+    own: Mapping[str, float],
+    demand: Mapping[str, float],
+) -> float:
+    # When slots are scarce, all regions keep the same smaller room, and a
+    # region never lends what its own mean demand needs.
+    wanted = sum(math.sqrt(mean) for mean in demand.values())
+    if not wanted:
+        return HEADROOM_ROOTS
+    left = sum(own.values()) - sum(demand.values())
+    return min(max(left / wanted, 0), HEADROOM_ROOTS)
+
+
 def region_pools(
     entries: list[TargetEntry],
     demand: Mapping[str, float],
--- a/src/cuminhoist/steering/track.py
+++ b/src/cuminhoist/steering/track.py
@@ -72,6 +72,8 @@
         self.cold_until = float('-inf')
         self.cold_per_s = float('inf')
         self.aside_until = float('-inf')
+        #: Set while so many targets are set aside that all must be used.
+        self.indispensable = False
         self._aside_s = FIRST_ASIDE_S
         self._failure_part = float(0)
         self._failures_in_row = 0
@@ -104,12 +106,9 @@
 
         :param now: monotonic time in seconds.
         """
-        if self.running >= self.slots or now < self.aside_until:
+        if self.running >= self.slots or self.pool.is_full():
             return False
-        if self.pool.is_full():
-            return False
-        if self._failures_in_row >= MAX_FAILURES_IN_ROW and self.running:
-            # One request at a time finds out whether it has recovered.
+        if self.is_aside(now) and not self.indispensable:
             return False
         return now >= self.cold_until or self._cold_allowance(now) >= 1
 
@@ -157,6 +156,8 @@
             return 0
         ahead = self.queued + 1
         aside_s = max(self.aside_until - now, 0)
+        if self.indispensable:
+            aside_s = 0
         own_s = run_s * self.slowdown(now) * ahead / self.slots
         if not self.pool.is_full():
             return aside_s + own_s
@@ -227,9 +228,18 @@
         if len(self._warm) > MAX_WARM_OBJECTS:
             self._warm.popitem(last=False)
 
-    def is_suspect(self) -> bool:
-        """Tell whether the last requests failed."""
-        return self._failures_in_row > 0
+    def is_aside(self, now: float) -> bool:
+        """Tell whether the target is set aside since it failed.
+
+        After that time, one request at a time finds out whether it has
+        recovered.
+
+        :param now: monotonic time in seconds.
+        """
+        if now < self.aside_until:
+            return True
+        failing = self._failures_in_row >= MAX_FAILURES_IN_ROW
+        return failing and self.running > 0
 
     def _note_answer(self, ratio: float, now: float) -> None:
         self._failures_in_row = 0
--- /dev/null
+++ b/tests/gateway/builders.py
@@ -0,0 +1,218 @@
+"""A gateway on loopback with scripted targets and a raw caller."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable
+
+from cuminhoist.fleet.site import Address
+from cuminhoist.gateway.passage import Passages
+from cuminhoist.gateway.placing import DispatcherClient, Placer
+from cuminhoist.gateway.recorder import Recorder
+from cuminhoist.gateway.routes import Repeat, Route, RouteTable, Share
+from cuminhoist.gateway.upstreams import Upstreams
+from cuminhoist.httpserver import HttpServer
+from cuminhoist.platform.requests import PlatformWire
+from cuminhoist.steering.dispatch import Dispatcher
+from cuminhoist.steering.supply import Terms, make_tracks
+from cuminhoist.steering.targets import TargetEntry, TargetState
+
+HOST = 'shop.example'
+SERVICE = 'svc'
+
+Script = Callable[[bytes], bytes | None]
+
+
+class NoDispatcher(DispatcherClient):
+    """Stands for a region without a dispatcher."""
+
+    def available(self) -> bool:
+        return False
+
+    def ask(self, ask) -> None:
+        raise AssertionError('no dispatcher')
+
+    def done(self, done) -> None:
+        raise AssertionError('no dispatcher')
+
+    def withdraw(self, number, service) -> None:
+        raise AssertionError('no dispatcher')
+
+
+class ScriptedTarget:
+    """Answers each request with what a script returns.
+
+    :param script: takes the head of a request and returns the bytes of the
+        answer; an empty answer closes the connection, None never answers.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.closed = 0
+        self._script = script
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Address:
+        """Listen and return the address."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        return Address(host, port)
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        with contextlib.suppress(
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            asyncio.CancelledError,
+        ):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.heads.append(head)
+                length = _length(head)
+                self.bodies.append(await reader.readexactly(length))
+                answer = self._script(head)
+                if answer is None:
+                    await reader.read()
+                    raise ConnectionResetError
+                if not answer:
+                    break
+                writer.write(answer)
+                if b'connection: close' in answer:
+                    break
+        self.closed += 1
+        writer.close()
+
+
+def answer(
+    head: bytes,
+    body: bytes = b'whole',
+    status: str = '200 OK',
+    **headers: str,
+) -> bytes:
+    """Return an answer that repeats the identity of a request."""
+    fields = {
+        'x-request-id': header(head, 'x-request-id'),
+        'x-server-stamp': 'stamp',
+        'content-length': str(len(body)),
+        **{name.replace('_', '-'): text for name, text in headers.items()},
+    }
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in fields.items())
+    return f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode() + body
+
+
+def header(head: bytes, name: str) -> str:
+    """Return the text of a header, or nothing."""
+    for line in head.decode().split('\r\n'):
+        key, _, text = line.partition(': ')
+        if key.lower() == name:
+            return text
+    return ''
+
+
+def route(**changes) -> Route:
+    """Return a route to the service."""
+    fields = {
+        'name': 'r',
+        'prefix': '/a/',
+        'repeat': Repeat.idempotent,
+        'shares': (Share(SERVICE, 1),),
+        'timeout_s': 1.0,
+        'objective_s': 0.25,
+        'max_targets': 2,
+        **changes,
+    }
+    return Route(**fields)
+
+
+class World:
+    """A gateway between a caller and scripted targets."""
+
+    def __init__(self, passages: Passages, port: int) -> None:
+        self.passages = passages
+        self.port = port
+
+    async def ask(
+        self,
+        method: str = 'GET',
+        path: str = '/a/x',
+        body: bytes = b'',
+        left_ms: int = 1000,
+        number: str = 'id1',
+    ) -> bytes:
+        """Send a request on a new connection and return all that comes."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(
+            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Request-Id: {number}\r\nX-Deadline-Ms: {left_ms}\r\n'
+            f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'.encode()
+            + body,
+        )
+        got = b''
+        with contextlib.suppress(ConnectionError):
+            got = await reader.read()
+        writer.close()
+        return got
+
+    async def leave(self, after_s: float) -> None:
+        """Send a request and leave before the answer."""
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(
+            f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            'X-Request-Id: id1\r\n\r\n'.encode(),
+        )
+        await asyncio.sleep(after_s)
+        writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def gateway(
+    *targets: ScriptedTarget,
+    **changes,
+) -> AsyncIterator[World]:
+    """Run a gateway in front of some targets."""
+    entries = [
+        TargetEntry(
+            name=f't{number}',
+            service=SERVICE,
+            address=await target.start(),
+            domain='z',
+            slots=3,
+            state=TargetState.ready,
+        )
+        for number, target in enumerate(targets)
+    ]
+    local = Dispatcher()
+    terms = Terms('r', {'z': 'r'}, frozenset(), 0, {}, {})
+    local.set_targets(SERVICE, make_tracks({}, entries, {}, terms, 0), 'r')
+    passages = Passages(
+        PlatformWire(),
+        Upstreams(time.monotonic),
+        Placer(NoDispatcher(), local, time.monotonic),
+        Recorder(),
+        time.monotonic,
+        retry_ratio=10,
+        retry_slack=100,
+    )
+    passages.known.routes = RouteTable(1, {HOST: (route(**changes),)}, {})
+    passages.known.targets = {entry.name: entry for entry in entries}
+    server = HttpServer.from_app(passages, '127.0.0.1', 0)
+    serving = asyncio.create_task(server.serve())
+    while not server.started:
+        await asyncio.sleep(0.01)
+    port = server.servers[0].sockets[0].getsockname()[1]
+    try:
+        yield World(passages, port)
+    finally:
+        server.drain_s = 0
+        server.should_exit = True
+        await serving
+        for target in targets:
+            target.stop()
+
+
+def _length(head: bytes) -> int:
+    return int(header(head, 'content-length') or 0)
