--- /dev/null
+++ b/tests/fleet/test_link.py
@@ -0,0 +1,144 @@
+"""Tests of links between instances."""
+
+import asyncio
+
+from cuminhoist.codec import Codec
+from cuminhoist.fleet.control_links import ControlLinks
+from cuminhoist.fleet.link import Link, LinkHandler, Links
+from cuminhoist.fleet.messages import Hello, Standing
+from cuminhoist.fleet.site import Address, Site
+
+
+class Recording(LinkHandler):
+    """Keeps what arrives and answers calls with it."""
+
+    def __init__(self) -> None:
+        self.got = []
+        self.links = []
+        self.lost = 0
+
+    def opened(self, link):
+        self.links.append(link)
+
+    def received(self, link, msg):
+        self.got.append(msg)
+
+    async def called(self, link, msg):
+        return msg
+
+    def closed(self, link):
+        self.lost += 1
+
+
+async def _pair():
+    server, client = Recording(), Recording()
+    listening = Links(Codec('', 'a'), server)
+    await listening.listen(Address('127.0.0.1', 0))
+    port = listening._server.sockets[0].getsockname()[1]
+    dialling = Links(Codec('', 'b'), client)
+    link = await dialling.dial(Address('127.0.0.1', port))
+    return server, client, link, listening
+
+
+async def test_messages_and_calls_arrive():
+    """Guards against lost or reordered messages on one link."""
+    server, _, link, listening = await _pair()
+    for ready in (True, False, True):
+        link.send(Standing(ready=ready))
+    answer = await link.call(Standing(ready=False), 1)
+    assert answer.unwrap() == Standing(ready=False)
+    assert [msg.ready for msg in server.got] == [True, False, True]
+    link.close()
+    listening.stop()
+
+
+async def test_lost_link_ends_calls():
+    """Guards against calls that wait for an instance that is gone."""
+    server, client, link, listening = await _pair()
+    server.called = lambda link, msg: asyncio.sleep(60)
+    call = asyncio.create_task(link.call(Standing(ready=True), 30))
+    await asyncio.sleep(0.05)
+    server.links[0].close()
+    answer = await asyncio.wait_for(call, 1)
+    assert answer.failure() == 'no answer'
+    assert client.lost == 1
+    listening.stop()
+
+
+async def test_malformed_frame_closes_the_link():
+    """Guards against reading on after bytes that are no message."""
+    server, _, link, listening = await _pair()
+    link._transport.write(b'\x03\x00\x00\x00abc')
+    await asyncio.sleep(0.05)
+    assert server.lost == 1
+    listening.stop()
+
+
+async def test_dial_of_a_closed_port_is_a_value():
+    """Guards against an exception for an instance that does not run."""
+    links = Links(Codec('', 'a'), Recording())
+    assert await links.dial(Address('127.0.0.1', 1)) is None
+
+
+def _site(name, port, seeds):
+    own = Address('127.0.0.1', port)
+    return Site(
+        name=name,
+        domain='a',
+        region='south',
+        regions={'a': 'south'},
+        peers=own,
+        seeds=seeds,
+        first_start=False,
+        data_folder='',
+        callers=None,
+        readiness=None,
+        operators=own,
+        lookups=None,
+        metrics=own,
+        target_list=own,
+        list_calls_per_s=1,
+    )
+
+
+async def test_two_control_instances_keep_one_link():
+    """Guards against links that both sides close in turn."""
+    loop = asyncio.get_running_loop()
+    ports = []
+    for _ in range(2):
+        server = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
+        ports.append(server.sockets[0].getsockname()[1])
+        server.close()
+        await server.wait_closed()
+    seeds = tuple(Address('127.0.0.1', port) for port in ports)
+    both = []
+    for name, port in zip('ab', ports, strict=True):
+        site = _site(name, port, seeds)
+        hello = Hello(
+            name=name,
+            life=name,
+            address=site.peers,
+            domain='a',
+            region='south',
+            control=True,
+        )
+        links = ControlLinks(site, hello, loop.time)
+        await links.start()
+        both.append(links)
+    tasks = [asyncio.create_task(links.run_dialling()) for links in both]
+    await asyncio.sleep(1.2)
+    kept = [next(iter(links.peers.values())).link for links in both]
+    await asyncio.sleep(0.6)
+    for links, link in zip(both, kept, strict=True):
+        assert next(iter(links.peers.values())).link is link
+        assert not link.ended
+    for task in tasks:
+        task.cancel()
+    for links, link in zip(both, kept, strict=True):
+        link.close()
+        links._links.stop()
+
+
+def test_link_is_a_protocol():
+    """Guards against a link that asyncio cannot use."""
+    assert issubclass(Link, asyncio.Protocol)
--- /dev/null
+++ b/tests/fleet/test_target_feed.py
@@ -0,0 +1,82 @@
+"""Tests of the list of targets among instances."""
+
+import asyncio
+
+import pytest
+from returns.result import Failure, Success
+
+from cuminhoist.fleet.messages import TargetList
+from cuminhoist.fleet.target_feed import READ_S, TargetFeed, TargetSource
+from tests.steering.builders import target
+
+pytestmark = pytest.mark.looptime
+
+
+class CountingSource(TargetSource):
+    """Counts how often the list is read."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.fails = False
+
+    async def read(self):
+        self.calls += 1
+        if self.fails:
+            return Failure('status 429')
+        return Success((target('a'),))
+
+
+def _feed(source, rank):
+    loop = asyncio.get_running_loop()
+    return TargetFeed(source, lambda: rank, loop.time, lambda feed: None)
+
+
+async def _run(*feeds, for_s):
+    tasks = [asyncio.create_task(feed.run()) for feed in feeds]
+    await asyncio.sleep(for_s)
+    for task in tasks:
+        task.cancel()
+
+
+async def test_first_instance_reads_and_others_do_not():
+    """Guards against a call of every instance for every list."""
+    source, idle = CountingSource(), CountingSource()
+    first, second = _feed(source, 0), _feed(idle, 1)
+    first._on_change = lambda feed: second.adopt(feed.message())
+    second._on_change = lambda feed: None
+    second.adopt(TargetList(age_s=0, targets=()))
+    await _run(first, second, for_s=10)
+    assert 9 <= source.calls <= 11
+    assert idle.calls == 0
+
+
+async def test_next_instance_takes_over():
+    """Guards against a list that grows old when its reader is lost."""
+    source = CountingSource()
+    feed = _feed(source, 1)
+    feed.adopt(TargetList(age_s=0, targets=()))
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    await _run(feed, for_s=READ_S + 1)
+    assert source.calls >= 1
+    # A leaving target must get nothing 3 s after the list shows it.
+    assert feed.read_at - began < 2
+
+
+async def test_older_lists_are_ignored():
+    """Guards against a list that goes back to what it was."""
+    feed = _feed(CountingSource(), 0)
+    feed.adopt(TargetList(age_s=0, targets=(target('new'),)))
+    feed.adopt(TargetList(age_s=2, targets=(target('old'),)))
+    assert [entry.name for entry in feed.entries] == ['new']
+
+
+async def test_failed_reads_keep_the_list():
+    """Guards against taking an unreadable list for an empty one."""
+    source = CountingSource()
+    feed = _feed(source, 0)
+    await _run(feed, for_s=0.5)
+    source.fails = True
+    await _run(feed, for_s=5)
+    assert [entry.name for entry in feed.entries] == ['a']
+    assert source.calls < 10
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,88 @@
+"""Tests of the operators' configuration on the wire."""
+
+import json
+
+import pytest
+from returns.result import Failure
+
+from cuminhoist.gateway.routes import Repeat
+from cuminhoist.platform.configuration import decode_routes
+
+
+def _wire(**path):
+    fields = {
+        'name': 'r-1',
+        'path_prefix': '/a/',
+        'type': 'safe',
+        'timeout_ms': 1000,
+        'aim_ms': 250,
+        'priority': 2,
+        'backend': 'svc',
+        'max_attempts': 2,
+        'sticky': True,
+        'allowed_regions': [],
+        **path,
+    }
+    return {
+        'version': 'r7',
+        'services': [{'name': 'svc', 'cold_start_s': 3.0, 'cold_per_s': 9.4}],
+        'limits': {'idle_timeout_ms': 15000},
+        'hosts': [{'hostname': 'Shop.example', 'paths': [fields]}],
+    }
+
+
+def _decode(content):
+    return decode_routes(json.dumps(content).encode())
+
+
+def test_units_and_names_are_ours():
+    """Guards against wire names and milliseconds inside the product."""
+    table = _decode(_wire(allowed_regions=['north'])).unwrap()
+    route = table.find('shop.example', '/a/b')
+    assert table.version == 7
+    assert route.timeout_s == 1
+    assert route.objective_s == 0.25
+    assert route.homes == {'north'}
+    assert route.shares[0].service == 'svc'
+    assert table.limits.idle_s == 15
+    assert table.services['svc'].cold_per_s == 9.4
+
+
+@pytest.mark.parametrize(
+    ('kind', 'repeat'),
+    [
+        ('safe', Repeat.idempotent),
+        ('download', Repeat.idempotent),
+        ('unsafe', Repeat.once),
+    ],
+)
+def test_what_may_be_repeated(kind, repeat):
+    """Guards against repeating what may run once only."""
+    table = _decode(_wire(type=kind)).unwrap()
+    assert table.find('shop.example', '/a/').repeat is repeat
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        {'backend': 'nobody'},
+        {'type': 'odd'},
+        {'aim_ms': 61000},
+        {'backend': None, 'traffic_split': [{'backend': 'no', 'weight': 1}]},
+    ],
+)
+def test_invalid_routes_are_refused(path):
+    """Guards against putting an invalid configuration in force."""
+    assert isinstance(_decode(_wire(**path)), Failure)
+
+
+def test_empty_host_and_cut_content_are_refused():
+    """Guards against a configuration that was not read in full."""
+    content = _wire()
+    content['hosts'][0]['hostname'] = ''
+    assert isinstance(_decode(content), Failure)
+    whole = json.dumps(_wire()).encode()
+    assert isinstance(decode_routes(whole[:-20]), Failure)
+    assert isinstance(decode_routes(b'\xff\xfe'), Failure)
+    bad = json.dumps({**_wire(), 'version': '7'}).encode()
+    assert isinstance(decode_routes(bad), Failure)
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,80 @@
+"""Tests of headers on the platform's wire."""
+
+from cuminhoist.platform.requests import PlatformWire
+
+
+def _scope(*headers, path=b'/a/b', query=b''):
+    return {
+        'method': 'POST',
+        'raw_path': path,
+        'path': path.decode(),
+        'query_string': query,
+        'headers': list(headers),
+    }
+
+
+def test_request_is_decoded():
+    """Guards against losing the identity, object or time of a request."""
+    req = PlatformWire().decode_request(
+        _scope(
+            (b'host', b'shop.example:80'),
+            (b'x-request-id', b'abc'),
+            (b'x-deadline-ms', b'1200'),
+            (b'cookie', b'z=1; X-Affinity-Key=17'),
+            query=b'q=%2F',
+        ),
+    )
+    assert (req.host, req.request_id, req.key) == ('shop.example', 'abc', '17')
+    assert req.left_s == 1.2
+    assert req.target == b'/a/b?q=%2F'
+    assert not req.has_body
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    """Guards against a caller's connection options at the target."""
+    wire = PlatformWire()
+    req = wire.decode_request(
+        _scope(
+            (b'host', b'h'),
+            (b'x-request-id', b'abc'),
+            (b'connection', b'close, x-odd, x-request-id'),
+            (b'x-odd', b'1'),
+            (b'x-kept', b'2'),
+            (b'x-expect-instance', b'forged'),
+            (b'content-length', b'3'),
+        ),
+    )
+    head = wire.encode_attempt(req, 0.5, 'i-1')
+    named = dict(head.headers)
+    assert b'x-odd' not in named
+    assert named[b'x-kept'] == b'2'
+    assert named[b'x-request-id'] == b'abc'
+    assert named[b'x-expect-instance'] == b'i-1'
+    assert named[b'x-deadline-ms'] == b'500'
+    assert named[b'content-length'] == b'3'
+
+
+def test_notes_of_a_target():
+    """Guards against taking a shed request for one that ran."""
+    wire = PlatformWire()
+    shed = wire.read_notes(
+        503,
+        [(b'x-not-executed', b'1'), (b'x-server-load', b'3,9,3')],
+    )
+    assert shed.not_run
+    assert shed.has_room is False
+    declined = wire.read_notes(
+        503,
+        [(b'x-not-executed', b'1'), (b'x-server-load', b'1,0,3')],
+    )
+    assert declined.has_room is True
+    assert wire.read_notes(421, []).misdirected
+    ran = wire.read_notes(503, [(b'keep-alive', b'timeout=5')])
+    assert not ran.not_run
+    assert ran.idle_s == 5
+
+
+def test_malformed_time_is_no_time():
+    """Guards against a request that fails for a header it may omit."""
+    req = PlatformWire().decode_request(_scope((b'x-deadline-ms', b'soon')))
+    assert req.left_s is None
