--- a/src/cuminhoist/emulator/bound.py
+++ b/src/cuminhoist/emulator/bound.py
@@ -34,7 +34,8 @@
 
     :param pattern: the load.
     """
-    asked = good = float(0)
+    asked = float(0)
+    good = float(0)
     for step in range(round(pattern.length_s / STEP_S)):
         now = step * STEP_S
         rate = sum(
--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -29,7 +29,7 @@
     :param cold_s: mean time on an object that the target does not hold.
     :param warm_part: part of it on one that the target holds.
     :param spread: standard deviation as a part of the mean.
-    :param objects: how many objects there are.
+    :param object_count: how many objects there are.
     :param kept: objects that a target holds.
     :param slots: requests that a target runs at once.
     :param queue: requests that wait at a target; further ones are shed.
@@ -38,7 +38,7 @@
     cold_s: float
     warm_part: float = 0.3
     spread: float = 0.15
-    objects: int = 50
+    object_count: int = 50
     kept: int = 40
     slots: int = 3
     queue: int = 9
--- a/src/cuminhoist/emulator/report.py
+++ b/src/cuminhoist/emulator/report.py
@@ -88,7 +88,8 @@
         Compared are windows that follow each other.
         """
         largest = float(0)
-        for region in {outcome.region for outcome in self.outcomes}:
+        regions = {outcome.region for outcome in self.outcomes}
+        for region in sorted(regions):
             parts = self._moved_parts(region)
             for before, after in zip(parts, parts[1:], strict=False):
                 largest = max(largest, abs(after - before))
@@ -102,7 +103,8 @@
                 window = outcome.asked_at // WINDOW_S
                 served[window] += 1
                 moved[window] += outcome.moved
-        return [moved[window] / served[window] for window in sorted(served)]
+        windows = sorted(served)
+        return [moved[window] / served[window] for window in windows]
 
     def _is_in_time(self, outcome: Outcome) -> bool:
         return outcome.took_s is not None and outcome.took_s <= self.objective_s
--- a/src/cuminhoist/emulator/world.py
+++ b/src/cuminhoist/emulator/world.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Self
 
 import msgspec
@@ -87,16 +88,17 @@
         for slow in pattern.slow:
             count = round(slow.part * len(self.targets))
             chosen = self._rng.sample(sorted(self.targets), count)
-            self._at(slow.at_s, lambda: self._slow_down(chosen, slow.factor))
             end_s = slow.at_s + slow.for_s
-            self._at(end_s, lambda: self._slow_down(chosen, 1))
+            self._at(slow.at_s, partial(self._slow_down, chosen, slow.factor))
+            self._at(end_s, partial(self._slow_down, chosen, 1))
         for part in pattern.declining:
-            self._at(part.at_s, lambda: self._decline(part.part))
-            self._at(part.at_s + part.for_s, lambda: self._decline(0))
+            self._at(part.at_s, partial(self._decline, part.part))
+            self._at(part.at_s + part.for_s, partial(self._decline, 0))
         self._supply()
         self._tick()
         while self._events:
-            self.now, _, event = heapq.heappop(self._events)
+            when, _, event = heapq.heappop(self._events)
+            self.now = when
             event()
         return self.report
 
@@ -138,7 +140,7 @@
         callers = self._pattern.callers
         asking = _Asking(
             region,
-            f'o{self._rng.randrange(self._pattern.work.objects)}',
+            f'o{self._rng.randrange(self._pattern.work.object_count)}',
             self.now,
             self.now + callers.left_s,
         )
@@ -301,7 +303,7 @@
         for dispatcher in self.dispatchers.values():
             for _, decision in dispatcher.tick(self.now):
                 self._decided(decision)
-        if self.now < self._pattern.length_s + 2 * TICK_S or any(
-            dispatcher.waits() for dispatcher in self.dispatchers.values()
-        ):
+        dispatchers = self.dispatchers.values()
+        waits = any(one.waits() for one in dispatchers)
+        if waits or self.now < self._pattern.length_s + 2 * TICK_S:
             self._after(TICK_S, self._tick)
--- a/src/cuminhoist/events.py
+++ b/src/cuminhoist/events.py
@@ -93,7 +93,8 @@
     if record['exception'] is not None:
         fields['exception'] = repr(record['exception'].value)
         fields['where'] = _where(record['exception'].traceback)
-    return msgspec.json.encode(fields, enc_hook=str) + b'\n'
+    encoded = msgspec.json.encode(fields, enc_hook=str)
+    return b'%b\n' % encoded
 
 
 def _where(traceback: Any) -> str:
--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -357,7 +357,8 @@
             if self._keeps(known.link, hello):
                 link.close()
                 return
-            peer.beat, peer.beat_at = known.beat, known.beat_at
+            peer.beat = known.beat
+            peer.beat_at = known.beat_at
         link.peer = peer
         self.peers[hello.name] = peer
         if known is not None:
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -18,9 +18,9 @@
 from ..register.ballots import Learned
 from ..register.declared import Declared
 from ..steering.dispatch import Dispatcher
+from ..steering.assignment import assign_targets
 from ..steering.demand import Demand
-from ..steering.supply import Terms, make_tracks, usable_entries
-from ..steering.targets import TargetEntry
+from ..steering.supply import Terms, usable_entries
 from .control_role import Decode
 from .entry_links import EntryLinks
 from .lookups import nearest_entries
@@ -164,7 +164,11 @@
             self.feed.adopt(msg)
         elif isinstance(msg, DecisionNotice):
             self.placer.settle(msg.decision)
-        elif isinstance(msg, View):
+        else:
+            self._on_fleet(msg)
+
+    def _on_fleet(self, msg: Message) -> None:
+        if isinstance(msg, View):
             self._on_view(msg)
         elif isinstance(msg, Roster):
             self._roster = msg.entries
@@ -195,7 +199,6 @@
 
     def _on_targets(self, feed: TargetFeed) -> None:
         known = self.passages.known
-        known.targets = {entry.name: entry for entry in feed.entries}
         known.list_at = feed.read_at
         self._upstreams.keep_only(list(feed.entries))
         self._update_targets()
@@ -225,27 +228,14 @@
         )
         usable = usable_entries(self.feed.entries, drained)
         self.passages.known.targets = {entry.name: entry for entry in usable}
-        by_service: dict[str, list[TargetEntry]] = {}
-        for entry in usable:
-            by_service.setdefault(entry.service, []).append(entry)
-        local = self.placer.local
-        names = {name for name, _ in local.services()} | by_service.keys()
-        for service in names:
-            needs = {
-                need.region: need.slots
-                for need in self._demand
-                if need.service == service
-            }
-            tracks = make_tracks(
-                local.service(service).tracks,
-                by_service.get(service, []),
-                needs,
-                terms,
-                self._now(),
-            )
-            for pool in {track.pool for track in tracks.values()}:
-                pool.slots /= self._region_entries
-            local.set_targets(service, tracks, self._site.region)
+        assign_targets(
+            self.placer.local,
+            usable,
+            self._demand,
+            terms,
+            self._now(),
+            sharers=self._region_entries,
+        )
 
     async def _run_checks(self) -> None:
         while True:
--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -127,7 +127,7 @@
         self._heard_at = self._loop.time()
         self._buffer += data
         while len(self._buffer) >= _HEAD.size and not self.ended:
-            (length,) = _HEAD.unpack_from(self._buffer)
+            length = _HEAD.unpack_from(self._buffer)[0]
             if length > MAX_FRAME_BYTES:
                 self.close()
                 return
@@ -239,7 +239,8 @@
         fut.set_result(decoded.unwrap().message if valid else None)
 
     def _flush(self) -> None:
-        parts, self._unsent = self._unsent, []
+        parts = self._unsent
+        self._unsent = []
         if self._transport is None or self._transport.is_closing():
             return
         content = b''.join(parts)
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -7,9 +7,10 @@
 from ..gateway.routes import RouteTable
 from ..logs import logger
 from ..steering.asks import Ask, Decision
+from ..steering.assignment import assign_targets
 from ..steering.dispatch import Dispatcher
 from ..steering.demand import Demand, DemandMeter
-from ..steering.supply import Terms, make_tracks, usable_entries
+from ..steering.supply import Terms
 from ..steering.targets import TargetEntry
 from .control_links import Peer
 from .messages import (
@@ -63,7 +64,12 @@
         elif isinstance(msg, DoneNotice):
             self._tell(self.dispatcher.done(asker, msg.done, self._now()))
         elif isinstance(msg, WithdrawNotice):
-            self.dispatcher.withdraw(asker, msg.number, msg.service)
+            self.dispatcher.withdraw(
+                asker,
+                msg.number,
+                msg.service,
+                self._now(),
+            )
         elif isinstance(msg, RunningNotice):
             self.dispatcher.forget(asker, self._now())
             for done in msg.running:
@@ -111,24 +117,13 @@
                 for name, queue in self.dispatcher.services()
             },
         )
-        by_service: dict[str, list[TargetEntry]] = {}
-        for entry in usable_entries(entries, drained):
-            by_service.setdefault(entry.service, []).append(entry)
-        known = {name for name, _ in self.dispatcher.services()}
-        for service in known | by_service.keys():
-            needs = {
-                need.region: need.slots
-                for need in demand
-                if need.service == service
-            }
-            tracks = make_tracks(
-                self.dispatcher.service(service).tracks,
-                by_service.get(service, []),
-                needs,
-                terms,
-                self._now(),
-            )
-            self.dispatcher.set_targets(service, tracks, self._region)
+        assign_targets(
+            self.dispatcher,
+            entries,
+            demand,
+            terms,
+            self._now(),
+        )
         self._tell(self.dispatcher.tick(self._now()))
 
     def _on_ask(self, asker: str, ask: Ask) -> None:
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
 from ..exchange import Headers
 from ..problems import Refusal
 from ..retries import RetryBudget
@@ -33,7 +31,8 @@
 from .bodies import CallerGone, Receive, RequestBody
 from .placing import Placer
 from .recorder import Recorder, log_request
-from .routes import Repeat, Route, RouteTable
+from .routes import Repeat, Route
+from .run import Knowledge, Run
 from .splits import Splitter
 from .upstreams import Upstreams
 from .wire import CallerRequest, WireFormat
@@ -55,41 +54,6 @@
 MS = 1000
 
 
-class Knowledge(msgspec.Struct):
-    """What an entry instance knows; replaced as a whole when it changes.
-
-    :param routes: routes in force; none before the first configuration.
-    :param targets: usable and other listed targets by name.
-    :param list_at: when the list of targets was read.
-    :param entries: entry instances that share the budget of attempts.
-    :param refuses: whether new requests are refused, in a stop.
-    """
-
-    routes: RouteTable | None = None
-    targets: dict[str, TargetEntry] = msgspec.field(default_factory=dict)
-    list_at: float = float('-inf')
-    entries: int = 1
-    refuses: bool = False
-
-
-class _Run:
-    """State of one request on its way."""
-
-    def __init__(self, req: CallerRequest, route: Route, service: str) -> None:
-        self.req = req
-        self.route = route
-        self.service = service
-        self.arrived = float(0)
-        self.ends_at = float(0)
-        self.useful_until = float(0)
-        self.tried: list[str] = []
-        self.may_have_run = False
-        self.sent = False
-        self.waited_s = float(0)
-        self.trail: list[str] = []
-        self.kept_failure: TargetAnswer | None = None
-
-
 class Passages:
     """Serves the requests of one entry instance.
 
@@ -159,7 +123,7 @@
             self._log_refusal(req, refusal)
             await send_refusal(refusal, send, closes=self.known.refuses)
             return
-        run = _Run(req, route, self._splitter.choose(route))
+        run = Run(req, route, self._splitter.choose(route))
         self._set_times(run, arrived)
         body = RequestBody(receive)
         outcome = 'gone'
@@ -179,7 +143,7 @@
             return not_run(reason, 'Ask another one.', UNREADY_RETRY_S), None
         return None, routes.find(req.host, req.path)
 
-    def _set_times(self, run: _Run, arrived: float) -> None:
+    def _set_times(self, run: Run, arrived: float) -> None:
         route = run.route
         left_s = route.timeout_s if run.req.left_s is None else run.req.left_s
         # The objective runs from the first time that the caller asked.
@@ -206,7 +170,7 @@
 
     async def _pass(
         self,
-        run: _Run,
+        run: Run,
         body: RequestBody,
         scope: Any,
         send: Send,
@@ -232,7 +196,7 @@
 
     async def _attempt(
         self,
-        run: _Run,
+        run: Run,
         body: RequestBody,
         target: TargetEntry,
         decision: Granted,
@@ -258,20 +222,29 @@
             )
             ending = outcome.ending
         finally:
-            run_s = self._now() - started
-            self._done(run, decision, ending, run_s)
-            run.tried.append(target.name)
-            run.trail.append(
-                f'{decider}: {target.name} {ending} {run_s * MS:.0f}ms',
-            )
+            self._note_attempt(run, decision, decider, ending, started)
         if outcome.detail:
             run.trail.append(outcome.detail)
         run.may_have_run = run.may_have_run or outcome.may_have_run
         return outcome
 
+    def _note_attempt(
+        self,
+        run: Run,
+        decision: Granted,
+        decider: str,
+        ending: Ending,
+        started: float,
+    ) -> None:
+        run_s = self._now() - started
+        self._done(run, decision, ending, run_s)
+        run.tried.append(decision.target)
+        took = f'{run_s * MS:.0f}ms'
+        run.trail.append(f'{decider}: {decision.target} {ending} {took}')
+
     def _done(
         self,
-        run: _Run,
+        run: Run,
         decision: Granted,
         ending: Ending,
         run_s: float,
@@ -290,7 +263,7 @@
 
     def _may_retry(
         self,
-        run: _Run,
+        run: Run,
         body: RequestBody,
         ended: AttemptOutcome,
     ) -> bool:
@@ -312,7 +285,7 @@
             run.kept_failure = ended.answer
         return True
 
-    async def _give_up(self, run: _Run, refused: Refused, send: Send) -> str:
+    async def _give_up(self, run: Run, refused: Refused, send: Send) -> str:
         kept = run.kept_failure
         if kept is not None and kept.whole:
             headers = passed_headers(self._wire, kept)
@@ -341,7 +314,7 @@
 
     async def _fail(
         self,
-        run: _Run,
+        run: Run,
         ended: AttemptOutcome,
         send: Send,
     ) -> str:
@@ -366,7 +339,7 @@
 
     async def _deliver(
         self,
-        run: _Run,
+        run: Run,
         answer: TargetAnswer,
         scope: Any,
         send: Send,
@@ -385,7 +358,7 @@
             return 'cut'
         return f'answered-{answer.status}'
 
-    def _ask(self, run: _Run) -> Ask:
+    def _ask(self, run: Run) -> Ask:
         now = self._now()
         return Ask(
             number=self._placer.next_number(),
@@ -397,7 +370,7 @@
             excluded=tuple(run.tried),
         )
 
-    def _record(self, run: _Run, outcome: str) -> None:
+    def _record(self, run: Run, outcome: str) -> None:
         took_s = self._now() - run.arrived
         self._recorder.requests.labels(run.service, outcome).inc()
         self._recorder.latency.labels(run.service).observe(took_s)
--- a/src/cuminhoist/gateway/placing.py
+++ b/src/cuminhoist/gateway/placing.py
@@ -154,7 +154,7 @@
             try:
                 decision = await fut
             except asyncio.CancelledError:
-                self.local.withdraw('', ask.number, ask.service)
+                self.local.withdraw('', ask.number, ask.service, self._now())
                 raise
             finally:
                 self._pending.pop(ask.number, None)
--- a/src/cuminhoist/gateway/splits.py
+++ b/src/cuminhoist/gateway/splits.py
@@ -33,12 +33,11 @@
             key,
             [self._rng.uniform(0, total) for _ in shares],
         )
-        for number, share in enumerate(shares):
-            credit[number] += share.weight
+        for place, share in enumerate(shares):
+            credit[place] += share.weight
         best = max(
-            (number for number, share in enumerate(shares) if share.weight > 0),
-            key=lambda number: credit[number],
-            default=0,
+            range(len(shares)),
+            key=lambda number: (shares[number].weight > 0, credit[number]),
         )
         credit[best] -= total
         return shares[best].service
@@ -48,5 +47,8 @@
 
         :param routes: names of the routes that are still declared.
         """
-        for key in [key for key in self._credits if key[0] not in routes]:
-            self._credits.pop(key)
+        self._credits = {
+            key: credit
+            for key, credit in self._credits.items()
+            if key[0] in routes
+        }
--- a/src/cuminhoist/platform/apps.py
+++ b/src/cuminhoist/platform/apps.py
@@ -1,8 +1,8 @@
 """HTTP interfaces of the platform, as ASGI applications."""
 
-import urllib.parse
 from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 
@@ -69,7 +69,7 @@
         if scope['path'] != _LOOKUP_PATH:
             await _reply(send, 404, b'')
             return
-        query = urllib.parse.parse_qs(scope['query_string'].decode('latin-1'))
+        query = parse_qs(scope['query_string'].decode('latin-1'))
         addresses = lookup(
             query.get('region', [''])[0],
             query.get('zone', [''])[0],
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -82,7 +82,8 @@
     try:
         wire = msgspec.json.decode(body, type=_Configuration)
         return Success(_table(wire))
-    except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as exc:
+    except ValueError as exc:
+        # Decoding errors of the library are of this class as well.
         return Failure(str(exc))
 
 
@@ -101,7 +102,7 @@
         routes = [_route(entry, services) for entry in host.paths]
         known = (*hosts.get(host.hostname.lower(), ()), *routes)
         hosts[host.hostname.lower()] = tuple(
-            sorted(known, key=lambda route: -len(route.prefix)),
+            sorted(known, key=_prefix_length, reverse=True),
         )
     return RouteTable(
         version=_version(wire.version),
@@ -115,6 +116,10 @@
     )
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 def _version(text: str) -> int:
     if not text.startswith('r'):
         raise ValueError(f'version {text!r} does not begin with r')
--- a/src/cuminhoist/platform/listing.py
+++ b/src/cuminhoist/platform/listing.py
@@ -1,5 +1,6 @@
 """The platform's list of targets."""
 
+import contextlib
 from typing import Any
 
 import httpx
@@ -92,11 +93,10 @@
     """
     found = []
     for name, raw in entries.items():
-        try:
+        # Decoding errors of the library are values errors as well.
+        with contextlib.suppress(ValueError):
             wire = msgspec.json.decode(raw, type=_Entry)
             found.append(_target(name, wire))
-        except (msgspec.DecodeError, ValueError, UnicodeDecodeError):
-            continue
     return found
 
 
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -43,7 +43,9 @@
         headers: Headers = scope['headers']
         named = dict(headers)
         query = scope['query_string']
-        target = scope['raw_path'] + (b'?' + query if query else b'')
+        target = scope['raw_path']
+        if query:
+            target = b'%b?%b' % (target, query)
         host = named.get(b'host', b'').decode('latin-1')
         chunked = b'chunked' in named.get(b'transfer-encoding', b'').lower()
         length = named.get(b'content-length', b'0')
--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -67,6 +67,71 @@
     applied: bool
 
 
+class _Gathering:
+    """Asks voters until a quorum of the newest state among them answers.
+
+    :param known: newest state that is known to be chosen.
+    :param client: carries requests to voters.
+    :param request: returns the request to a voter.
+    """
+
+    def __init__(
+        self,
+        known: Declared,
+        client: VoterClient,
+        request: Callable[[Voter], Message],
+    ) -> None:
+        self.asked: set[asyncio.Task[Verdict | None]] = set()
+        self.highest_round = 0
+        self._known = known
+        self._client = client
+        self._request = request
+        self._best = known
+        self._ballot = Ballot()
+        self._verdicts: dict[str, Verdict] = {}
+        self._names: set[str] = set()
+
+    async def run(self) -> Read | None:
+        """Return what was found, or nothing without a quorum."""
+        while not self._is_complete():
+            self._ask_further()
+            if not self.asked:
+                return None
+            finished, self.asked = await asyncio.wait(
+                self.asked,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not all([self._take(task.result()) for task in finished]):
+                return None
+        accepted = {verdict.accepted for verdict in self._verdicts.values()}
+        return Read(self._best, self._ballot, accepted == {self._ballot})
+
+    def _is_complete(self) -> bool:
+        answered = set(self._verdicts)
+        known = self._known.has_quorum(answered)
+        return known and self._best.has_quorum(answered)
+
+    def _ask_further(self) -> None:
+        # Answers may name voters that were not known before.
+        for voter in (*self._known.everyone(), *self._best.everyone()):
+            if voter.name not in self._names:
+                self._names.add(voter.name)
+                call = self._client.ask(voter, self._request(voter), PHASE_S)
+                self.asked.add(asyncio.create_task(call))
+
+    def _take(self, verdict: Verdict | None) -> bool:
+        """Take an answer and tell whether it grants the request."""
+        if verdict is None:
+            return True
+        self.highest_round = max(self.highest_round, verdict.promised.round)
+        if verdict.granted:
+            self._verdicts[verdict.voter] = verdict
+            if verdict.state and verdict.accepted > self._ballot:
+                self._best = verdict.state
+                self._ballot = verdict.accepted
+        return verdict.granted
+
+
 class Proposer:
     """Proposes on behalf of one control instance.
 
@@ -192,42 +257,12 @@
         self,
         request: Callable[[Voter], Message],
     ) -> Read | None:
-        known = self._known()
-        answers: dict[str, Verdict] = {}
-        asked: dict[asyncio.Task[Verdict | None], Voter] = {}
-        done_voters: set[str] = set()
-        best, ballot = known, Ballot()
+        gathering = _Gathering(self._known(), self._client, request)
         try:
-            while True:
-                for voter in {*known.everyone(), *best.everyone()}:
-                    if voter.name not in done_voters:
-                        done_voters.add(voter.name)
-                        call = self._client.ask(voter, request(voter), PHASE_S)
-                        asked[asyncio.create_task(call)] = voter
-                if not asked:
-                    return None
-                finished, _ = await asyncio.wait(
-                    asked,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in finished:
-                    asked.pop(task)
-                    verdict = task.result()
-                    if verdict is None:
-                        continue
-                    self._round = max(self._round, verdict.promised.round)
-                    if not verdict.granted:
-                        return None
-                    answers[verdict.voter] = verdict
-                    if verdict.state and verdict.accepted > ballot:
-                        best, ballot = verdict.state, verdict.accepted
-                names = set(answers)
-                if known.has_quorum(names) and best.has_quorum(names):
-                    break
+            return await gathering.run()
         finally:
-            self._leave(list(asked))
-        agreed = {verdict.accepted for verdict in answers.values()} == {ballot}
-        return Read(best, ballot, agreed)
+            self._round = max(self._round, gathering.highest_round)
+            self._leave(list(gathering.asked))
 
     def _leave(self, calls: list[asyncio.Task[Verdict | None]]) -> None:
         # Answers that are no longer needed still arrive; the voters act on
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -20,6 +20,7 @@
     Voter,
 )
 from .proposer import Proposer, VoterClient
+from .voters import next_voters
 
 #: How often membership and unlearned states are looked at, in seconds.
 ROUND_S = 0.3
@@ -27,8 +28,6 @@
 SUBMIT_S = 0.9
 #: A state that nobody has announced for this long is looked for, in seconds.
 UNLEARNED_S = 0.5
-#: Voters at most: a majority of nine outlives any four.
-MAX_VOTERS = 9
 #: A voter that was silent this long may be replaced by a new instance, in
 #: seconds; restarts take less.
 REPLACE_AFTER_S = 3.0
@@ -238,7 +237,8 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            batch, self._pending = self._pending, []
+            batch = self._pending
+            self._pending = []
             if not batch:
                 continue
             state = None
@@ -369,40 +369,6 @@
     return False
 
 
-def next_voters(
-    voters: tuple[Voter, ...],
-    joining: Sequence[Voter],
-    silent: Sequence[Voter],
-) -> tuple[Voter, ...]:
-    """Return the voters after some instances have joined.
-
-    An instance that has lost its disk takes its own former place. Another
-    new instance takes the place of a silent voter, or a place of its own.
-
-    :param voters: the present voters.
-    :param joining: instances that ask for a vote.
-    :param silent: voters that may be replaced.
-    """
-    chosen = set(voters)
-    replaceable = list(silent)
-    for voter in joining:
-        former = [
-            other
-            for other in chosen
-            if other.address.host == voter.address.host
-        ]
-        if former:
-            chosen -= set(former)
-            replaceable = [
-                other for other in replaceable if other not in former
-            ]
-        elif replaceable:
-            chosen.discard(replaceable.pop(0))
-        if len(chosen) < MAX_VOTERS:
-            chosen.add(voter)
-    return tuple(sorted(chosen))
-
-
 def _newest(states: Sequence[Declared | None]) -> Declared | None:
     found = [state for state in states if state is not None]
     return max(found, key=lambda state: state.index, default=None)
--- a/src/cuminhoist/register/store.py
+++ b/src/cuminhoist/register/store.py
@@ -54,8 +54,9 @@
                 newest = (found[0], turn, found[1])
         if newest is None:
             return None
-        self._sequence, self._turn, payload = newest
-        self._turn = 1 - self._turn
+        self._sequence = newest[0]
+        self._turn = 1 - newest[1]
+        payload = newest[2]
         return msgspec.msgpack.decode(payload, type=self._kind)
 
     def exists(self) -> bool:
@@ -148,7 +149,7 @@
         _log.warning('torn file', file=path.name, size=len(content))
         return None
     head = content[: _HEAD.size]
-    (check,) = struct.unpack('<I', content[_HEAD.size : size])
+    check = struct.unpack('<I', content[_HEAD.size : size])[0]
     sequence, length, crc = _HEAD.unpack(head)
     payload = content[size : size + length]
     if check != zlib.crc32(head) or crc != zlib.crc32(payload):
--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -7,23 +7,16 @@
 its answer can be in time, and is refused at its arrival if that will not be.
 """
 
-import collections
 from collections.abc import Iterable
 
-import msgspec
-
 from .asks import Ask, Decision, Done, Ending, Granted, RefusalReason, Refused
-from .placement import Option, Placement, RunTimes
+from .placement import Option, Placement
+from .queues import SMOOTHING, ServiceQueue, Started, Waiting
 from .track import TargetTrack
 
-#: Least weight of a new observation in the run times of a service.
-SMOOTHING = 0.05
 #: Weight of a new observation in the part of the targets that hold what they
 #: should.
 HELD_SMOOTHING = 0.05
-#: Run times before any was seen, as parts of the first objective.
-FIRST_COLD_PART = 0.9
-FIRST_WARM_PART = 0.3
 #: A run that took this many times longer than expected says nothing of the
 #: service.
 OUTLIER_RATIO = 4.0
@@ -36,9 +29,6 @@
 #: A request whose answer is late anyway waits at most this long for a slot,
 #: in seconds.
 LATE_WAIT_S = 0.05
-#: A waiting request is looked at again this long after its slot was due, in
-#: seconds.
-LOOK_AGAIN_S = 0.015
 #: Time after the deadline of an attempt in which its end is reported, in
 #: seconds.
 REPORT_S = 1.0
@@ -47,98 +37,12 @@
 ADOPTED_S = 2.0
 
 
-class _Started(msgspec.Struct, frozen=True):
-    """An attempt that holds a slot.
-
-    :param ends_at: when it must have ended.
-    """
-
-    service: str
-    target: str
-    key: str
-    ends_at: float
-    was_warm: bool = False
-
-
-class _Waiting:
-    """A request in the queue of a service.
-
-    :param track: the target whose slot it waits for.
-    :param look_at: when another way to serve it is looked for.
-    """
-
-    def __init__(self, asker: str, ask: Ask, now: float) -> None:
-        self.asker = asker
-        self.ask = ask
-        self.since = now
-        self.useful_until = now + ask.useful_s
-        self.track: TargetTrack | None = None
-        self.look_at = now
-
-    def wait_for(self, option: Option, now: float) -> None:
-        """Join the queue of a target.
-
-        :param option: the target and the expected wait.
-        :param now: monotonic time in seconds.
-        """
-        self.leave()
-        self.track = option.track
-        self.track.queued += 1
-        self.look_at = now + option.wait_s + LOOK_AGAIN_S
-
-    def leave(self) -> None:
-        """Leave the queue of the target."""
-        if self.track is not None:
-            self.track.queued -= 1
-            self.track = None
-
-
-class ServiceQueue:
-    """Targets, run times and waiting requests of one service."""
-
-    def __init__(self) -> None:
-        self.placement = Placement({}, '')
-        self.waiting: collections.deque[_Waiting] = collections.deque()
-        self.times = RunTimes()
-
-    @property
-    def tracks(self) -> dict[str, TargetTrack]:
-        """All targets by name."""
-        return self.placement.tracks
-
-    def learn(self, run_s: float, *, was_warm: bool) -> None:
-        """Add the run time of an answered request.
-
-        :param run_s: the time, in seconds.
-        :param was_warm: whether its target held its object.
-        """
-        times = self.times
-        if was_warm:
-            times.warm_count += 1
-            weight = max(SMOOTHING, 1 / (times.warm_count + 1))
-            times.warm_s += weight * (run_s - times.warm_s)
-        else:
-            times.cold_count += 1
-            weight = max(SMOOTHING, 1 / (times.cold_count + 1))
-            times.cold_s += weight * (run_s - times.cold_s)
-
-    def expect(self, objective_s: float) -> None:
-        """Take first run times from an objective.
-
-        :param objective_s: time in which an answer is of full use.
-        """
-        if not self.times.cold_s and objective_s > 0:
-            self.times.cold_s = objective_s * FIRST_COLD_PART
-            self.times.warm_s = objective_s * FIRST_WARM_PART
-            self.times.mean_s = self.times.cold_s
-
-
 class Dispatcher:
     """Decides for the requests of one region."""
 
     def __init__(self) -> None:
         self._services: dict[str, ServiceQueue] = {}
-        self._started: dict[tuple[str, int], _Started] = {}
+        self._started: dict[tuple[str, int], Started] = {}
 
     def service(self, name: str) -> ServiceQueue:
         """Return the queue of a service.
@@ -184,7 +88,7 @@
         """
         queue = self.service(ask.service)
         queue.expect(ask.useful_s)
-        waiting = _Waiting(asker, ask, now)
+        waiting = Waiting(asker, ask, now)
         decision = self._decide(queue, waiting, now)
         if decision is None:
             queue.waiting.append(waiting)
@@ -213,19 +117,29 @@
         self._note_end(queue, track, started, done, now)
         return self._serve_queue_of(queue, track, now)
 
-    def withdraw(self, asker: str, number: int, service: str) -> None:
-        """Take a request out of the queue.
+    def withdraw(
+        self,
+        asker: str,
+        number: int,
+        service: str,
+        now: float,
+    ) -> None:
+        """Take a request out of the queue, or free its slot.
 
         :param asker: the entry instance that asked.
         :param number: identity of the request.
         :param service: its service.
+        :param now: monotonic time in seconds.
         """
         queue = self.service(service)
-        for waiting in queue.waiting:
+        for waiting in tuple(queue.waiting):
             if waiting.asker == asker and waiting.ask.number == number:
                 waiting.leave()
                 queue.waiting.remove(waiting)
-                return
+        # The grant may have crossed the withdrawal.
+        started = self._started.pop((asker, number), None)
+        if started is not None:
+            self._free(started, now)
 
     def forget(self, asker: str, now: float) -> None:
         """Free everything of an entry instance that is gone.
@@ -234,13 +148,14 @@
         :param now: monotonic time in seconds.
         """
         for queue in self._services.values():
-            for waiting in [
-                entry for entry in queue.waiting if entry.asker == asker
-            ]:
-                waiting.leave()
-                queue.waiting.remove(waiting)
-        for key in [key for key in self._started if key[0] == asker]:
-            self._free(self._started.pop(key), now)
+            for waiting in tuple(queue.waiting):
+                if waiting.asker == asker:
+                    waiting.leave()
+                    queue.waiting.remove(waiting)
+        for key, started in tuple(self._started.items()):
+            if key[0] == asker:
+                self._started.pop(key)
+                self._free(started, now)
 
     def expire(self, now: float) -> None:
         """Free attempts whose end was never reported.
@@ -277,7 +192,7 @@
         """
         track = self.service(done.service).tracks.get(done.target)
         if track is not None and (asker, done.number) not in self._started:
-            self._started[(asker, done.number)] = _Started(
+            self._started[(asker, done.number)] = Started(
                 done.service,
                 done.target,
                 done.key,
@@ -301,7 +216,7 @@
     def _decide(
         self,
         queue: ServiceQueue,
-        waiting: _Waiting,
+        waiting: Waiting,
         now: float,
     ) -> Decision | None:
         ask = waiting.ask
@@ -328,7 +243,7 @@
     def _decide_late(
         self,
         queue: ServiceQueue,
-        waiting: _Waiting,
+        waiting: Waiting,
         options: list[Option],
         now: float,
     ) -> Decision | None:
@@ -366,7 +281,7 @@
         self,
         queue: ServiceQueue,
         track: TargetTrack,
-        started: _Started,
+        started: Started,
         done: Done,
         now: float,
     ) -> None:
@@ -401,13 +316,13 @@
 
     def _grant(
         self,
-        waiting: _Waiting,
+        waiting: Waiting,
         track: TargetTrack,
         now: float,
     ) -> Granted:
         ask = waiting.ask
         name = track.entry.name
-        self._started[(waiting.asker, ask.number)] = _Started(
+        self._started[(waiting.asker, ask.number)] = Started(
             ask.service,
             name,
             ask.key,
@@ -420,13 +335,13 @@
     def _refuse(
         self,
         queue: ServiceQueue,
-        waiting: _Waiting,
+        waiting: Waiting,
         soonest: Option,
     ) -> Refused:
         retry_s = min(max(MIN_RETRY_S, soonest.wait_s), MAX_RETRY_S)
         return Refused(waiting.ask.number, RefusalReason.overload, retry_s)
 
-    def _free(self, started: _Started, now: float) -> None:
+    def _free(self, started: Started, now: float) -> None:
         track = self.service(started.service).tracks.get(started.target)
         if track is not None:
             track.end(Ending.withdrawn, started.key, 1, now)
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -89,7 +89,7 @@
         for name, track in tracks.items():
             by_region.setdefault(track.region, []).append(name)
         self._names = {
-            name: tuple(sorted(names)) for name, names in by_region.items()
+            place: tuple(sorted(names)) for place, names in by_region.items()
         }
 
     def options(
--- a/src/cuminhoist/steering/supply.py
+++ b/src/cuminhoist/steering/supply.py
@@ -41,6 +41,14 @@
     cold_per_s: Mapping[str, float]
     run_s: Mapping[str, float]
 
+    def cold_limit(self, service: str) -> float:
+        """Return the requests a second that a cold target tolerates.
+
+        :param service: service of the target.
+        """
+        per_s = self.cold_per_s.get(service, 0)
+        return per_s if per_s > 0 else float('inf')
+
 
 def usable_entries(
     entries: Iterable[TargetEntry],
@@ -70,7 +78,8 @@
     spare: dict[str, float] = {}
     missing: dict[str, float] = {}
     roots = _affordable_roots(own, demand)
-    for region in {*own, *demand}:
+    regions = {*own, *demand}
+    for region in sorted(regions):
         mean = demand.get(region, 0)
         needed = mean + roots * math.sqrt(mean)
         excess = own.get(region, 0) - needed
@@ -165,7 +174,7 @@
         track.slots = entry.slots
         track.pool = pools[region]
         track.pool.running += track.running
-        track.cold_per_s = terms.cold_per_s.get(entry.service) or float('inf')
+        track.cold_per_s = terms.cold_limit(entry.service)
         if entry.cold_s > 0:
             track.cold_until = max(track.cold_until, now + entry.cold_s)
         tracks[entry.name] = track
--- a/tests/register/test_replica.py
+++ b/tests/register/test_replica.py
@@ -6,7 +6,7 @@
 
 from cuminhoist.fleet.site import Address
 from cuminhoist.register.declared import DrainDomain, Voter
-from cuminhoist.register.replica import MAX_VOTERS, next_voters
+from cuminhoist.register.voters import MAX_VOTERS, next_voters
 
 from .builders import RegisterWorld, configuration
 
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -100,7 +100,7 @@
     made = dispatcher(count=1)
     granted = made.offer('e', ask(1), 0)
     made.offer('e', ask(2), 0)
-    made.withdraw('e', 2, SERVICE)
+    made.withdraw('e', 2, SERVICE, 0.01)
     assert not made.done('e', done(granted), 0.07)
     assert made.service(SERVICE).tracks['t0'].queued == 0
 
@@ -150,7 +150,7 @@
             sent += 1
             made.done('e', done(decision), now)
         elif decision is None:
-            made.withdraw('e', step, SERVICE)
+            made.withdraw('e', step, SERVICE, now)
     assert sent <= 2 * 4 + 1
 
 
@@ -174,3 +174,11 @@
         targets.add(granted.target)
         made.done('e', done(granted, key=f'k{number}'), 100.1)
     assert 't9' in targets
+
+
+def test_withdrawal_that_crosses_the_grant_frees_the_slot():
+    """Guards against slots of callers that left while they were granted."""
+    made = dispatcher(count=1)
+    made.offer('e', ask(1), 0)
+    made.withdraw('e', 1, SERVICE, 0.01)
+    assert isinstance(made.offer('e', ask(2), 0.02), Granted)
