--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -323,7 +323,6 @@
         self,
         region: str,
         index: int,
-        demand: tuple[Demand, ...],
         *,
         confirmed: bool,
     ) -> View:
@@ -331,7 +330,6 @@
 
         :param region: region of the entry instance.
         :param index: of the newest declared state that it knows.
-        :param demand: what the requests of all regions need.
         :param confirmed: whether it reaches a quorum.
         """
         controls = self.controls()
@@ -339,11 +337,9 @@
         return View(
             index=index,
             confirmed=confirmed,
-            controls=tuple(controls),
             dispatcher=dispatcher_of(region, controls),
             entries=len(entries),
             region_entries=sum(entry.region == region for entry in entries),
-            demand=demand,
         )
 
     def _fresh(self) -> list[Peer]:
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -20,15 +20,26 @@
     ReplaceConfiguration,
 )
 from ..register.replica import Replica
+from ..steering.targets import TargetEntry
 from .control_links import BEAT_S, ControlLinks, Peer
 from .lookups import nearest_entries
-from .messages import Hello, Roster, TargetList
+from .list_changes import changes_between
+from .messages import (
+    ControlSeen,
+    Hello,
+    Neighbours,
+    Roster,
+    TargetList,
+)
 from .region_dispatch import RegionDispatch
 from .site import Address, Site
 from .target_feed import TargetFeed, TargetSource
 
 #: Time for the others to learn that this instance leaves, in seconds.
 LEAVE_S = 0.8
+#: Entry instances hear of demand each time after this many beats; it is for
+#: the time without a dispatcher only.
+NEIGHBOUR_BEATS = 6
 #: A control instance that has just started does not know all entry instances
 #: yet; its roster would hide the others, in seconds.
 ROSTER_AFTER_S = 2.0
@@ -92,6 +103,9 @@
         self.feed = TargetFeed(source, self._rank, now, self._on_targets)
         self.dispatch = RegionDispatch(site.region, site.regions, now)
         self._demand = self.dispatch.measure()
+        self._told: tuple[TargetEntry, ...] = ()
+        self._told_controls: tuple[ControlSeen, ...] = ()
+        self._beats = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -221,10 +235,12 @@
             self._update_dispatch()
 
     def _on_targets(self, feed: TargetFeed) -> None:
-        message = feed.message()
-        self.links.send_to_entries(message)
+        age_s = self._now() - feed.read_at
+        changes = changes_between(self._told, feed.entries, age_s)
+        self._told = feed.entries
+        self.links.send_to_entries(changes)
         if self._rank() == 0:
-            self.links.broadcast(message)
+            self.links.broadcast(feed.message())
         self._update_dispatch()
 
     def _on_peer(self, peer: Peer) -> None:
@@ -232,10 +248,13 @@
         if known is not None:
             peer.link.send(Learned(state=known))
         if not peer.hello.control:
-            peer.link.send(self.feed.message())
+            # Changes that follow start from the list that the others have.
+            age_s = self._now() - self.feed.read_at
+            peer.link.send(TargetList(age_s=age_s, targets=self._told))
             if self._now() - self._began_at > ROSTER_AFTER_S:
                 peer.link.send(Roster(entries=tuple(self.links.entries())))
             peer.link.send(self._view(peer))
+            peer.link.send(self._neighbours())
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
         if isinstance(msg, Learned):
@@ -266,6 +285,7 @@
     def _beat(self) -> None:
         if self._now() - self._began_at > ROSTER_AFTER_S:
             self.links.tell_roster()
+        self._tell_neighbours()
         known = self.replica.known
         index = known.index if known else -1
         beat = self.links.beat(
@@ -283,15 +303,28 @@
             if known is not None and lags:
                 peer.link.send(Learned(state=known))
 
+    def _tell_neighbours(self) -> None:
+        neighbours = self._neighbours()
+        self._beats += 1
+        changed = neighbours.controls != self._told_controls
+        if changed or self._beats % NEIGHBOUR_BEATS == 0:
+            self._told_controls = neighbours.controls
+            self.links.send_to_entries(neighbours)
+
     def _view(self, peer: Peer) -> Message:
         known = self.replica.known
         return self.links.view_for(
             peer.hello.region,
             known.index if known else -1,
-            tuple(self.links.demand(self._demand)),
             confirmed=self.confirmed,
         )
 
+    def _neighbours(self) -> Neighbours:
+        return Neighbours(
+            controls=tuple(self.links.controls()),
+            demand=tuple(self.links.demand(self._demand)),
+        )
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(_report_failure)
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -28,6 +28,7 @@
     DecisionNotice,
     EntrySeen,
     Hello,
+    Neighbours,
     Roster,
     TargetList,
     View,
@@ -170,6 +171,8 @@
     def _on_fleet(self, msg: Message) -> None:
         if isinstance(msg, View):
             self._on_view(msg)
+        elif isinstance(msg, Neighbours):
+            self._demand = msg.demand
         elif isinstance(msg, Roster):
             self._roster = msg.entries
 
@@ -194,8 +197,6 @@
     def _on_view(self, view: View) -> None:
         self.passages.known.entries = max(view.entries, 1)
         self._region_entries = max(view.region_entries, 1)
-        if view.demand:
-            self._demand = view.demand
 
     def _on_targets(self, feed: TargetFeed) -> None:
         known = self.passages.known
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -10,13 +10,17 @@
 from ..rendezvous import ranked
 from ..steering.asks import Ask, Done
 from .link import Link, LinkHandler, Links
+from .list_changes import ListCopy
 from .messages import (
     AskNotice,
     ControlSeen,
     DoneNotice,
     Hello,
+    Neighbours,
     RunningNotice,
     Standing,
+    TargetChanges,
+    TargetList,
     View,
     WithdrawNotice,
 )
@@ -39,6 +43,7 @@
 
     hello: Hello
     link: Link
+    targets: ListCopy
     view: View | None = None
     view_at: float = float('-inf')
 
@@ -128,12 +133,19 @@
             self._welcome(link, msg)
             return
         control = link.peer
-        if isinstance(msg, View) and isinstance(control, _Control):
+        if not isinstance(control, _Control):
+            return
+        if isinstance(msg, View):
             control.view = msg
             control.view_at = self._now()
-            for seen in msg.controls:
-                self._seen[seen.address] = seen
             self._choose_dispatcher()
+        if isinstance(msg, Neighbours):
+            self._seen = {seen.address: seen for seen in msg.controls}
+        if isinstance(msg, (TargetList, TargetChanges)):
+            whole = control.targets.take(msg)
+            if whole is not None:
+                self.on_message(whole)
+            return
         self.on_message(msg)
 
     def closed(self, link: Link) -> None:
@@ -206,7 +218,7 @@
             chosen.link.send(RunningNotice(running=self.running()))
 
     def _welcome(self, link: Link, hello: Hello) -> None:
-        control = _Control(hello, link)
+        control = _Control(hello, link, ListCopy())
         known = self._controls.get(hello.name)
         link.peer = control
         self._controls[hello.name] = control
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -87,20 +87,16 @@
 
     :param index: of the newest declared state that it knows.
     :param confirmed: whether it reaches a majority of the voters.
-    :param controls: all control instances that run.
     :param dispatcher: name of the one that decides for this region.
     :param entries: entry instances that take requests, in all regions.
     :param region_entries: those of the receiver's region.
-    :param demand: what the requests of all regions need.
     """
 
     index: int
     confirmed: bool
-    controls: tuple[ControlSeen, ...]
     dispatcher: str
     entries: int
     region_entries: int
-    demand: tuple[Demand, ...] = ()
 
 
 @message
@@ -112,7 +108,7 @@
 
 @message
 class TargetList(Message, frozen=True):
-    """The list of targets.
+    """The list of targets, whole.
 
     :param age_s: time since it was read, in seconds.
     """
@@ -121,6 +117,32 @@
     targets: tuple[TargetEntry, ...]
 
 
+@message
+class TargetChanges(Message, frozen=True):
+    """What differs from the list that was sent before on the same link.
+
+    :param age_s: time since the list was read, in seconds.
+    :param changed: new and changed targets.
+    :param gone: names of targets that are no longer listed.
+    """
+
+    age_s: float
+    changed: tuple[TargetEntry, ...]
+    gone: tuple[str, ...]
+
+
+@message
+class Neighbours(Message, frozen=True):
+    """What a control instance tells an entry instance now and then.
+
+    :param controls: all control instances that run.
+    :param demand: what the requests of all regions need.
+    """
+
+    controls: tuple[ControlSeen, ...]
+    demand: tuple[Demand, ...]
+
+
 @message
 class AskNotice(Message, frozen=True):
     """A request of an entry instance that needs a target."""
