--- a/src/cuminhoist/fleet/list_changes.py
+++ b/src/cuminhoist/fleet/list_changes.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from ..steering.targets import TargetEntry
 from .messages import TargetChanges, TargetList
 
@@ -63,15 +65,4 @@
 def _differs(old: TargetEntry, new: TargetEntry) -> bool:
     if new.cold_s > old.cold_s + COLD_STEP_S:
         return True
-    return _lasting(old) != _lasting(new)
-
-
-def _lasting(entry: TargetEntry) -> tuple[object, ...]:
-    return (
-        entry.service,
-        entry.address,
-        entry.domain,
-        entry.slots,
-        entry.state,
-        entry.born_ms,
-    )
+    return new != msgspec.structs.replace(old, cold_s=new.cold_s)
--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -97,11 +97,13 @@
             self._ask_further()
             if not self.asked:
                 return None
-            finished, self.asked = await asyncio.wait(
+            finished, pending = await asyncio.wait(
                 self.asked,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not all([self._take(task.result()) for task in finished]):
+            self.asked = pending
+            granted = [self._take(task.result()) for task in finished]
+            if not all(granted):
                 return None
         accepted = {verdict.accepted for verdict in self._verdicts.values()}
         return Read(self._best, self._ballot, accepted == {self._ballot})
--- a/src/cuminhoist/steering/supply.py
+++ b/src/cuminhoist/steering/supply.py
@@ -91,7 +91,7 @@
     lent: dict[tuple[str, str], float] = {}
     _share_out(spare, missing, lent)
     # What is left helps regions whose targets do not hold all objects.
-    wishes = {region: OBJECT_PART * mean for region, mean in demand.items()}
+    wishes = {name: OBJECT_PART * mean for name, mean in demand.items()}
     _share_out(spare, wishes, lent)
     return lent
 
@@ -148,17 +148,18 @@
     for entry in entries:
         region = terms.regions.get(entry.domain, '')
         own[region] = own.get(region, 0) + entry.slots
-    pools = {region: SlotPool() for region in own}
-    if terms.region in own:
-        pools[terms.region].slots = own[terms.region]
+    pools = {
+        region: SlotPool(slots if region == terms.region else 0)
+        for region, slots in own.items()
+    }
     # Requests on their way to another region keep no slot busy there.
     travel = 1 + terms.distance_s / max(run_s, MIN_RUN_S)
     for (lender, borrower), slots in lent_slots(own, demand).items():
+        pool = pools[lender]
         if lender == terms.region:
-            left = pools[lender].slots - slots
-            pools[lender].slots = max(left, 0)
+            pool.slots = max(pool.slots - slots, 0)
         elif borrower == terms.region:
-            pools[lender].slots = slots * travel
+            pool.slots = slots * travel
     return pools
 
 
