--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -214,7 +214,14 @@
         elif isinstance(msg, Reply):
             self._settle(msg)
         elif not isinstance(msg, KeepAlive):
+            self._hand_over(msg)
+
+    def _hand_over(self, msg: Message) -> None:
+        try:
             self._handler.received(self, msg)
+        except Exception:
+            # An error with one message must not cut the instances off.
+            _log.bind(message=type(msg).__name__).exception('message failed')
 
     async def _answer(self, call: Call) -> None:
         decoded = self._codec.decode(call.body)
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..exchange import Headers
+from ..logs import logger
 from ..problems import Refusal
 from ..retries import RetryBudget
 from ..steering.asks import (
@@ -53,6 +54,8 @@
 BUDGET_PART = 0.6
 MS = 1000
 
+_log = logger('request')
+
 
 class Passages:
     """Serves the requests of one entry instance.
@@ -109,10 +112,12 @@
             if not serving.done():
                 serving.cancel()
             await asyncio.gather(serving, return_exceptions=True)
-            if not serving.cancelled() and serving.exception() is not None:
-                raise serving.exception()  # type: ignore[misc]
         finally:
             self.running -= 1
+        if not serving.cancelled() and serving.exception() is not None:
+            error = serving.exception()
+            _log.opt(exception=error).error('request failed')
+            scope['state']['abort']()
 
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         arrived = self._now()
--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -11,7 +11,7 @@
 
 from .asks import Ask, Decision, Done, Ending, Granted, RefusalReason, Refused
 from .placement import Option, Placement
-from .queues import SMOOTHING, ServiceQueue, Started, Waiting
+from .queues import FIRST_COLD_PART, SMOOTHING, ServiceQueue, Started, Waiting
 from .shift_guard import ShiftGuard
 from .track import TargetTrack
 
@@ -326,6 +326,7 @@
         """Learn a run time and return it in terms of the expected one."""
         times = queue.times
         run_s = max(done.run_s - track.distance_s, 0)
+        queue.expect(run_s / FIRST_COLD_PART)
         expected = times.warm_s if was_warm else times.cold_s
         if done.ending is Ending.answered:
             times.mean_s += SMOOTHING * (run_s - times.mean_s)
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -142,3 +142,21 @@
 def test_link_is_a_protocol():
     """Guards against a link that asyncio cannot use."""
     assert issubclass(Link, asyncio.Protocol)
+
+
+async def test_error_of_a_handler_keeps_the_link():
+    """Guards against one message that cuts a region off its dispatcher."""
+    server, _, link, listening = await _pair()
+
+    def fail(_link, msg):
+        server.got.append(msg)
+        raise ValueError(msg)
+
+    server.received = fail
+    for _ in range(2):
+        link.send(Standing(ready=True))
+        await asyncio.sleep(0.02)
+    assert len(server.got) == 2
+    assert not link.ended
+    link.close()
+    listening.stop()
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -182,3 +182,15 @@
     made.offer('e', ask(1), 0)
     made.withdraw('e', 1, SERVICE, 0.01)
     assert isinstance(made.offer('e', ask(2), 0.02), Granted)
+
+
+def test_observed_attempt_before_any_ask():
+    """Guards against an error before the first run time is known.
+
+    It turned answers that had arrived into status 500.
+    """
+    made = dispatcher()
+    made.service(SERVICE).times.warm_s = 0
+    made.service(SERVICE).times.cold_s = 0
+    made.observe(done(Granted(1, 't0'), run_s=0.3, key='k'), 0)
+    assert made.service(SERVICE).times.cold_s > 0
