--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 
-.PHONY: setup test lint format demo bench fuzz
+.PHONY: setup test lint format demo bench fuzz replay
 setup: $(VENV)/.ready
 
 $(VENV)/.ready: requirements.txt pyproject.toml
@@ -29,5 +29,8 @@
 	$(PY) -m benchmarks
 	benchmarks/baseline.sh
 
+replay: setup
+	$(PY) -m cuminhoist.emulator run examples/loads/*.json --plots=results/loads
+
 fuzz: setup
 	CUMINHOIST_FUZZ=200 $(PY) -m pytest -s tests/test_consensus.py
