Lose at most two disks at once in the random register test

The trace shows three disks lost at once (10.3.0.1, 10.6.0.1, 10.1.0.1) before any of them had a vote again; the deployments bear two, and service may then stop until they are back.

--- a/tests/register/builders.py
+++ b/tests/register/builders.py
@@ -42,6 +42,7 @@
         self.address = Address(host, PORT)
         self.folder = world.folder / host
         self.disk = InlineDisk()
+        self.wiped = False
         self.replica: Replica | None = None
         #: States that each process of the machine has learned, in order.
         self.lives: list[list[Declared]] = []
@@ -79,6 +80,7 @@
     async def wipe(self) -> None:
         """End the process and empty its disk."""
         await self.kill()
+        self.wiped = True
         shutil.rmtree(self.folder)
 
     async def call(
@@ -163,6 +165,25 @@
             ):
                 return
 
+    def lost_disks(self) -> set[str]:
+        """Return the machines whose disk was emptied and that have no vote.
+
+        Replicas that do not know the newest voters do not count as evidence.
+        """
+        states = [
+            machine.replica.known
+            for machine in self.machines.values()
+            if machine.replica is not None and machine.replica.known
+        ]
+        newest = max(states, key=lambda state: state.index)
+        voting = {voter.name for voter in newest.voters}
+        return {
+            machine.host
+            for machine in self.machines.values()
+            if machine.wiped
+            and (machine.replica is None or machine.replica.name not in voting)
+        }
+
     def introduce(self, machine: Machine) -> None:
         """Tell a started machine what the others have learned."""
         for other in self.reachable(machine):
