Enforce the longest body, share the budget of attempts by the present number of instances

The saved attempts of a service were fixed at the first request, also when only a part of the entry instances was known then. Tasks of the roles are started and ended in one place; fields that nothing used are gone.

--- /dev/null
+++ b/src/cuminhoist/fleet/background.py
@@ -0,0 +1,36 @@
+"""Tasks that run as long as their part of the process."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from ..logs import logger
+
+_log = logger('process')
+
+
+class Background:
+    """Starts tasks, reports their failures, and ends them together."""
+
+    def __init__(self) -> None:
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine in a task of its own.
+
+        :param coroutine: what to run.
+        """
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _report_failure(task: asyncio.Task[Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.opt(exception=task.exception()).error('task failed')
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -4,8 +4,7 @@
 import pathlib
 import random
 import secrets
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Result, Success
@@ -22,6 +21,7 @@
 )
 from ..register.replica import Replica
 from ..steering.targets import TargetEntry
+from .background import Background
 from .control_links import BEAT_S, ControlLinks, Peer
 from .lookups import nearest_entries
 from .list_changes import changes_between
@@ -112,7 +112,8 @@
         self._told: tuple[TargetEntry, ...] = ()
         self._told_controls: tuple[ControlSeen, ...] = ()
         self._beats = 0
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
+        self._started = False
 
     async def start(self) -> None:
         """Listen and take part."""
@@ -124,6 +125,7 @@
         if self.replica.known is not None:
             self._on_learned(self.replica.known)
         await links.start()
+        self._started = True
         for coroutine in (
             links.run_dialling(),
             self.replica.run_orders(),
@@ -131,15 +133,14 @@
             self.feed.run(),
             self._run_beats(),
         ):
-            self._spawn(coroutine)
+            self._background.spawn(coroutine)
 
     async def stop(self) -> None:
         """Tell the others, then end."""
         self.links.leaving = True
         self._beat()
         await asyncio.sleep(LEAVE_S)
-        for task in self._tasks:
-            task.cancel()
+        await self._background.stop()
 
     @property
     def confirmed(self) -> bool:
@@ -239,7 +240,7 @@
             {voter.address for voter in state.everyone()},
         )
         self.links.send_to_entries(Learned(state=state))
-        if self._tasks:
+        if self._started:
             self._update_dispatch()
 
     def _on_targets(self, feed: TargetFeed) -> None:
@@ -332,13 +333,3 @@
             controls=tuple(self.links.controls()),
             demand=tuple(self.links.demand(self._demand)),
         )
-
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(_report_failure)
-        self._tasks.append(task)
-
-
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.opt(exception=task.exception()).error('task failed')
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Success
@@ -21,6 +21,7 @@
 from ..steering.assignment import assign_targets
 from ..steering.demand import Demand
 from ..steering.supply import Terms, usable_entries
+from .background import Background
 from .control_role import Decode
 from .entry_links import EntryLinks
 from .lookups import nearest_entries
@@ -97,7 +98,7 @@
         self._region_entries = 1
         self._demand: tuple[Demand, ...] = ()
         self._roster: tuple[EntrySeen, ...] = ()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
         self.leaving = False
 
     @property
@@ -117,7 +118,7 @@
         links.on_dispatcher = self.placer.dispatcher_lost
         links.running = self._running
         for coroutine in (links.run(), self.feed.run(), self._run_checks()):
-            self._spawn(coroutine)
+            self._background.spawn(coroutine)
 
     def lookup(self, region: str, domain: str) -> list[Address]:
         """Return where a caller connects.
@@ -140,9 +141,7 @@
 
     async def stop(self) -> None:
         """End all tasks."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
 
     def _running(self) -> tuple[Any, ...]:
         return tuple(self.placer.running.values())
@@ -254,13 +253,3 @@
         beliefs.labels('config_version').set(routes.version if routes else 0)
         beliefs.labels('targets').set(len(known.targets))
         beliefs.labels('list_age_s').set(self._now() - known.list_at)
-
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(_report_failure)
-        self._tasks.append(task)
-
-
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.opt(exception=task.exception()).error('task failed')
--- a/src/cuminhoist/gateway/bodies.py
+++ b/src/cuminhoist/gateway/bodies.py
@@ -13,14 +13,20 @@
     """The caller closed its connection before the request was whole."""
 
 
+class BodyTooLarge(Exception):
+    """The body is longer than callers may send."""
+
+
 class RequestBody:
     """The body of a request; a small one can be sent more than once.
 
     :param receive: reads from the caller.
+    :param limit: longest body, in bytes.
     """
 
-    def __init__(self, receive: Receive) -> None:
+    def __init__(self, receive: Receive, limit: int) -> None:
         self._receive = receive
+        self._limit = limit
         self._kept = bytearray()
         self._whole = False
         self._streamed = False
@@ -32,7 +38,10 @@
         return not self._streamed
 
     async def read_start(self) -> None:
-        """Read as much as is kept; raise :class:`CallerGone`."""
+        """Read as much as is kept.
+
+        Raise :class:`CallerGone` or :class:`BodyTooLarge`.
+        """
         while not self._whole and len(self._kept) < KEPT_BYTES:
             self._kept += await self._next()
 
@@ -51,4 +60,6 @@
         self._whole = not event.get('more_body', False)
         chunk: bytes = event.get('body', b'')
         self.size += len(chunk)
+        if self.size > self._limit:
+            raise BodyTooLarge
         return chunk
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -29,7 +29,7 @@
     send_refusal,
 )
 from .attempt import Attempter, AttemptOutcome, abort, passed_headers
-from .bodies import CallerGone, Receive, RequestBody
+from .bodies import BodyTooLarge, CallerGone, Receive, RequestBody
 from .placing import Placer
 from .recorder import Recorder, log_request
 from .routes import Repeat, Route
@@ -130,7 +130,7 @@
             return
         run = Run(req, route, self._splitter.choose(route))
         self._set_times(run, arrived)
-        body = RequestBody(receive)
+        body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
             if req.has_body:
@@ -138,9 +138,20 @@
             outcome = await self._pass(run, body, scope, send)
         except CallerGone:
             outcome = 'gone'
+        except BodyTooLarge:
+            outcome = await self._refuse_body(send)
         finally:
             self._record(run, outcome)
 
+    def _body_limit(self) -> int:
+        routes = self.known.routes
+        return routes.limits.body_bytes if routes else 0
+
+    async def _refuse_body(self, send: Send) -> str:
+        refusal = not_run(Reason.body_too_large, 'The body is too large.')
+        await send_refusal(refusal, send, closes=True)
+        return f'refused-{refusal.reason}'
+
     def _find(self, req: CallerRequest) -> tuple[Refusal | None, Route | None]:
         routes = self.known.routes
         if routes is None or self.known.refuses:
@@ -164,13 +175,13 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            share = max(self._retry_slack / max(self.known.entries, 1), 1)
             budget = RetryBudget(
                 random.getrandbits(32),
                 self._retry_ratio * BUDGET_PART,
-                share * BUDGET_PART + 1,
             )
             self._budgets[service] = budget
+        share = self._retry_slack / max(self.known.entries, 1)
+        budget.limit_saved(max(share * BUDGET_PART, 1))
         return budget
 
     async def _pass(
--- a/src/cuminhoist/gateway/routes.py
+++ b/src/cuminhoist/gateway/routes.py
@@ -31,7 +31,6 @@
     :param objective_s: time within which an answer is of full use, in
         seconds.
     :param max_targets: most targets that one request may be sent to.
-    :param rank: 0 is the most urgent.
     :param homes: regions that may serve it; empty for all.
     """
 
@@ -42,33 +41,26 @@
     timeout_s: float
     objective_s: float
     max_targets: int = 1
-    rank: int = 0
     homes: frozenset[str] = frozenset()
 
 
 class ServiceTerms(msgspec.Struct, frozen=True):
     """What the operators say of a service.
 
-    :param connections: most connections to one target, from all callers.
-    :param cold_s: how long a target is cold after its start, in seconds.
     :param cold_per_s: requests a second that a cold target tolerates.
     """
 
     name: str
-    connections: int = 100
-    cold_s: float = 0
     cold_per_s: float = 0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
-    """Bounds on what a caller may send, and how long it may idle.
+    """Bounds on what a caller may send.
 
-    :param idle_s: time after which an idle connection is closed.
+    :param body_bytes: longest body of a request.
     """
 
-    head_bytes: int = 32 * 1024
     body_bytes: int = 64 * 1024 * 1024
-    idle_s: float = 30
 
 
 class RouteTable(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/gateway/splits.py
+++ b/src/cuminhoist/gateway/splits.py
@@ -41,14 +41,3 @@
         )
         credit[best] -= total
         return shares[best].service
-
-    def keep_only(self, routes: set[str]) -> None:
-        """Forget the credits of other routes.
-
-        :param routes: names of the routes that are still declared.
-        """
-        self._credits = {
-            key: credit
-            for key, credit in self._credits.items()
-            if key[0] in routes
-        }
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -30,15 +30,11 @@
 
 class _Service(msgspec.Struct, frozen=True):
     name: _Name
-    max_connections: int = 100
-    cold_start_s: float = 0
     cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 32 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
-    idle_timeout_ms: float = 30_000
 
 
 class _Split(msgspec.Struct, frozen=True):
@@ -54,7 +50,6 @@
     timeout_ms: float
     #: Time for an answer of full value; the objective of the route.
     aim_ms: float | None = None
-    priority: int = 0
     #: Name of a service; either this or the split is given.
     backend: str | None = None
     traffic_split: tuple[_Split, ...] = ()
@@ -91,8 +86,6 @@
     services = {
         entry.name: ServiceTerms(
             entry.name,
-            entry.max_connections,
-            entry.cold_start_s,
             entry.cold_per_s,
         )
         for entry in wire.services
@@ -108,11 +101,7 @@
         version=_version(wire.version),
         hosts=hosts,
         services=services,
-        limits=CallerLimits(
-            wire.limits.max_header_bytes,
-            wire.limits.max_body_bytes,
-            wire.limits.idle_timeout_ms / _MS,
-        ),
+        limits=CallerLimits(wire.limits.max_body_bytes),
     )
 
 
@@ -146,7 +135,6 @@
         timeout_s=wire.timeout_ms / _MS,
         objective_s=_objective_ms(wire) / _MS,
         max_targets=max(wire.max_attempts, 1),
-        rank=wire.priority,
         homes=frozenset(wire.allowed_regions or ()),
     )
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -5,12 +5,13 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Result, Success
 
 from ..events import configure_events
+from ..fleet.background import Background
 from ..fleet.control_role import ControlRole
 from ..fleet.entry_instance import EntryInstance
 from ..fleet.site import Address, Site
@@ -66,7 +67,7 @@
     def __init__(self, site: Site) -> None:
         self._site = site
         self._servers: list[HttpServer] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
         self._stopping = asyncio.Event()
         self._reloading = asyncio.Event()
 
@@ -90,7 +91,7 @@
         ttl_s = site.bounds.lookup_ttl_s
         self._listen(site.lookups, lookup_app(role.lookup, ttl_s))
         self._listen(site.metrics, metrics_app(Recorder().text))
-        self._spawn(self._watch_settings(role.links.replace_seeds))
+        self._background.spawn(self._watch_settings(role.links.replace_seeds))
         _log.bind(instance=site.name, life=role.life).info('started')
         await self._stopping.wait()
         _log.bind(instance=site.name).info('stopping')
@@ -112,7 +113,7 @@
         self._listen(site.lookups, lookup_app(entry.lookup, ttl_s))
         self._listen(site.metrics, metrics_app(entry.recorder.text))
         await entry.start()
-        self._spawn(self._watch_settings(entry.links.replace_seeds))
+        self._background.spawn(self._watch_settings(entry.links.replace_seeds))
         _log.bind(instance=site.name).info('started')
         await self._stopping.wait()
         _log.bind(instance=site.name).info('stopping')
@@ -140,7 +141,7 @@
             return None
         server = HttpServer.from_app(app, address.host, address.port)
         self._servers.append(server)
-        self._spawn(server.serve())
+        self._background.spawn(server.serve())
         return server
 
     async def _watch_settings(
@@ -168,16 +169,6 @@
                 fault = str(loaded.failure())
                 _log.bind(fault=fault).warning('settings not readable')
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(_report_failure)
-        self._tasks.append(task)
-
-
-def _report_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.opt(exception=task.exception()).error('task failed')
-
 
 async def _run(site: Site) -> None:
     await Daemon(site).run()
--- a/src/cuminhoist/retries.py
+++ b/src/cuminhoist/retries.py
@@ -37,6 +37,14 @@
         self._most_saved = most_saved
         self._saved = float(0)
 
+    def limit_saved(self, most_saved: float) -> None:
+        """Change how many earned attempts are saved at most.
+
+        :param most_saved: the new limit.
+        """
+        self._most_saved = most_saved
+        self._saved = min(self._saved, most_saved)
+
     def on_request(self) -> None:
         """Count a request, whose first attempt is free."""
         self._saved = min(self._saved + self._earned, self._most_saved)
--- a/tests/gateway/test_passage.py
+++ b/tests/gateway/test_passage.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cuminhoist.gateway.routes import Repeat
+from cuminhoist.gateway.routes import CallerLimits, Repeat
 
 from .builders import ScriptedTarget, answer, gateway, header
 
@@ -189,6 +189,20 @@
     assert 40 <= arrivals <= 40 * 1.2 + 2
 
 
+async def test_body_over_the_limit_is_refused():
+    """Guards against bodies that fill the memory of an instance."""
+    target = ScriptedTarget(answer)
+    async with gateway(target) as world:
+        routes = world.passages.known.routes
+        world.passages.known.routes = msgspec.structs.replace(
+            routes,
+            limits=CallerLimits(body_bytes=10),
+        )
+        got = await world.ask('POST', body=b'x' * 11)
+    assert got.startswith(b'HTTP/1.1 413')
+    assert not target.heads
+
+
 def test_route_selection_takes_the_longest_prefix():
     """Guards against a request on the wrong route of its host."""
     from cuminhoist.gateway.routes import RouteTable
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -26,7 +26,7 @@
     return {
         'version': 'r7',
         'services': [{'name': 'svc', 'cold_start_s': 3.0, 'cold_per_s': 9.4}],
-        'limits': {'idle_timeout_ms': 15000},
+        'limits': {'max_body_bytes': 1000},
         'hosts': [{'hostname': 'Shop.example', 'paths': [fields]}],
     }
 
@@ -44,7 +44,7 @@
     assert route.objective_s == 0.25
     assert route.homes == {'north'}
     assert route.shares[0].service == 'svc'
-    assert table.limits.idle_s == 15
+    assert table.limits.body_bytes == 1000
     assert table.services['svc'].cold_per_s == 9.4
 
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -43,3 +43,13 @@
     for number, wait in enumerate(waits[0]):
         longest = min(0.02 * 2**number, MAX_BACKOFF_S)
         assert longest / 2 <= wait <= longest
+
+
+def test_lower_limit_of_saved_attempts_holds_at_once():
+    """Guards against attempts that were saved before others joined."""
+    budget = RetryBudget(1, earned=1, most_saved=10)
+    for _ in range(10):
+        budget.on_request()
+    budget.limit_saved(2)
+    taken = sum(budget.try_retry() for _ in range(10))
+    assert taken == 2
