--- a/tests/emulator/test_bound.py
+++ b/tests/emulator/test_bound.py
@@ -33,7 +33,7 @@
 
     Each object has a first request, and it is late: 300 of 6720 requests.
     """
-    pattern = _with_work('many-objects', object_count=300, warm_part=0)
+    pattern = _with_work('many-objects', object_count=300, warm_part=0.01)
     pattern = msgspec.structs.replace(
         pattern,
         callers=msgspec.structs.replace(pattern.callers, objective_s=0.3),
