Let no request wait for untried targets of other regions

Cause: a target that had no request yet was taken to answer in no time, also one in a region whose lent slots were all busy. Each request whose object has such a target first in its order waited for it until its objective had passed: 0.7 s each in the first ten seconds of a start, as long as the dispatcher had not tried all targets of the other regions.

--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -178,9 +178,15 @@
         if not warm and warming_s is not None:
             wait_s = max(wait_s, warming_s)
             run_s = times.warm_s
-        if track.untried and not place and not track.is_cold(now):
-            # A new target gets a request as soon as it is warm.
-            return Option(track, wait_s, 0)
+        own = track.region == self.region
+        if (
+            own
+            and track.untried
+            and not (place or wait_s or track.is_cold(now))
+        ):
+            # A new target gets a request as soon as it is warm. Those of
+            # other regions get theirs from the dispatcher there.
+            return Option(track, 0, 0)
         busy_s = times.warm_s * 0.1 * track.running / track.slots
         total_s = (
             wait_s
--- a/src/cuminhoist/steering/shift_guard.py
+++ b/src/cuminhoist/steering/shift_guard.py
@@ -16,8 +16,7 @@
 #: Part of the deployment's limit that is used: requests of several entry
 #: instances are counted at slightly different times.
 USED_PART = 0.9
-#: With fewer requests than this in the earlier window there is no part to
-#: compare with.
+#: Fewer requests than this in both windows are too few to be compared.
 MIN_REQUESTS = 20
 #: After a disturbance of own targets, requests move freely for this long, in
 #: seconds.
@@ -77,10 +76,11 @@
         border = int((now - WINDOW_S) / STEP_S)
         before = [step for step in self._steps if step.number <= border]
         total = sum(step.total for step in before)
-        if total < MIN_REQUESTS:
-            return True
-        part = sum(step.moved for step in before) / total
         lately = [step for step in self._steps if step.number > border]
         asked = sum(step.total for step in lately) + 1
+        if total + asked <= MIN_REQUESTS:
+            return True
+        # Traffic that has just started counts as served at home before.
+        part = sum(step.moved for step in before) / max(total, 1)
         moved = sum(step.moved for step in lately) + 1
         return moved / asked <= part + self._limit
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -3,9 +3,14 @@
 import msgspec
 
 from cuminhoist.steering.asks import Ending, Granted, Refused
-from cuminhoist.steering.dispatch import LATE_WAIT_S, REPORT_S
+from cuminhoist.steering.dispatch import (
+    LATE_WAIT_S,
+    REPORT_S,
+    Dispatcher,
+)
+from cuminhoist.steering.track import SlotPool, TargetTrack
 
-from .builders import SERVICE, ask, dispatcher, done
+from .builders import REGION, SERVICE, ask, dispatcher, done, target
 
 
 def test_free_slot_is_granted_at_once():
@@ -194,3 +199,23 @@
     made.service(SERVICE).times.cold_s = 0
     made.observe(done(Granted(1, 't0'), run_s=0.3, key='k'), 0)
     assert made.service(SERVICE).times.cold_s > 0
+
+
+def test_untried_targets_elsewhere_hold_no_request():
+    """Guards against waits for new targets of a region that lends few slots.
+
+    Every answer at the start of a deployment took its whole objective longer
+    while all lent slots were busy.
+    """
+    made = Dispatcher()
+    own = {'own': TargetTrack(target('own', slots=9), REGION)}
+    pool = SlotPool(1)
+    pool.running = 1
+    away = {}
+    for name in ('a', 'b', 'c'):
+        away[name] = TargetTrack(target(name), 'north', 0.07)
+        away[name].pool = pool
+    made.set_targets(SERVICE, {**own, **away}, REGION)
+    for number in range(5):
+        decision = made.offer('e', ask(number, key=f'k{number}'), 0)
+        assert isinstance(decision, Granted)
