Measure decisions and orders on control instances; name what decided in the trail

Control instances served an empty metrics page. They now count first decisions with the time that each took, orders with outcome and time, and show the versions and ages of their beliefs. The trail of a request names the region of its target and whether that was taken to hold the object, and the shortest wait behind a refusal.

Caller clients load no certificates, which had taken most of the soak's time.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -78,6 +78,7 @@
                 async with httpx.AsyncClient(
                     timeout=LOOKUP_S,
                     trust_env=False,
+                    verify=False,  # noqa: S501
                 ) as client:
                     reply = await client.get(url, params=query)
             except httpx.HTTPError:
@@ -96,6 +97,7 @@
                 limits=httpx.Limits(max_connections=1, keepalive_expiry=60),
                 timeout=httpx.Timeout(LEFT_S + 1, connect=1),
                 trust_env=False,
+                verify=False,  # noqa: S501
             )
         self._count += 1
         once = self._rng.random() < ONCE_PART
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -166,6 +166,7 @@
             async with httpx.AsyncClient(
                 timeout=ORDER_S,
                 trust_env=False,
+                verify=False,  # noqa: S501
             ) as client:
                 url = f'http://{control.host}:{OPERATORS_PORT}{path}'
                 reply = await client.request(method, url, json=body)
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 from .evidence import Evidence
 from .injector import Injector
 from .operators import Operator
-from .plan import Plan
+from .plan import CALM_S, Plan
 from .processes import GRACE_S, OPERATORS_PORT, Instance
 from .upstreams import Target, TargetList
 
@@ -140,8 +140,9 @@
                 await asyncio.sleep(max(wait_s, 0))
                 group.create_task(injector.inject(fault))
         self.evidence.calm_from = time.monotonic()
+        # Orders may take longer than planned while controls are lost.
         left_s = began + self.plan.length_s - time.monotonic()
-        await asyncio.sleep(max(left_s, 0))
+        await asyncio.sleep(max(left_s, CALM_S))
         self.evidence.ended_at = time.monotonic()
 
     async def _stop(self) -> None:
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -22,6 +22,7 @@
 from ..register.replica import Replica
 from ..steering.targets import TargetEntry
 from .background import Background
+from .control_recorder import ControlRecorder
 from .control_links import BEAT_S, ControlLinks, Peer
 from .lookups import nearest_entries
 from .list_changes import changes_between
@@ -87,6 +88,7 @@
         self._now = now
         self._began_at = now()
         self._routes: RouteTable | None = None
+        self.recorder = ControlRecorder()
         self.life = secrets.token_hex(6)
         self.links = ControlLinks(
             site,
@@ -107,6 +109,7 @@
             site.regions,
             now,
             site.bounds.shift_part,
+            self.recorder,
         )
         self._demand = self.dispatch.measure()
         self._told: tuple[TargetEntry, ...] = ()
@@ -154,6 +157,12 @@
 
         :param body: the configuration as an operator sent it.
         """
+        began = self._now()
+        outcome = await self._replace_configuration(body)
+        self._record_order('configuration', outcome, began)
+        return outcome
+
+    async def _replace_configuration(self, body: bytes) -> OrderOutcome:
         decoded = self._decode(body)
         if not isinstance(decoded, Success):
             _log.bind(reason=decoded.failure()).info('configuration refused')
@@ -176,6 +185,17 @@
         :param domain: the failure domain.
         :param drained: whether its targets get nothing.
         """
+        began = self._now()
+        outcome = await self._drain_domain(domain, drained=drained)
+        self._record_order('drain', outcome, began)
+        return outcome
+
+    async def _drain_domain(
+        self,
+        domain: str,
+        *,
+        drained: bool,
+    ) -> OrderOutcome:
         if domain not in self._site.regions:
             return Invalid(f'unknown failure domain {domain!r}')
         state = await self.replica.submit(
@@ -227,6 +247,27 @@
             rng,
         )
 
+    def _record_order(
+        self,
+        kind: str,
+        outcome: OrderOutcome,
+        began: float,
+    ) -> None:
+        name = type(outcome).__name__.lower()
+        self.recorder.orders.labels(kind, name).inc()
+        took_s = self._now() - began
+        self.recorder.order_time.labels(kind).observe(took_s)
+
+    def _record_beliefs(self) -> None:
+        known = self.replica.known
+        beliefs = self.recorder.beliefs
+        beliefs.labels('state_index').set(known.index if known else -1)
+        beliefs.labels('config_version').set(known.version if known else 0)
+        beliefs.labels('majority').set(self.confirmed)
+        beliefs.labels('targets').set(len(self.feed.entries))
+        beliefs.labels('list_age_s').set(self._now() - self.feed.read_at)
+        beliefs.labels('links').set(len(self.links.peers))
+
     def _rank(self) -> int:
         names = [control.name for control in self.links.controls()]
         return names.index(self._site.name) if self._site.name in names else 9
@@ -289,6 +330,7 @@
             self._demand = self.dispatch.measure()
             self._beat()
             self._update_dispatch()
+            self._record_beliefs()
             await asyncio.sleep(BEAT_S)
 
     def _beat(self) -> None:
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -13,6 +13,7 @@
 from ..steering.supply import Terms
 from ..steering.targets import TargetEntry
 from .control_links import Peer
+from .control_recorder import ControlRecorder
 from .messages import (
     AskNotice,
     DecisionNotice,
@@ -37,6 +38,7 @@
     :param now: returns monotonic time in seconds.
     :param shift_limit: most of the requests that may change their region
         within two seconds.
+    :param recorder: counts the decisions.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         regions: Mapping[str, str],
         now: Callable[[], float],
         shift_limit: float,
+        recorder: ControlRecorder,
     ) -> None:
+        self._recorder = recorder
         self.dispatcher = Dispatcher(shift_limit)
         self._region = region
         self._regions = regions
@@ -131,7 +135,11 @@
 
     def _on_ask(self, asker: str, ask: Ask) -> None:
         self._meter.offered(ask.service)
-        decision = self.dispatcher.offer(asker, ask, self._now())
+        began = self._now()
+        decision = self.dispatcher.offer(asker, ask, began)
+        self._recorder.decision_time.observe(self._now() - began)
+        outcome = type(decision).__name__ if decision else 'Waiting'
+        self._recorder.decisions.labels(ask.service, outcome.lower()).inc()
         if decision is None:
             self._plan_tick()
         else:
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -195,7 +195,8 @@
             ask = self._ask(run)
             decision, decider = await self._placer.place(ask)
             if isinstance(decision, Refused):
-                run.trail.append(f'{decider}: {decision.reason}')
+                wait = f'wait {decision.wait_s * MS:.0f}ms'
+                run.trail.append(f'{decider}: {decision.reason}, {wait}')
                 return await self._give_up(run, decision, send)
             target = self.known.targets.get(decision.target)
             run.waited_s += decision.waited_s
@@ -256,7 +257,9 @@
         self._done(run, decision, ending, run_s)
         run.tried.append(decision.target)
         took = f'{run_s * MS:.0f}ms'
-        run.trail.append(f'{decider}: {decision.target} {ending} {took}')
+        held = 'held' if decision.held else 'first'
+        place = f'{decision.target} in {decision.region}, {held}'
+        run.trail.append(f'{decider}: {place}: {ending} {took}')
 
     def _done(
         self,
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -16,7 +16,6 @@
 from ..fleet.entry_instance import EntryInstance
 from ..fleet.site import Address, Site
 from ..fleet.target_feed import TargetSource
-from ..gateway.recorder import Recorder
 from ..httpserver import HttpServer
 from ..logs import logger
 from ..steering.targets import TargetEntry
@@ -90,7 +89,7 @@
         self._listen(site.operators, operators_app(role))
         ttl_s = site.bounds.lookup_ttl_s
         self._listen(site.lookups, lookup_app(role.lookup, ttl_s))
-        self._listen(site.metrics, metrics_app(Recorder().text))
+        self._listen(site.metrics, metrics_app(role.recorder.text))
         self._background.spawn(self._watch_settings(role.links.replace_seeds))
         _log.bind(instance=site.name, life=role.life).info('started')
         await self._stopping.wait()
--- a/src/cuminhoist/steering/asks.py
+++ b/src/cuminhoist/steering/asks.py
@@ -31,11 +31,15 @@
 
     :param target: name of the target.
     :param waited_s: how long it waited for a slot, in seconds.
+    :param held: whether the target is taken to hold its object.
+    :param region: region of the target.
     """
 
     number: int
     target: str
     waited_s: float = 0
+    held: bool = False
+    region: str = ''
 
 
 class RefusalReason(enum.StrEnum):
@@ -49,11 +53,13 @@
     """The request is not sent to any target.
 
     :param retry_after_s: when the caller may come back, in seconds.
+    :param wait_s: shortest wait for any target, in seconds.
     """
 
     number: int
     reason: RefusalReason
     retry_after_s: float
+    wait_s: float = 0
 
 
 Decision = Granted | Refused
--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -373,17 +373,24 @@
     ) -> Granted:
         ask = waiting.ask
         name = track.entry.name
+        held = track.is_warm(ask.key)
         self._started[(waiting.asker, ask.number)] = Started(
             ask.service,
             name,
             ask.key,
             now + ask.left_s,
-            was_warm=track.is_warm(ask.key),
+            was_warm=held,
         )
         track.start(ask.key, now)
         moved = track.region != self.service(ask.service).placement.region
         self.guard.count(now, moved=moved)
-        return Granted(ask.number, name, now - waiting.since)
+        return Granted(
+            ask.number,
+            name,
+            now - waiting.since,
+            held,
+            track.region,
+        )
 
     def _refuse(
         self,
@@ -392,7 +399,12 @@
         soonest: Option,
     ) -> Refused:
         retry_s = min(max(MIN_RETRY_S, soonest.wait_s), MAX_RETRY_S)
-        return Refused(waiting.ask.number, RefusalReason.overload, retry_s)
+        return Refused(
+            waiting.ask.number,
+            RefusalReason.overload,
+            retry_s,
+            soonest.wait_s,
+        )
 
     def _free(self, started: Started, now: float) -> None:
         track = self.service(started.service).tracks.get(started.target)
