Pace large answers on slow links

Cause: on the grown deployments an entry instance has a link of 3.35 Mbit/s. An answer of 90 KB occupies it for a quarter of a second, and each request crosses the link about six times (request, ask, decision, attempt, answer, answer).

Large answers now go onto the link in pieces of 15 ms with 0.85 of its rate; small ones pass between them. On the way in, the receive window, the bytes read ahead and those held before passing on are 40 ms of the link.

--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -93,6 +93,8 @@
         self.complete = False
         self.error: Exception | None = None
         self.uploaded = False
+        #: Reading pauses above this many undelivered body bytes.
+        self.high_water = HIGH_WATER_BYTES
         self.uploader: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.conn: Carrier | None = None
@@ -128,7 +130,7 @@
         self._chunks.append(chunk)
         self._buffered += len(chunk)
         self._notify()
-        return self._buffered > HIGH_WATER_BYTES
+        return self._buffered > self.high_water
 
     def finish(self, error: Exception | None = None) -> None:
         """End the exchange; further calls do nothing.
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from ..codec import Message
+from ..gateway.pacing import LinkPacer
 from ..gateway.passage import Passages
 from ..gateway.placing import Placer
 from ..gateway.recorder import Recorder
@@ -84,7 +85,10 @@
             now,
         )
         self.placer = Placer(self.links, Dispatcher(), now)
-        self._upstreams = Upstreams(now)
+        self._upstreams = Upstreams(
+            now,
+            LinkPacer(site.link_bytes_s, now),
+        )
         self.passages = Passages(
             wire,
             self._upstreams,
--- a/src/cuminhoist/fleet/site.py
+++ b/src/cuminhoist/fleet/site.py
@@ -54,6 +54,7 @@
     :param metrics: serves counters and histograms.
     :param target_list: where the list of targets is.
     :param list_calls_per_s: calls that the list takes from all instances.
+    :param link_bytes_s: what its link carries, in bytes a second.
     """
 
     name: str
@@ -72,6 +73,7 @@
     target_list: Address
     list_calls_per_s: float
     bounds: Bounds = Bounds()
+    link_bytes_s: float = float('inf')
     peers_listen: Address | None = None
 
     @property
--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -8,13 +8,10 @@
 from ..exchange import Exchange, Headers
 from ..problems import PROBLEM_TYPE, Refusal, encode_problem
 from ..types import Ran, Reason
+from .pacing import LinkPacer
 
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-#: Body bytes that are read before an answer is passed on; until then a
-#: failed answer can be replaced by that of another target.
-HELD_BYTES = 64 * 1024
-
 
 class TargetAnswer(msgspec.Struct, frozen=True):
     """The first part of a target's answer.
@@ -30,16 +27,20 @@
     exchange: Exchange
 
 
-async def read_first_part(exchange: Exchange) -> TargetAnswer:
+async def read_first_part(
+    exchange: Exchange,
+    held_bytes: int,
+) -> TargetAnswer:
     """Return the first part of an answer, or raise what the exchange met.
 
     :param exchange: the request.
+    :param held_bytes: body bytes to read before the answer is passed on.
     """
     await exchange.wait_head()
     parts: list[bytes] = []
     size = 0
     whole = False
-    while size < HELD_BYTES:
+    while size < held_bytes:
         chunk = await exchange.read()
         if not chunk:
             whole = True
@@ -59,12 +60,14 @@
     answer: TargetAnswer,
     headers: Headers,
     send: Send,
+    link: LinkPacer,
 ) -> None:
     """Pass an answer on; raise what the exchange meets on the way.
 
     :param answer: its first part.
     :param headers: what the caller gets of its headers.
     :param send: sends to the caller.
+    :param link: lets large answers onto the link.
     """
     await send(
         {
@@ -73,12 +76,16 @@
             'headers': headers,
         },
     )
-    await _send_body(send, answer.body, more=not answer.whole)
-    while not answer.whole:
-        chunk = await answer.exchange.read()
-        await _send_body(send, chunk, more=bool(chunk))
-        if not chunk:
+    chunk = answer.body
+    ended = answer.whole
+    while True:
+        async for piece in link.pieces(chunk):
+            await _send_body(send, piece, more=True)
+        if ended:
+            await _send_body(send, b'', more=False)
             return
+        chunk = await answer.exchange.read()
+        ended = not chunk
 
 
 async def send_refusal(
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -73,11 +73,16 @@
             self._wire.echo(req),
         )
         exchange.uploaded = not req.has_body
+        if self._upstreams.link.is_slow:
+            exchange.high_water = self._upstreams.link.held_bytes
         try:
             async with asyncio.timeout(left_s):
                 taken.conn.start(exchange)
                 self._upload(exchange, req, body)
-                answer = await read_first_part(exchange)
+                answer = await read_first_part(
+                    exchange,
+                    self._upstreams.link.held_bytes,
+                )
         except TimeoutError:
             abort(exchange)
             return AttemptOutcome(Ending.timeout, detail='timeout')
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -85,6 +85,7 @@
         self.running = 0
         self._wire = wire
         self._attempter = Attempter(wire, upstreams)
+        self._link = upstreams.link
         self._placer = placer
         self._recorder = recorder
         self._now = now
@@ -308,7 +309,7 @@
         kept = run.kept_failure
         if kept is not None and kept.whole:
             headers = passed_headers(self._wire, kept)
-            await send_answer(kept, headers, send)
+            await send_answer(kept, headers, send, self._link)
             return f'answered-{kept.status}'
         if run.may_have_run:
             refusal = Refusal(
@@ -368,7 +369,7 @@
             async with asyncio.timeout(
                 max(run.ends_at - self._now(), MIN_ATTEMPT_S),
             ):
-                await send_answer(answer, headers, send)
+                await send_answer(answer, headers, send, self._link)
         except (Exception, asyncio.CancelledError) as exc:
             # What has been sent must not look like a whole answer.
             abort(answer.exchange)
--- a/src/cuminhoist/gateway/upstreams.py
+++ b/src/cuminhoist/gateway/upstreams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import contextlib
+import socket
 from collections.abc import Callable
 
 import msgspec
@@ -9,6 +11,7 @@
 from ..exchange import Exchange
 from ..steering.targets import TargetEntry
 from ..target_conn import Connection
+from .pacing import LinkPacer
 
 #: Time for a new connection within a region and between regions: three
 #: round trips between regions.
@@ -48,12 +51,13 @@
     """Takes connections to targets and gives them back.
 
     :param now: returns monotonic time in seconds.
+    :param link: what the link of this instance carries.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], link: LinkPacer) -> None:
+        self.link = link
         self._now = now
         self._pools: dict[str, _Pool] = {}
-        self.opened = 0
 
     async def take(
         self,
@@ -112,21 +116,32 @@
         target: TargetEntry,
         timeout_s: float,
     ) -> ConnectOutcome:
-        self.opened += 1
+        address = (target.address.host, target.address.port)
+        loop = asyncio.get_running_loop()
         conn = Connection(_ignore_loss)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: conn,
-                    target.address.host,
-                    target.address.port,
-                )
-        except TimeoutError:
-            return ConnectOutcome(None, error='connect timeout')
-        except OSError as exc:
-            return ConnectOutcome(None, error=f'connect: {exc.strerror}')
+        with contextlib.ExitStack() as unused:
+            sock = unused.enter_context(self._open_socket())
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await loop.sock_connect(sock, address)
+                    await loop.create_connection(lambda: conn, sock=sock)
+            except TimeoutError:
+                return ConnectOutcome(None, error='connect timeout')
+            except OSError as exc:
+                return ConnectOutcome(None, error=f'connect: {exc.strerror}')
+            unused.pop_all()
         return ConnectOutcome(conn)
 
+    def _open_socket(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        window = self.link.window_bytes
+        if window:
+            # The window is agreed on while the connection is opened.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        return sock
+
 
 def pool_key(target: TargetEntry) -> str:
     """Return the identity of one start of a target.
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -13,6 +13,8 @@
 #: Variable that holds the path of the settings file.
 PATH_VARIABLE = 'CUMINHOIST_BOOT'
 _MS = 1000
+#: Bytes a second of one Mbit/s.
+_MBPS = 125_000
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -28,6 +30,10 @@
     rate_per_s: float = 1
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    link_mbps: float = 0
+
+
 class _Bounds(msgspec.Struct, frozen=True):
     retry_budget_ratio: float = 0.1
     retry_window_s: float = 10
@@ -56,6 +62,7 @@
     bootstrap: bool = False
     data_dir: str | None = None
     cloud: _Cloud = _Cloud()
+    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
 
 
@@ -103,6 +110,7 @@
         target_list=_address(boot.cloud.address),
         list_calls_per_s=boot.cloud.rate_per_s,
         bounds=_bounds(boot.bounds),
+        link_bytes_s=boot.limits.link_mbps * _MBPS or float('inf'),
     )
 
 
--- a/src/cuminhoist/target_conn.py
+++ b/src/cuminhoist/target_conn.py
@@ -8,7 +8,7 @@
 import httptools
 import httpx
 
-from .exchange import HIGH_WATER_BYTES, Exchange
+from .exchange import Exchange
 
 #: Unsent request bytes above which the transport pauses the upload.
 WRITE_WATER_BYTES = 64 * 1024
@@ -128,7 +128,10 @@
 
         :param buffered: bytes still in the buffer.
         """
-        if not self._reading and buffered <= HIGH_WATER_BYTES // 2:
+        exchange = self._exchange
+        if exchange is None or self._reading:
+            return
+        if buffered <= exchange.high_water // 2:
             self._reading = True
             self._wire().resume_reading()
 
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from cuminhoist.fleet.site import Address
+from cuminhoist.gateway.pacing import LinkPacer
 from cuminhoist.gateway.passage import Passages
 from cuminhoist.gateway.placing import DispatcherClient, Placer
 from cuminhoist.gateway.recorder import Recorder
@@ -191,7 +192,10 @@
     local.set_targets(SERVICE, make_tracks({}, entries, {}, terms, 0), 'r')
     passages = Passages(
         PlatformWire(),
-        Upstreams(time.monotonic),
+        Upstreams(
+            time.monotonic,
+            LinkPacer(float('inf'), time.monotonic),
+        ),
         Placer(NoDispatcher(), local, time.monotonic),
         Recorder(),
         time.monotonic,
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -53,3 +53,13 @@
     site = load_site(path).unwrap()
     assert site.peers == Address('10.1.0.8', 7540)
     assert site.peers_listen == Address('10.1.0.8', 7541)
+
+
+def test_rate_of_the_link_is_read_in_bytes(tmp_path):
+    """Guards against pacing by eight times the rate of the link."""
+    path = tmp_path / 'node.json'
+    limits = {'limits': {'link_mbps': 3.35}}
+    path.write_text(json.dumps({**SETTINGS, **limits}))
+    assert load_site(path).unwrap().link_bytes_s == 418750
+    path.write_text(json.dumps(SETTINGS))
+    assert load_site(path).unwrap().link_bytes_s == float('inf')
