Split refusals from the passage, and the peer from the links

No change of behaviour: gateway/verdicts.py says what a caller is told without an answer, fleet/peer.py what is known of a linked instance.

--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 from returns.result import Success
 
 from ..codec import Codec, Message
@@ -20,6 +19,7 @@
     Standing,
     View,
 )
+from .peer import Peer
 from .site import Address, Site
 
 #: How often instances say what they know, in seconds.
@@ -36,19 +36,6 @@
 _log = logger('fleet')
 
 
-class Peer(msgspec.Struct):
-    """The instance at the other end of a link.
-
-    :param ready: whether an entry instance takes requests.
-    """
-
-    hello: Hello
-    link: Link
-    ready: bool = False
-    beat: Beat | None = None
-    beat_at: float = float('-inf')
-
-
 class ControlLinks(LinkHandler, ControlPeers):
     """All links of one control instance.
 
--- a/src/cuminhoist/fleet/control_role.py
+++ b/src/cuminhoist/fleet/control_role.py
@@ -22,8 +22,8 @@
 from ..register.replica import Replica
 from ..steering.targets import TargetEntry
 from .background import Background
+from .control_links import BEAT_S, ControlLinks
 from .control_recorder import ControlRecorder
-from .control_links import BEAT_S, ControlLinks, Peer
 from .lookups import nearest_entries
 from .list_changes import changes_between
 from .messages import (
@@ -33,6 +33,7 @@
     Roster,
     TargetList,
 )
+from .peer import Peer
 from .region_dispatch import RegionDispatch
 from .site import Address, Site
 from .target_feed import TargetFeed, TargetSource
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -12,7 +12,6 @@
 from ..steering.demand import Demand, DemandMeter
 from ..steering.supply import Terms
 from ..steering.targets import TargetEntry
-from .control_links import Peer
 from .control_recorder import ControlRecorder
 from .messages import (
     AskNotice,
@@ -21,6 +20,7 @@
     RunningNotice,
     WithdrawNotice,
 )
+from .peer import Peer
 
 #: How often waiting requests are looked at, in seconds.
 TICK_S = 0.005
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -15,12 +15,11 @@
     Done,
     Ending,
     Granted,
-    RefusalReason,
     Refused,
 )
 from ..steering.patience import Patience
 from ..steering.targets import TargetEntry
-from ..types import Ran, Reason
+from ..types import Reason
 from .answers import (
     Send,
     TargetAnswer,
@@ -36,6 +35,11 @@
 from .run import Knowledge, Run
 from .splits import Splitter
 from .upstreams import Upstreams
+from .verdicts import (
+    UNREADY_RETRY_S,
+    refusal_after_attempt,
+    refusal_without_target,
+)
 from .wire import CallerRequest, WireFormat
 
 #: Round trip between a caller and its entry instance, in seconds.
@@ -44,11 +48,6 @@
 ANSWER_MARGIN_S = 0.02
 #: A further attempt that has less time than this, in seconds, is not made.
 MIN_ATTEMPT_S = 0.03
-#: When a caller comes back that was refused while no state was known.
-UNREADY_RETRY_S = 0.3
-#: The same after a target with free slots declined: there is room now, but
-#: the budget of attempts is spent.
-DECLINED_RETRY_S = 0.01
 #: Part of the deployment's limit of further attempts that is used: the
 #: instances do not agree on the number of requests at one moment.
 BUDGET_PART = 0.6
@@ -311,24 +310,7 @@
             headers = passed_headers(self._wire, kept)
             await send_answer(kept, headers, send, self._link)
             return f'answered-{kept.status}'
-        if run.may_have_run:
-            refusal = Refusal(
-                ran=Ran.unknown,
-                reason=Reason.target_lost,
-                detail='The attempt failed and there is no other target.',
-            )
-        elif refused.reason is RefusalReason.overload:
-            refusal = not_run(
-                Reason.queue_full,
-                'All targets are busy.',
-                refused.retry_after_s,
-            )
-        else:
-            refusal = not_run(
-                Reason.no_target,
-                'No target can serve it.',
-                refused.retry_after_s,
-            )
+        refusal = refusal_without_target(run, refused)
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
 
@@ -338,22 +320,7 @@
         ended: AttemptOutcome,
         send: Send,
     ) -> str:
-        if not run.may_have_run:
-            declined = ended.ending is Ending.declined
-            refusal = not_run(
-                Reason.target_refused,
-                'The target did not take it.',
-                DECLINED_RETRY_S if declined else UNREADY_RETRY_S,
-            )
-        else:
-            reason = Reason.target_lost
-            if ended.ending is Ending.timeout:
-                reason = Reason.target_timeout
-            refusal = Refusal(
-                ran=Ran.unknown,
-                reason=reason,
-                detail='The target gave no whole answer.',
-            )
+        refusal = refusal_after_attempt(run, ended)
         await send_refusal(refusal, send)
         return f'failed-{refusal.reason}'
 
