--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
     'block_map',
     'lookup_cost',
     'admission_cost',
+    'decision_cost',
     'ownership_cost',
     'delivery_cost',
 )
--- a/src/cuminhoist/gateway/passage.py
+++ b/src/cuminhoist/gateway/passage.py
@@ -286,24 +286,39 @@
         body: RequestBody,
         ended: AttemptOutcome,
     ) -> bool:
-        if ended.ending in {Ending.answered, Ending.timeout}:
+        if ended.ending is Ending.answered:
             return False
-        if ended.may_have_run and run.route.repeat is Repeat.once:
-            return False
-        allowed = (
-            body.repeatable
-            and self._now() + MIN_ATTEMPT_S < run.ends_at
-            and len(run.tried) < run.route.max_targets
-        )
-        unsent = ended.ending is Ending.unreachable
-        if not allowed:
-            return False
-        if not unsent and not self._budget(run.service).try_retry():
+        barred = self._why_final(run, body, ended)
+        if barred:
+            run.trail.append(f'no further attempt: {barred}')
             return False
         if ended.answer is not None:
             run.kept_failure = ended.answer
         return True
 
+    def _why_final(
+        self,
+        run: Run,
+        body: RequestBody,
+        ended: AttemptOutcome,
+    ) -> str:
+        """Return why an attempt is the last one; empty if it is not."""
+        late = self._now() + MIN_ATTEMPT_S >= run.ends_at
+        if late or ended.ending is Ending.timeout:
+            return 'no time left'
+        if ended.may_have_run and run.route.repeat is Repeat.once:
+            return 'it may have run'
+        if not body.repeatable:
+            return 'the body has been passed on'
+        if len(run.tried) >= run.route.max_targets:
+            return 'no more targets for this route'
+        if ended.ending is Ending.unreachable:
+            # Nothing was sent, so nothing is repeated.
+            return ''
+        if not self._budget(run.service).try_retry():
+            return 'the budget is spent'
+        return ''
+
     async def _give_up(self, run: Run, refused: Refused, send: Send) -> str:
         kept = run.kept_failure
         if kept is not None and kept.whole:
--- a/tests/gateway/test_passage.py
+++ b/tests/gateway/test_passage.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cuminhoist.gateway import passage
 from cuminhoist.gateway.routes import CallerLimits, Repeat
 
 from tests.waiting import eventually
@@ -211,3 +212,39 @@
     assert table.find(HOST, '/a/c').name == 'short'
     assert table.find(HOST, '/c/') is None
     assert msgspec.structs.replace(long, name='x') != long
+
+
+async def test_line_says_why_there_was_no_further_attempt(monkeypatch):
+    """Guards against failures whose line leaves their cause open.
+
+    Found while a failed request of the bench was traced: it could have been
+    repeated, and nothing said that the budget was spent.
+    """
+    lines = []
+    monkeypatch.setattr(
+        passage,
+        'log_request',
+        lambda **fields: lines.append(fields),
+    )
+    targets = [ScriptedTarget(lambda _head: b'') for _ in range(2)]
+    async with gateway(*targets) as world:
+        world.passages._retry_ratio = 0
+        world.passages._retry_slack = 0
+        await world.ask()
+        await world.ask('POST', number='id2', body=b'x')
+    assert 'no further attempt: the budget is spent' in lines[0]['trail']
+    assert lines[0]['outcome'] == 'failed-target-lost'
+
+
+async def test_line_of_a_one_time_request_that_failed(monkeypatch):
+    """Guards against a repeat that seems forgotten."""
+    lines = []
+    monkeypatch.setattr(
+        passage,
+        'log_request',
+        lambda **fields: lines.append(fields),
+    )
+    target = ScriptedTarget(lambda _head: b'')
+    async with gateway(target, repeat=Repeat.once) as world:
+        await world.ask()
+    assert 'no further attempt: it may have run' in lines[0]['trail']
