Learn nothing from a run without time in an unknown service

As the first run of its service it gave no first run times, and the next line divided by them; the request failed after its answer had arrived, and its connection was closed.

--- a/src/cuminhoist/steering/dispatch.py
+++ b/src/cuminhoist/steering/dispatch.py
@@ -331,6 +331,10 @@
         times = queue.times
         run_s = max(done.run_s - track.distance_s, 0)
         queue.expect(run_s / FIRST_COLD_PART)
+        if not times.cold_s:
+            # Nothing is known of the service, and the run took no time that
+            # could be told from its way.
+            return 1
         expected = times.warm_s if was_warm else times.cold_s
         if done.ending is Ending.answered:
             times.mean_s += SMOOTHING * (run_s - times.mean_s)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -7,6 +7,11 @@
 from cuminhoist.gateway.placing import DispatcherClient, Placer
 from cuminhoist.steering.asks import Ask, Done, Ending, Granted
 from cuminhoist.steering.dispatch import Dispatcher
+from cuminhoist.steering.supply import Terms, make_tracks
+
+from tests.steering.builders import target
+
+_TERMS = Terms('south', {'south-a': 'south'}, frozenset(), 0, {}, {})
 
 
 class _SlowLink(DispatcherClient):
@@ -113,3 +118,22 @@
         return link
 
     assert asyncio.run(scenario()).asked == [1]
+
+
+def test_run_shorter_than_the_queue_on_the_link():
+    """Guards against an answer that is lost after it has arrived."""
+
+    async def scenario():
+        link = _SlowLink()
+        loop = asyncio.get_running_loop()
+        local = Dispatcher()
+        tracks = make_tracks({}, [target('t1', service='s')], {}, _TERMS, 0)
+        local.set_targets('s', tracks, 'south')
+        placer = Placer(link, local, loop.time)
+        link.placer = placer
+        await _request(placer, 0)
+        link.held_up_s = 0.1
+        await _request(placer, 0.005)
+        return link.reported
+
+    assert asyncio.run(scenario()) == [0, 0]
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from cuminhoist.steering.asks import Ending, Granted, Refused
+from cuminhoist.steering.asks import Done, Ending, Granted, Refused
 from cuminhoist.steering.dispatch import (
     LATE_WAIT_S,
     REPORT_S,
@@ -270,3 +270,17 @@
             failed = done(granted, ending=Ending.lost)
             made.done('e', failed, 0.001)
     assert _moved_part(made, 100, 200, 0.02) > 0.6
+
+
+def test_first_run_that_took_no_time():
+    """Guards against a division by a run time that is not known yet.
+
+    Found by the bench, pwch-global trouble-2: the answer of a short request
+    was thrown away, as its time on the link was taken off its run.
+    """
+    made = Dispatcher()
+    made.set_targets(SERVICE, {'a': TargetTrack(target('a'), REGION)}, REGION)
+    ended = Done(1, 'a', SERVICE, 'k', Ending.answered, 0)
+    made.observe(ended, 0)
+    granted = made.offer('e', ask(2, 'k'), 0.1)
+    assert isinstance(granted, Granted)
