--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import pathlib
 import random
 import time
@@ -42,10 +43,8 @@
     ) -> None:
         self.evidence = Evidence()
         self._rng = random.Random(seed)  # noqa: S311
-        #: Soaks that run at the same time use different loopback networks.
-        self._network = f'127.{10 + seed % 200}'
         self._targets = self._make_targets()
-        self._list = TargetList(f'{self._network}.4.1', self._targets)
+        self._list = TargetList(_host(4, 1), self._targets)
         self._controls = self._make_instances('control', 1, folder)
         self._entries = self._make_instances('entry', 2, folder)
         self._operator = Operator(self._controls, self.evidence, self._rng)
@@ -76,7 +75,7 @@
         )
         return [
             Target(
-                f'{self._network}.3.{number}',
+                _host(3, number),
                 service,
                 domain,
                 self.evidence,
@@ -94,7 +93,7 @@
             'role': role,
             'zones': DOMAINS,
             'seeds': [
-                f'{self._network}.1.{number}:{OPERATORS_PORT}'
+                f'{_host(1, number)}:{OPERATORS_PORT}'
                 for number in range(1, len(DOMAINS) + 1)
             ],
             'cloud': {'address': self._list.address, 'rate_per_s': 40},
@@ -104,7 +103,7 @@
             Instance(
                 f'{role}-{domain}',
                 domain,
-                f'{self._network}.{part}.{number}',
+                _host(part, number),
                 folder,
                 settings,
                 self.evidence,
@@ -167,3 +166,14 @@
         for target in self._targets:
             await target.stop()
         await self._list.stop()
+
+
+def _host(part: int, number: int) -> str:
+    """Return a loopback address that no other soak on the machine uses.
+
+    :param part: 1 for control instances, 2 for entry instances, 3 for
+        targets, 4 for the list.
+    :param number: number within the part.
+    """
+    high, low = divmod(os.getpid(), 200)
+    return f'127.{16 + low}.{8 * (high % 30) + part}.{number}'
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import itertools
+import os
 
 import pytest
 
 from soak.proxy import DELAY_S, Mode, Proxy
 
-HOST = '127.9.9.9'
+HOST = f'127.9.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}'
 _ports = itertools.count(21000, 2)
 
 
