--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -78,8 +78,7 @@
     async def stop(self) -> None:
         """Listen no more."""
         await self.proxy.stop()
-        self._server.should_exit = True
-        self._server.force_exit = True
+        await _close(self._server, self._task)
 
     def replace(self) -> None:
         """Become another start of the target, with another identity."""
@@ -174,8 +173,7 @@
     async def stop(self) -> None:
         """Listen no more."""
         await self.proxy.stop()
-        self._server.should_exit = True
-        self._server.force_exit = True
+        await _close(self._server, self._task)
 
     def fail(self, *, failing: bool) -> None:
         """Refuse connections, or take them again.
@@ -210,3 +208,12 @@
             {'type': 'http.response.start', 'status': _OK, 'headers': headers},
         )
         await send({'type': 'http.response.body', 'body': body})
+
+
+async def _close(server: HttpServer, task: asyncio.Task[None] | None) -> None:
+    """Free the address at once, whatever still runs."""
+    for listener in server.servers:
+        listener.close()
+    if task is not None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
