--- a/src/cuminhoist/durable_log.py
+++ b/src/cuminhoist/durable_log.py
@@ -17,6 +17,7 @@
     VoterSet,
 )
 from .control_state import ControlState
+from .logging_setup import logger
 from .storage import (
     TMP_SUFFIX,
     Disk,
@@ -37,6 +38,7 @@
 LOG_START = LogPosition(0, 0)
 NO_VOTERS = VoterSet(LOG_START, ())
 
+_log = logger('log')
 _Record = TypeVar('_Record')
 _WriteResult = Result[None, DiskError]
 
@@ -72,6 +74,7 @@
         self.loaded_snapshot = snapshot
         self._reset(snapshot)
         self._size = 0
+        self._is_stale = False
 
     @classmethod
     async def open(
@@ -191,16 +194,23 @@
         kept: tuple[LogEntry, ...] = ()
         if self.contains(snapshot.last):
             kept = self.entries(snapshot.last.index + 1, self.last.index)
+        saved = await self._replace_log_file(snapshot.last, kept)
+        if isinstance(saved, Success):
+            self._reset(snapshot)
+            for entry in kept:
+                self._insert(entry)
+        return saved
+
+    async def _replace_log_file(
+        self, base: LogPosition, kept: tuple[LogEntry, ...]
+    ) -> _WriteResult:
         content = b''.join(
             pack_record(msgspec.msgpack.encode(record))
-            for record in (snapshot.last, *kept)
+            for record in (base, *kept)
         )
         saved = await self._disk.replace(LOG_FILE, content)
         if isinstance(saved, Success):
             self._size = len(content)
-            self._reset(snapshot)
-            for entry in kept:
-                self._insert(entry)
         return saved
 
     def _reset(self, snapshot: Snapshot) -> None:
@@ -230,7 +240,23 @@
         if isinstance(content, Failure):
             return content
         error = log._replay(content.unwrap())
-        return _corrupt(LOG_FILE, error) if error else Success(log)
+        if error:
+            return _corrupt(LOG_FILE, error)
+        torn_bytes = len(content.unwrap()) - log._size
+        if torn_bytes:
+            _log.bind(torn_bytes=torn_bytes, last_index=log.last.index).warning(
+                'ignored an incomplete last record'
+            )
+        if log._is_stale:
+            # Entries appended later would follow the stale ones in the file,
+            # and the next start would drop them together.
+            _log.bind(base_index=log.base.index).warning(
+                'replaced a log that does not continue the installed snapshot'
+            )
+            repaired = await log._replace_log_file(log.base, ())
+            if isinstance(repaired, Failure):
+                return repaired
+        return Success(log)
 
     def _replay(self, content: bytes) -> str:
         parsed = read_records(content)
@@ -272,6 +298,8 @@
         if boundary == self.base:
             for kept in loaded[compacted_count:]:
                 self._insert(kept)
+        else:
+            self._is_stale = True
         return ''
 
 
