Keep the register from voting with promises it cannot read

Cause: an acceptor whose promise files were both unreadable started with an empty promise under its old name; a failed write of the learned state counted as done; names of new files were not synced. Change: unreadable durable files make the acceptor a new voter, logged; the learned state is written again until it is durable; the folder is synced after a file is created.

--- a/src/cuminhoist/register/acceptor.py
+++ b/src/cuminhoist/register/acceptor.py
@@ -79,6 +79,7 @@
         host, as the initial state names the founders. An instance that finds
         its disk empty later may have lost promises that it made before. It
         therefore takes a new name, which has no vote until the voters add it.
+        The same applies if files of promises cannot be read any more.
 
         :param host: host of the instance.
         :param founders: initial state at the first start of a deployment;
@@ -86,18 +87,35 @@
         :param rng: source of the random suffix of new names.
         """
         prepare_folder(self.folder)
+        damaged = self._damaged_files()
         identity = self.identity.load()
-        if identity is not None:
+        if identity is not None and not damaged:
             return identity
+        if damaged:
+            _log.bind(files=damaged).error(
+                'durable files are unreadable; joining as a new voter'
+            )
         name = host
-        if founders is None or self.accepted.exists():
+        if founders is None or damaged or self.accepted.exists():
             name = f'{host}#{rng.getrandbits(NAME_SUFFIX_BITS):08x}'
             founders = None
         identity = Identity(name, founders)
         self.identity.save(identity)
-        prepare_folder(self.folder)
+        # The new identity is durable, so the next start may keep it.
+        if 'promised' in damaged:
+            self.promised.save(Ballot())
+        if 'held' in damaged:
+            self.accepted.save(AcceptedState())
         return identity
 
+    def _damaged_files(self) -> list[str]:
+        damaged_by_name = {
+            'identity': self.identity.is_damaged(),
+            'promised': self.promised.is_damaged(),
+            'held': self.accepted.is_damaged(),
+        }
+        return [name for name, damaged in damaged_by_name.items() if damaged]
+
 
 class Acceptor:
     """Replies to proposers; each promise is durable before the reply.
@@ -166,13 +184,19 @@
             return self._reply(granted=True, with_state=True)
         return None
 
-    async def save_learned(self, state: DeclaredState) -> None:
-        """Store a chosen state, so that the next start can read it.
+    async def save_learned(self, state: DeclaredState) -> bool:
+        """Store a chosen state and tell whether it is durable.
+
+        The next start reads it.
 
         :param state: the chosen state.
         """
         async with self._lock:
-            await self._disk.run(self._files.learned.save, state)
+            saved: Result[None, DiskError] = await self._disk.run(
+                self._files.learned.save,
+                state,
+            )
+            return isinstance(saved, Success)
 
     async def _prepare(self, msg: Prepare) -> VoterReply | None:
         async with self._lock:
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -285,8 +285,8 @@
                 self._broadcast_join()
                 continue
             if known.index > saved_index:
-                saved_index = known.index
-                await self._acceptor.save_learned(known)
+                saved = await self._acceptor.save_learned(known)
+                saved_index = known.index if saved else saved_index
             if not self.is_voter:
                 self._broadcast_join()
             elif self._find_active_proposer() == self._own_voter:
--- a/src/cuminhoist/register/store.py
+++ b/src/cuminhoist/register/store.py
@@ -68,6 +68,16 @@
         """Tell whether any of the two files exists."""
         return any(path.exists() for path in self._paths)
 
+    def is_damaged(self) -> bool:
+        """Tell whether a value that was durable once cannot be read.
+
+        The second file is created only after the first is durable, so a torn
+        write never leaves two unreadable files.
+        """
+        return all(path.exists() for path in self._paths) and all(
+            _read_record(path) is None for path in self._paths
+        )
+
     def save(self, value: _Value) -> None:
         """Write and sync a value; raise OSError if that fails.
 
@@ -78,12 +88,15 @@
         header = _HEADER.pack(sequence, len(payload), zlib.crc32(payload))
         header_crc = struct.pack('<I', zlib.crc32(header))
         path = self._paths[self._write_index]
+        is_new = not path.exists()
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             _write_all(descriptor, header + header_crc + payload)
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
+        if is_new:
+            sync_folder(path.parent)
         self._sequence = sequence
         self._write_index = 1 - self._write_index
 
@@ -131,11 +144,19 @@
     """
     folder.mkdir(parents=True, exist_ok=True)
     with contextlib.suppress(OSError):
-        descriptor = os.open(folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        sync_folder(folder)
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make created names durable; raise OSError if that fails.
+
+    :param folder: the directory of the created files.
+    """
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 def _write_all(descriptor: int, content: bytes) -> None:
