Compare a handful of targets for each request, not all

Cause: a decision estimated every target of the service and ranked all of them for each object. With hundreds of targets the dispatcher of a region ran out of processor time while the load was highest. Change: the holders of an object are indexed, only the first ranks of its order are kept, a decision stops at the first rank that cannot be better, and a small sample looks for free slots. Services with few targets are compared whole as before. The step between ranks is a fraction of the run time instead of a fixed time.

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -20,8 +20,8 @@
 SERVICE = 'catalogue'
 REGION = 'south'
 #: Targets of a service in a standard deployment, in a grown one and in the
-#: largest that the design covers.
-TARGET_COUNTS = (16, 100, 321)
+#: large one, and the most of one service in a large deployment.
+TARGET_COUNTS = (16, 100, 321, 1000)
 DECISIONS_PER_ROUND = 2000
 #: Distinct objects that the requests name by their affinity keys.
 OBJECT_COUNT = 300
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -109,7 +109,9 @@
         removed = queue.targets.keys() - targets.keys()
         if any(queue.targets[name].region == region for name in removed):
             self.shift_limiter.record_disturbance(now)
-        queue.placement = Placement(targets, region)
+        for name in removed:
+            queue.targets[name].forget_objects()
+        queue.placement = Placement(targets, region, queue.placement.history)
 
     def decide_or_queue(
         self, entry_instance: str, request: PlacementRequest, now: float
@@ -270,14 +272,12 @@
     ) -> Decision | None:
         request = waiting.request
         waiting.leave_target_queue()
-        options = list(
-            queue.placement.options(
-                request.key,
-                queue.run_times,
-                now,
-                request.allowed_regions,
-                request.excluded,
-            ),
+        options = queue.placement.options(
+            request.key,
+            queue.run_times,
+            now,
+            request.allowed_regions,
+            request.excluded,
         )
         if not options:
             return Refused(
@@ -304,12 +304,11 @@
         """Drop options in other regions while the shift limit is reached."""
         region = queue.placement.region
         own = [option for option in options if option.target.region == region]
-        disturbed = sum(option.target.is_disturbed(now) for option in own)
-        if disturbed > MAX_DISTURBED_FRACTION * len(own):
+        if queue.placement.disturbed_fraction() > MAX_DISTURBED_FRACTION:
             self.shift_limiter.record_disturbance(now)
-        if not own or self.shift_limiter.allows_shift(now):
+        if len(own) in {0, len(options)}:
             return options
-        return own
+        return options if self.shift_limiter.allows_shift(now) else own
 
     def _decide_late(
         self,
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -8,23 +8,33 @@
 cache miss at another target.
 """
 
-import functools
-from collections.abc import Iterable
+import collections
+from collections.abc import Iterator
 
 import msgspec
 
-from ..rendezvous import ranked
-from .tracked_target import TrackedTarget
+from .object_orders import RANK_COUNT, ObjectOrders
+from .tracked_target import ObjectHolders, TrackedTarget
 
-#: Added to the estimate for each rank in the order of an object's targets, in
-#: seconds. It decides between targets that would be equally fast.
-RANK_STEP_S = 0.01
+#: Added to the estimate for each rank in the order of an object's targets, as
+#: a fraction of the run time after a cache hit. It decides between targets
+#: that would be equally fast.
+RANK_STEP_FRACTION = 0.14
+#: Highest rank that counts for a target which holds the object.
+MAX_HOLDER_RANK = 4
 #: Panic mode: with a larger fraction of the targets ejected, ejection is
 #: ignored, because the remaining targets could not carry the load.
 PANIC_THRESHOLD_FRACTION = 0.5
-#: Size of the cache of orders. A service has tens to thousands of objects in
-#: use.
-MAX_CACHED_ORDERS = 8192
+#: With at most this many usable targets in a region, all are compared;
+#: otherwise the holders of the object, its first ranks and a sample.
+FULL_SCAN_COUNT = RANK_COUNT
+#: Size of the sample in which a free slot is looked for.
+SAMPLE_COUNT = 8
+#: A target is hardly ever faster than expected by more than this factor.
+MIN_RUN_TIME_FRACTION = 0.8
+#: Interval at which ejected and disturbed targets are counted in a service
+#: with many targets, in seconds.
+HEALTH_INTERVAL_S = 0.1
 #: Assumed hit fraction until the first requests show whether targets have
 #: cached the objects for which they rank first.
 INITIAL_PRESUMED_HIT_FRACTION = 0.2
@@ -129,36 +139,77 @@
     total_s: float
 
 
-@functools.lru_cache(maxsize=MAX_CACHED_ORDERS)
-def object_order(key: str, names: tuple[str, ...]) -> dict[str, int]:
-    """Return the rank of each target in the order of an object.
+class PlacementHistory:
+    """What placement keeps when the targets of a service are replaced.
 
-    :param key: identity of the object.
-    :param names: targets of one service in one region.
+    It holds the orders by region and the targets that hold each object.
     """
-    return {name: rank for rank, name in enumerate(ranked(key, names))}
+
+    def __init__(self) -> None:
+        self.holders: ObjectHolders = {}
+        self.orders: collections.defaultdict[str, ObjectOrders] = (
+            collections.defaultdict(ObjectOrders)
+        )
+
+
+class _RegionTargets:
+    """Targets of one region that a dispatcher may use.
+
+    :param region: name of the region.
+    :param targets: its usable targets.
+    :param orders: orders of the objects over all its targets.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        targets: list[TrackedTarget],
+        orders: ObjectOrders,
+    ) -> None:
+        self.region = region
+        self.targets = targets
+        self.orders = orders
+        self.extra_rtt_s = min(target.extra_rtt_s for target in targets)
+        self._sample_start = 0
+
+    def sample(self) -> Iterator[TrackedTarget]:
+        """Yield the next few targets in turn."""
+        start = self._sample_start
+        end = start + SAMPLE_COUNT
+        self._sample_start = end % len(self.targets)
+        yield from self.targets[start:end]
+        yield from self.targets[: max(end - len(self.targets), 0)]
 
 
 class Placement:
     """Targets of one service that one dispatcher may use.
 
+    Load pattern: hundreds of targets, of which a request can use a handful.
+    The cost of a decision must not grow with the number of targets, or the
+    dispatcher itself becomes the bottleneck while the load is highest.
+
     :param targets: the targets by name.
     :param region: region of the dispatcher.
+    :param history: what is kept of an earlier placement of the service.
     """
 
-    def __init__(self, targets: dict[str, TrackedTarget], region: str) -> None:
+    def __init__(
+        self,
+        targets: dict[str, TrackedTarget],
+        region: str,
+        history: PlacementHistory | None = None,
+    ) -> None:
         self.targets = targets
         self.region = region
+        self.history = history or PlacementHistory()
         self.usable = [
             target for target in targets.values() if target.pool.slots > 0
         ]
-        by_region: dict[str, list[str]] = {}
-        for name, target in targets.items():
-            by_region.setdefault(target.region, []).append(name)
-        self._names = {
-            region_name: tuple(sorted(names))
-            for region_name, names in by_region.items()
-        }
+        self._regions = self._group_by_region()
+        self._health_at = float('-inf')
+        self._disturbed_fraction = float(0)
+        for tracked in targets.values():
+            tracked.share_holders(self.history.holders)
 
     def options(
         self,
@@ -167,8 +218,8 @@
         now: float,
         allowed_regions: frozenset[str],
         excluded: tuple[str, ...],
-    ) -> Iterable[Option]:
-        """Yield the targets that may serve a request, with estimates.
+    ) -> list[Option]:
+        """Return the best targets for a request, with estimates.
 
         :param key: identity of the object that the request uses, or empty.
         :param times: run times of the service.
@@ -176,18 +227,101 @@
         :param allowed_regions: regions that may serve it; empty for all.
         :param excluded: names of targets that were already tried.
         """
+        self._refresh_health(now)
+        found: dict[str, Option] = {}
+        for group in self._regions:
+            if allowed_regions and group.region not in allowed_regions:
+                continue
+            hit_s = group.extra_rtt_s + times.hit_run_s * MIN_RUN_TIME_FRACTION
+            if _best_total_s(found) <= hit_s:
+                break
+            for target, rank in self._candidates(group, key, times, found):
+                if target.entry.name not in excluded:
+                    option = self._option(target, key, rank, times, now)
+                    found[target.entry.name] = option
+        return list(found.values())
+
+    def disturbed_fraction(self) -> float:
+        """Return the fraction of the region's own targets that is disturbed.
+
+        It is as of the last call of ``options``.
+        """
+        return self._disturbed_fraction
+
+    def _group_by_region(self) -> list[_RegionTargets]:
+        names: dict[str, list[str]] = {}
+        for name, target in self.targets.items():
+            names.setdefault(target.region, []).append(name)
+        usable: dict[str, list[TrackedTarget]] = {}
+        for usable_target in self.usable:
+            usable.setdefault(usable_target.region, []).append(usable_target)
+        groups = []
+        for region, targets in usable.items():
+            orders = self.history.orders[region]
+            orders.replace_names(names[region])
+            groups.append(_RegionTargets(region, targets, orders))
+        return sorted(
+            groups,
+            key=lambda group: (group.region != self.region, group.extra_rtt_s),
+        )
+
+    def _candidates(
+        self,
+        group: _RegionTargets,
+        key: str,
+        times: RunTimes,
+        found: dict[str, Option],
+    ) -> Iterator[tuple[TrackedTarget, int]]:
+        """Yield targets with their ranks while a better one is possible."""
+        first = group.orders.first_names(key) if key else []
+        ranks = {name: rank for rank, name in enumerate(first)}
+        default_rank = RANK_COUNT if key else 0
+        if len(group.targets) <= FULL_SCAN_COUNT:
+            for any_target in group.targets:
+                rank = ranks.get(any_target.entry.name, default_rank)
+                yield any_target, rank
+            return
+        for holder in self._holders(key, group.region):
+            rank = ranks.get(holder.entry.name, MAX_HOLDER_RANK)
+            yield holder, min(rank, MAX_HOLDER_RANK)
+        is_remote = group.region != self.region
+        miss_s = group.extra_rtt_s + MIN_RUN_TIME_FRACTION * min(
+            times.miss_run_s, times.presumed_run_s(remote=is_remote)
+        )
+        rank_step_s = times.hit_run_s * RANK_STEP_FRACTION
+        for name, rank in ranks.items():
+            if rank and _best_total_s(found) <= miss_s + rank * rank_step_s:
+                return
+            ranked_target = self.targets[name]
+            if name not in found and ranked_target.pool.slots > 0:
+                yield ranked_target, rank
+        for sampled in group.sample():
+            if sampled.entry.name not in ranks:
+                yield sampled, default_rank
+
+    def _holders(self, key: str, region: str) -> list[TrackedTarget]:
+        """Return the usable targets of a region that hold an object."""
+        holders = self.history.holders.get(key, {})
+        return [
+            target
+            for name, target in holders.items()
+            if target.region == region
+            and target.pool.slots > 0
+            and self.targets.get(name) is target
+        ]
+
+    def _refresh_health(self, now: float) -> None:
+        is_fresh = 0 <= now - self._health_at < HEALTH_INTERVAL_S
+        if is_fresh and len(self.usable) > FULL_SCAN_COUNT:
+            return
+        self._health_at = now
         ejected = sum(target.is_ejected(now) for target in self.usable)
         panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
-        for target in self.usable:
-            target.panic_mode = panic_mode
-            name = target.entry.name
-            if name in excluded or (
-                allowed_regions and target.region not in allowed_regions
-            ):
-                continue
-            order = object_order(key, self._names[target.region]) if key else {}
-            rank = order.get(name, 0)
-            yield self._option(target, key, rank, times, now)
+        for usable_target in self.usable:
+            usable_target.panic_mode = panic_mode
+        own = [target for target in self.usable if target.region == self.region]
+        disturbed = sum(target.is_disturbed(now) for target in own)
+        self._disturbed_fraction = disturbed / max(len(own), 1)
 
     def _option(
         self,
@@ -223,6 +357,12 @@
             wait_s
             + run_s * target.slowdown(now)
             + target.extra_rtt_s
-            + rank * RANK_STEP_S
+            + rank * times.hit_run_s * RANK_STEP_FRACTION
         )
         return Option(target, wait_s, total_s + busy_s)
+
+
+def _best_total_s(found: dict[str, Option]) -> float:
+    return min(
+        (option.total_s for option in found.values()), default=float('inf')
+    )
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -27,6 +27,9 @@
 #: Runs at a target that is warming up take about twice as long.
 WARMUP_SLOWDOWN = 2.0
 
+#: Targets that have cached or are loading an object, by object and name.
+ObjectHolders = dict[str, dict[str, 'TrackedTarget']]
+
 _FAILURES = frozenset((Ending.failed, Ending.lost, Ending.timeout))
 
 
@@ -94,6 +97,7 @@
         self._cached: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._holders: ObjectHolders = {}
 
     def has_cached(self, key: str) -> bool:
         """Tell whether the target is taken to have cached an object.
@@ -102,6 +106,25 @@
         """
         return key in self._cached
 
+    def share_holders(self, holders: ObjectHolders) -> None:
+        """Record the objects of this target in an index of all targets.
+
+        :param holders: the index.
+        """
+        if holders is self._holders:
+            return
+        self._holders = holders
+        for key in (*self._cached, *self._loading_since):
+            self._record_holder(key)
+
+    def forget_objects(self) -> None:
+        """Remove a target that is no longer used from the index."""
+        for key in (*self._cached, *self._loading_since):
+            names = self._holders.get(key, {})
+            if names.get(self.entry.name) is self:
+                names.pop(self.entry.name)
+        self._holders = {}
+
     def is_warming_up(self, now: float) -> bool:
         """Tell whether the target is still warming up.
 
@@ -180,6 +203,7 @@
             self._warmup_tokens_at = now
         if key and key not in self._cached:
             self._loading_since.setdefault(key, now)
+            self._record_holder(key)
 
     def wait_s(self, run_s: float, now: float) -> float:
         """Return the estimated wait of a request that arrives now.
@@ -233,7 +257,8 @@
         self.pool.running = max(self.pool.running - 1, 0)
         if self._running_since:
             self._running_since.popleft()
-        self._loading_since.pop(key, None)
+        if self._loading_since.pop(key, None) is not None:
+            self._remove_holder(key)
         if ending is Ending.answered:
             self._add_cached(key)
             self._record_answer(ratio, now)
@@ -261,8 +286,20 @@
             return
         self._cached[key] = None
         self._cached.move_to_end(key)
+        self._record_holder(key)
         while len(self._cached) > self.cache_capacity:
-            self._cached.popitem(last=False)
+            evicted, _ = self._cached.popitem(last=False)
+            self._remove_holder(evicted)
+
+    def _record_holder(self, key: str) -> None:
+        self._holders.setdefault(key, {})[self.entry.name] = self
+
+    def _remove_holder(self, key: str) -> None:
+        if key in self._cached or key in self._loading_since:
+            return
+        names = self._holders.get(key, {})
+        if names.get(self.entry.name) is self:
+            names.pop(self.entry.name)
 
     def is_ejected(self, now: float) -> bool:
         """Tell whether the target is ejected or pauses after a shed request.
