Send entry instances and control instances changes instead of all they have

Cause: heartbeats between control instances repeated all entry instances twice a second, the reader sent the whole target list each second, rosters and summaries went to each entry instance from every control instance of its region, each control instance sent a new declared state to all others, and views merged and sorted the whole fleet for each receiver. Time between regions was a constant of the first deployments. Change: linked instances, rosters and target lists are sent once on a link and then as changes; an entry instance subscribes to one control instance, preferably of its failure domain, and to another one if views show something newer for 0.4 s; a missed state is sent again by one instance; the fleet is merged once for all receivers; keep-alives are left out on busy links. Link connection times give the round trips between regions. Sent bytes are counted by message and distance. A restarted control instance adds to rosters, and an entry instance without a roster names itself.

--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -337,7 +337,9 @@
             region=name,
             region_by_domain={region: region for region in self.dispatchers},
             drained_domains=frozenset(),
-            inter_region_rtt_s=2 * self._pattern.region_s,
+            round_trips_s=dict.fromkeys(
+                self.dispatchers, 2 * self._pattern.region_s
+            ),
             warmup_rate_by_service={},
             run_s_by_service={SERVICE: queue.run_times.hit_run_s},
         )
--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -25,18 +25,19 @@
 )
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
-from ..steering.targets import TargetEntry
 from .background import BackgroundTasks
 from .control_links import HEARTBEAT_INTERVAL_S, ControlLinks
 from .control_metrics import ControlMetrics
+from .entry_updates import EntryUpdates
 from .instance_config import Address, InstanceConfig
-from .list_changes import changes_between
+from .link_meter import PrometheusMeter
+from .list_broadcast import ListBroadcast
 from .lookups import nearest_entries
 from .messages import (
-    ControlEndpoint,
     FleetSummary,
     Hello,
-    Roster,
+    ReadinessNotice,
+    TargetChanges,
     TargetList,
 )
 from .peer import Peer
@@ -46,13 +47,9 @@
 #: Time between the leaving heartbeat and the end of the tasks, in seconds, so
 #: that the other instances learn that this one leaves.
 LEAVE_DELAY_S = 0.8
-#: Heartbeats between two fleet summaries to the entry instances; they use the
-#: demand only while they have no dispatcher.
-HEARTBEATS_PER_SUMMARY = 6
-#: Time after the start before a roster is sent, in seconds. A control instance
-#: that has just started does not know all entry instances; its roster would
-#: replace a complete roster by an incomplete one.
-ROSTER_DELAY_S = 2.0
+#: A control instance that reports an older declared state this long after it
+#: was announced gets it again, in seconds; announcements take one round trip.
+RESEND_DELAY_S = 0.5
 
 DecodeConfiguration = Callable[[bytes], Result[RouteTable, str]]
 _log = logger('control')
@@ -97,7 +94,6 @@
         self._config = config
         self._decode = decode
         self._now = now
-        self._created_at = now()
         self._routes: RouteTable | None = None
         self.metrics = ControlMetrics()
         self.incarnation = secrets.token_hex(6)
@@ -112,6 +108,9 @@
                 control=True,
             ),
             now,
+            PrometheusMeter(
+                config.domain, config.region, self.metrics.registry
+            ),
         )
         self.replica = self._open_replica()
         self.feed = TargetFeed(
@@ -125,9 +124,9 @@
             self.metrics,
         )
         self._demand = self.dispatch.measure()
-        self._sent_targets: tuple[TargetEntry, ...] = ()
-        self._sent_controls: tuple[ControlEndpoint, ...] = ()
-        self._heartbeat_count = 0
+        self._entry_updates = EntryUpdates(self.links, self.feed, now)
+        self._list_broadcast = ListBroadcast(self.links)
+        self._learned_at = float('-inf')
         self._background = BackgroundTasks()
         self._started = False
 
@@ -153,7 +152,7 @@
 
     async def stop(self) -> None:
         """Send a leaving heartbeat, wait ``LEAVE_DELAY_S``, end all tasks."""
-        self.links.leaving = True
+        self.links.fleet.leaving = True
         self._send_heartbeats()
         await asyncio.sleep(LEAVE_DELAY_S)
         await self._background.stop()
@@ -238,7 +237,7 @@
         :param region: region of the caller.
         :param domain: failure domain of the caller.
         """
-        return nearest_entries(self.links.entries(), region, domain)
+        return nearest_entries(self.links.fleet.entries(), region, domain)
 
     def _open_replica(self) -> RegisterReplica:
         config = self._config
@@ -287,11 +286,13 @@
         gauge.labels('links').set(len(self.links.peers))
 
     def _read_rank(self) -> int:
-        # An instance that is leaving is not in the list; rank 9 keeps it from
-        # reading the target list before the others.
-        names = [control.name for control in self.links.controls()]
+        # An instance that is leaving is not in the list and reads the target
+        # list after all others.
+        names = [control.name for control in self.links.fleet.controls()]
         return (
-            names.index(self._config.name) if self._config.name in names else 9
+            names.index(self._config.name)
+            if self._config.name in names
+            else len(names)
         )
 
     def _on_learned(self, state: DeclaredState) -> None:
@@ -302,41 +303,53 @@
         self.links.add_addresses(
             {voter.address for voter in state.all_voters()},
         )
-        self.links.send_to_entries(Learned(state=state))
+        self._learned_at = self._now()
+        self.links.send_to_subscribers(Learned(state=state))
         if self._started:
             self._update_dispatch()
 
     def _on_target_list(self, feed: TargetFeed) -> None:
-        age_s = self._now() - feed.read_at
-        changes = changes_between(self._sent_targets, feed.entries, age_s)
-        self._sent_targets = feed.entries
-        self.links.send_to_entries(changes)
+        self._entry_updates.send_targets()
         if self._read_rank() == 0:
-            self.links.broadcast(feed.to_message())
+            self._list_broadcast.send(feed, self._now() - feed.read_at)
+        else:
+            self._list_broadcast.pause()
         self._update_dispatch()
 
     def _on_peer_linked(self, peer: Peer) -> None:
+        if not peer.hello.control:
+            peer.link.send(
+                self.links.fleet.view(
+                    peer.hello.region,
+                    self._state_index(),
+                    self._now() - self.feed.read_at,
+                    confirmed=self.confirmed,
+                )
+            )
+            return
         state = self.replica.latest_chosen
         if state is not None:
             peer.link.send(Learned(state=state))
-        if not peer.hello.control:
-            # Later changes are relative to the list that was last sent to all
-            # entry instances, so a new peer starts from that list.
-            age_s = self._now() - self.feed.read_at
-            peer.link.send(TargetList(age_s=age_s, targets=self._sent_targets))
-            if self._now() - self._created_at > ROSTER_DELAY_S:
-                peer.link.send(Roster(entries=tuple(self.links.entries())))
-            peer.link.send(self._build_view(peer))
-            peer.link.send(self._build_fleet_summary())
+        peer.link.send(self.links.fleet.all_linked())
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
-        if isinstance(msg, Learned):
+        if not peer.hello.control:
+            self._on_entry_message(peer, msg)
+        elif isinstance(msg, Learned):
             self.replica.learn(msg.state)
         elif isinstance(msg, Join):
             self.replica.on_join(msg)
-        elif isinstance(msg, TargetList):
-            self.feed.apply_list(msg)
-        elif not peer.hello.control:
+        elif isinstance(msg, (TargetList, TargetChanges)):
+            target_list = peer.targets.apply(msg)
+            if target_list is not None:
+                self.feed.apply_list(target_list)
+
+    def _on_entry_message(self, peer: Peer, msg: Message) -> None:
+        if isinstance(msg, ReadinessNotice):
+            self._entry_updates.handle_notice(
+                peer, msg, self.replica.latest_chosen
+            )
+        else:
             self.dispatch.handle_message(peer, msg)
 
     def _update_dispatch(self) -> None:
@@ -346,6 +359,7 @@
             state.drained if state else frozenset(),
             self._routes,
             self.links.demand(self._demand),
+            self.links.round_trips_s(),
         )
 
     async def _run_heartbeats(self) -> None:
@@ -357,46 +371,62 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def _send_heartbeats(self) -> None:
-        if self._now() - self._created_at > ROSTER_DELAY_S:
-            self.links.send_roster()
-        self._send_fleet_summary()
-        state = self.replica.latest_chosen
-        index = state.index if state else -1
-        heartbeat = self.links.build_heartbeat(
-            index,
-            self.replica.name,
-            self._demand,
-            confirmed=self.confirmed,
+        self._entry_updates.send_heartbeat(
+            FleetSummary(
+                controls=tuple(self.links.fleet.controls()),
+                demand=tuple(self.links.demand(self._demand)),
+                round_trips_s=self.links.round_trips_s(),
+            )
         )
-        for peer in self.links.peers.values():
-            if not peer.hello.control:
-                peer.link.send(self._build_view(peer))
-                continue
-            peer.link.send(heartbeat)
-            is_behind = (
-                peer.heartbeat is not None and peer.heartbeat.index < index
+        changes = self.links.fleet.changes()
+        if changes is not None:
+            self.links.broadcast(changes)
+        self.links.broadcast(
+            self.links.build_heartbeat(
+                self._state_index(),
+                self.replica.name,
+                self._demand,
+                confirmed=self.confirmed,
             )
-            if state is not None and is_behind:
-                peer.link.send(Learned(state=state))
-
-    def _send_fleet_summary(self) -> None:
-        summary = self._build_fleet_summary()
-        self._heartbeat_count += 1
-        changed = summary.controls != self._sent_controls
-        if changed or self._heartbeat_count % HEARTBEATS_PER_SUMMARY == 0:
-            self._sent_controls = summary.controls
-            self.links.send_to_entries(summary)
+        )
+        self._send_views()
+        self._resend_state()
 
-    def _build_view(self, peer: Peer) -> Message:
-        state = self.replica.latest_chosen
-        return self.links.build_view(
-            peer.hello.region,
-            state.index if state else -1,
+    def _send_views(self) -> None:
+        self.links.send_views(
+            self._state_index(),
+            self._now() - self.feed.read_at,
             confirmed=self.confirmed,
         )
 
-    def _build_fleet_summary(self) -> FleetSummary:
-        return FleetSummary(
-            controls=tuple(self.links.controls()),
-            demand=tuple(self.links.demand(self._demand)),
-        )
+    def _resend_state(self) -> None:
+        """Send the declared state to instances that missed its announcement.
+
+        All control instances learn it at about the same time. Only the first
+        one by name sends it again, unless nobody has for several heartbeats.
+        """
+        state = self.replica.latest_chosen
+        learned_for_s = self._now() - self._learned_at
+        if state is None or learned_for_s < RESEND_DELAY_S:
+            return
+        fresh = self.links.fleet.fresh_peers()
+        current = [
+            peer.hello.name
+            for peer in fresh
+            if peer.heartbeat is not None
+            and peer.heartbeat.index >= state.index
+        ]
+        is_first = self._config.name < min(current, default='~')
+        if not is_first and learned_for_s < 4 * RESEND_DELAY_S:
+            return
+        for peer in fresh:
+            if (
+                peer.heartbeat is not None
+                and peer.heartbeat.index < state.index
+                and peer.heartbeat_at > self._learned_at + RESEND_DELAY_S / 2
+            ):
+                peer.link.send(Learned(state=state))
+
+    def _state_index(self) -> int:
+        state = self.replica.latest_chosen
+        return state.index if state else -1
--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -8,31 +8,28 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from returns.result import Success
 
 from ..codec import Codec, Message
 from ..logging_setup import logger
 from ..register.replica import ControlPeers
 from ..steering.demand import Demand
+from .fleet_view import FleetView
 from .instance_config import Address, InstanceConfig
 from .link import Link, LinkHandler, Links
+from .link_meter import LinkMeter
 from .messages import (
-    ControlEndpoint,
     ControlHeartbeat,
-    EntryEndpoint,
     Hello,
+    LinkedInstances,
     ReadinessNotice,
-    Roster,
-    View,
 )
 from .peer import Peer
 
 #: Interval between heartbeats to control instances, and between views to entry
 #: instances, in seconds.
 HEARTBEAT_INTERVAL_S = 0.5
-#: A heartbeat of another control instance is valid this long, in seconds: two
-#: heartbeats may be late.
-HEARTBEAT_VALID_S = 1.6
 #: The proposer is active if its last heartbeat is at most this old, in seconds:
 #: one heartbeat may be late.
 PROPOSER_HEARTBEAT_VALID_S = 1.1
@@ -49,6 +46,7 @@
     :param config: configuration of this instance.
     :param hello: first message on each link.
     :param now: returns monotonic time in seconds.
+    :param meter: counts the sent bytes.
     """
 
     def __init__(
@@ -56,9 +54,10 @@
         config: InstanceConfig,
         hello: Hello,
         now: Callable[[], float],
+        meter: LinkMeter | None = None,
     ) -> None:
         self.peers: dict[str, Peer] = {}
-        self.leaving = False
+        self.fleet = FleetView(hello, self.peers, now)
         self.on_message: Callable[[Peer, Message], None] = _ignore_message
         self.on_peer_linked: Callable[[Peer], None] = _ignore_peer
         self.on_peer_lost: Callable[[Peer], None] = _ignore_peer
@@ -66,12 +65,11 @@
         self._config = config
         self._hello = hello
         self._now = now
-        self._links = Links(Codec('', config.name), self)
+        self._links = Links(Codec('', config.name), self, meter)
         self._seeds: set[Address] = set(config.seeds)
         self._addresses: set[Address] = set(config.seeds)
         self._dial_tasks: dict[Address, asyncio.Task[None]] = {}
         self._dialled_link_ids: set[int] = set()
-        self._sent_roster: tuple[EntryEndpoint, ...] = ()
 
     async def start(self) -> None:
         """Accept links from other instances."""
@@ -117,7 +115,9 @@
 
         :param link: the link.
         """
-        link.send(self._hello)
+        link.send(
+            msgspec.structs.replace(self._hello, round_trip_s=link.round_trip_s)
+        )
 
     def message_received(self, link: Link, msg: Message) -> None:
         """Process a message.
@@ -132,10 +132,14 @@
         if not isinstance(peer, Peer):
             return
         if isinstance(msg, ReadinessNotice):
-            peer.ready = msg.ready
+            if peer.ready != msg.ready:
+                peer.ready = msg.ready
+                self.fleet.invalidate()
         elif isinstance(msg, ControlHeartbeat):
             peer.heartbeat = msg
             peer.heartbeat_at = self._now()
+        elif isinstance(msg, LinkedInstances):
+            self.fleet.apply(peer, msg)
             self._addresses |= {endpoint.address for endpoint in msg.controls}
         self.on_message(peer, msg)
 
@@ -157,6 +161,7 @@
         peer = link.peer
         if isinstance(peer, Peer) and self.peers.get(peer.hello.name) is peer:
             self.peers.pop(peer.hello.name)
+            self.fleet.invalidate()
             _log.bind(peer=peer.hello.name).info('peer lost')
             self.on_peer_lost(peer)
 
@@ -185,18 +190,49 @@
 
         :param msg: the message.
         """
-        for peer in self.peers.values():
-            if peer.hello.control:
-                peer.link.send(msg)
+        self.send_to_links(self.links_to_controls(), msg)
+
+    def links_to_controls(self) -> list[Link]:
+        """Return the links to all linked control instances."""
+        return [peer.link for peer in self.peers.values() if peer.hello.control]
 
-    def send_to_entries(self, msg: Message) -> None:
-        """Send a message to all linked entry instances.
+    def send_to_links(self, links: list[Link], msg: Message) -> None:
+        """Send a message on several links.
 
+        :param links: the links.
         :param msg: the message.
         """
+        if links:
+            self._links.send_to_all(links, msg)
+
+    def send_to_subscribers(self, msg: Message) -> None:
+        """Send a message to the entry instances that subscribed here.
+
+        :param msg: the message.
+        """
+        self.send_to_links(
+            [peer.link for peer in self.peers.values() if peer.subscribed],
+            msg,
+        )
+
+    def send_views(
+        self, index: int, list_age_s: float, *, confirmed: bool
+    ) -> None:
+        """Send each linked entry instance a view.
+
+        :param index: index of the newest declared state; -1 for none.
+        :param list_age_s: age of the target list, in seconds.
+        :param confirmed: whether this instance reaches a quorum.
+        """
+        links: dict[str, list[Link]] = {}
         for peer in self.peers.values():
             if not peer.hello.control:
-                peer.link.send(msg)
+                links.setdefault(peer.hello.region, []).append(peer.link)
+        for region, regional in links.items():
+            view = self.fleet.view(
+                region, index, list_age_s, confirmed=confirmed
+            )
+            self._links.send_to_all(regional, view)
 
     def is_active_proposer(self, voter: str) -> bool:
         """Tell whether a voter is active, reaches a quorum and is not leaving.
@@ -235,7 +271,7 @@
         """
         return {
             peer.heartbeat.voter
-            for peer in self._fresh_peers()
+            for peer in self.fleet.fresh_peers()
             if peer.heartbeat is not None
             and own in peer.heartbeat.receives_from
         }
@@ -244,44 +280,24 @@
         """Return the voters whose last heartbeat is still valid."""
         return frozenset(
             peer.heartbeat.voter
-            for peer in self._fresh_peers()
+            for peer in self.fleet.fresh_peers()
             if peer.heartbeat is not None
         )
 
-    def controls(self) -> list[ControlEndpoint]:
-        """Return all running control instances that are not leaving."""
-        endpoints = {
-            _control_endpoint(peer.hello)
-            for peer in self.peers.values()
-            if peer.hello.control
-            and not (peer.heartbeat is not None and peer.heartbeat.leaving)
-        }
-        if not self.leaving:
-            endpoints.add(_control_endpoint(self._hello))
-        return sorted(endpoints)
-
-    def entries(self) -> list[EntryEndpoint]:
-        """Return the entry instances of the fleet that accept requests.
+    def round_trips_s(self) -> dict[str, float]:
+        """Return the shortest round-trip time to each linked region.
 
-        Ready ones with a link to this instance or to a control instance whose
-        last heartbeat is valid.
+        In seconds; regions without a measured link are missing.
         """
-        endpoints = {
-            _entry_endpoint(peer.hello)
-            for peer in self.peers.values()
-            if peer.ready and not peer.hello.control
-        }
-        for peer in self._fresh_peers():
-            if peer.heartbeat is not None:
-                endpoints |= set(peer.heartbeat.entries)
-        return sorted(endpoints)
-
-    def send_roster(self) -> None:
-        """Send the list of entry instances to all of them if it changed."""
-        roster = tuple(self.entries())
-        if roster != self._sent_roster:
-            self._sent_roster = roster
-            self.send_to_entries(Roster(entries=roster))
+        round_trips: dict[str, float] = {}
+        for peer in self.peers.values():
+            round_trip_s = peer.link.round_trip_s or peer.hello.round_trip_s
+            if peer.hello.control and round_trip_s:
+                region = peer.hello.region
+                round_trips[region] = min(
+                    round_trips.get(region, float('inf')), round_trip_s
+                )
+        return round_trips
 
     def demand(self, own: tuple[Demand, ...]) -> list[Demand]:
         """Return the demand of all regions by service.
@@ -295,7 +311,7 @@
         reports = [own]
         reports.extend(
             peer.heartbeat.demand
-            for peer in self._fresh_peers()
+            for peer in self.fleet.fresh_peers()
             if peer.heartbeat is not None
         )
         for report in reports:
@@ -325,45 +341,10 @@
             confirmed=confirmed,
             receives_from=self.fresh_voters(),
             voter=voter,
-            entries=tuple(
-                _entry_endpoint(peer.hello)
-                for peer in self.peers.values()
-                if peer.ready and not peer.hello.control
-            ),
-            controls=tuple(self.controls()),
             demand=demand,
-            leaving=self.leaving,
-        )
-
-    def build_view(
-        self,
-        region: str,
-        index: int,
-        *,
-        confirmed: bool,
-    ) -> View:
-        """Return the view for an entry instance.
-
-        :param region: region of the entry instance.
-        :param index: index of the newest declared state; -1 for none.
-        :param confirmed: whether it reaches a quorum.
-        """
-        controls = self.controls()
-        entries = self.entries()
-        return View(
-            index=index,
-            confirmed=confirmed,
-            dispatcher=dispatcher_of(region, controls),
-            entries=len(entries),
-            region_entries=sum(entry.region == region for entry in entries),
+            leaving=self.fleet.leaving,
         )
 
-    def _fresh_peers(self) -> list[Peer]:
-        limit = self._now() - HEARTBEAT_VALID_S
-        return [
-            peer for peer in self.peers.values() if peer.heartbeat_at >= limit
-        ]
-
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         previous = self.peers.get(hello.name)
         peer = Peer(hello, link)
@@ -376,8 +357,10 @@
                 return
             peer.heartbeat = previous.heartbeat
             peer.heartbeat_at = previous.heartbeat_at
+            peer.entries = previous.entries
         link.peer = peer
         self.peers[hello.name] = peer
+        self.fleet.invalidate()
         if previous is not None:
             previous.link.close()
         _log.bind(peer=hello.name, life=hello.incarnation).info('peer linked')
@@ -396,33 +379,6 @@
             await asyncio.sleep(REDIAL_DELAY_S)
 
 
-def dispatcher_of(region: str, controls: list[ControlEndpoint]) -> str:
-    """Return the name of a region's dispatcher; empty if there is none.
-
-    The control instance of the region with the lowest name is its dispatcher.
-
-    :param region: name of the region.
-    :param controls: running control instances.
-    """
-    return min(
-        (control.name for control in controls if control.region == region),
-        default='',
-    )
-
-
-def _control_endpoint(hello: Hello) -> ControlEndpoint:
-    return ControlEndpoint(
-        hello.name, hello.address, hello.domain, hello.region
-    )
-
-
-def _entry_endpoint(hello: Hello) -> EntryEndpoint:
-    request_address = hello.request_address or hello.address
-    return EntryEndpoint(
-        hello.name, request_address, hello.domain, hello.region
-    )
-
-
 def _ignore_message(_peer: Peer, _msg: Message) -> None:
     """Ignore a message."""
 
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -30,7 +30,9 @@
 from .background import BackgroundTasks
 from .control_instance import DecodeConfiguration
 from .entry_links import EntryLinks
+from .fleet_view import apply_changes
 from .instance_config import Address, InstanceConfig
+from .link_meter import PrometheusMeter
 from .lookups import nearest_entries
 from .messages import (
     DecisionNotice,
@@ -41,7 +43,7 @@
     TargetList,
     View,
 )
-from .region_dispatch import INTER_REGION_RTT_S
+from .subscription import Progress
 from .target_feed import TargetFeed, TargetSource
 
 #: Shortest time without a target list from a control instance before an entry
@@ -89,6 +91,9 @@
                 request_address=config.request_address,
             ),
             now,
+            PrometheusMeter(
+                config.domain, config.region, self.metrics.registry
+            ),
         )
         self.placement_client = PlacementClient(self.links, Dispatcher(), now)
         self._target_connections = TargetConnections(
@@ -109,7 +114,8 @@
         )
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
-        self._roster: tuple[EntryEndpoint, ...] = ()
+        self._round_trips_s: dict[str, float] = {}
+        self._roster: dict[str, EntryEndpoint] = {}
         self._background = BackgroundTasks()
         self.leaving = False
 
@@ -134,6 +140,7 @@
             self.placement_client.handle_dispatcher_loss
         )
         links.running_attempts = self._running_attempts
+        links.progress = self._progress
         for coroutine in (links.run(), self.feed.run(), self._run_checks()):
             self._background.spawn(coroutine)
 
@@ -145,9 +152,12 @@
         """
         entries = [
             entry
-            for entry in self._roster
+            for entry in self._roster.values()
             if not self.leaving or entry.name != self._config.name
         ]
+        if not entries and self.ready and self._config.request_address:
+            # No roster has arrived since the start.
+            return [self._config.request_address]
         return nearest_entries(entries, region, domain)
 
     def start_leaving(self) -> None:
@@ -163,6 +173,15 @@
     def _running_attempts(self) -> tuple[Any, ...]:
         return tuple(self.placement_client.running_attempts.values())
 
+    def _progress(self) -> Progress:
+        index = -1 if self._declared is None else self._declared.index
+        return Progress(index, self.feed.read_at)
+
+    def _on_roster(self, msg: Roster) -> None:
+        if msg.complete:
+            self._roster = {}
+        apply_changes(self._roster, msg.entries, msg.gone)
+
     def _read_rank(self) -> int:
         # Entry instances read the list only while no control instance sends
         # it. The pause grows with their number and the pages of the list (50
@@ -193,8 +212,9 @@
             self._on_view(msg)
         elif isinstance(msg, FleetSummary):
             self._demand = msg.demand
+            self._round_trips_s = msg.round_trips_s
         elif isinstance(msg, Roster):
-            self._roster = msg.entries
+            self._on_roster(msg)
 
     def _on_declared_state(self, state: DeclaredState) -> None:
         previous = self._declared
@@ -242,7 +262,7 @@
             self._config.region,
             self._config.regions,
             drained,
-            INTER_REGION_RTT_S,
+            self._round_trips_s,
             {
                 name: entry.cold_per_s / self._region_entry_count
                 for name, entry in services.items()
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -3,7 +3,8 @@
 The links go to the control instances of the region. While no linked control
 instance reaches a quorum, or none of the region is known, the seeds and two
 control instances of any region are dialled too. The newest view of a control
-instance names the dispatcher.
+instance names the dispatcher. State and lists come from one of the linked
+control instances, which the entry instance chooses.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from ..steering.decisions import AttemptReport, PlacementRequest
 from .instance_config import Address, InstanceConfig
 from .link import Link, LinkHandler, Links
+from .link_meter import LinkMeter
 from .list_changes import ListCopy
 from .messages import (
     AttemptReportNotice,
@@ -32,6 +34,7 @@
     View,
     WithdrawNotice,
 )
+from .subscription import Progress, Source, SubscriptionChooser
 
 #: Interval between checks of the links, in seconds.
 CHECK_INTERVAL_S = 0.25
@@ -49,14 +52,12 @@
 class _LinkedControl(msgspec.Struct):
     """A linked control instance.
 
-    :param targets: copy of the target list received on this link.
     :param view: its last view.
     :param view_at: monotonic time of the last view, in seconds.
     """
 
     hello: Hello
     link: Link
-    targets: ListCopy
     view: View | None = None
     view_at: float = float('-inf')
 
@@ -67,6 +68,7 @@
     :param config: configuration of this instance.
     :param hello: first message on each link.
     :param now: returns monotonic time in seconds.
+    :param meter: counts the sent bytes.
     """
 
     def __init__(
@@ -74,21 +76,26 @@
         config: InstanceConfig,
         hello: Hello,
         now: Callable[[], float],
+        meter: LinkMeter | None = None,
     ) -> None:
         self.ready = False
+        self.progress: Callable[[], Progress] = Progress
         self.on_message: Callable[[Message], None] = _ignore_message
         self.on_dispatcher_change: Callable[[], None] = _ignore
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
         self._config = config
         self._hello = hello
         self._now = now
-        self._links = Links(Codec('', config.name), self)
+        self._links = Links(Codec('', config.name), self, meter)
         self._seeds: tuple[Address, ...] = config.seeds
         self._controls: dict[str, _LinkedControl] = {}
         self._known_controls: dict[Address, ControlEndpoint] = {}
         self._dial_tasks: dict[Address, asyncio.Task[None]] = {}
         self._dispatcher: _LinkedControl | None = None
         self._quorum_reachable = False
+        self._source = ''
+        self._source_chooser = SubscriptionChooser(config.name, config.domain)
+        self._targets = ListCopy()
 
     def replace_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seeds after a reload of the settings.
@@ -103,6 +110,7 @@
         while True:
             self._dial_wanted()
             self._log_quorum_change()
+            self._choose_source()
             if self._now() - sent_at >= READINESS_INTERVAL_S:
                 sent_at = self._now()
                 self.send_readiness()
@@ -111,7 +119,7 @@
     def send_readiness(self) -> None:
         """Send a readiness notice to all linked control instances."""
         for control in self._controls.values():
-            control.link.send(ReadinessNotice(ready=self.ready))
+            self._send_readiness_to(control)
 
     def view(self) -> View | None:
         """Return the newest valid view, or nothing.
@@ -158,12 +166,13 @@
             self._known_controls = {
                 endpoint.address: endpoint for endpoint in msg.controls
             }
-        if isinstance(msg, (TargetList, TargetChanges)):
-            target_list = control.targets.apply(msg)
+        if not isinstance(msg, (TargetList, TargetChanges)):
+            self.on_message(msg)
+        elif control.hello.name == self._source:
+            # Changes of a former source are relative to another list.
+            target_list = self._targets.apply(msg)
             if target_list is not None:
                 self.on_message(target_list)
-            return
-        self.on_message(msg)
 
     def link_closed(self, link: Link) -> None:
         """Remove the control instance of a closed link.
@@ -179,6 +188,7 @@
         if self._dispatcher is control:
             self._dispatcher = None
             self.on_dispatcher_change()
+        self._choose_source()
 
     def is_available(self) -> bool:
         """Tell whether there is a link to a dispatcher."""
@@ -235,7 +245,7 @@
             chosen.link.send(RunningNotice(running=self.running_attempts()))
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
-        control = _LinkedControl(hello, link, ListCopy())
+        control = _LinkedControl(hello, link)
         previous = self._controls.get(hello.name)
         link.peer = control
         self._controls[hello.name] = control
@@ -244,7 +254,53 @@
         _log.bind(dependency=hello.name, life=hello.incarnation).info(
             'regained'
         )
-        link.send(ReadinessNotice(ready=self.ready))
+        if hello.name == self._source:
+            # The new link starts without a subscription.
+            self._source = ''
+        self._send_readiness_to(control)
+        self._choose_source()
+
+    def _send_readiness_to(
+        self, control: _LinkedControl, list_digest: int = 0
+    ) -> None:
+        control.link.send(
+            ReadinessNotice(
+                ready=self.ready,
+                subscribed=control.hello.name == self._source,
+                state_index=self.progress().state_index,
+                list_digest=list_digest,
+            )
+        )
+
+    def _choose_source(self) -> None:
+        """Subscribe to the control instance that sends the updates."""
+        now = self._now()
+        sources = [
+            Source(
+                control.hello.name,
+                control.hello.domain,
+                control.view_at >= now - VIEW_VALID_S,
+                control.view is not None and control.view.confirmed,
+                control.view.index if control.view else -1,
+                control.view_at - control.view.list_age_s
+                if control.view
+                else float('-inf'),
+            )
+            for control in self._controls.values()
+        ]
+        chosen = self._source_chooser.choose(
+            self._source, sources, self.progress(), now
+        )
+        if chosen == self._source:
+            return
+        _log.bind(source=chosen, former=self._source).info('source of updates')
+        former = self._controls.get(self._source)
+        self._source = chosen
+        if former is not None:
+            self._send_readiness_to(former)
+        if chosen:
+            digest = self._targets.digest()
+            self._send_readiness_to(self._controls[chosen], digest)
 
     def _log_quorum_change(self) -> None:
         quorum_reachable = any(
--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -10,6 +10,7 @@
 import itertools
 import socket
 import struct
+from collections.abc import Iterable
 from typing import Any, cast
 
 from returns.result import Failure, Result, Success
@@ -23,14 +24,14 @@
 )
 from ..logging_setup import logger
 from .instance_config import Address
+from .link_meter import LinkMeter, NoMeter
 
 #: Interval between keep-alives, in seconds.
 KEEPALIVE_INTERVAL_S = 0.5
 #: A link without incoming bytes for this long is closed, in seconds: three
 #: keep-alives may be lost or late.
 SILENCE_LIMIT_S = 1.8
-#: Connect timeout, in seconds; the one-way delay between regions is at most
-#: 35 ms.
+#: Connect timeout, in seconds; several round trips between regions.
 CONNECT_TIMEOUT_S = 0.6
 #: Unsent bytes above which the link is closed, so that a peer that stops
 #: reading cannot exhaust the memory.
@@ -104,11 +105,20 @@
 
     :param codec: encodes and decodes messages.
     :param handler: receives the messages and calls.
+    :param meter: counts the sent bytes.
     """
 
-    def __init__(self, codec: Codec, handler: LinkHandler) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        handler: LinkHandler,
+        meter: LinkMeter | None = None,
+    ) -> None:
         self.peer: Any = None
-        self.sent_bytes = 0
+        #: Time that a dialled link took to connect, in seconds.
+        self.round_trip_s = float(0)
+        self._meter = meter or NoMeter()
+        self._has_sent = False
         self._codec = codec
         self._handler = handler
         self._loop = asyncio.get_running_loop()
@@ -175,9 +185,19 @@
 
         :param msg: the message.
         """
+        if not self.ended:
+            self.send_encoded(frame_name_of(type(msg)), self._codec.encode(msg))
+
+    def send_encoded(self, name: str, frame: bytes) -> None:
+        """Queue an encoded message; on a link that has ended it is dropped.
+
+        :param name: name of the frame.
+        :param frame: the encoded message.
+        """
         if self.ended:
             return
-        frame = self._codec.encode(msg)
+        self._meter.count(name, self.peer, len(frame) + _LENGTH_PREFIX.size)
+        self._has_sent = True
         if not self._unsent:
             # Messages queued in one iteration of the event loop are written
             # by one system call.
@@ -271,7 +291,6 @@
         if self._transport is None or self._transport.is_closing():
             return
         content = b''.join(chunks)
-        self.sent_bytes += len(content)
         self._transport.write(content)
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             _log.bind(peer=self._peer_name()).warning(
@@ -292,7 +311,9 @@
             )
             self.close()
             return
-        self.send(KeepAlive())
+        if not self._has_sent:
+            self.send(KeepAlive())
+        self._has_sent = False
         self._liveness_timer = self._loop.call_later(
             KEEPALIVE_INTERVAL_S, self._check_liveness
         )
@@ -303,11 +324,18 @@
 
     :param codec: encodes and decodes messages.
     :param handler: receives the messages and calls of all links.
+    :param meter: counts the sent bytes of all links.
     """
 
-    def __init__(self, codec: Codec, handler: LinkHandler) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        handler: LinkHandler,
+        meter: LinkMeter | None = None,
+    ) -> None:
         self._codec = codec
         self._handler = handler
+        self._meter = meter
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -329,20 +357,37 @@
         :param address: peer address of the instance.
         """
         loop = asyncio.get_running_loop()
+        started_at = loop.time()
+
+        def create_dialled_link() -> Link:
+            link = self._create_link()
+            link.round_trip_s = loop.time() - started_at
+            return link
+
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
-                    self._create_link,
+                    create_dialled_link,
                     address.host,
                     address.port,
                 )
                 return link
         return None
 
+    def send_to_all(self, links: Iterable[Link], msg: Message) -> None:
+        """Send a message on several links, encoded once.
+
+        :param links: the links.
+        :param msg: the message.
+        """
+        frame = self._codec.encode(msg)
+        for link in links:
+            link.send_encoded(frame_name_of(type(msg)), frame)
+
     def stop(self) -> None:
         """Close the listener; open links stay."""
         if self._server is not None:
             self._server.close()
 
     def _create_link(self) -> Link:
-        return Link(self._codec, self._handler)
+        return Link(self._codec, self._handler, self._meter)
--- a/src/cuminhoist/fleet/list_changes.py
+++ b/src/cuminhoist/fleet/list_changes.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..rendezvous import hash64
 from ..steering.targets import TargetEntry
 from .messages import TargetChanges, TargetList
 
@@ -42,12 +43,34 @@
     )
 
 
+def list_digest(entries: Iterable[TargetEntry]) -> int:
+    """Return a digest of a target list, equal in all processes.
+
+    The remaining warm-up time and the order of the list do not count.
+
+    :param entries: the list.
+    """
+    return hash64(
+        *sorted(
+            f'{entry.name} {entry.service} {entry.address} {entry.domain} '
+            f'{entry.slots} {entry.state} {entry.started_at_ms}'
+            for entry in entries
+        )
+    )
+
+
 class ListCopy:
     """Copy of the target list that is received on one link."""
 
     def __init__(self) -> None:
         self._entries: dict[str, TargetEntry] | None = None
 
+    def digest(self) -> int:
+        """Return the digest of the list; 0 if there is none."""
+        if self._entries is None:
+            return 0
+        return list_digest(self._entries.values())
+
     def apply(self, msg: TargetList | TargetChanges) -> TargetList | None:
         """Apply a message and return the complete list.
 
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -53,6 +53,8 @@
     :param address: its peer address.
     :param control: whether it is a control instance.
     :param request_address: where it accepts requests; entry instances only.
+    :param round_trip_s: round-trip time of the link that the sender dialled,
+        in seconds; 0 if the receiver dialled it.
     """
 
     name: str
@@ -65,6 +67,7 @@
         name='callers',
         default=None,
     )
+    round_trip_s: float = 0
 
 
 @register_message
@@ -72,11 +75,18 @@
     """Periodic message of an entry instance to control instances.
 
     :param ready: whether it accepts requests and is not leaving.
+    :param subscribed: whether the receiver shall send it the declared state,
+        the target list, the roster and fleet summaries.
+    :param state_index: index of its newest declared state; -1 for none.
+    :param list_digest: digest of its target list; 0 for none.
     """
 
     frame_name: ClassVar[str] = 'Standing'
 
     ready: bool
+    subscribed: bool = False
+    state_index: int = -1
+    list_digest: int = 0
 
 
 @register_message
@@ -86,9 +96,6 @@
     :param index: index of its newest declared state; -1 for none.
     :param receives_from: voters of which it has a valid heartbeat.
     :param voter: voter name of the sender.
-    :param entries: ready entry instances that are linked to it.
-    :param controls: linked control instances and the sender, except leaving
-        ones.
     :param demand: demand of its region.
     :param leaving: whether it is about to stop.
     :param confirmed: whether it reaches a quorum of the voters.
@@ -100,12 +107,29 @@
     confirmed: bool
     receives_from: frozenset[str] = msgspec.field(name='hears')
     voter: str
-    entries: tuple[EntryEndpoint, ...]
-    controls: tuple[ControlEndpoint, ...]
     demand: tuple[Demand, ...]
     leaving: bool
 
 
+@register_message
+class LinkedInstances(Message, frozen=True):
+    """Instances linked to a control instance, sent on each change.
+
+    The first message on a link has all of them.
+
+    :param entries: ready entry instances, all or the added ones.
+    :param gone: names of entry instances that are no longer ready or linked.
+    :param controls: all linked control instances and the sender, except
+        leaving ones.
+    :param complete: whether all entry instances are listed.
+    """
+
+    entries: tuple[EntryEndpoint, ...]
+    gone: tuple[str, ...]
+    controls: tuple[ControlEndpoint, ...]
+    complete: bool
+
+
 @register_message
 class View(Message, frozen=True):
     """Periodic message of a control instance to an entry instance.
@@ -116,6 +140,7 @@
         for none.
     :param entries: number of entry instances that accept requests.
     :param region_entries: number of them in the receiver's region.
+    :param list_age_s: time since its target list was read, in seconds.
     """
 
     index: int
@@ -123,13 +148,23 @@
     dispatcher: str
     entries: int
     region_entries: int
+    list_age_s: float = float('inf')
 
 
 @register_message
 class Roster(Message, frozen=True):
-    """All entry instances that accept requests, sent on each change."""
+    """Entry instances that accept requests.
+
+    The first message to a subscriber has all of them, later ones the changes.
+
+    :param entries: all entry instances, or the added ones.
+    :param gone: names of entry instances that were removed.
+    :param complete: whether the receiver shall forget all others.
+    """
 
     entries: tuple[EntryEndpoint, ...]
+    gone: tuple[str, ...] = ()
+    complete: bool = True
 
 
 @register_message
@@ -159,18 +194,20 @@
 
 @register_message
 class FleetSummary(Message, frozen=True):
-    """Message of a control instance to its entry instances, every 3 s.
+    """Message of a control instance to its subscribers, every 3 s.
 
     It is sent as well when the control instances change.
 
     :param controls: running control instances that are not leaving.
     :param demand: demand of all regions.
+    :param round_trips_s: round-trip time to each region, in seconds.
     """
 
     frame_name: ClassVar[str] = 'Neighbours'
 
     controls: tuple[ControlEndpoint, ...]
     demand: tuple[Demand, ...]
+    round_trips_s: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 @register_message
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -24,8 +24,6 @@
 
 #: Interval between decisions on waiting requests, in seconds.
 TICK_INTERVAL_S = 0.005
-#: Round-trip time between regions, in seconds.
-INTER_REGION_RTT_S = 0.07
 
 _log = logger('dispatch')
 
@@ -106,6 +104,7 @@
         drained: frozenset[str],
         routes: RouteTable | None,
         demand: list[Demand],
+        round_trips_s: Mapping[str, float],
     ) -> None:
         """Apply the target list, the drains, the routes and the demand.
 
@@ -113,13 +112,14 @@
         :param drained: failure domains whose targets get no requests.
         :param routes: routes in force.
         :param demand: demand of all regions.
+        :param round_trips_s: round-trip times to other regions, in seconds.
         """
         services = routes.services if routes else {}
         context = DispatchContext(
             self._region,
             self._regions,
             drained,
-            INTER_REGION_RTT_S,
+            round_trips_s,
             {name: entry.cold_per_s for name, entry in services.items()},
             {
                 name: queue.run_times.hit_run_s
--- a/src/cuminhoist/steering/slot_lending.py
+++ b/src/cuminhoist/steering/slot_lending.py
@@ -21,6 +21,8 @@
 #: Fraction of its mean demand that a region may borrow even if its own slots
 #: suffice, because its targets may not have cached all of its objects.
 EXTRA_DEMAND_FRACTION = 0.5
+#: Round-trip time to another region until any has been measured, in seconds.
+UNMEASURED_ROUND_TRIP_S = 0.05
 #: Lower limit of the run time that scales borrowed slots, in seconds; it
 #: bounds the scale for services with very short runs.
 MIN_RUN_S = 0.02
@@ -32,7 +34,8 @@
     :param region: region of the dispatcher.
     :param region_by_domain: region of each failure domain.
     :param drained_domains: failure domains whose targets get no requests.
-    :param inter_region_rtt_s: round-trip time to another region, in seconds.
+    :param round_trips_s: measured round-trip times to other regions, in
+        seconds.
     :param warmup_rate_by_service: requests per second that a target can take
         during its warm-up, by service.
     :param run_s_by_service: run time of requests, in seconds, by service.
@@ -41,10 +44,24 @@
     region: str
     region_by_domain: Mapping[str, str]
     drained_domains: frozenset[str]
-    inter_region_rtt_s: float
+    round_trips_s: Mapping[str, float]
     warmup_rate_by_service: Mapping[str, float]
     run_s_by_service: Mapping[str, float]
 
+    def extra_rtt_s(self, region: str) -> float:
+        """Return the additional round-trip time to a region, in seconds.
+
+        The longest measured one stands in for one that is not measured yet.
+
+        :param region: the region.
+        """
+        if region == self.region:
+            return 0
+        longest_s = max(
+            self.round_trips_s.values(), default=UNMEASURED_ROUND_TRIP_S
+        )
+        return self.round_trips_s.get(region, longest_s)
+
     def warmup_rate_limit(self, service: str) -> float:
         """Return the requests per second that a target takes in warm-up.
 
@@ -165,13 +182,13 @@
     }
     # Requests in transit to another region occupy no slot there, so more of
     # them may be open than slots are lent.
-    rtt_factor = 1 + context.inter_region_rtt_s / max(run_s, MIN_RUN_S)
     for (lender, borrower), slots in lent_slots(own, demand).items():
         pool = pools[lender]
         if lender == context.region:
             pool.slots = max(pool.slots - slots, 0)
         elif borrower == context.region:
-            pool.slots = slots * rtt_factor
+            in_transit = context.extra_rtt_s(lender) / max(run_s, MIN_RUN_S)
+            pool.slots = slots * (1 + in_transit)
     return pools
 
 
@@ -199,11 +216,9 @@
         region = context.region_by_domain.get(entry.domain, '')
         target = existing.get(entry.name)
         if target is None or target.entry.started_at_ms != entry.started_at_ms:
-            remote = region != context.region
-            target = TrackedTarget(
-                entry, region, context.inter_region_rtt_s * remote
-            )
+            target = TrackedTarget(entry, region)
         target.entry = entry
+        target.extra_rtt_s = context.extra_rtt_s(region)
         target.slots = entry.slots
         target.pool = pools[region]
         target.pool.running += target.running
--- a/tests/steering/test_slot_lending.py
+++ b/tests/steering/test_slot_lending.py
@@ -35,8 +35,14 @@
     ]
 
 
+def _round_trips(seconds):
+    return dict.fromkeys(REGIONS.values(), seconds)
+
+
 def _context(region):
-    return DispatchContext(region, REGIONS, frozenset(), 0, {}, {SERVICE: 0.07})
+    return DispatchContext(
+        region, REGIONS, frozenset(), _round_trips(0), {}, {SERVICE: 0.07}
+    )
 
 
 @hypothesis.given(_demand)
@@ -102,7 +108,7 @@
 def test_restarted_target_starts_with_empty_cache():
     """Guards against expecting cache hits at a restarted target."""
     context = DispatchContext(
-        'south', REGIONS, frozenset(), 0.07, {}, {SERVICE: 0.07}
+        'south', REGIONS, frozenset(), _round_trips(0.07), {}, {SERVICE: 0.07}
     )
     targets = make_tracked_targets(
         {}, [target('a', started_at_ms=1)], {}, context, 0
