--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -97,6 +97,11 @@
         self._routes: RouteTable | None = None
         self.metrics = ControlMetrics()
         self.incarnation = secrets.token_hex(6)
+        meter = PrometheusMeter(
+            config.domain, config.region, self.metrics.registry
+        )
+        self._background = BackgroundTasks()
+        self._reports = meter.run_reports
         self.links = ControlLinks(
             config,
             Hello(
@@ -108,9 +113,7 @@
                 control=True,
             ),
             now,
-            PrometheusMeter(
-                config.domain, config.region, self.metrics.registry
-            ),
+            meter,
         )
         self.replica = self._open_replica()
         self.feed = TargetFeed(
@@ -127,7 +130,6 @@
         self._entry_updates = EntryUpdates(self.links, self.feed, now)
         self._list_broadcast = ListBroadcast(self.links)
         self._learned_at = float('-inf')
-        self._background = BackgroundTasks()
         self._started = False
 
     async def start(self) -> None:
@@ -147,6 +149,7 @@
             self.replica.run_membership(),
             self.feed.run(),
             self._run_heartbeats(),
+            self._reports(),
         ):
             self._background.spawn(coroutine)
 
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -79,6 +79,11 @@
         self._now = now
         self._declared: DeclaredState | None = None
         self.metrics = RequestMetrics()
+        meter = PrometheusMeter(
+            config.domain, config.region, self.metrics.registry
+        )
+        self._background = BackgroundTasks()
+        self._reports = meter.run_reports
         self.links = EntryLinks(
             config,
             Hello(
@@ -91,9 +96,7 @@
                 request_address=config.request_address,
             ),
             now,
-            PrometheusMeter(
-                config.domain, config.region, self.metrics.registry
-            ),
+            meter,
         )
         self.placement_client = PlacementClient(self.links, Dispatcher(), now)
         self._target_connections = TargetConnections(
@@ -116,7 +119,6 @@
         self._demand: tuple[Demand, ...] = ()
         self._round_trips_s: dict[str, float] = {}
         self._roster: dict[str, EntryEndpoint] = {}
-        self._background = BackgroundTasks()
         self.leaving = False
 
     @property
@@ -141,7 +143,12 @@
         )
         links.running_attempts = self._running_attempts
         links.progress = self._progress
-        for coroutine in (links.run(), self.feed.run(), self._run_checks()):
+        for coroutine in (
+            links.run(),
+            self.feed.run(),
+            self._run_checks(),
+            self._reports(),
+        ):
             self._background.spawn(coroutine)
 
     def lookup(self, region: str, domain: str) -> list[Address]:
--- a/src/cuminhoist/fleet/link_meter.py
+++ b/src/cuminhoist/fleet/link_meter.py
@@ -1,12 +1,19 @@
 """Counts the bytes that an instance sends to others, by message."""
 
 import abc
+import asyncio
 from typing import Any
 
 from prometheus_client import CollectorRegistry, Counter
 
+from ..logging_setup import logger
 from .messages import Hello
 
+#: Interval between two log lines with the totals, in seconds.
+REPORT_INTERVAL_S = 10.0
+
+_log = logger('link')
+
 
 class LinkMeter(abc.ABC):
     """Counts sent bytes."""
@@ -53,7 +60,13 @@
             registry=registry,
         )
         self._bound: dict[tuple[str, str], Counter] = {}
-        self.totals: dict[str, int] = {}
+        self._totals: dict[str, int] = {}
+
+    async def run_reports(self) -> None:
+        """Log the bytes sent since the start, until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            _log.bind(sent_bytes=self._totals).info('traffic')
 
     def count(self, name: str, peer: Any, size: int) -> None:
         """Count one message.
@@ -70,7 +83,7 @@
             self._bound[key] = counter
         counter.inc(size)
         label = f'{name}/{distance}'
-        self.totals[label] = self.totals.get(label, 0) + size
+        self._totals[label] = self._totals.get(label, 0) + size
 
     def _distance(self, hello: Hello | None) -> str:
         if hello is None:
