Keep the proposer from giving away its own place among the voters

Cause: a proposer gets no heartbeats of itself, so it counted as silent. Change: the proposer never counts itself as silent. Requests to join go to the active proposer only. Replies of voters leave out a state that the proposer has accepted under the same ballot; a ballot is used for one state. Ruled out: lack of processor time; control instances were at 0.3 of a core.

--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -192,6 +192,16 @@
         """
         self.send_to_links(self.links_to_controls(), msg)
 
+    def send_to(self, address: Address, msg: Message) -> None:
+        """Send a message to one linked control instance.
+
+        :param address: where it listens.
+        :param msg: the message.
+        """
+        for peer in self.peers.values():
+            if peer.hello.address == address:
+                peer.link.send(msg)
+
     def links_to_controls(self) -> list[Link]:
         """Return the links to all linked control instances."""
         return [peer.link for peer in self.peers.values() if peer.hello.control]
--- a/src/cuminhoist/register/acceptor.py
+++ b/src/cuminhoist/register/acceptor.py
@@ -17,7 +17,14 @@
 from ..logging_setup import logger
 from ..storage import DiskError
 from .declared_state import DeclaredState
-from .messages import Accept, Ballot, Inquire, Prepare, VoterReply
+from .messages import (
+    Accept,
+    AcceptedState,
+    Ballot,
+    Inquire,
+    Prepare,
+    VoterReply,
+)
 from .store import (
     AlternatingFile,
     DiskExecutor,
@@ -43,17 +50,6 @@
     founders: DeclaredState | None = None
 
 
-class AcceptedState(msgspec.Struct, frozen=True):
-    """The state that an acceptor accepted last.
-
-    :param ballot: the ballot under which it was accepted.
-    :param state: the accepted state; none before the first.
-    """
-
-    ballot: Ballot = Ballot()
-    state: DeclaredState | None = None
-
-
 class AcceptorFiles:
     """Durable files of one acceptor.
 
@@ -181,7 +177,7 @@
         if isinstance(msg, Accept):
             return await self._accept(msg)
         if isinstance(msg, Inquire):
-            return self._reply(granted=True, with_state=True)
+            return self._reply_with_state(msg.known)
         return None
 
     async def save_learned(self, state: DeclaredState) -> bool:
@@ -209,7 +205,7 @@
             if not isinstance(saved, Success):
                 return None
             self._promised = msg.ballot
-            return self._reply(granted=True, with_state=True)
+            return self._reply_with_state(msg.known)
 
     async def _accept(self, msg: Accept) -> VoterReply | None:
         async with self._lock:
@@ -226,11 +222,16 @@
             self.accepted = accepted
             return self._reply(granted=True)
 
-    def _reply(self, *, granted: bool, with_state: bool = False) -> VoterReply:
+    def _reply_with_state(self, known: Ballot) -> VoterReply:
+        reply = self._reply(granted=True)
+        if self.accepted.ballot == known:
+            return reply
+        return msgspec.structs.replace(reply, state=self.accepted.state)
+
+    def _reply(self, *, granted: bool) -> VoterReply:
         return VoterReply(
             voter=self.name,
             granted=granted,
             promised=self._promised,
             accepted=self.accepted.ballot,
-            state=self.accepted.state if with_state else None,
         )
--- a/src/cuminhoist/register/messages.py
+++ b/src/cuminhoist/register/messages.py
@@ -20,6 +20,18 @@
     proposer: str = ''
 
 
+class AcceptedState(msgspec.Struct, frozen=True):
+    """The state that an acceptor accepted last.
+
+    :param ballot: the ballot under which it was accepted; it is used for one
+        state only.
+    :param state: the accepted state; none before the first.
+    """
+
+    ballot: Ballot = Ballot()
+    state: DeclaredState | None = None
+
+
 @register_message
 class Prepare(Message, frozen=True):
     """Asks a voter for a promise and for its accepted state.
@@ -28,10 +40,13 @@
 
     :param voter: name of the voter that shall reply.
     :param ballot: the ballot to be promised.
+    :param known: ballot of the state that the sender has accepted; a reply
+        leaves out the same state.
     """
 
     voter: str
     ballot: Ballot
+    known: Ballot = Ballot()
 
 
 @register_message
@@ -53,9 +68,12 @@
     """Asks a voter for its accepted state, without a promise.
 
     :param voter: name of the voter that shall reply.
+    :param known: ballot of the state that the sender has accepted; a reply
+        leaves out the same state.
     """
 
     voter: str
+    known: Ballot = Ballot()
 
 
 @register_message
@@ -66,7 +84,8 @@
     :param granted: whether the voter did as the request asked.
     :param promised: highest ballot that the voter has promised.
     :param accepted: ballot of its accepted state.
-    :param state: its accepted state, in replies to Prepare and Inquire.
+    :param state: its accepted state, in replies to Prepare and Inquire,
+        unless the sender has accepted it under the same ballot.
     """
 
     frame_name: ClassVar[str] = 'Verdict'
--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -20,7 +20,14 @@
     apply_order,
     finish_voter_change,
 )
-from .messages import Accept, Ballot, Inquire, Prepare, VoterReply
+from .messages import (
+    Accept,
+    AcceptedState,
+    Ballot,
+    Inquire,
+    Prepare,
+    VoterReply,
+)
 
 #: Time-out of one phase, in seconds; regions are 35 ms apart and a slow disk
 #: takes up to 150 ms for a sync.
@@ -89,6 +96,8 @@
     :param latest_chosen: newest state that the proposer knows to be chosen.
     :param client: sends requests to voters.
     :param build_request: returns the request to a voter.
+    :param known: state that this instance has accepted; replies with the
+        same one leave it out.
     """
 
     def __init__(
@@ -96,6 +105,7 @@
         latest_chosen: DeclaredState,
         client: VoterClient,
         build_request: Callable[[Voter], Message],
+        known: AcceptedState,
     ) -> None:
         #: In the order of the calls, so that a fixed seed repeats a run.
         self.open_calls: list[asyncio.Task[VoterReply | None]] = []
@@ -103,6 +113,7 @@
         self._latest_chosen = latest_chosen
         self._client = client
         self._build_request = build_request
+        self._known = known
         self._accepted_state = latest_chosen
         self._accepted_ballot = Ballot()
         self._replies: dict[str, VoterReply] = {}
@@ -157,8 +168,11 @@
         self.highest_round = max(self.highest_round, reply.promised.round)
         if reply.granted:
             self._replies[reply.voter] = reply
-            if reply.state and reply.accepted > self._accepted_ballot:
-                self._accepted_state = reply.state
+            state = reply.state
+            if reply.accepted == self._known.ballot:
+                state = self._known.state
+            if state and reply.accepted > self._accepted_ballot:
+                self._accepted_state = state
                 self._accepted_ballot = reply.accepted
         return reply.granted
 
@@ -176,6 +190,7 @@
     :param client: sends requests to voters.
     :param latest_chosen: returns the newest state that this instance knows to
         be chosen.
+    :param accepted: returns the state that this instance accepted last.
     :param rng: source of backoff times.
     """
 
@@ -184,11 +199,13 @@
         name: str,
         client: VoterClient,
         latest_chosen: Callable[[], DeclaredState],
+        accepted: Callable[[], AcceptedState],
         rng: random.Random,
     ) -> None:
         self._name = name
         self._client = client
         self._latest_chosen = latest_chosen
+        self._accepted = accepted
         self._rng = rng
         self._round = 0
         self._lock = asyncio.Lock()
@@ -220,8 +237,10 @@
     async def read(self) -> DeclaredState | None:
         """Return the newest chosen state, or none if it is not certain."""
         known = self._latest_chosen()
+        accepted = self._accepted()
         phase = await self._collect_quorum(
-            lambda voter: Inquire(voter=voter.name)
+            lambda voter: Inquire(voter=voter.name, known=accepted.ballot),
+            accepted,
         )
         if phase is not None and phase.state.index <= known.index:
             # Every quorum has a voter that accepted the newest chosen state.
@@ -245,8 +264,12 @@
         """
         self._round += 1
         ballot = Ballot(self._round, self._name)
+        accepted = self._accepted()
         phase = await self._collect_quorum(
-            lambda voter: Prepare(voter=voter.name, ballot=ballot),
+            lambda voter: Prepare(
+                voter=voter.name, ballot=ballot, known=accepted.ballot
+            ),
+            accepted,
         )
         if phase is None:
             return None
@@ -292,9 +315,10 @@
     async def _collect_quorum(
         self,
         build_request: Callable[[Voter], Message],
+        known: AcceptedState,
     ) -> PhaseResult | None:
         collector = _QuorumCollector(
-            self._latest_chosen(), self._client, build_request
+            self._latest_chosen(), self._client, build_request, known
         )
         try:
             return await collector.run()
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -71,6 +71,14 @@
         :param msg: the message.
         """
 
+    @abc.abstractmethod
+    def send_to(self, address: Address, msg: Message) -> None:
+        """Send a message to one linked control instance.
+
+        :param address: where it listens.
+        :param msg: the message.
+        """
+
     @abc.abstractmethod
     def reachable_voters(self, own: str) -> set[str]:
         """Return the voters with heartbeats in both directions.
@@ -134,6 +142,7 @@
             acceptor.name,
             self,
             self._require_latest_chosen,
+            lambda: acceptor.accepted,
             rng,
         )
         self._pending_orders: list[_PendingOrder] = []
@@ -282,13 +291,13 @@
             await self._learn_unannounced_state(loop.time())
             known = self.latest_chosen
             if known is None:
-                self._broadcast_join()
+                self._ask_to_join()
                 continue
             if known.index > saved_index:
                 saved = await self._acceptor.save_learned(known)
                 saved_index = known.index if saved else saved_index
             if not self.is_voter:
-                self._broadcast_join()
+                self._ask_to_join()
             elif self._find_active_proposer() == self._own_voter:
                 await self._add_joining_voters(known, loop.time(), started_at)
 
@@ -312,11 +321,14 @@
             self._has_read = True
             self._peers.broadcast(Learned(state=state))
 
-    def _broadcast_join(self) -> None:
+    def _ask_to_join(self) -> None:
         address = self._own_voter.address
-        self._peers.broadcast(
-            Join(voter=self.name, host=address.host, port=address.port),
-        )
+        msg = Join(voter=self.name, host=address.host, port=address.port)
+        proposer = self._find_active_proposer()
+        if proposer is None:
+            self._peers.broadcast(msg)
+        else:
+            self._peers.send_to(proposer.address, msg)
 
     async def _add_joining_voters(
         self,
@@ -338,6 +350,7 @@
                 voter
                 for voter in known.voters
                 if now - started_at > START_GRACE_S
+                and voter != self._own_voter
                 and self._peers.voter_silence_s(voter.name)
                 > REPLACE_SILENT_AFTER_S
             ],
--- a/tests/register/builders.py
+++ b/tests/register/builders.py
@@ -107,6 +107,9 @@
             if other is not self:
                 self.cluster.send(self, other, msg)
 
+    def send_to(self, address: Address, msg: Message) -> None:
+        self.cluster.send(self, self.cluster.machines[address.host], msg)
+
     def reachable_voters(self, own: str) -> set[str]:
         return {
             other.replica.name
--- a/tests/register/test_replica.py
+++ b/tests/register/test_replica.py
@@ -11,6 +11,7 @@
 
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.register.declared_state import DrainDomain, Voter
+from cuminhoist.register.replica import START_GRACE_S
 from cuminhoist.register.voters import MAX_VOTERS, next_voters
 
 from .builders import EmulatedCluster, configuration
@@ -27,6 +28,24 @@
     assert machine.replica.latest_chosen.voters_settled
 
 
+async def test_more_instances_than_voters_change_nothing(tmp_path):
+    """Guards against voters that are replaced although all of them run.
+
+    Instances beyond the limit ask to join all the time. The proposer counted
+    itself as silent, as it gets no heartbeats of its own, and gave its place
+    to one of them. Each change of voters delayed the orders of operators.
+    """
+    cluster = EmulatedCluster(tmp_path, MAX_VOTERS + 3, 1)
+    for machine in cluster.machines.values():
+        machine.start(first_start=True)
+    await asyncio.sleep(START_GRACE_S + 4)
+    replica = cluster.machines[cluster.hosts[0]].replica
+    settled = replica.latest_chosen
+    assert len(settled.voters) == MAX_VOTERS
+    await asyncio.sleep(20)
+    assert replica.latest_chosen == settled
+
+
 async def test_acknowledged_is_read_everywhere(tmp_path):
     """Guards against a read that misses an acknowledged order."""
     cluster = EmulatedCluster(tmp_path, 6, 2)
