Count down the warm-up of targets in copies of the list

Cause: changes of the target list leave out that a warm-up goes on, so a copy kept the time left of the first message. Entry instances had the fault before, in their local decisions. Change: the copy counts the warm-up down by the age of each message.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -343,7 +343,7 @@
         elif isinstance(msg, Join):
             self.replica.on_join(msg)
         elif isinstance(msg, (TargetList, TargetChanges)):
-            target_list = peer.targets.apply(msg)
+            target_list = peer.targets.apply(msg, self._now())
             if target_list is not None:
                 self.feed.apply_list(target_list)
 
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -170,7 +170,7 @@
             self.on_message(msg)
         elif control.hello.name == self._source:
             # Changes of a former source are relative to another list.
-            target_list = self._targets.apply(msg)
+            target_list = self._targets.apply(msg, self._now())
             if target_list is not None:
                 self.on_message(target_list)
 
--- a/src/cuminhoist/fleet/list_changes.py
+++ b/src/cuminhoist/fleet/list_changes.py
@@ -60,10 +60,16 @@
 
 
 class ListCopy:
-    """Copy of the target list that is received on one link."""
+    """Copy of the target list that is received on one link.
+
+    Deltas leave out the fall of the remaining warm-up time, so the copy
+    counts it down.
+    """
 
     def __init__(self) -> None:
         self._entries: dict[str, TargetEntry] | None = None
+        #: End of the warm-up by target, in monotonic seconds.
+        self._warm_at: dict[str, float] = {}
 
     def digest(self) -> int:
         """Return the digest of the list; 0 if there is none."""
@@ -71,27 +77,56 @@
             return 0
         return list_digest(self._entries.values())
 
-    def apply(self, msg: TargetList | TargetChanges) -> TargetList | None:
+    def apply(
+        self, msg: TargetList | TargetChanges, now: float
+    ) -> TargetList | None:
         """Apply a message and return the complete list.
 
         Returns nothing for a delta that arrives before any complete list.
 
         :param msg: a complete list, or a delta to the list before.
+        :param now: monotonic time in seconds.
         """
+        read_at = now - msg.age_s
         if isinstance(msg, TargetList):
-            self._entries = {entry.name: entry for entry in msg.targets}
+            self._entries = {}
+            self._warm_at = {}
+            self._put(self._entries, msg.targets, read_at)
             return msg
         if self._entries is None:
             return None
         for name in msg.gone:
             self._entries.pop(name, None)
-        for entry in msg.changed:
-            self._entries[entry.name] = entry
+            self._warm_at.pop(name, None)
+        self._put(self._entries, msg.changed, read_at)
+        self._count_down(self._entries, read_at)
         return TargetList(
             age_s=msg.age_s,
             targets=tuple(self._entries.values()),
         )
 
+    def _put(
+        self,
+        entries: dict[str, TargetEntry],
+        changed: Iterable[TargetEntry],
+        read_at: float,
+    ) -> None:
+        for entry in changed:
+            entries[entry.name] = entry
+            self._warm_at.pop(entry.name, None)
+            if entry.warmup_left_s > 0:
+                self._warm_at[entry.name] = read_at + entry.warmup_left_s
+
+    def _count_down(
+        self, entries: dict[str, TargetEntry], read_at: float
+    ) -> None:
+        for name, warm_at in list(self._warm_at.items()):
+            entries[name] = msgspec.structs.replace(
+                entries[name], warmup_left_s=max(warm_at - read_at, 0)
+            )
+            if warm_at <= read_at:
+                self._warm_at.pop(name)
+
 
 def _is_changed(old: TargetEntry, new: TargetEntry) -> bool:
     if new.warmup_left_s > old.warmup_left_s + WARMUP_RISE_S:
--- a/tests/fleet/test_list_changes.py
+++ b/tests/fleet/test_list_changes.py
@@ -33,8 +33,8 @@
         target('d'),
     )
     copy = ListCopy()
-    copy.apply(TargetList(age_s=0, targets=before))
-    merged = copy.apply(changes_between(before, after, 0.5))
+    copy.apply(TargetList(age_s=0, targets=before), 0)
+    merged = copy.apply(changes_between(before, after, 0.5), 1)
     assert set(merged.targets) == set(after)
     assert merged.age_s == 0.5
 
@@ -49,4 +49,22 @@
 def test_changes_without_a_list_are_not_used():
     """Guards against taking a delta for a complete list."""
     changes = changes_between([], [target('a')], 0)
-    assert ListCopy().apply(changes) is None
+    assert ListCopy().apply(changes, 0) is None
+
+
+def test_warm_up_ends_in_the_copy():
+    """Guards against targets that stay in warm-up and get no requests.
+
+    Deltas have no entry for a warm-up that goes on, so copies kept the time
+    left of the first message for ever.
+    """
+    copy = ListCopy()
+    before = (target('a', warmup_left_s=2.0), target('b'))
+    copy.apply(TargetList(age_s=0.2, targets=before), 10.2)
+    left_s = []
+    for now in (11, 12, 13):
+        after = (target('a', warmup_left_s=max(12 - now, 0)), target('b'))
+        merged = copy.apply(changes_between(before, after, 0), now)
+        left_s.append(merged.targets[0].warmup_left_s)
+        before = after
+    assert left_s == [1, 0, 0]
