Send messages without field names and close links to other regions

Cause: half of each frame was field names; entry instances kept links to the seeds of other regions after their own region sufficed, with a view and a notice each half second. Change: messages and their parts are encoded as arrays; links that have not been wanted for 3 s are closed. Stored data keeps its format. Instances of this build and of earlier ones do not understand each other's messages.

--- a/src/cuminhoist/codec.py
+++ b/src/cuminhoist/codec.py
@@ -16,8 +16,11 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True):
-    """Base of all messages between instances."""
+class Message(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Base of all messages between instances.
+
+    Frames carry no field names, so new fields go last and have defaults.
+    """
 
 
 _MessageType = TypeVar('_MessageType', bound=type[Message])
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -45,6 +45,8 @@
 FALLBACK_LINKS = 2
 #: A view of a control instance is valid this long, in seconds.
 VIEW_VALID_S = 1.6
+#: A link that is not wanted any more is closed after this long, in seconds.
+UNWANTED_LINK_S = 3.0
 
 _log = logger('fleet')
 
@@ -54,12 +56,15 @@
 
     :param view: its last view.
     :param view_at: monotonic time of the last view, in seconds.
+    :param wanted_at: monotonic time at which the link was last wanted, in
+        seconds.
     """
 
     hello: Hello
     link: Link
     view: View | None = None
     view_at: float = float('-inf')
+    wanted_at: float = 0
 
 
 class EntryLinks(LinkHandler, DispatcherClient):
@@ -245,7 +250,7 @@
             chosen.link.send(RunningNotice(running=self.running_attempts()))
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
-        control = _LinkedControl(hello, link)
+        control = _LinkedControl(hello, link, wanted_at=self._now())
         previous = self._controls.get(hello.name)
         link.peer = control
         self._controls[hello.name] = control
@@ -316,13 +321,23 @@
         linked_addresses = {
             control.hello.address for control in self._controls.values()
         }
-        for address in self._wanted_addresses() - linked_addresses:
+        wanted = self._wanted_addresses()
+        self._close_unwanted(wanted)
+        for address in wanted - linked_addresses:
             task = self._dial_tasks.get(address)
             if task is None or task.done():
                 self._dial_tasks[address] = asyncio.create_task(
                     self._dial(address),
                 )
 
+    def _close_unwanted(self, wanted: set[Address]) -> None:
+        """Close links that only a lost quorum or the start made necessary."""
+        for control in tuple(self._controls.values()):
+            if control.hello.address in wanted:
+                control.wanted_at = self._now()
+            elif self._now() - control.wanted_at > UNWANTED_LINK_S:
+                control.link.close()
+
     def _wanted_addresses(self) -> set[Address]:
         regional = {
             endpoint.address
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -21,7 +21,7 @@
 from .instance_config import Address
 
 
-class ControlEndpoint(msgspec.Struct, frozen=True, order=True):
+class ControlEndpoint(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Name and location of a control instance.
 
     :param address: its peer address.
@@ -33,7 +33,7 @@
     region: str
 
 
-class EntryEndpoint(msgspec.Struct, frozen=True, order=True):
+class EntryEndpoint(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Name and location of an entry instance.
 
     :param request_address: where it accepts requests.
--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class PlacementRequest(msgspec.Struct, frozen=True):
+class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
     """A placement request: one client request that needs a target.
 
     :param number: identifier, unique within one entry instance.
@@ -29,7 +29,7 @@
     excluded: tuple[str, ...] = ()
 
 
-class Granted(msgspec.Struct, frozen=True, tag=True):
+class Granted(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The request may be sent to a target now.
 
     :param target: name of the target.
@@ -52,7 +52,7 @@
     overload = 'overload'
 
 
-class Refused(msgspec.Struct, frozen=True, tag=True):
+class Refused(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The request is not sent to any target.
 
     :param retry_after_s: delay after which the caller may retry, in seconds.
@@ -89,7 +89,7 @@
     withdrawn = 'withdrawn'
 
 
-class AttemptReport(msgspec.Struct, frozen=True):
+class AttemptReport(msgspec.Struct, frozen=True, array_like=True):
     """Tells the dispatcher that a granted attempt has ended.
 
     :param run_s: time from sending the request to receiving the complete
--- a/src/cuminhoist/steering/demand.py
+++ b/src/cuminhoist/steering/demand.py
@@ -18,7 +18,7 @@
 MIN_PERIOD_S = 0.05
 
 
-class Demand(msgspec.Struct, frozen=True):
+class Demand(msgspec.Struct, frozen=True, array_like=True):
     """Demand of one region for slots of one service.
 
     :param slots: mean number of slots that the requests keep busy, plus the
--- a/src/cuminhoist/steering/targets.py
+++ b/src/cuminhoist/steering/targets.py
@@ -14,7 +14,7 @@
     draining = 'draining'
 
 
-class TargetEntry(msgspec.Struct, frozen=True):
+class TargetEntry(msgspec.Struct, frozen=True, array_like=True):
     """One target of the target list.
 
     :param name: identity of this incarnation of the target.
--- /dev/null
+++ b/tests/fleet/test_entry_links.py
@@ -0,0 +1,108 @@
+"""Tests of the links of an entry instance to control instances.
+
+They guard against links to other regions that stay open without need, each of
+which carries views and notices twice a second.
+"""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from cuminhoist.fleet.entry_links import UNWANTED_LINK_S, EntryLinks
+from cuminhoist.fleet.messages import (
+    ControlEndpoint,
+    FleetSummary,
+    ReadinessNotice,
+    TargetChanges,
+    TargetList,
+    View,
+)
+from tests.steering.builders import target
+
+from .builders import RecordingLink, hello, instance_config
+
+pytestmark = pytest.mark.looptime
+
+
+def _entry_links():
+    now = asyncio.get_running_loop().time
+    return EntryLinks(instance_config('e0'), hello('e0'), now)
+
+
+def _link(links, name, region='south'):
+    link = RecordingLink()
+    control_hello = hello(name, control=True)
+    links.message_received(
+        link, msgspec.structs.replace(control_hello, region=region)
+    )
+    return link
+
+
+def _send_view(links, link, **fields):
+    values = {
+        'index': 1,
+        'confirmed': True,
+        'dispatcher': '',
+        'entries': 1,
+        'region_entries': 1,
+        **fields,
+    }
+    links.message_received(link, View(**values))
+
+
+def _summary(*names):
+    own = [hello(name, control=True) for name in names]
+    endpoints = tuple(
+        ControlEndpoint(peer.name, peer.address, peer.domain, peer.region)
+        for peer in own
+    )
+    return FleetSummary(controls=endpoints, demand=())
+
+
+async def test_links_to_other_regions_are_closed():
+    """Guards against seeds of other regions that stay linked for ever."""
+    links = _entry_links()
+    own, remote = _link(links, 'c1'), _link(links, 'c2', 'north')
+    links.message_received(own, _summary('c1'))
+    task = asyncio.create_task(links.run())
+    for _ in range(8):
+        _send_view(links, own)
+        await asyncio.sleep(UNWANTED_LINK_S / 6)
+    task.cancel()
+    assert remote.ended
+    assert not own.ended
+
+
+async def test_changes_of_a_former_source_are_ignored():
+    """Guards against a list that is merged from unlike sources."""
+    links = _entry_links()
+    received = []
+    links.on_message = received.append
+    first = _link(links, 'c1')
+    subscribed = [
+        msg.subscribed
+        for msg in first.take()
+        if isinstance(msg, ReadinessNotice)
+    ]
+    assert subscribed[-1]
+    links.message_received(first, TargetList(age_s=0, targets=(target('a'),)))
+    second = _link(links, 'c2')
+    changes = TargetChanges(age_s=0, changed=(target('b'),), gone=())
+    links.message_received(second, changes)
+    assert len(received) == 1
+    links.message_received(first, changes)
+    assert [entry.name for entry in received[-1].targets] == ['a', 'b']
+
+
+async def test_lost_source_is_replaced_and_told_what_is_known():
+    """Guards against a complete list on each change of the source."""
+    links = _entry_links()
+    first, second = _link(links, 'c1'), _link(links, 'c2')
+    links.message_received(first, TargetList(age_s=0, targets=(target('a'),)))
+    second.take()
+    first.ended = True
+    links.link_closed(first)
+    notice = second.take()[-1]
+    assert notice.subscribed
+    assert notice.list_digest
