Import the HTTP client only for the first read of the target list

Change: errors of the own connections are exceptions of this package, and the platform's list reader is imported in a thread at its first read.

--- a/src/cuminhoist/attempt_client.py
+++ b/src/cuminhoist/attempt_client.py
@@ -21,6 +21,7 @@
 )
 from .clock import Clock, SystemClock
 from .connection_pool import Address, PoolTransport
+from .exceptions import ProtocolError
 from .exchange import Exchange
 from .problems import Refusal
 from .slots import SlotOutcome
@@ -91,7 +92,7 @@
             chunk = await self._exchange.read()
         except RequestBodyError:
             raise
-        except (httpx.TransportError, OSError) as exc:
+        except (httpx.TransportError, ProtocolError, OSError) as exc:
             raise IncompleteAnswerError(refusal_from_error(exc)) from exc
         if not chunk:
             raise StopAsyncIteration
--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -11,8 +11,8 @@
 from typing import Any, cast
 
 import httptools
-import httpx
 
+from .exceptions import RemoteProtocolError
 from .exchange import Exchange
 
 #: The upload of a request body pauses above this many unsent bytes.
@@ -156,13 +156,11 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            exchange.abort(
-                httpx.RemoteProtocolError(f'malformed answer: {exc}')
-            )
+            exchange.abort(RemoteProtocolError(f'malformed answer: {exc}'))
             return
         if not exchange.status and self._head_bytes > MAX_ANSWER_HEAD_BYTES:
             exchange.abort(
-                httpx.RemoteProtocolError('head of the answer is too large')
+                RemoteProtocolError('head of the answer is too large')
             )
         elif self._answer_complete:
             # The connection is released before the end is reported, so that
@@ -186,7 +184,7 @@
         self._writable.set()
         if self._exchange is not None:
             self._exchange.finish(
-                httpx.RemoteProtocolError(
+                RemoteProtocolError(
                     f'connection lost before the end of the answer: {exc}'
                 )
             )
@@ -215,9 +213,7 @@
             exchange.headers.clear()
             return
         if status > _LAST_VALID_STATUS:
-            exchange.abort(
-                httpx.RemoteProtocolError(f'invalid status {status}')
-            )
+            exchange.abort(RemoteProtocolError(f'invalid status {status}'))
             return
         if not exchange.is_own_answer():
             self._skipping_answer = True
--- a/src/cuminhoist/connection_pool.py
+++ b/src/cuminhoist/connection_pool.py
@@ -14,6 +14,7 @@
 
 from .client_connection import ClientConnection
 from .clock import Clock, SystemClock
+from .exceptions import LocalProtocolError, RemoteProtocolError
 from .exchange import Exchange, RequestHead
 from .settings import is_ip
 
@@ -150,7 +151,10 @@
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield chunks of the body as they arrive."""
         while True:
-            chunk = await self.exchange.read()
+            try:
+                chunk = await self.exchange.read()
+            except RemoteProtocolError as exc:
+                raise httpx.RemoteProtocolError(str(exc)) from exc
             if not chunk:
                 return
             yield chunk
@@ -256,15 +260,17 @@
         )
         try:
             conn.start(exchange)
-        except httpx.LocalProtocolError:
+        except LocalProtocolError as exc:
             pool.release(conn)
-            raise
+            raise httpx.LocalProtocolError(str(exc)) from exc
         if deadline_at is not None:
             _start_deadline_timer(exchange, deadline_at - self._clock.now())
         _start_upload(exchange, conn, request)
         self._schedule_sweep()
         try:
             await exchange.wait_for_head()
+        except RemoteProtocolError as exc:
+            raise httpx.RemoteProtocolError(str(exc)) from exc
         except asyncio.CancelledError:
             exchange.abort(
                 httpx.ReadError(
--- a/src/cuminhoist/exceptions.py
+++ b/src/cuminhoist/exceptions.py
@@ -15,6 +15,18 @@
     """An internal invariant is broken; the process must stop."""
 
 
+class ProtocolError(CuminhoistError):
+    """Bytes of a request or an answer violate HTTP."""
+
+
+class RemoteProtocolError(ProtocolError):
+    """A target sent an invalid or incomplete answer."""
+
+
+class LocalProtocolError(ProtocolError):
+    """A request cannot be sent as it is."""
+
+
 class FieldError(msgspec.Struct, frozen=True):
     """A validation error in a settings file or a list.
 
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -11,9 +11,10 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-import httpx
 import msgspec
 
+from .exceptions import LocalProtocolError
+
 Headers = list[tuple[bytes, bytes]]
 
 #: The connection stops reading from its socket above this many body bytes
@@ -68,19 +69,19 @@
     def encode(self) -> bytes:
         """Return the head as bytes.
 
-        :raises httpx.LocalProtocolError: if a control character or space
+        :raises LocalProtocolError: if a control character or space
             would let the server read a second request.
         """
         parts = [b'%b %b HTTP/1.1\r\n' % (self.method, self.target)]
         if _UNSAFE_TOKEN.search(self.method) or _UNSAFE_TOKEN.search(
             self.target
         ):
-            raise httpx.LocalProtocolError(
+            raise LocalProtocolError(
                 'control character or space in the request line'
             )
         for name, value in self.headers:
             if _UNSAFE_TOKEN.search(name) or _UNSAFE_VALUE.search(value):
-                raise httpx.LocalProtocolError('control character in a header')
+                raise LocalProtocolError('control character in a header')
             parts.append(b'%b: %b\r\n' % (name, value))
         parts.append(b'\r\n')
         return b''.join(parts)
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 
-import httpx
 import msgspec
 
+from ..exceptions import ProtocolError, RemoteProtocolError
 from ..exchange import Exchange, Headers
 from ..steering.decisions import Ending
 from ..steering.targets import TargetEntry
@@ -15,7 +15,6 @@
 from .wire import IncomingRequest, WireFormat
 
 _MIN_FAILURE_STATUS = 500
-_PROTOCOL_ERRORS = (httpx.RemoteProtocolError, httpx.LocalProtocolError)
 
 
 class AttemptOutcome(msgspec.Struct, frozen=True):
@@ -88,7 +87,7 @@
         except TimeoutError:
             abort(exchange)
             return AttemptOutcome(Ending.timeout, detail='timeout')
-        except _PROTOCOL_ERRORS as exc:
+        except ProtocolError as exc:
             abort(exchange)
             return AttemptOutcome(Ending.lost, detail=str(exc))
         except BaseException:
@@ -160,7 +159,7 @@
 
     :param exchange: the exchange; nothing happens once it has ended.
     """
-    exchange.abort(httpx.RemoteProtocolError('attempt aborted'))
+    exchange.abort(RemoteProtocolError('attempt aborted'))
 
 
 def headers_for_caller(wire: WireFormat, answer: TargetAnswer) -> Headers:
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import importlib
 import signal
 import sys
 import time
@@ -28,7 +29,6 @@
 from .boot import load_settings, settings_path
 from .configuration import decode_routes
 from .requests import PlatformWire
-from .target_list import TargetListClient
 
 #: Interval at which the settings file is checked for changes, in seconds; it
 #: may change without a SIGHUP.
@@ -50,14 +50,23 @@
 class PlatformTargets(TargetSource):
     """Reads the platform's list of targets.
 
+    Most instances never read it, and the HTTP client takes a quarter of the
+    memory of a process. It is therefore imported for the first read.
+
     :param address: address that serves the list.
     """
 
     def __init__(self, address: Address) -> None:
-        self._client = TargetListClient(address)
+        self._address = address
+        self._client: TargetSource | None = None
 
     async def read(self) -> Result[tuple[TargetEntry, ...], str]:
         """Return all targets, or why the list cannot be read."""
+        if self._client is None:
+            module = await asyncio.to_thread(
+                importlib.import_module, '.target_list', __package__
+            )
+            self._client = module.TargetListClient(self._address)
         return await self._client.read()
 
 
--- a/src/cuminhoist/platform/target_list.py
+++ b/src/cuminhoist/platform/target_list.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from ..fleet.instance_config import Address
+from ..fleet.target_feed import TargetSource
 from ..steering.targets import TargetEntry, TargetState
 
 #: Timeout for one page, in seconds; the next poll reads the list again.
@@ -39,7 +40,7 @@
     born: int = 0
 
 
-class TargetListClient:
+class TargetListClient(TargetSource):
     """Reads the list of targets.
 
     :param address: address that serves the list.
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -7,6 +7,8 @@
 import asyncio
 import resource
 import signal
+import subprocess
+import sys
 
 from cuminhoist.fleet.instance_config import Address, InstanceConfig
 from cuminhoist.platform import daemon
@@ -78,3 +80,13 @@
         return await asyncio.wait_for(creating, 5)
 
     assert asyncio.run(scenario()) is None
+
+
+def test_http_client_is_not_imported_at_the_start():
+    """Guards against memory for a client that most instances never use."""
+    check = (
+        'import sys, cuminhoist.platform.daemon; '
+        "sys.exit(any(name in sys.modules for name in ('httpx', 'httpcore')))"
+    )
+    done = subprocess.run([sys.executable, '-c', check], check=False)
+    assert done.returncode == 0
