Estimate run times by kind of request

Change: placement requests and reports name their route; each kind has a learned ratio to the average of its service.

--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -264,6 +264,7 @@
             state.req.key,
             Ending.withdrawn,
             0,
+            state.route.name,
         )
         self._placement_client.running_attempts[decision.number] = report
         ending = Ending.withdrawn
@@ -314,6 +315,7 @@
                 state.req.key,
                 ending,
                 run_s,
+                state.route.name,
             ),
         )
 
@@ -410,6 +412,7 @@
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
             excluded=tuple(state.tried_targets),
+            kind=state.route.name,
         )
 
     def _record_request(self, state: RequestState, outcome: str) -> None:
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -218,6 +218,7 @@
         now: float,
         allowed_regions: frozenset[str],
         excluded: tuple[str, ...],
+        work_factor: float = 1,
     ) -> list[Option]:
         """Return the best targets for a request, with estimates.
 
@@ -226,6 +227,8 @@
         :param now: monotonic time in seconds.
         :param allowed_regions: regions that may serve it; empty for all.
         :param excluded: names of targets that were already tried.
+        :param work_factor: run time of this kind of request, relative to the
+            average of the service.
         """
         self._refresh_health(now)
         found: dict[str, Option] = {}
@@ -237,7 +240,9 @@
                 break
             for target, rank in self._candidates(group, key, times, found):
                 if target.entry.name not in excluded:
-                    option = self._option(target, key, rank, times, now)
+                    option = self._option(
+                        target, key, rank, times, now, work_factor
+                    )
                     found[target.entry.name] = option
         return list(found.values())
 
@@ -330,6 +335,7 @@
         rank: int,
         times: RunTimes,
         now: float,
+        work_factor: float,
     ) -> Option:
         is_cached = target.has_cached(key) or not key
         run_s = times.hit_run_s if is_cached else times.miss_run_s
@@ -355,7 +361,7 @@
         busy_s = times.hit_run_s * 0.1 * target.running / target.slots
         total_s = (
             wait_s
-            + run_s * target.slowdown(now)
+            + run_s * work_factor * target.slowdown(now)
             + target.extra_rtt_s
             + rank * times.hit_run_s * RANK_STEP_FRACTION
         )
