Refuse late requests at once and let callers return after the peak

Cause: at the peak of a load, late requests waited up to 50 ms for a slot and took it from requests that could still be in time; refused callers returned after 0.2 s, mostly into the same peak. Change: a request that cannot be in time gets a free slot or is refused on arrival. Retry-After is at least a quarter of the time that the caller has left, whatever the deployment's deadlines are.

--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -4,7 +4,8 @@
 and the objective of a request is little longer than its run time. A request
 that waits beyond its objective takes a slot from a request that could still
 meet its own. A request therefore waits only while its answer can meet the
-objective, and is refused on arrival if it cannot.
+objective, and is refused on arrival if it cannot and no slot is free. It may
+return when the peak of the load has passed.
 """
 
 from collections.abc import Iterable
@@ -42,12 +43,12 @@
 #: estimate. Run times vary by about 15%, so answers that are estimated closer
 #: to the objective are late too often.
 RUN_TIME_SPREAD = 0.1
-#: Range of the delay after which a refused caller may retry, in seconds.
-MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 2.0
-#: Longest wait for a slot of a request that cannot meet its objective, in
-#: seconds.
-MAX_LATE_WAIT_S = 0.05
+#: Delay after which a caller may retry if no target may serve it, in seconds.
+NO_TARGET_RETRY_S = 0.2
+#: Least delay after which a refused caller may retry, as a fraction of its
+#: time left. Its answer will be late in any case, and the later it returns,
+#: the more of the load peak has passed. Callers wait for a third at most.
+RETRY_FRACTION = 0.25
 #: Time that the report of an attempt may arrive after its deadline, in
 #: seconds; then its slot is freed.
 REPORT_GRACE_S = 1.0
@@ -282,7 +283,7 @@
         )
         if not options:
             return Refused(
-                request.number, RefusalReason.no_target, MIN_RETRY_AFTER_S
+                request.number, RefusalReason.no_target, NO_TARGET_RETRY_S
             )
         options = self._options_within_shift_limit(queue, options, now)
         best = min(options, key=lambda option: option.total_s)
@@ -317,17 +318,13 @@
         waiting: WaitingRequest,
         options: list[Option],
         now: float,
-    ) -> Decision | None:
+    ) -> Decision:
         """Decide on a request that cannot meet its objective by waiting."""
         free = [option for option in options if not option.wait_s]
         if free:
             soonest = min(free, key=lambda option: option.total_s)
             return self._grant(waiting, soonest.target, now)
-        waited_s = now - waiting.arrived_at
         soonest = min(options, key=lambda option: option.wait_s)
-        if waited_s + soonest.wait_s <= MAX_LATE_WAIT_S:
-            waiting.join_target_queue(soonest, now)
-            return None
         return self._refuse(queue, waiting, soonest)
 
     def _grant_waiting(
@@ -469,8 +466,8 @@
         waiting: WaitingRequest,
         soonest: Option,
     ) -> Refused:
-        retry_after_s = min(
-            max(MIN_RETRY_AFTER_S, soonest.wait_s), MAX_RETRY_AFTER_S
+        retry_after_s = max(
+            RETRY_FRACTION * waiting.request.left_s, soonest.wait_s
         )
         return Refused(
             waiting.request.number,
