Read the round trip to a caller from its connection

Change: the kernel's round-trip time of the connection, 0 where it does not tell; request lines show it.

--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -46,8 +46,6 @@
 from .target_connections import TargetConnections
 from .wire import IncomingRequest, WireFormat
 
-#: Round trip between a caller and its entry instance, in seconds.
-CALLER_ROUND_TRIP_S = 0.006
 #: Time reserved for the final answer to reach the caller, in seconds.
 ANSWER_MARGIN_S = 0.02
 #: Least time left for a retry, and least time to pass an answer on, in
@@ -141,7 +139,9 @@
             )
             return
         state = RequestState(req, route, self._splitter.choose(route))
-        self._set_deadlines(state, arrived_at)
+        self._set_deadlines(
+            state, arrived_at, scope['state'].get('round_trip_s', 0)
+        )
         body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
@@ -181,7 +181,9 @@
             ), None
         return None, routes.find(req.host, req.path)
 
-    def _set_deadlines(self, state: RequestState, arrived_at: float) -> None:
+    def _set_deadlines(
+        self, state: RequestState, arrived_at: float, round_trip_s: float
+    ) -> None:
         route = state.route
         left_s = (
             route.timeout_s if state.req.left_s is None else state.req.left_s
@@ -193,11 +195,12 @@
         )
         elapsed_s = estimator.elapsed_s(left_s)
         state.arrived_at = arrived_at
+        state.round_trip_s = round_trip_s
         state.ends_at = (
             arrived_at + min(left_s, route.timeout_s) - ANSWER_MARGIN_S
         )
         state.objective_ends_at = (
-            arrived_at + route.objective_s - elapsed_s - CALLER_ROUND_TRIP_S
+            arrived_at + route.objective_s - elapsed_s - round_trip_s
         )
         self._retry_budget(state.service).count_request()
 
@@ -427,6 +430,7 @@
             service=state.service,
             object=state.req.key,
             left_ms=round((state.req.left_s or 0) * MS_PER_S),
+            round_trip_ms=round(state.round_trip_s * MS_PER_S),
             config_version=routes.version if routes else 0,
             list_age_ms=self._list_age_ms(),
             waited_ms=round(state.waited_s * MS_PER_S),
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -45,6 +45,8 @@
         self.arrived_at = float(0)
         self.ends_at = float(0)
         self.objective_ends_at = float(0)
+        #: Round-trip time to the caller, in seconds; 0 if unknown.
+        self.round_trip_s = float(0)
         self.tried_targets: list[str] = []
         self.may_have_run = False
         self.sent = False
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -13,6 +13,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from .caller_round_trip import round_trip_s
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
 from .types import Ran, Reason
 
@@ -75,6 +76,7 @@
             'abort': self.abort,
             'omit_date_header': self._omit_date,
             'header_bytes': len(self.url) + _size_bytes(self.headers),
+            'round_trip_s': round_trip_s(self.transport),
         }
         super().on_headers_complete()
         self.cycle.transport = cast(asyncio.Transport, _CycleTransport(self))
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -210,7 +210,7 @@
         for index, target in enumerate(targets)
     ]
     local = Dispatcher()
-    terms = DispatchContext('r', {'z': 'r'}, frozenset(), 0, {}, {})
+    terms = DispatchContext('r', {'z': 'r'}, frozenset(), {}, {}, {})
     local.set_targets(
         SERVICE, make_tracked_targets({}, entries, {}, terms, 0), 'r'
     )
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cuminhoist import httpserver
 from cuminhoist.gateway import request_proxy
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
 from tests.waiting import eventually
@@ -252,3 +253,23 @@
     async with gateway(target, repeat=RepeatPolicy.once) as harness:
         await harness.request()
     assert 'no further attempt: it may have run' in lines[0]['trail']
+
+
+async def test_objective_counts_the_round_trip_to_the_caller(monkeypatch):
+    """Guards against answers that leave in time and arrive too late."""
+    seen = []
+    async with gateway(ScriptedTarget(answer)) as harness:
+        client = harness.proxy._placement_client
+        place = client.request_placement
+
+        async def record(req):
+            seen.append(req.objective_left_s)
+            return await place(req)
+
+        monkeypatch.setattr(client, 'request_placement', record)
+        for round_trip_s in (0, 0.2):
+            monkeypatch.setattr(
+                httpserver, 'round_trip_s', lambda _transport, s=round_trip_s: s
+            )
+            await harness.request()
+    assert seen[0] - seen[1] > 0.1
