Read the target list once when a fleet starts

Change: at the start an instance waits for its turn as it does later; a control instance without links waits half a second to learn its place.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -47,6 +47,8 @@
 #: Time between the leaving heartbeat and the end of the tasks, in seconds, so
 #: that the other instances learn that this one leaves.
 LEAVE_DELAY_S = 0.8
+#: Time after the start until the first links are expected, in seconds.
+FIRST_LINKS_S = 0.5
 #: A control instance that reports an older declared state this long after it
 #: was announced gets it again, in seconds; announcements take one round trip.
 RESEND_DELAY_S = 0.5
@@ -94,6 +96,7 @@
         self._config = config
         self._decode = decode
         self._now = now
+        self._created_at = now()
         self._routes: RouteTable | None = None
         self.metrics = ControlMetrics()
         self.incarnation = secrets.token_hex(6)
@@ -290,7 +293,10 @@
 
     def _read_rank(self) -> int:
         # An instance that is leaving is not in the list and reads the target
-        # list after all others.
+        # list after all others. One that has just started waits for links, as
+        # it does not know its place yet.
+        if not self.links.links_to_controls() and self._has_just_started():
+            return 1
         names = [control.name for control in self.links.fleet.controls()]
         return (
             names.index(self._config.name)
@@ -298,6 +304,9 @@
             else len(names)
         )
 
+    def _has_just_started(self) -> bool:
+        return self._now() - self._created_at < FIRST_LINKS_S
+
     def _on_learned(self, state: DeclaredState) -> None:
         if state.body:
             decoded = self._decode(state.body)
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -73,19 +73,26 @@
         self._replace(msg.targets, self._now() - msg.age_s)
 
     async def run(self) -> None:
-        """Read the list whenever it is due, until cancelled."""
+        """Read the list whenever it is due, until cancelled.
+
+        At the start only the first instance reads it at once; the others wait
+        for its list as long as they would for any later one.
+        """
+        started_at = self._now() - READ_INTERVAL_S
         while True:
             due_at = (
-                self.read_at + READ_INTERVAL_S + TAKEOVER_DELAY_S * self._rank()
+                max(self.read_at, started_at)
+                + READ_INTERVAL_S
+                + TAKEOVER_DELAY_S * self._rank()
             )
             if self._now() < due_at:
                 await asyncio.sleep(min(due_at - self._now(), TAKEOVER_DELAY_S))
                 continue
-            started_at = self._now()
+            reading_since = self._now()
             result = await self._source.read()
             if isinstance(result, Success):
                 self._set_available(available=True)
-                self._replace(result.unwrap(), started_at)
+                self._replace(result.unwrap(), reading_since)
             else:
                 self._set_available(available=False, reason=result.failure())
                 await asyncio.sleep(TAKEOVER_DELAY_S)
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -88,3 +88,17 @@
     await _run(feed, for_s=5)
     assert [entry.name for entry in feed.entries] == ['a']
     assert source.calls < 10
+
+
+async def test_start_of_many_instances_reads_the_list_once():
+    """Guards against a read by each instance of a fleet that starts.
+
+    Hundreds of entry instances used up the limit of calls, and each loaded
+    the client for it.
+    """
+    source, idle = CountingSource(), CountingSource()
+    await _run(_feed(source, 0), for_s=0.5)
+    await _run(_feed(idle, 5), for_s=2.9)
+    assert (source.calls, idle.calls) == (1, 0)
+    await _run(_feed(idle, 5), for_s=3.5)
+    assert idle.calls == 1
