--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -267,7 +267,6 @@
             state.req.key,
             Ending.withdrawn,
             0,
-            state.route.name,
         )
         self._placement_client.running_attempts[decision.number] = report
         ending = Ending.withdrawn
@@ -318,7 +317,6 @@
                 state.req.key,
                 ending,
                 run_s,
-                state.route.name,
             ),
         )
 
@@ -415,7 +413,6 @@
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
             excluded=tuple(state.tried_targets),
-            kind=state.route.name,
         )
 
     def _record_request(self, state: RequestState, outcome: str) -> None:
--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -15,7 +15,6 @@
     :param left_s: time until the final deadline, in seconds.
     :param allowed_regions: regions that may serve it; empty for all.
     :param excluded: names of targets that were already tried.
-    :param kind: kind of request, with run times of its own; empty if unknown.
     """
 
     number: int
@@ -28,7 +27,6 @@
         default=frozenset(),
     )
     excluded: tuple[str, ...] = ()
-    kind: str = ''
 
 
 class Granted(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -96,7 +94,6 @@
 
     :param run_s: time from sending the request to receiving the complete
         answer, in seconds.
-    :param kind: kind of request, as in its placement request.
     """
 
     number: int
@@ -105,4 +102,3 @@
     key: str
     ending: Ending
     run_s: float
-    kind: str = ''
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -279,7 +279,6 @@
             now,
             request.allowed_regions,
             request.excluded,
-            queue.work_factors.of(request.kind),
         )
         if not options:
             return Refused(
@@ -378,13 +377,6 @@
         expected = times.hit_run_s if expected_hit else times.miss_run_s
         if report.ending is Ending.answered:
             times.mean_s += SMOOTHING * (run_s - times.mean_s)
-            if not target.is_disturbed(now):
-                queue.work_factors.learn(
-                    report.kind,
-                    run_s,
-                    (times.hit_run_s, times.miss_run_s),
-                )
-        run_s /= queue.work_factors.of(report.kind)
         was_hit = run_s < (times.hit_run_s + times.miss_run_s) / 2
         # At a slow target, a long run time is no evidence of a cache miss.
         miss_like = (
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -218,7 +218,6 @@
         now: float,
         allowed_regions: frozenset[str],
         excluded: tuple[str, ...],
-        work_factor: float = 1,
     ) -> list[Option]:
         """Return the best targets for a request, with estimates.
 
@@ -227,8 +226,6 @@
         :param now: monotonic time in seconds.
         :param allowed_regions: regions that may serve it; empty for all.
         :param excluded: names of targets that were already tried.
-        :param work_factor: run time of this kind of request, relative to the
-            average of the service.
         """
         self._refresh_health(now)
         found: dict[str, Option] = {}
@@ -240,9 +237,7 @@
                 break
             for target, rank in self._candidates(group, key, times, found):
                 if target.entry.name not in excluded:
-                    option = self._option(
-                        target, key, rank, times, now, work_factor
-                    )
+                    option = self._option(target, key, rank, times, now)
                     found[target.entry.name] = option
         return list(found.values())
 
@@ -335,7 +330,6 @@
         rank: int,
         times: RunTimes,
         now: float,
-        work_factor: float,
     ) -> Option:
         is_cached = target.has_cached(key) or not key
         run_s = times.hit_run_s if is_cached else times.miss_run_s
@@ -361,7 +355,7 @@
         busy_s = times.hit_run_s * 0.1 * target.running / target.slots
         total_s = (
             wait_s
-            + run_s * work_factor * target.slowdown(now)
+            + run_s * target.slowdown(now)
             + target.extra_rtt_s
             + rank * times.hit_run_s * RANK_STEP_FRACTION
         )
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -7,7 +7,6 @@
 from .decisions import PlacementRequest
 from .placement import Option, Placement, RunTimes
 from .tracked_target import TrackedTarget
-from .work_factors import WorkFactors
 
 #: Least weight of a new observation in the run times of a service.
 SMOOTHING = 0.05
@@ -79,7 +78,6 @@
         self.placement = Placement({}, '')
         self.waiting: collections.deque[WaitingRequest] = collections.deque()
         self.run_times = RunTimes()
-        self.work_factors = WorkFactors()
 
     @property
     def targets(self) -> dict[str, TrackedTarget]:
