--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -110,8 +110,9 @@
         removed = queue.targets.keys() - targets.keys()
         if any(queue.targets[name].region == region for name in removed):
             self.shift_limiter.record_disturbance(now)
-        for name in removed:
-            queue.targets[name].forget_objects()
+        for name, former in queue.targets.items():
+            if targets.get(name) is not former:
+                former.forget_objects()
         queue.placement = Placement(targets, region, queue.placement.history)
 
     def decide_or_queue(
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -272,7 +272,10 @@
         times: RunTimes,
         found: dict[str, Option],
     ) -> Iterator[tuple[TrackedTarget, int]]:
-        """Yield targets with their ranks while a better one is possible."""
+        """Yield targets with their ranks while a better one is possible.
+
+        The caller adds each one to ``found`` before it asks for the next.
+        """
         first = group.orders.first_names(key) if key else []
         ranks = {name: rank for rank, name in enumerate(first)}
         default_rank = RANK_COUNT if key else 0
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -360,3 +360,15 @@
     dispatcher.learn_from_attempt(ended, 0)
     granted = dispatcher.decide_or_queue('e', request(2, 'k'), 0.1)
     assert isinstance(granted, Granted)
+
+
+def test_restarted_target_holds_no_objects():
+    """Guards against an index that keeps every start of a target."""
+    dispatcher = make_dispatcher(count=1)
+    decision = dispatcher.decide_or_queue('e', request(1, 'k'), 0)
+    dispatcher.end_attempt('e', attempt_report(decision, key='k'), 0.1)
+    holders = dispatcher.queue(SERVICE).placement.history.holders
+    assert holders['k']
+    restarted = {'t0': TrackedTarget(target('t0'), REGION)}
+    dispatcher.set_targets(SERVICE, restarted, REGION)
+    assert not holders['k']
