Decode leaving notices and pauses of targets and report them with attempts

Targets announce that they are about to stop with a header in all answers, and may ask for a pause with Retry-After in a 503. Both are decoded once, in the platform's wire format, and reach the dispatcher in the attempt report; nothing acts on them yet. The field that told of 'connection: close' was called leaving and was read nowhere; it is now closes_connection.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -23,12 +23,17 @@
     :param answer: the answer; None if there is no valid one.
     :param may_have_run: whether the target may have run the request.
     :param detail: the failure, for the trail of the log line.
+    :param target_leaving: whether the target says that it is about to stop.
+    :param pause_s: how long the target asks this instance to send it no
+        requests, in seconds; 0 for no pause.
     """
 
     ending: Ending
     answer: TargetAnswer | None = None
     may_have_run: bool = True
     detail: str = ''
+    target_leaving: bool = False
+    pause_s: float = 0
 
 
 class AttemptSender:
@@ -111,14 +116,17 @@
                 Ending.misdirected if metadata.misdirected else ending,
                 may_have_run=False,
                 detail=f'status {answer.status}, not run',
+                target_leaving=metadata.target_leaving,
+                pause_s=metadata.pause_s,
             )
-        if answer.status >= _MIN_FAILURE_STATUS:
-            return AttemptOutcome(
-                Ending.failed,
-                answer,
-                detail=f'status {answer.status}',
-            )
-        return AttemptOutcome(Ending.answered, answer)
+        failed = answer.status >= _MIN_FAILURE_STATUS
+        return AttemptOutcome(
+            Ending.failed if failed else Ending.answered,
+            answer,
+            detail=f'status {answer.status}' if failed else '',
+            target_leaving=metadata.target_leaving,
+            pause_s=metadata.pause_s,
+        )
 
     def _release_connection(
         self, target: TargetEntry, exchange: Exchange
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -237,7 +237,9 @@
             target = self.routing_state.targets.get(decision.target)
             state.waited_s += decision.waited_s
             if target is None:
-                self._report_attempt(state, decision, Ending.withdrawn, 0)
+                self._report_attempt(
+                    state, decision, AttemptOutcome(Ending.withdrawn), 0
+                )
                 state.tried_targets.append(decision.target)
                 continue
             outcome = await self._attempt(
@@ -269,7 +271,7 @@
             0,
         )
         self._placement_client.running_attempts[decision.number] = report
-        ending = Ending.withdrawn
+        outcome = AttemptOutcome(Ending.withdrawn)
         try:
             outcome = await self._attempt_sender.send(
                 state.req,
@@ -277,9 +279,8 @@
                 target,
                 state.ends_at - started_at,
             )
-            ending = outcome.ending
         finally:
-            self._record_attempt(state, decision, decider, ending, started_at)
+            self._record_attempt(state, decision, decider, outcome, started_at)
         if outcome.detail:
             state.trail.append(outcome.detail)
         state.may_have_run = state.may_have_run or outcome.may_have_run
@@ -290,33 +291,35 @@
         state: RequestState,
         decision: Granted,
         decider: str,
-        ending: Ending,
+        outcome: AttemptOutcome,
         started_at: float,
     ) -> None:
         run_s = self._now() - started_at
-        self._report_attempt(state, decision, ending, run_s)
+        self._report_attempt(state, decision, outcome, run_s)
         state.tried_targets.append(decision.target)
         took = f'{run_s * MS_PER_S:.0f}ms'
         cache = 'held' if decision.held else 'first'
         placement = f'{decision.target} in {decision.region}, {cache}'
-        state.trail.append(f'{decider}: {placement}: {ending} {took}')
+        state.trail.append(f'{decider}: {placement}: {outcome.ending} {took}')
 
     def _report_attempt(
         self,
         state: RequestState,
         decision: Granted,
-        ending: Ending,
+        outcome: AttemptOutcome,
         run_s: float,
     ) -> None:
-        self._metrics.attempts.labels(state.service, ending).inc()
+        self._metrics.attempts.labels(state.service, outcome.ending).inc()
         self._placement_client.report_attempt_end(
             AttemptReport(
                 decision.number,
                 decision.target,
                 state.service,
                 state.req.key,
-                ending,
+                outcome.ending,
                 run_s,
+                outcome.target_leaving,
+                outcome.pause_s,
             ),
         )
 
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -46,7 +46,11 @@
     :param misdirected: whether another target has the address now.
     :param has_free_slots: whether the target has free slots; None if the
         answer does not tell.
-    :param leaving: whether the target closes the connection.
+    :param closes_connection: whether the target closes the connection.
+    :param target_leaving: whether the target is about to stop and must not
+        get new requests.
+    :param pause_s: how long this instance shall send it no requests, in
+        seconds; 0 if the answer does not ask for a pause.
     :param idle_timeout_s: how long the target keeps an idle connection, in
         seconds; None if the answer does not tell.
     """
@@ -54,7 +58,9 @@
     not_run: bool = False
     misdirected: bool = False
     has_free_slots: bool | None = None
-    leaving: bool = False
+    closes_connection: bool = False
+    target_leaving: bool = False
+    pause_s: float = 0
     idle_timeout_s: float | None = None
 
 
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -14,8 +14,16 @@
 #: Counts of running requests, waiting requests and slots of the target,
 #: separated by commas.
 _LOAD = b'x-server-load'
+#: Sent with the value 1 in all answers of a target that is about to stop.
+_LEAVING = b'server-leaving'
+#: In a 503 of a target: seconds in which this instance shall send it nothing.
+_RETRY_AFTER = b'retry-after'
 
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
+#: Longest pause that a target may ask for, in seconds; the list of targets
+#: tells of one that is gone for longer.
+MAX_PAUSE_S = 30.0
 _MS = 1000
 
 #: Hop-by-hop headers; they are not passed on.
@@ -111,7 +119,15 @@
             not_run=misdirected or _NOT_RUN in headers_by_name,
             misdirected=misdirected,
             has_free_slots=_has_free_slots(headers_by_name.get(_LOAD, b'')),
-            leaving=b'close' in headers_by_name.get(b'connection', b'').lower(),
+            closes_connection=(
+                b'close' in headers_by_name.get(b'connection', b'').lower()
+            ),
+            target_leaving=headers_by_name.get(_LEAVING, b'').strip() == b'1',
+            pause_s=(
+                _pause_s(headers_by_name.get(_RETRY_AFTER, b''))
+                if status == _UNAVAILABLE_STATUS
+                else 0
+            ),
             idle_timeout_s=_idle_timeout_s(
                 headers_by_name.get(b'keep-alive', b'')
             ),
@@ -171,6 +187,15 @@
     return not waiting and running < slots
 
 
+def _pause_s(text: bytes) -> float:
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return 0
+    # The comparison is also false for a value that is not a number.
+    return min(pause_s, MAX_PAUSE_S) if pause_s > 0 else 0
+
+
 def _idle_timeout_s(text: bytes) -> float | None:
     for part in text.split(b','):
         name, _, content = part.strip().partition(b'=')
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -4,7 +4,9 @@
 that a target shed look like one that ran.
 """
 
-from cuminhoist.platform.requests import PlatformWire
+import pytest
+
+from cuminhoist.platform.requests import MAX_PAUSE_S, PlatformWire
 
 
 def _scope(*headers, path=b'/a/b', query=b''):
@@ -82,3 +84,44 @@
     """Guards against a request that fails for an invalid optional header."""
     req = PlatformWire().decode_request(_scope((b'x-deadline-ms', b'soon')))
     assert req.left_s is None
+
+
+@pytest.mark.parametrize(
+    ('headers', 'closes_connection', 'target_leaving'),
+    [
+        ([], False, False),
+        ([(b'connection', b'close')], True, False),
+        ([(b'server-leaving', b'1')], False, True),
+        ([(b'server-leaving', b'0')], False, False),
+    ],
+)
+def test_leaving_target_is_not_a_closed_connection(
+    headers, closes_connection, target_leaving
+):
+    """Guards against taking a target that closes a connection for leaving."""
+    metadata = PlatformWire().read_metadata(200, headers)
+    assert metadata.closes_connection is closes_connection
+    assert metadata.target_leaving is target_leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'pause_s'),
+    [
+        (503, b'2', 2),
+        (503, b'0.5', 0.5),
+        (503, b' 1 ', 1),
+        (503, b'3600', MAX_PAUSE_S),
+        (503, b'inf', MAX_PAUSE_S),
+        (503, b'0', 0),
+        (503, b'-1', 0),
+        (503, b'nan', 0),
+        (503, b'soon', 0),
+        (503, b'Fri, 04 Dec 2026 08:00:00 GMT', 0),
+        (200, b'2', 0),
+        (429, b'2', 0),
+    ],
+)
+def test_pause_of_a_target_is_bounded(status, text, pause_s):
+    """Guards against a target that is lost for ever by one odd header."""
+    metadata = PlatformWire().read_metadata(status, [(b'retry-after', text)])
+    assert metadata.pause_s == pause_s
