Log and count requests that the listener refuses as malformed

A 400 of the listener left one fixed warning of the HTTP library and no metric, so it could not be told from other refusals. The line now has the reason of the parser, the target and the names of the headers; the metric is cuminhoist_requests with outcome bad-request. The trail of a request says if a target's answer carries no stamp, which tells a 4xx that was passed on from one of our own.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -120,10 +120,13 @@
                 pause_s=metadata.pause_s,
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
+        detail = f'status {answer.status}' if failed else ''
+        if not metadata.stamped:
+            detail = f'status {answer.status} without a stamp'
         return AttemptOutcome(
             Ending.failed if failed else Ending.answered,
             answer,
-            detail=f'status {answer.status}' if failed else '',
+            detail=detail,
             target_leaving=metadata.target_leaving,
             pause_s=metadata.pause_s,
         )
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -53,6 +53,7 @@
         seconds; 0 if the answer does not ask for a pause.
     :param idle_timeout_s: how long the target keeps an idle connection, in
         seconds; None if the answer does not tell.
+    :param stamped: whether the target marked the answer as its own.
     """
 
     not_run: bool = False
@@ -62,6 +63,7 @@
     target_leaving: bool = False
     pause_s: float = 0
     idle_timeout_s: float | None = None
+    stamped: bool = True
 
 
 class WireFormat(abc.ABC):
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -7,13 +7,15 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+import sys
+from collections.abc import Callable, Iterator
 from typing import Any, cast
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .caller_round_trip import round_trip_s
+from .logging_setup import logger
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
 from .types import Ran, Reason
 
@@ -30,6 +32,10 @@
 CLOSE_DELAY_S = 2.0
 
 _POLL_INTERVAL_S = 0.02
+#: Bytes of a malformed request's target and header names that are logged.
+_LOGGED_BYTES = 200
+
+_log = logger('listener')
 
 
 class CallerConnection(HttpToolsProtocol):
@@ -104,6 +110,7 @@
         """
         if self._half_closed or self.transport.is_closing():
             return
+        self._record_malformed_request(msg)
         if self.cycle is not None and not self.cycle.response_complete:
             # An earlier answer on this connection is not complete yet.
             self.abort()
@@ -152,6 +159,20 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _record_malformed_request(self, msg: str) -> None:
+        # The base class calls from the handler of the parser's error and
+        # passes on a fixed message only.
+        exc = sys.exception()
+        names = b' '.join(name for name, _ in self.headers or ())
+        _log.bind(
+            reason=msg if exc is None else str(exc),
+            target=getattr(self, 'url', b'')[:_LOGGED_BYTES].decode('latin-1'),
+            header_names=names[:_LOGGED_BYTES].decode('latin-1'),
+        ).warning('malformed request refused')
+        on_malformed = getattr(self.server_state, 'on_malformed', None)
+        if on_malformed is not None:
+            on_malformed()
+
     def _half_close(self) -> None:
         self._half_closed = True
         self.pipeline.clear()
@@ -225,6 +246,17 @@
         server.drain_timeout_s = drain_timeout_s
         return server
 
+    def report_malformed_requests(
+        self, on_malformed: Callable[[], None]
+    ) -> None:
+        """Call a function for each request that the parser refuses.
+
+        :param on_malformed: counts the request.
+        """
+        self.server_state.on_malformed = (  # type: ignore[attr-defined]
+            on_malformed
+        )
+
     def start_drain(self) -> None:
         """Send ``connection: close`` with each answer from now on.
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -20,6 +20,7 @@
 from ..json_logs import configure_json_logs
 from ..logging_setup import logger
 from ..steering.targets import TargetEntry
+from ..types import Reason
 from .apps import (
     lookup_app,
     metrics_app,
@@ -149,6 +150,10 @@
             time.monotonic,
         )
         server = self._start_server(cfg.request_address, entry.request_proxy)
+        if server is not None:
+            server.report_malformed_requests(
+                entry.metrics.requests.labels('', Reason.bad_request).inc
+            )
         self._start_server(
             cfg.readiness_address, readiness_app(lambda: entry.ready)
         )
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -14,6 +14,8 @@
 #: Counts of running requests, waiting requests and slots of the target,
 #: separated by commas.
 _LOAD = b'x-server-load'
+#: Sent by the application of a target; other parts of it send answers without.
+_STAMP = b'x-server-stamp'
 #: Sent with the value 1 in all answers of a target that is about to stop.
 _LEAVING = b'server-leaving'
 #: In a 503 of a target: seconds in which this instance shall send it nothing.
@@ -131,6 +133,7 @@
             idle_timeout_s=_idle_timeout_s(
                 headers_by_name.get(b'keep-alive', b'')
             ),
+            stamped=_STAMP in headers_by_name,
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -119,7 +119,7 @@
 
 def header(head: bytes, name: str) -> str:
     """Return the text of a header; empty if it is missing."""
-    for line in head.decode().split('\r\n'):
+    for line in head.decode('latin-1').split('\r\n'):
         key, _, text = line.partition(': ')
         if key.lower() == name:
             return text
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -8,6 +8,7 @@
 import random
 
 import pytest
+from loguru import logger
 
 from .builders_carry import RunningServer, read_head
 
@@ -50,6 +51,15 @@
         await send({'type': 'http.response.body', 'body': b'cd'})
 
 
+@pytest.fixture
+def logged():
+    """Return a list that all log records are appended to."""
+    records = []
+    sink = logger.add(lambda message: records.append(message.record))
+    yield records
+    logger.remove(sink)
+
+
 async def read_answer(reader):
     head = await read_head(reader)
     assert await reader.readexactly(4) == b'abcd'
@@ -161,6 +171,21 @@
     assert answer.endswith(b'abcd')
 
 
+async def test_malformed_request_is_logged_with_its_reason(logged):
+    """Guards against a 400 whose cause no log line or metric tells."""
+    refused = []
+    async with RunningServer(GatedApp(start_early=False)) as server:
+        server.server.report_malformed_requests(lambda: refused.append(1))
+        answer = await server.send(b'GET /odd HTTP/1.1\r\nh\x01: x\r\n\r\n')
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert refused == [1]
+    [line] = [
+        line for line in logged if line['message'].startswith('malformed')
+    ]
+    assert line['extra']['target'] == '/odd'
+    assert 'Invalid header token' in line['extra']['reason']
+
+
 async def test_random_bytes_do_no_harm():
     """Guards against a listener that crashes or hangs on malformed bytes."""
     rng = random.Random(7)
