Compare host names in one spelling and read targets and trailers as HTTP does

Callers saw a 404 or 400 from an entry instance for requests that are proper: - a Host header in another case than the configuration's, or with the trailing dot of a fully qualified name: 404. The configuration's names were folded to lower case, those of requests were not. - a trailer field after a chunked body replaced the header of the same name, so that 'Host: other' behind a body led to a 404. - an absolute request target with an empty port or without a path: 400, as the target parser behind the listener refuses both. The authority of the target was ignored in favour of the Host header. - an empty query ('/a/x?') reached the target without its question mark.

Cause: the same value was brought to a canonical form on one side only, or read by a second parser with rules of its own. Now canonical_host() is the one comparison of host names, for the configuration and for requests; the listener splits the target once; trailers are dropped.

--- a/src/cuminhoist/gateway/routes.py
+++ b/src/cuminhoist/gateway/routes.py
@@ -69,7 +69,7 @@
     """All routes of one version of the configuration.
 
     :param version: version of the configuration.
-    :param hosts: routes of each host, the longest prefix first.
+    :param hosts: routes by canonical host name, the longest prefix first.
     :param services: settings of each service, by name.
     :param limits: limits on the requests of callers.
     """
@@ -82,7 +82,7 @@
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None.
 
-        :param host: name of the host, without a port.
+        :param host: canonical name of the host.
         :param path: path of the request, without its query.
         """
         for route in self.hosts.get(host, ()):
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -17,6 +17,7 @@
 from .caller_round_trip import round_trip_s
 from .logging_setup import logger
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
+from .request_target import split_target
 from .types import Ran, Reason
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -72,16 +73,33 @@
         super().on_message_begin()
         self._in_head = True
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header of the head (callback of the parser).
+
+        Trailers are dropped: the application may already have read the head,
+        and a trailer must not replace one of its headers.
+
+        :param name: name of the header.
+        :param value: value of the header.
+        """
+        if self._in_head:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Hand the request to the application (callback of the parser)."""
         self._in_head = False
         self._head_bytes = 0
+        # The base class reads targets in origin form only.
+        authority, target = split_target(self.url)
+        self.url = target
         # The application reaches this connection through the ASGI scope.
         self.scope['state'] = {
             'caller_disconnected': self._disconnected,
             'abort': self.abort,
             'omit_date_header': self._omit_date,
             'header_bytes': len(self.url) + _size_bytes(self.headers),
+            'authority': authority,
+            'request_target': target,
             'round_trip_s': round_trip_s(self.transport),
         }
         super().on_headers_complete()
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..gateway.hosts import canonical_host
 from ..gateway.routes import (
     CallerLimits,
     RepeatPolicy,
@@ -94,8 +95,11 @@
     hosts: dict[str, tuple[Route, ...]] = {}
     for host in wire.hosts:
         routes = [_route(entry, services) for entry in host.paths]
-        host_routes = (*hosts.get(host.hostname.lower(), ()), *routes)
-        hosts[host.hostname.lower()] = tuple(
+        name = canonical_host(host.hostname)
+        if not name:
+            raise ValueError(f'host name {host.hostname!r} is empty')
+        host_routes = (*hosts.get(name, ()), *routes)
+        hosts[name] = tuple(
             sorted(host_routes, key=_prefix_length, reverse=True),
         )
     return RouteTable(
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ..exchange import Headers, RequestHead
+from ..gateway.hosts import canonical_host
 from ..gateway.wire import AnswerMetadata, IncomingRequest, WireFormat
 
 _REQUEST_ID = b'x-request-id'
@@ -51,12 +52,16 @@
 
         :param scope: the scope.
         """
+        authority = scope['state']['authority']
+        request_target = scope['state']['request_target']
         headers: Headers = scope['headers']
+        if authority:
+            # The host of an absolute target goes before the host header.
+            headers = [
+                (name, authority if name == b'host' else text)
+                for name, text in headers
+            ]
         headers_by_name = dict(headers)
-        query = scope['query_string']
-        request_target = scope['raw_path']
-        if query:
-            request_target = b'%b?%b' % (request_target, query)
         host = headers_by_name.get(b'host', b'').decode('latin-1')
         chunked = (
             b'chunked' in headers_by_name.get(b'transfer-encoding', b'').lower()
@@ -65,8 +70,8 @@
         return IncomingRequest(
             request_id=headers_by_name.get(_REQUEST_ID, b'').decode('latin-1'),
             method=scope['method'],
-            host=host.rpartition(':')[0] if ':' in host else host,
-            path=scope['raw_path'].decode('latin-1'),
+            host=canonical_host(host),
+            path=request_target.partition(b'?')[0].decode('latin-1'),
             request_target=request_target,
             key=_object_key(
                 headers_by_name.get(b'cookie', b'').decode('latin-1')
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -9,13 +9,11 @@
 from cuminhoist.platform.requests import MAX_PAUSE_S, PlatformWire
 
 
-def _scope(*headers, path=b'/a/b', query=b''):
+def _scope(*headers, target=b'/a/b'):
     return {
         'method': 'POST',
-        'raw_path': path,
-        'path': path.decode(),
-        'query_string': query,
         'headers': list(headers),
+        'state': {'authority': b'', 'request_target': target},
     }
 
 
@@ -27,7 +25,7 @@
             (b'x-request-id', b'abc'),
             (b'x-deadline-ms', b'1200'),
             (b'cookie', b'z=1; X-Affinity-Key=17'),
-            query=b'q=%2F',
+            target=b'/a/b?q=%2F',
         ),
     )
     assert (req.host, req.request_id, req.key) == ('shop.example', 'abc', '17')
@@ -36,6 +34,15 @@
     assert not req.has_body
 
 
+def test_authority_of_the_target_goes_before_the_host_header():
+    """Guards against the route of another host than the caller means."""
+    scope = _scope((b'host', b'shop.example'), target=b'/a?q')
+    scope['state']['authority'] = b'Other.example:80'
+    req = PlatformWire().decode_request(scope)
+    assert (req.host, req.path) == ('other.example', '/a')
+    assert dict(req.headers)[b'host'] == b'Other.example:80'
+
+
 def test_headers_of_one_connection_are_not_passed_on():
     """Guards against passing a caller's hop-by-hop headers to the target."""
     wire = PlatformWire()
