Pass on no answer that names no request or carries no stamp

Callers could get a 3xx or 4xx (or a 2xx) that the application of the target had not given: an answer without the request's id counted as the answer to whatever request was running, and an answer below 500 without the target's stamp was passed on as it came. Such bytes belong to no request: the connection is closed and the attempt counts as lost, so that a request that may be repeated goes to another target and any other gets a 502, which promises nothing.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -215,6 +215,9 @@
         if status > _LAST_VALID_STATUS:
             exchange.abort(RemoteProtocolError(f'invalid status {status}'))
             return
+        if exchange.is_unidentified():
+            exchange.abort(RemoteProtocolError('the answer names no request'))
+            return
         if not exchange.is_own_answer():
             self._skipping_answer = True
             exchange.headers.clear()
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -128,14 +128,15 @@
         return self.complete or self.error is not None
 
     def is_own_answer(self) -> bool:
-        """Return whether the headers received answer this request.
-
-        An answer without the echoed header counts as its own.
-        """
+        """Return whether the headers received answer this request."""
         if self.echo is None:
             return True
         name, expected = self.echo
-        return dict(self.headers).get(name, expected) == expected
+        return dict(self.headers).get(name) == expected
+
+    def is_unidentified(self) -> bool:
+        """Return whether the headers do not tell which request they answer."""
+        return self.echo is not None and self.echo[0] not in dict(self.headers)
 
     def mark_head_received(self) -> None:
         """Wake the reader that waits for status and headers."""
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -120,13 +120,18 @@
                 pause_s=metadata.pause_s,
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
-        detail = f'status {answer.status}' if failed else ''
-        if not metadata.stamped:
-            detail = f'status {answer.status} without a stamp'
+        if not failed and not metadata.stamped:
+            # The application of the target has not given this answer.
+            abort(answer.exchange)
+            return AttemptOutcome(
+                Ending.lost,
+                detail=f'status {answer.status} without a stamp',
+                target_leaving=metadata.target_leaving,
+            )
         return AttemptOutcome(
             Ending.failed if failed else Ending.answered,
             answer,
-            detail=detail,
+            detail=f'status {answer.status}' if failed else '',
             target_leaving=metadata.target_leaving,
             pause_s=metadata.pause_s,
         )
