Promise 'not run' to callers only where the target has said so

A 408, 421, 429 or 503 of a target without its not-run header was passed on for requests that may run only once. Callers take these statuses for a promise and send such a request again, so it could run twice. They get a 502 now.

--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -55,6 +55,8 @@
 #: their counts of requests differ at any one moment.
 RETRY_BUDGET_FRACTION = 0.6
 MS_PER_S = 1000
+#: Statuses by which a caller learns that its request has not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 _log = logger('request')
 
@@ -247,7 +249,7 @@
             )
             if self._may_retry(state, body, outcome):
                 continue
-            if outcome.answer is None:
+            if outcome.answer is None or _promises_not_run(state, outcome):
                 return await self._answer_failed_attempt(state, outcome, send)
             return await self._pass_answer_on(
                 state, outcome.answer, scope, send
@@ -453,3 +455,18 @@
             config_version=routes.version if routes else 0,
             outcome=f'refused-{refusal.reason}',
         )
+
+
+def _promises_not_run(state: RequestState, outcome: AttemptOutcome) -> bool:
+    """Tell whether an answer would say falsely that the request has not run.
+
+    Callers repeat a request after these statuses whatever its kind, but the
+    target has not said that it did not run it.
+    """
+    answer = outcome.answer
+    if answer is None or state.route.repeat is not RepeatPolicy.once:
+        return False
+    if answer.status not in _NOT_RUN_STATUSES:
+        return False
+    abort(answer.exchange)
+    return True
--- a/tests/gateway/test_request_heads.py
+++ b/tests/gateway/test_request_heads.py
@@ -8,6 +8,8 @@
 import contextlib
 
 from cuminhoist.fleet.instance_config import Address
+from cuminhoist.gateway.routes import RepeatPolicy
+
 from .builders import ScriptedTarget, answer, gateway, header
 
 _FIELDS = b'X-Request-Id: id1\r\nX-Deadline-Ms: 1000\r\n'
@@ -78,6 +80,17 @@
         assert head.startswith(b'HTTP/1.1 50'), head
 
 
+async def test_answer_that_may_have_run_promises_nothing():
+    """Guards against a status that says not run without the target's word."""
+    for status in ('503 Unavailable', '429 Too Many', '408 Timeout'):
+        target = ScriptedTarget(
+            lambda head, status=status: answer(head, b'x', status)
+        )
+        async with gateway(target, repeat=RepeatPolicy.once) as harness:
+            received = await harness.request(method='POST', body=b'a')
+        assert received.startswith(b'HTTP/1.1 502'), received
+
+
 async def test_extra_answer_without_an_id_is_not_passed_on():
     """Guards against a 404 that answers no request of the caller."""
     extra = b'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n'
