Read the body of a request whose upgrade is ignored

The parser skips the body of a request that asks for an upgrade, so the target got a head that announced a body and none of its bytes. The caller waited until its time was over. If the target answered early, the connection was used again, and the target read another caller's request as the missing body.

The body is now read by a second parser, and an upload with fewer bytes than declared aborts its connection. Found by the review of the incident of proper requests refused with a 4xx; both tests failed before.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -5,7 +5,11 @@
 
 import msgspec
 
-from ..exceptions import ProtocolError, RemoteProtocolError
+from ..exceptions import (
+    LocalProtocolError,
+    ProtocolError,
+    RemoteProtocolError,
+)
 from ..exchange import Exchange, Headers
 from ..steering.decisions import Ending
 from ..steering.targets import TargetEntry
@@ -165,11 +169,18 @@
     with contextlib.suppress(asyncio.CancelledError):
         try:
             await conn.upload(exchange, body.chunks(), req.chunked)
+            _require_whole_body(req, body)
         except Exception as exc:
             # The target must not mistake a truncated body for a whole one.
             exchange.abort(exc)
 
 
+def _require_whole_body(req: IncomingRequest, body: RequestBody) -> None:
+    # The target would read the next request as the rest of this body.
+    if req.body_bytes not in {None, body.size}:
+        raise LocalProtocolError('the body is not as long as declared')
+
+
 def abort(exchange: Exchange) -> None:
     """Abort an exchange and close its connection.
 
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -23,6 +23,8 @@
         send it.
     :param headers: headers that are passed on to the target.
     :param has_body: whether a body follows.
+    :param body_bytes: declared length of the body, in bytes; None if it is
+        framed as chunks.
     :param chunked: whether the body is framed as chunks.
     """
 
@@ -36,6 +38,7 @@
     headers: Headers
     has_body: bool
     chunked: bool
+    body_bytes: int | None = None
 
 
 class AnswerMetadata(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, cast
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -47,6 +48,7 @@
         self._head_bytes = 0
         self._in_head = True
         self._half_closed = False
+        self._received = b''
         self._disconnected: asyncio.Future[None] = self.loop.create_future()
 
     @property
@@ -64,7 +66,9 @@
             return
         if self._in_head:
             self._head_bytes += len(data)
+        self._received = data
         super().data_received(data)
+        self._received = b''
         if self._in_head and self._head_bytes > MAX_HEADER_BYTES:
             self.send_400_response('The head of the request is too large.')
 
@@ -204,6 +208,23 @@
         # After an upgrade request, the parser treats all further bytes as
         # another protocol, so the connection can carry no other request.
         self.cycle.keep_alive = False
+        exc = sys.exception()
+        framing = _body_framing(self.headers)
+        if framing and isinstance(exc, httptools.HttpParserUpgrade):
+            # The parser skips the body too; another one reads it.
+            self.cycle.more_body = True
+            self.parser = httptools.HttpRequestParser(_BodyReceiver(self))
+            self.parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n' % framing)
+            self._in_head = False
+            self.data_received(self._received[exc.args[0] :])
+
+
+class _BodyReceiver:
+    """Passes the body of a request on, but nothing of its head."""
+
+    def __init__(self, conn: CallerConnection) -> None:
+        self.on_body = conn.on_body
+        self.on_message_complete = conn.on_message_complete
 
 
 class _CycleTransport:
@@ -337,3 +358,12 @@
 
 def _size_bytes(headers: list[tuple[bytes, bytes]]) -> int:
     return sum(len(name) + len(value) for name, value in headers)
+
+
+def _body_framing(headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the header lines that frame a body; empty if there is none."""
+    return b''.join(
+        b'%b: %b\r\n' % (name, text)
+        for name, text in headers
+        if name in {b'content-length', b'transfer-encoding'}
+    )
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -80,6 +80,7 @@
             headers=_forwarded_headers(headers, chunked),
             has_body=chunked or length != b'0',
             chunked=chunked,
+            body_bytes=None if chunked else int(length),
         )
 
     def encode_attempt(
--- a/tests/gateway/test_request_heads.py
+++ b/tests/gateway/test_request_heads.py
@@ -9,6 +9,7 @@
 
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.gateway.routes import RepeatPolicy
+from tests.waiting import eventually
 
 from .builders import ScriptedTarget, answer, gateway, header
 
@@ -64,6 +65,43 @@
     return head
 
 
+async def test_missing_body_does_not_take_bytes_of_the_next_request():
+    """Guards against a target that reads a request as the body of another."""
+    target = EarlyTarget()
+    async with gateway(target) as harness:
+        _, writer = await asyncio.open_connection('127.0.0.1', harness.port)
+        writer.write(
+            b'POST /a/x HTTP/1.1\r\n'
+            + _HOST
+            + _FIELDS
+            + b'Connection: Upgrade\r\nUpgrade: h2c\r\n'
+            + b'Content-Length: 60\r\n\r\n'
+            + b'z' * 60
+        )
+        await eventually(lambda: bool(target.received))
+        await asyncio.sleep(0.2)
+        await harness.request()
+        writer.close()
+    _, _, after_head = bytes(target.received[0]).partition(b'\r\n\r\n')
+    # The target may have got only a part of the body.
+    assert after_head[:60] == b'z' * min(60, len(after_head))
+
+
+async def test_body_of_an_ignored_upgrade_is_read():
+    """Guards against waiting for a body that has arrived."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target,
+        b'POST /a/x HTTP/1.1\r\n'
+        + _HOST
+        + _FIELDS
+        + b'Connection: Upgrade\r\nUpgrade: h2c\r\n'
+        + b'Content-Length: 2\r\n\r\nab',
+    )
+    assert head.startswith(b'HTTP/1.1 200')
+    assert target.bodies == [b'ab']
+
+
 async def test_unmarked_refusal_of_a_target_is_not_the_final_answer():
     """Guards against a 404 that the application of the target did not give."""
 
