Skip targets whose id or address cannot be used

A list entry with unreadable bytes in its id stayed in use: encoding the header that names the target raised, and the caller's connection closed without an answer. An id with a space gave a 502 for a request that was never sent. Ids must be printable ASCII now and addresses IP numbers with a valid port; other entries are skipped like those with missing fields. Both tests failed before.

--- a/src/cuminhoist/platform/target_list.py
+++ b/src/cuminhoist/platform/target_list.py
@@ -1,6 +1,8 @@
 """Reads the platform's list of targets, page by page."""
 
 import contextlib
+import ipaddress
+import re
 from typing import Any
 
 import httpx
@@ -18,6 +20,9 @@
 MAX_PAGES = 200
 _MS = 1000
 _OK = 200
+#: Ids that can be sent to the target in a header.
+_PRINTABLE = re.compile('[!-~]+')
+_MAX_PORT = 65535
 
 
 class _Page(msgspec.Struct, frozen=True):
@@ -104,14 +109,23 @@
 
 
 def _target_entry(name: str, wire: _Entry) -> TargetEntry:
-    host, _, port = wire.address.rpartition(':')
+    if _PRINTABLE.fullmatch(name) is None:
+        raise ValueError(f'unreadable target id {name!r}')
     return TargetEntry(
         name=name,
         service=wire.backend,
-        address=Address(host, int(port)),
+        address=_parse_address(wire.address),
         domain=wire.zone,
         slots=max(wire.slots, 1),
         state=TargetState(wire.state),
         warmup_left_s=wire.cold_remaining_ms / _MS,
         started_at_ms=wire.born,
     )
+
+
+def _parse_address(text: str) -> Address:
+    host, _, port_text = text.rpartition(':')
+    port = int(port_text)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f'invalid port in the address {text!r}')
+    return Address(str(ipaddress.IPv4Address(host)), port)
--- a/tests/platform/test_target_list.py
+++ b/tests/platform/test_target_list.py
@@ -55,3 +55,28 @@
         other='text',
     )
     assert [entry.name for entry in entries] == ['good']
+
+
+def test_entry_with_an_unreadable_id_is_skipped():
+    """Guards against an id that no header can carry to the target."""
+    entries = _decode(
+        **{
+            'good': _entry(),
+            'i-\ufffd': _entry(),
+            'i 2': _entry(),
+            'i-3\n': _entry(),
+            '': _entry(),
+        }
+    )
+    assert [entry.name for entry in entries] == ['good']
+
+
+def test_entry_with_an_address_that_is_no_ip_number_is_skipped():
+    """Guards against a name look-up for each attempt at such a target."""
+    entries = _decode(
+        good=_entry(),
+        name=_entry(address='host.example:8080'),
+        unreadable=_entry(address='10.128.\ufffd.9:8080'),
+        port=_entry(address='10.128.0.9:99999'),
+    )
+    assert [entry.name for entry in entries] == ['good']
