Match routes whose host or prefix has letters outside ASCII

Requests carry such letters escaped in paths and in the ASCII form of host names, so no request matched a route that the configuration writes with them, and all its callers got a 404. Both sides are brought to one form now; the digits of escapes are compared in upper case.

--- a/src/cuminhoist/gateway/hosts.py
+++ b/src/cuminhoist/gateway/hosts.py
@@ -1,4 +1,11 @@
-"""Canonical form of host names, for the routes and for requests alike."""
+"""Canonical form of hosts and paths, for the routes and for requests alike."""
+
+import re
+from urllib.parse import quote
+
+_ESCAPE = re.compile('%[0-9a-fA-F]{2}')
+#: Printable ASCII characters stay as they are.
+_ASCII = ''.join(chr(code) for code in range(0x21, 0x7F))
 
 
 def canonical_host(text: str) -> str:
@@ -17,5 +24,32 @@
     return name.removesuffix('.')
 
 
+def encode_international_host(text: str) -> str:
+    """Return a host name with letters outside ASCII in its ASCII form.
+
+    Requests carry only this form.
+
+    :param text: the host name.
+    :raises ValueError: if there is no such form.
+    """
+    return text if text.isascii() else text.encode('idna').decode('ascii')
+
+
+def canonical_path(path: str) -> str:
+    """Return the path by which routes are looked up.
+
+    Letters outside ASCII are escaped, as requests carry them only in this
+    form, and the digits of escapes are in upper case.
+
+    :param path: path without a query, or the prefix of a route.
+    """
+    escaped = path
+    if not path.isascii():
+        escaped = quote(path, safe=_ASCII)
+    if '%' not in escaped:
+        return escaped
+    return _ESCAPE.sub(lambda found: found.group().upper(), escaped)
+
+
 def _is_bare_ipv6(host: str) -> bool:
     return ':' in host and not host.endswith(']')
--- a/src/cuminhoist/gateway/routes.py
+++ b/src/cuminhoist/gateway/routes.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from .hosts import canonical_path
+
 
 class RepeatPolicy(enum.StrEnum):
     """Whether a request may run more than once."""
@@ -26,7 +28,7 @@
 class Route(msgspec.Struct, frozen=True):
     """How requests below one path of one host are served.
 
-    :param prefix: prefix of the paths that belong to the route.
+    :param prefix: canonical prefix of the paths that belong to the route.
     :param repeat: whether its requests may run more than once.
     :param weighted_services: services that its requests are divided among.
     :param timeout_s: longest time until the final answer, in seconds.
@@ -85,7 +87,8 @@
         :param host: canonical name of the host.
         :param path: path of the request, without its query.
         """
+        canonical = canonical_path(path)
         for route in self.hosts.get(host, ()):
-            if path.startswith(route.prefix):
+            if canonical.startswith(route.prefix):
                 return route
         return None
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -5,7 +5,11 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..gateway.hosts import canonical_host
+from ..gateway.hosts import (
+    canonical_host,
+    canonical_path,
+    encode_international_host,
+)
 from ..gateway.routes import (
     CallerLimits,
     RepeatPolicy,
@@ -95,7 +99,7 @@
     hosts: dict[str, tuple[Route, ...]] = {}
     for host in wire.hosts:
         routes = [_route(entry, services) for entry in host.paths]
-        name = canonical_host(host.hostname)
+        name = canonical_host(encode_international_host(host.hostname))
         if not name:
             raise ValueError(f'host name {host.hostname!r} is empty')
         host_routes = (*hosts.get(name, ()), *routes)
@@ -135,7 +139,7 @@
             )
     return Route(
         name=wire.name,
-        prefix=wire.path_prefix,
+        prefix=canonical_path(wire.path_prefix),
         repeat=_repeat_policy(wire),
         weighted_services=weighted_services,
         timeout_s=wire.timeout_ms / _MS,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -90,3 +90,21 @@
     assert isinstance(decode_routes(b'\xff\xfe'), Failure)
     bad = json.dumps({**_wire(), 'version': '7'}).encode()
     assert isinstance(decode_routes(bad), Failure)
+
+
+def test_prefix_matches_the_escaped_form_of_its_letters():
+    """Guards against a route that no request can match.
+
+    Requests carry letters outside ASCII in percent-encoded UTF-8 only.
+    """
+    table = _decode(_wire(path_prefix='/tāmaki/')).unwrap()
+    assert table.find('shop.example', '/t%C4%81maki/b') is not None
+    assert table.find('shop.example', '/t%c4%81maki/b') is not None
+
+
+def test_host_name_matches_its_ascii_form():
+    """Guards against a route of an international name that never matches."""
+    content = _wire()
+    content['hosts'][0]['hostname'] = 'tāmaki.example'
+    table = _decode(content).unwrap()
+    assert table.find('xn--tmaki-fwa.example', '/a/b') is not None
