Take the host from an absolute target and ignore times that are not finite

A request with an absolute target and no Host header got a 404, as the authority replaced only an existing header. A time left of 'inf' or 'nan' raised, and the caller's connection closed without an answer; it counts as not sent now.

--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the platform's headers of requests and answers."""
 
+import math
 from typing import Any
 
 from ..exchange import Headers, RequestHead
@@ -57,10 +58,8 @@
         headers: Headers = scope['headers']
         if authority:
             # The host of an absolute target goes before the host header.
-            headers = [
-                (name, authority if name == b'host' else text)
-                for name, text in headers
-            ]
+            others = [header for header in headers if header[0] != b'host']
+            headers = [(b'host', authority), *others]
         headers_by_name = dict(headers)
         host = headers_by_name.get(b'host', b'').decode('latin-1')
         chunked = (
@@ -182,9 +181,10 @@
 
 def _deadline_s(text: bytes | None) -> float | None:
     try:
-        return float(text) / _MS if text else None
+        left_ms = float(text or b'nan')
     except ValueError:
         return None
+    return left_ms / _MS if math.isfinite(left_ms) else None
 
 
 def _has_free_slots(load: bytes) -> bool | None:
--- a/tests/gateway/test_request_heads.py
+++ b/tests/gateway/test_request_heads.py
@@ -118,6 +118,32 @@
         assert head.startswith(b'HTTP/1.1 50'), head
 
 
+async def test_absolute_target_names_the_host_without_a_host_header():
+    """Guards against a 404 for an HTTP/1.0 request without a Host header."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target,
+        b'GET http://shop.example/a/x HTTP/1.0\r\n' + _FIELDS + b'\r\n',
+    )
+    assert head.startswith(b'HTTP/1.1 200')
+    assert header(target.heads[0], 'host') == 'shop.example'
+
+
+async def test_time_without_a_number_is_no_time():
+    """Guards against a closed connection for a time that is not finite."""
+    for text in (b'inf', b'nan', b'1e999'):
+        target = ScriptedTarget(answer)
+        head = await _send(
+            target,
+            b'GET /a/x HTTP/1.1\r\n'
+            + _HOST
+            + b'X-Request-Id: id1\r\nX-Deadline-Ms: '
+            + text
+            + b'\r\n\r\n',
+        )
+        assert head.startswith(b'HTTP/1.1 200'), text
+
+
 async def test_answer_that_may_have_run_promises_nothing():
     """Guards against a status that says not run without the target's word."""
     for status in ('503 Unavailable', '429 Too Many', '408 Timeout'):
