--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -185,9 +185,12 @@
         # The base class calls from the handler of the parser's error and
         # passes on a fixed message only.
         exc = sys.exception()
+        if exc is not None:
+            # An error of a parser callback is the context of a general one.
+            exc = exc.__context__ or exc
         names = b' '.join(name for name, _ in self.headers or ())
         _log.bind(
-            reason=msg if exc is None else str(exc),
+            reason=msg if exc is None else repr(exc),
             target=getattr(self, 'url', b'')[:_LOGGED_BYTES].decode('latin-1'),
             header_names=names[:_LOGGED_BYTES].decode('latin-1'),
         ).warning('malformed request refused')
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -186,6 +186,16 @@
     assert 'Invalid header token' in line['extra']['reason']
 
 
+async def test_error_of_a_parser_callback_is_logged(logged):
+    """Guards against a 400 that only says that a callback failed."""
+    async with RunningServer(GatedApp(start_early=False)) as server:
+        await server.send(b'GET /\xe9 HTTP/1.1\r\nhost: x\r\n\r\n')
+    [line] = [
+        line for line in logged if line['message'].startswith('malformed')
+    ]
+    assert 'UnicodeDecodeError' in line['extra']['reason']
+
+
 async def test_random_bytes_do_no_harm():
     """Guards against a listener that crashes or hangs on malformed bytes."""
     rng = random.Random(7)
