Answer 404 only by routes that are known to be the newest

An entry instance that had restarted, was cut off, or had not received the newest declared state yet answered 404 for routes that its own configuration lacks. Callers do not try again after a 404. Now it answers 503 with Retry-After unless a control instance that reaches a quorum has confirmed its state within the last view, and no view names a newer one. The log line of a refused request also has the host as the caller wrote it.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -296,6 +296,9 @@
 
     async def _run_checks(self) -> None:
         while True:
+            self.request_proxy.routing_state.routes_confirmed = (
+                self.links.is_newest(self._progress().state_index)
+            )
             if self.ready != self.links.ready:
                 self.links.ready = self.ready
                 self.links.send_readiness()
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -144,6 +144,23 @@
         )
         return None if newest is None else newest.view
 
+    def is_newest(self, index: int) -> bool:
+        """Tell whether a declared state is known to be the newest one.
+
+        Needs a valid view of a control instance that reaches a quorum, and
+        none that names a newer state.
+
+        :param index: index of the declared state.
+        """
+        views = [
+            control.view
+            for control in self._controls_with_fresh_view()
+            if control.view is not None
+        ]
+        return any(view.confirmed for view in views) and all(
+            view.index <= index for view in views
+        )
+
     def link_opened(self, link: Link) -> None:
         """Send this instance's hello on a new link.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -130,9 +130,7 @@
         req = self._wire.decode_request(scope)
         refusal, route = self._find_route(req)
         if refusal is not None or route is None:
-            refusal = refusal or not_run_refusal(
-                Reason.unknown_service, 'No route for this host and path.'
-            )
+            refusal = refusal or self._refuse_unknown_route()
             self._log_refusal(req, refusal)
             await send_refusal(
                 refusal,
@@ -183,6 +181,19 @@
             ), None
         return None, routes.find(req.host, req.path)
 
+    def _refuse_unknown_route(self) -> Refusal:
+        if self.routing_state.routes_confirmed:
+            return not_run_refusal(
+                Reason.unknown_service, 'No route for this host and path.'
+            )
+        # A caller does not try again after a 404, and a newer configuration
+        # may have the route.
+        return not_run_refusal(
+            Reason.no_state,
+            'The routes of this entry instance may be outdated.',
+            NOT_READY_RETRY_S,
+        )
+
     def _set_deadlines(
         self, state: RequestState, arrived_at: float, round_trip_s: float
     ) -> None:
@@ -451,6 +462,7 @@
         log_request(
             id=req.request_id,
             host=req.host,
+            host_header=dict(req.headers).get(b'host', b'').decode('latin-1'),
             path=req.path,
             config_version=routes.version if routes else 0,
             outcome=f'refused-{refusal.reason}',
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -18,6 +18,8 @@
     :param entry_count: entry instances that share the retry budget.
     :param refuses_requests: whether new requests are refused because the
         instance stops.
+    :param routes_confirmed: whether the routes are known to be the newest
+        ones.
     """
 
     routes: RouteTable | None = None
@@ -25,6 +27,7 @@
     target_list_read_at: float = float('-inf')
     entry_count: int = 1
     refuses_requests: bool = False
+    routes_confirmed: bool = True
 
 
 class RequestState:
--- a/tests/fleet/test_entry_links.py
+++ b/tests/fleet/test_entry_links.py
@@ -9,7 +9,11 @@
 import msgspec
 import pytest
 
-from cuminhoist.fleet.entry_links import UNWANTED_LINK_S, EntryLinks
+from cuminhoist.fleet.entry_links import (
+    UNWANTED_LINK_S,
+    VIEW_VALID_S,
+    EntryLinks,
+)
 from cuminhoist.fleet.messages import (
     ControlEndpoint,
     FleetSummary,
@@ -106,3 +110,19 @@
     notice = second.take()[-1]
     assert notice.subscribed
     assert notice.list_digest
+
+
+async def test_state_is_newest_only_by_the_word_of_a_quorum():
+    """Guards against a 404 by routes that a newer state replaces."""
+    links = _entry_links()
+    assert not links.is_newest(1)
+    link, other = _link(links, 'c1'), _link(links, 'c2')
+    _send_view(links, link, confirmed=False)
+    assert not links.is_newest(1)
+    _send_view(links, link)
+    assert links.is_newest(1)
+    assert not links.is_newest(0)
+    _send_view(links, other, index=2, confirmed=False)
+    assert not links.is_newest(1)
+    await asyncio.sleep(VIEW_VALID_S + 0.1)
+    assert not links.is_newest(2)
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -28,6 +28,17 @@
     assert 0 < int(header(head, 'x-deadline-ms')) <= 1000
 
 
+async def test_unknown_route_is_final_only_with_the_newest_routes():
+    """Guards against a 404 for a route that a newer configuration has."""
+    async with gateway(ScriptedTarget(answer)) as harness:
+        received = await harness.request(path='/new/x')
+        assert received.startswith(b'HTTP/1.1 404')
+        harness.proxy.routing_state.routes_confirmed = False
+        received = await harness.request(path='/new/x')
+        assert received.startswith(b'HTTP/1.1 503')
+        assert b'retry-after: ' in received
+
+
 async def test_late_answer_of_an_earlier_request_is_skipped():
     """Guards against sending a caller the answer to another request."""
 
