--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -193,7 +193,7 @@
     [line] = [
         line for line in logged if line['message'].startswith('malformed')
     ]
-    assert 'UnicodeDecodeError' in line['extra']['reason']
+    assert 'Invalid char in url path' in line['extra']['reason']
 
 
 async def test_random_bytes_do_no_harm():
