Keep the pauses that targets ask for when placing requests

A target that answers 503 with a time wants no request from that entry instance for so long. The dispatcher offers its slots to the other instances only, places waiting requests of the paused instance again, and refuses with the end of the shortest pause when nothing else is left. Pauses asked of two instances within a second mean overload and keep all instances away until the first of them ends, also in panic mode; a single one is neither a failure nor a shed request to the others.

--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -97,6 +97,8 @@
     :param target_leaving: whether the target said that it is about to stop.
     :param pause_s: how long the target asked this entry instance to send it
         no requests, in seconds; 0 for no pause.
+    :param target_started_at_ms: Unix time of the start of the target in
+        milliseconds; 0 if unknown.
     """
 
     number: int
@@ -107,3 +109,4 @@
     run_s: float
     target_leaving: bool = False
     pause_s: float = 0
+    target_started_at_ms: int = 0
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from .decisions import (
     AttemptReport,
     Decision,
@@ -28,6 +30,7 @@
     WaitingRequest,
 )
 from .region_shift_limiter import RegionShiftLimiter
+from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
 from .tracked_target import TrackedTarget
 
 #: Runs that take longer than expected by at least this factor are left out of
@@ -68,6 +71,8 @@
         self.shift_limiter = RegionShiftLimiter(shift_limit)
         self._services: dict[str, ServiceQueue] = {}
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
+        #: Pauses that targets asked for, by entry instance.
+        self.pauses: dict[str, TargetPauses] = {}
 
     def queue(self, name: str) -> ServiceQueue:
         """Return the queue of a service.
@@ -146,6 +151,67 @@
         :param now: monotonic time in seconds.
         :returns: decisions by entry instance.
         """
+        if report.pause_s <= 0:
+            return self._free_slot(entry_instance, report, now)
+        self._record_pause(entry_instance, report, now)
+        # A pause concerns one entry instance; it is no failure of the target.
+        report = msgspec.structs.replace(report, ending=Ending.withdrawn)
+        decisions = self._free_slot(entry_instance, report, now)
+        return [*decisions, *self.decide_waiting(now)]
+
+    def restore_pauses(
+        self,
+        entry_instance: str,
+        pauses: Iterable[TargetPause],
+        now: float,
+    ) -> list[tuple[str, Decision]]:
+        """Record the pauses that targets asked for under another dispatcher.
+
+        :param entry_instance: the entry instance that was asked for them.
+        :param pauses: the pauses.
+        :param now: monotonic time in seconds.
+        :returns: decisions by entry instance.
+        """
+        for pause in pauses:
+            self._add_pause(entry_instance, pause, now)
+        return self.decide_waiting(now)
+
+    def _record_pause(
+        self, entry_instance: str, report: AttemptReport, now: float
+    ) -> None:
+        pause = TargetPause(
+            report.target, report.target_started_at_ms, report.pause_s
+        )
+        self._add_pause(entry_instance, pause, now)
+        target = self.queue(report.service).targets.get(report.target)
+        # A report of an earlier start says nothing about the present one.
+        if target is not None and self.pauses[entry_instance].left_s(
+            target.entry, now
+        ):
+            target.record_pause(entry_instance, report.pause_s, now)
+
+    def _add_pause(
+        self, entry_instance: str, pause: TargetPause, now: float
+    ) -> None:
+        """Record a pause and have waiting requests placed again."""
+        pauses = self.pauses.setdefault(entry_instance, TargetPauses())
+        pauses.record(pause, now)
+        for queue in self._services.values():
+            for waiting in queue.waiting:
+                if (
+                    waiting.entry_instance == entry_instance
+                    and waiting.target is not None
+                    and pauses.left_s(waiting.target.entry, now)
+                ):
+                    waiting.leave_target_queue()
+                    waiting.recheck_at = now
+
+    def _free_slot(
+        self,
+        entry_instance: str,
+        report: AttemptReport,
+        now: float,
+    ) -> list[tuple[str, Decision]]:
         attempt = self._running_attempts.pop(
             (entry_instance, report.number), None
         )
@@ -191,6 +257,7 @@
         :param entry_instance: the entry instance.
         :param now: monotonic time in seconds.
         """
+        self.pauses.pop(entry_instance, None)
         for queue in self._services.values():
             for waiting in tuple(queue.waiting):
                 if waiting.entry_instance == entry_instance:
@@ -280,12 +347,11 @@
             now,
             request.allowed_regions,
             request.excluded,
+            self.pauses.get(waiting.entry_instance, NO_PAUSES),
         )
+        options = self._options_within_shift_limit(queue, waiting, options, now)
         if not options:
-            return Refused(
-                request.number, RefusalReason.no_target, NO_TARGET_RETRY_S
-            )
-        options = self._options_within_shift_limit(queue, options, now)
+            return self._refuse_without_option(queue, waiting, now)
         best = min(options, key=lambda option: option.total_s)
         if not best.wait_s:
             return self._grant(waiting, best.target, now)
@@ -300,6 +366,7 @@
     def _options_within_shift_limit(
         self,
         queue: ServiceQueue,
+        waiting: WaitingRequest,
         options: list[Option],
         now: float,
     ) -> list[Option]:
@@ -308,7 +375,11 @@
         own = [option for option in options if option.target.region == region]
         if queue.placement.disturbed_fraction() > MAX_DISTURBED_FRACTION:
             self.shift_limiter.record_disturbance(now)
-        if len(own) in {0, len(options)}:
+        if len(own) == len(options):
+            return options
+        if not own and self._shortest_pause_s(
+            queue, waiting, now, region
+        ) == float('inf'):
             return options
         return options if self.shift_limiter.allows_shift(now) else own
 
@@ -325,7 +396,10 @@
             soonest = min(free, key=lambda option: option.total_s)
             return self._grant(waiting, soonest.target, now)
         soonest = min(options, key=lambda option: option.wait_s)
-        return self._refuse(queue, waiting, soonest)
+        soonest_s = min(
+            soonest.wait_s, self._shortest_pause_s(queue, waiting, now)
+        )
+        return self._refuse(waiting, soonest_s)
 
     def _grant_waiting(
         self,
@@ -453,20 +527,52 @@
             target.region,
         )
 
-    def _refuse(
+    def _shortest_pause_s(
         self,
         queue: ServiceQueue,
         waiting: WaitingRequest,
-        soonest: Option,
-    ) -> Refused:
-        retry_after_s = max(
-            RETRY_FRACTION * waiting.request.left_s, soonest.wait_s
+        now: float,
+        region: str = '',
+    ) -> float:
+        """Return the time until the first paused target may be used again.
+
+        :param region: region of the targets; empty for all allowed ones.
+        :returns: seconds; infinite if none of the targets is paused.
+        """
+        pauses = self.pauses.get(waiting.entry_instance, NO_PAUSES)
+        allowed = waiting.request.allowed_regions
+        targets = (
+            queue.targets[name]
+            for name in pauses.names()
+            if name in queue.targets
         )
+        return pauses.shortest_left_s(
+            (
+                target.entry
+                for target in targets
+                if target.pool.slots > 0
+                and (not allowed or target.region in allowed)
+                and region in {'', target.region}
+            ),
+            now,
+        )
+
+    def _refuse_without_option(
+        self, queue: ServiceQueue, waiting: WaitingRequest, now: float
+    ) -> Refused:
+        number = waiting.request.number
+        left_s = self._shortest_pause_s(queue, waiting, now)
+        if left_s == float('inf'):
+            return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
+        return Refused(number, RefusalReason.overload, left_s, left_s)
+
+    def _refuse(self, waiting: WaitingRequest, soonest_s: float) -> Refused:
+        retry_after_s = max(RETRY_FRACTION * waiting.request.left_s, soonest_s)
         return Refused(
             waiting.request.number,
             RefusalReason.overload,
             retry_after_s,
-            soonest.wait_s,
+            soonest_s,
         )
 
     def _release_slot(self, attempt: RunningAttempt, now: float) -> None:
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -9,11 +9,13 @@
 """
 
 import collections
+import itertools
 from collections.abc import Iterator
 
 import msgspec
 
 from .object_orders import RANK_COUNT, ObjectOrders
+from .target_pauses import NO_PAUSES, TargetPauses
 from .tracked_target import ObjectHolders, TrackedTarget
 
 #: Added to the estimate for each rank in the order of an object's targets, as
@@ -218,6 +220,7 @@
         now: float,
         allowed_regions: frozenset[str],
         excluded: tuple[str, ...],
+        pauses: TargetPauses = NO_PAUSES,
     ) -> list[Option]:
         """Return the best targets for a request, with estimates.
 
@@ -226,20 +229,38 @@
         :param now: monotonic time in seconds.
         :param allowed_regions: regions that may serve it; empty for all.
         :param excluded: names of targets that were already tried.
+        :param pauses: pauses of the entry instance that sends the request.
         """
         self._refresh_health(now)
         found: dict[str, Option] = {}
-        for group in self._regions:
-            if allowed_regions and group.region not in allowed_regions:
-                continue
+        groups = [
+            group
+            for group in self._regions
+            if not allowed_regions or group.region in allowed_regions
+        ]
+        for group in groups:
             hit_s = group.extra_rtt_s + times.hit_run_s * MIN_RUN_TIME_FRACTION
             if _best_total_s(found) <= hit_s:
                 break
             for target, rank in self._candidates(group, key, times, found):
-                if target.entry.name not in excluded:
+                name = target.entry.name
+                if name not in excluded and not pauses.left_s(
+                    target.entry, now
+                ):
                     option = self._option(target, key, rank, times, now)
-                    found[target.entry.name] = option
-        return list(found.values())
+                    found[name] = option
+        if found or not pauses:
+            return list(found.values())
+        # All targets that were looked at are paused or were tried.
+        others = (
+            _first_not_paused(region, excluded, pauses, now)
+            for region in groups
+        )
+        return [
+            self._option(other, key, RANK_COUNT, times, now)
+            for other in others
+            if other is not None
+        ]
 
     def disturbed_fraction(self) -> float:
         """Return the fraction of the region's own targets that is disturbed.
@@ -365,6 +386,24 @@
         return Option(target, wait_s, total_s + busy_s)
 
 
+def _first_not_paused(
+    group: _RegionTargets,
+    excluded: tuple[str, ...],
+    pauses: TargetPauses,
+    now: float,
+) -> TrackedTarget | None:
+    """Return the first target of a region that may be sent the request.
+
+    The cost grows with the number of paused targets, not of all.
+    """
+    most_unusable = len(excluded) + len(pauses)
+    for target in itertools.islice(group.targets, most_unusable + 1):
+        tried = target.entry.name in excluded
+        if not tried and not pauses.left_s(target.entry, now):
+            return target
+    return None
+
+
 def _best_total_s(found: dict[str, Option]) -> float:
     return min(
         (option.total_s for option in found.values()), default=float('inf')
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -3,6 +3,7 @@
 import collections
 
 from .decisions import Ending
+from .target_pauses import OverloadDetector
 from .targets import TargetEntry
 
 #: Weight of a new observation in moving averages.
@@ -84,6 +85,10 @@
         self.ejected_until = float('-inf')
         #: Whether so many targets are ejected that ejection is ignored.
         self.panic_mode = False
+        #: Until when no entry instance sends requests, because the target
+        #: asked several of them for a pause. Panic mode does not ignore it.
+        self._overloaded_until = float('-inf')
+        self._overload_detector = OverloadDetector()
         self._next_ejection_s = MIN_EJECTION_S
         self._failure_ejection_until = float('-inf')
         self._failure_fraction = float(0)
@@ -160,6 +165,8 @@
         """
         if self.running >= self.slots or self.pool.is_full():
             return False
+        if now < self._overloaded_until:
+            return False
         if self.is_ejected(now) and not self.panic_mode:
             return False
         return (
@@ -184,7 +191,7 @@
 
         :param now: monotonic time in seconds.
         """
-        if now < self.ejected_until:
+        if now < max(self.ejected_until, self._overloaded_until):
             return 0
         return min(1 / self.slowdown(now), 1)
 
@@ -217,6 +224,7 @@
         ejected_s = max(self.ejected_until - now, 0)
         if self.panic_mode:
             ejected_s = 0
+        ejected_s = max(self._overloaded_until - now, ejected_s)
         own_s = run_s * self.slowdown(now) * ahead / self.slots
         if not self.pool.is_full():
             return ejected_s + own_s
@@ -270,6 +278,20 @@
             self._consecutive_failures = MAX_CONSECUTIVE_FAILURES
             self._eject(now)
 
+    def record_pause(
+        self, entry_instance: str, pause_s: float, now: float
+    ) -> None:
+        """Record that the target asked an entry instance for a pause.
+
+        :param entry_instance: the entry instance.
+        :param pause_s: the pause in seconds.
+        :param now: monotonic time in seconds.
+        """
+        overloaded_until = self._overload_detector.record(
+            entry_instance, pause_s, now
+        )
+        self._overloaded_until = max(self._overloaded_until, overloaded_until)
+
     def observe(self, key: str, ratio: float, now: float) -> None:
         """Count an answered attempt that another dispatcher granted.
 
