Read pauses of targets strictly and keep odd ones for the log

Only digits with an optional fraction count as seconds. The test expected 'inf' to be bounded; it is no number of seconds and is ignored now like other text, as are '1e1' and '1_0', which float() accepts.

--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -51,6 +51,8 @@
         get new requests.
     :param pause_s: how long this instance shall send it no requests, in
         seconds; 0 if the answer does not ask for a pause.
+    :param odd_pause: the text of a pause that is ignored or bounded, for the
+        log; empty otherwise.
     :param idle_timeout_s: how long the target keeps an idle connection, in
         seconds; None if the answer does not tell.
     :param stamped: whether the target marked the answer as its own.
@@ -62,6 +64,7 @@
     closes_connection: bool = False
     target_leaving: bool = False
     pause_s: float = 0
+    odd_pause: str = ''
     idle_timeout_s: float | None = None
     stamped: bool = True
 
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the platform's headers of requests and answers."""
 
+import re
 from typing import Any
 
 from ..exchange import Headers, RequestHead
@@ -27,6 +28,9 @@
 #: Longest pause that a target may ask for, in seconds; the list of targets
 #: tells of one that is gone for longer.
 MAX_PAUSE_S = 30.0
+_SECONDS = re.compile(rb'\d+(\.\d*)?')
+#: Longest part of a header that is kept for a log line, in bytes.
+_LOGGED_TEXT_BYTES = 40
 _MS = 1000
 
 #: Hop-by-hop headers; they are not passed on.
@@ -122,6 +126,7 @@
         """
         headers_by_name = dict(headers)
         misdirected = status == _MISDIRECTED_STATUS
+        pause_s, odd_pause = _pause(status, headers_by_name)
         return AnswerMetadata(
             not_run=misdirected or _NOT_RUN in headers_by_name,
             misdirected=misdirected,
@@ -130,11 +135,8 @@
                 b'close' in headers_by_name.get(b'connection', b'').lower()
             ),
             target_leaving=headers_by_name.get(_LEAVING, b'').strip() == b'1',
-            pause_s=(
-                _pause_s(headers_by_name.get(_RETRY_AFTER, b''))
-                if status == _UNAVAILABLE_STATUS
-                else 0
-            ),
+            pause_s=pause_s,
+            odd_pause=odd_pause,
             idle_timeout_s=_idle_timeout_s(
                 headers_by_name.get(b'keep-alive', b'')
             ),
@@ -195,13 +197,20 @@
     return not waiting and running < slots
 
 
-def _pause_s(text: bytes) -> float:
-    try:
-        pause_s = float(text)
-    except ValueError:
-        return 0
-    # The comparison is also false for a value that is not a number.
-    return min(pause_s, MAX_PAUSE_S) if pause_s > 0 else 0
+def _pause(
+    status: int, headers_by_name: dict[bytes, bytes]
+) -> tuple[float, str]:
+    """Return the pause in seconds, and its text if it is out of range."""
+    if status != _UNAVAILABLE_STATUS or _RETRY_AFTER not in headers_by_name:
+        return 0, ''
+    text = headers_by_name[_RETRY_AFTER].strip()
+    # An HTTP date is ignored: the clocks of targets may differ.
+    pause_s = float(text) if _SECONDS.fullmatch(text) else 0
+    if 0 < pause_s <= MAX_PAUSE_S:
+        return pause_s, ''
+    return min(pause_s, MAX_PAUSE_S), text[:_LOGGED_TEXT_BYTES].decode(
+        'latin-1'
+    )
 
 
 def _idle_timeout_s(text: bytes) -> float | None:
