--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -176,6 +176,28 @@
             self._add_pause(entry_instance, pause, now)
         return self.decide_waiting(now)
 
+    def time_to_unpaused_s(
+        self,
+        entry_instance: str,
+        service: str,
+        allowed_regions: frozenset[str],
+        now: float,
+    ) -> float:
+        """Return how long all targets of a service pause, in seconds.
+
+        :param entry_instance: the entry instance that was asked to pause.
+        :param service: name of the service.
+        :param allowed_regions: regions of the targets; empty for all.
+        :param now: monotonic time in seconds.
+        :returns: seconds; 0 if one of its targets does not pause.
+        """
+        queue = self.queue(service)
+        pauses = self._pauses_of(entry_instance)
+        if queue.placement.has_unpaused(allowed_regions, pauses, now):
+            return 0
+        left_s = pauses.shortest_left_s(queue.targets, allowed_regions, now)
+        return 0 if left_s == float('inf') else left_s
+
     def _record_pause(
         self, entry_instance: str, report: AttemptReport, now: float
     ) -> None:
@@ -197,14 +219,7 @@
         pauses = self.pauses.setdefault(entry_instance, TargetPauses())
         pauses.record(pause, now)
         for queue in self._services.values():
-            for waiting in queue.waiting:
-                if (
-                    waiting.entry_instance == entry_instance
-                    and waiting.target is not None
-                    and pauses.left_s(waiting.target.entry, now)
-                ):
-                    waiting.leave_target_queue()
-                    waiting.recheck_at = now
+            queue.recheck_paused_requests(entry_instance, pauses, now)
 
     def _free_slot(
         self,
@@ -347,7 +362,7 @@
             now,
             request.allowed_regions,
             request.excluded,
-            self.pauses.get(waiting.entry_instance, NO_PAUSES),
+            self._pauses_of(waiting.entry_instance),
         )
         options = self._options_within_shift_limit(queue, waiting, options, now)
         if not options:
@@ -377,12 +392,25 @@
             self.shift_limiter.record_disturbance(now)
         if len(own) == len(options):
             return options
-        if not own and self._shortest_pause_s(
-            queue, waiting, now, region
-        ) == float('inf'):
+        if not own and not self._paused_in_region(queue, waiting, region, now):
             return options
         return options if self.shift_limiter.allows_shift(now) else own
 
+    def _paused_in_region(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        region: str,
+        now: float,
+    ) -> bool:
+        """Tell whether paused targets of a region could serve a request."""
+        allowed = waiting.request.allowed_regions
+        if allowed and region not in allowed:
+            return False
+        return self._pauses_of(waiting.entry_instance).shortest_left_s(
+            queue.targets, frozenset((region,)), now
+        ) < float('inf')
+
     def _decide_late(
         self,
         queue: ServiceQueue,
@@ -532,31 +560,15 @@
         queue: ServiceQueue,
         waiting: WaitingRequest,
         now: float,
-        region: str = '',
     ) -> float:
-        """Return the time until the first paused target may be used again.
-
-        :param region: region of the targets; empty for all allowed ones.
-        :returns: seconds; infinite if none of the targets is paused.
-        """
-        pauses = self.pauses.get(waiting.entry_instance, NO_PAUSES)
-        allowed = waiting.request.allowed_regions
-        targets = (
-            queue.targets[name]
-            for name in pauses.names()
-            if name in queue.targets
-        )
-        return pauses.shortest_left_s(
-            (
-                target.entry
-                for target in targets
-                if target.pool.slots > 0
-                and (not allowed or target.region in allowed)
-                and region in {'', target.region}
-            ),
-            now,
+        """Return the time until the first paused target may be used again."""
+        return self._pauses_of(waiting.entry_instance).shortest_left_s(
+            queue.targets, waiting.request.allowed_regions, now
         )
 
+    def _pauses_of(self, entry_instance: str) -> TargetPauses:
+        return self.pauses.get(entry_instance, NO_PAUSES)
+
     def _refuse_without_option(
         self, queue: ServiceQueue, waiting: WaitingRequest, now: float
     ) -> Refused:
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -233,11 +233,7 @@
         """
         self._refresh_health(now)
         found: dict[str, Option] = {}
-        groups = [
-            group
-            for group in self._regions
-            if not allowed_regions or group.region in allowed_regions
-        ]
+        groups = self._allowed_groups(allowed_regions)
         for group in groups:
             hit_s = group.extra_rtt_s + times.hit_run_s * MIN_RUN_TIME_FRACTION
             if _best_total_s(found) <= hit_s:
@@ -269,6 +265,29 @@
         """
         return self._disturbed_fraction
 
+    def has_unpaused(
+        self, allowed_regions: frozenset[str], pauses: TargetPauses, now: float
+    ) -> bool:
+        """Tell whether some target does not pause.
+
+        :param allowed_regions: regions of the targets; empty for all.
+        :param pauses: pauses of one entry instance.
+        :param now: monotonic time in seconds.
+        """
+        return any(
+            _first_not_paused(group, (), pauses, now)
+            for group in self._allowed_groups(allowed_regions)
+        )
+
+    def _allowed_groups(
+        self, allowed_regions: frozenset[str]
+    ) -> list[_RegionTargets]:
+        return [
+            group
+            for group in self._regions
+            if not allowed_regions or group.region in allowed_regions
+        ]
+
     def _group_by_region(self) -> list[_RegionTargets]:
         names: dict[str, list[str]] = {}
         for name, target in self.targets.items():
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -6,6 +6,7 @@
 
 from .decisions import PlacementRequest
 from .placement import Option, Placement, RunTimes
+from .target_pauses import TargetPauses
 from .tracked_target import TrackedTarget
 
 #: Least weight of a new observation in the run times of a service.
@@ -100,6 +101,24 @@
             weight = max(SMOOTHING, 1 / (times.miss_count + 1))
             times.miss_run_s += weight * (run_s - times.miss_run_s)
 
+    def recheck_paused_requests(
+        self, entry_instance: str, pauses: TargetPauses, now: float
+    ) -> None:
+        """Make requests due for placement that wait for a paused target.
+
+        :param entry_instance: entry instance that was asked to pause.
+        :param pauses: its pauses.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self.waiting:
+            if (
+                waiting.entry_instance == entry_instance
+                and waiting.target is not None
+                and pauses.left_s(waiting.target.entry, now)
+            ):
+                waiting.leave_target_queue()
+                waiting.recheck_at = now
+
     def init_run_times(self, objective_s: float) -> None:
         """Estimate run times from an objective if none are known yet.
 
--- a/src/cuminhoist/steering/target_pauses.py
+++ b/src/cuminhoist/steering/target_pauses.py
@@ -5,19 +5,15 @@
 further request from that instance.
 """
 
-import collections
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 import msgspec
 
 from .targets import TargetEntry
+from .tracked_target import TrackedTarget
 
 #: Interval at which expired pauses are dropped, in seconds.
 PRUNE_INTERVAL_S = 1.0
-#: Pauses asked of this many entry instances within the window, in seconds,
-#: mean that the target is overloaded.
-OVERLOAD_INSTANCE_COUNT = 2
-OVERLOAD_WINDOW_S = 1.0
 
 
 class TargetPause(msgspec.Struct, frozen=True, array_like=True):
@@ -82,21 +78,27 @@
         return max(pause.ends_at - now, 0)
 
     def shortest_left_s(
-        self, targets: Iterable[TargetEntry], now: float
+        self,
+        targets: Mapping[str, TrackedTarget],
+        regions: frozenset[str],
+        now: float,
     ) -> float:
-        """Return the time until the first of the paused targets is free.
+        """Return the time until the first paused target may be used again.
 
-        :param targets: targets, paused or not.
+        :param targets: the targets of a service by name.
+        :param regions: regions of the targets that count; empty for all.
         :param now: monotonic time in seconds.
         :returns: seconds; infinite if none of the targets is paused.
         """
-        left_s = (self.left_s(target, now) for target in targets)
+        paused = (targets[name] for name in self._by_target if name in targets)
+        left_s = (
+            self.left_s(target.entry, now)
+            for target in paused
+            if target.pool.slots > 0
+            and (not regions or target.region in regions)
+        )
         return min((left for left in left_s if left), default=float('inf'))
 
-    def names(self) -> Iterable[str]:
-        """Return the names of the paused targets, some maybe expired."""
-        return self._by_target.keys()
-
     def unexpired(self, now: float) -> tuple[TargetPause, ...]:
         """Return the pauses that have not ended.
 
@@ -123,35 +125,6 @@
 NO_PAUSES = TargetPauses()
 
 
-class OverloadDetector:
-    """Takes pauses asked of several entry instances for an overload."""
-
-    def __init__(self) -> None:
-        # The latest pauses: entry instance, time of the answer, end.
-        self._recent: collections.deque[tuple[str, float, float]] = (
-            collections.deque()
-        )
-
-    def record(self, entry_instance: str, pause_s: float, now: float) -> float:
-        """Record a pause and return until when the target is overloaded.
-
-        It is the earliest end of the pauses: the other entry instances were
-        not asked for a pause, and one that was may return then.
-
-        :param entry_instance: the entry instance that was asked.
-        :param pause_s: the pause in seconds.
-        :param now: monotonic time in seconds.
-        :returns: monotonic time in seconds; in the past if it is not.
-        """
-        while self._recent and self._recent[0][1] < now - OVERLOAD_WINDOW_S:
-            self._recent.popleft()
-        self._recent.append((entry_instance, now, now + pause_s))
-        ends = {instance: ends_at for instance, _, ends_at in self._recent}
-        if len(ends) < OVERLOAD_INSTANCE_COUNT:
-            return float('-inf')
-        return min(ends.values())
-
-
 def _is_restart(former_start_ms: int, start_ms: int) -> bool:
     """Tell whether a start is a later one; unknown starts are the same."""
     return 0 < former_start_ms < start_ms
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -3,7 +3,7 @@
 import collections
 
 from .decisions import Ending
-from .target_pauses import OverloadDetector
+from .overload_detector import OverloadDetector
 from .targets import TargetEntry
 
 #: Weight of a new observation in moving averages.
--- a/tests/steering/test_target_pauses.py
+++ b/tests/steering/test_target_pauses.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from cuminhoist.steering.overload_detector import OverloadDetector
 from cuminhoist.steering.target_pauses import (
     PRUNE_INTERVAL_S,
-    OverloadDetector,
     TargetPause,
     TargetPauses,
 )
