Keep pauses at the moment of sending, count and log them

The entry instance remembers its pauses with its local dispatcher, so a cut instance knows them as well. A grant that crossed a pause is returned and the request is placed again without spending an attempt; the same now holds for a granted target that has left the list. A request that gets no other attempt is refused with the end of the shortest pause if all targets pause.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -26,6 +26,8 @@
     :param target_leaving: whether the target says that it is about to stop.
     :param pause_s: how long the target asks this instance to send it no
         requests, in seconds; 0 for no pause.
+    :param odd_pause: the text of a pause that is ignored or bounded, for the
+        log; empty otherwise.
     """
 
     ending: Ending
@@ -34,6 +36,7 @@
     detail: str = ''
     target_leaving: bool = False
     pause_s: float = 0
+    odd_pause: str = ''
 
 
 class AttemptSender:
@@ -118,6 +121,7 @@
                 detail=f'status {answer.status}, not run',
                 target_leaving=metadata.target_leaving,
                 pause_s=metadata.pause_s,
+                odd_pause=metadata.odd_pause,
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
         detail = f'status {answer.status}' if failed else ''
@@ -129,6 +133,7 @@
             detail=detail,
             target_leaving=metadata.target_leaving,
             pause_s=metadata.pause_s,
+            odd_pause=metadata.odd_pause,
         )
 
     def _release_connection(
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -21,6 +21,8 @@
     Refused,
 )
 from ..steering.dispatcher import Dispatcher
+from ..steering.target_pauses import NO_PAUSES, TargetPause, TargetPauses
+from ..steering.targets import TargetEntry
 
 #: Time after the objective of a request, in seconds, after which its decision
 #: counts as lost; the dispatcher decides within the objective.
@@ -146,7 +148,10 @@
         queueing_s = self._queueing_s.pop(report.number, 0)
         run_s = max(report.run_s - queueing_s, 0)
         report = msgspec.structs.replace(report, run_s=run_s)
-        if report.number in self._local_numbers:
+        is_local = report.number in self._local_numbers
+        # The local dispatcher learns of all pauses, as it may have to decide
+        # during them.
+        if is_local or report.pause_s > 0:
             self._local_numbers.discard(report.number)
             for _, decision in self.local_dispatcher.end_attempt(
                 '', report, self._now()
@@ -159,6 +164,33 @@
         if self._remote.is_available():
             self._remote.report_attempt_end(report)
 
+    def pause_left_s(self, target: TargetEntry) -> float:
+        """Return how long a target must not be sent requests, in seconds.
+
+        :param target: the target.
+        """
+        return self._own_pauses().left_s(target, self._now())
+
+    def time_to_unpaused_s(
+        self, service: str, allowed_regions: frozenset[str]
+    ) -> float:
+        """Return how long all targets of a service pause, in seconds.
+
+        :param service: name of the service.
+        :param allowed_regions: regions of the targets; empty for all.
+        :returns: seconds; 0 if one of its targets does not pause.
+        """
+        return self.local_dispatcher.time_to_unpaused_s(
+            '', service, allowed_regions, self._now()
+        )
+
+    def unexpired_pauses(self) -> tuple[TargetPause, ...]:
+        """Return the pauses that a new dispatcher must know."""
+        return self._own_pauses().unexpired(self._now())
+
+    def _own_pauses(self) -> TargetPauses:
+        return self.local_dispatcher.pauses.get('', NO_PAUSES)
+
     async def _place_remote(self, req: PlacementRequest) -> Decision | None:
         """Return the region's decision; None if there is none in time."""
         fut = self._add_pending(req.number)
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -41,19 +41,21 @@
 
 
 def refusal_after_attempt(
-    state: RequestState, outcome: AttemptOutcome
+    state: RequestState, outcome: AttemptOutcome, paused_s: float
 ) -> Refusal:
     """Return the refusal of a request whose last attempt gave no answer.
 
     :param state: the request.
     :param outcome: outcome of its last attempt.
+    :param paused_s: how long all targets of the service pause, in seconds; 0
+        if one of them does not.
     """
     if not state.may_have_run:
         declined = outcome.ending is Ending.declined
         return not_run_refusal(
             Reason.target_refused,
             'The target did not run the request.',
-            DECLINED_RETRY_S if declined else NOT_READY_RETRY_S,
+            paused_s or (DECLINED_RETRY_S if declined else NOT_READY_RETRY_S),
         )
     timed_out = outcome.ending is Ending.timeout
     return Refusal(
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -45,6 +45,12 @@
             ('service', 'ending'),
             registry=self.registry,
         )
+        self.pauses = Counter(
+            'cuminhoist_target_pauses',
+            'Pauses that targets asked for, by service and outcome.',
+            ('service', 'outcome'),
+            registry=self.registry,
+        )
         self.latency = Histogram(
             'cuminhoist_request_seconds',
             'Time from the arrival of a request to its complete answer.',
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -44,6 +44,7 @@
 from .routes import RepeatPolicy, Route
 from .splits import Splitter
 from .target_connections import TargetConnections
+from .target_pause_log import TargetPauseLog
 from .wire import IncomingRequest, WireFormat
 
 #: Time reserved for the final answer to reach the caller, in seconds.
@@ -90,6 +91,7 @@
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
+        self._pause_log = TargetPauseLog(metrics, now)
         self._splitter = Splitter(random.Random())  # noqa: S311
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._retry_ratio = retry_ratio
@@ -236,11 +238,11 @@
                 return await self._answer_without_target(state, decision, send)
             target = self.routing_state.targets.get(decision.target)
             state.waited_s += decision.waited_s
-            if target is None:
+            if target is None or self._is_paused(state, target, decider):
                 self._report_attempt(
                     state, decision, AttemptOutcome(Ending.withdrawn), 0
                 )
-                state.tried_targets.append(decision.target)
+                state.skipped_targets.append(decision.target)
                 continue
             outcome = await self._attempt(
                 state, body, target, decision, decider
@@ -253,6 +255,21 @@
                 state, outcome.answer, scope, send
             )
 
+    def _is_paused(
+        self, state: RequestState, target: TargetEntry, decider: str
+    ) -> bool:
+        """Tell whether a granted target asked this instance for a pause.
+
+        The dispatcher may not have known the pause when it sent the grant.
+        """
+        left_s = self._placement_client.pause_left_s(target)
+        if not left_s:
+            return False
+        self._pause_log.record_returned_grant(state.service)
+        pause = f'pauses for {left_s * MS_PER_S:.0f}ms'
+        state.trail.append(f'{decider}: {target.name} {pause}')
+        return True
+
     async def _attempt(
         self,
         state: RequestState,
@@ -280,7 +297,16 @@
                 state.ends_at - started_at,
             )
         finally:
-            self._record_attempt(state, decision, decider, outcome, started_at)
+            self._pause_log.record(
+                state.req.request_id,
+                state.service,
+                target.name,
+                outcome,
+                pausing=self._placement_client.pause_left_s(target) > 0,
+            )
+            self._record_attempt(
+                state, decision, decider, outcome, started_at, target
+            )
         if outcome.detail:
             state.trail.append(outcome.detail)
         state.may_have_run = state.may_have_run or outcome.may_have_run
@@ -293,9 +319,12 @@
         decider: str,
         outcome: AttemptOutcome,
         started_at: float,
+        target: TargetEntry,
     ) -> None:
         run_s = self._now() - started_at
-        self._report_attempt(state, decision, outcome, run_s)
+        self._report_attempt(
+            state, decision, outcome, run_s, target.started_at_ms
+        )
         state.tried_targets.append(decision.target)
         took = f'{run_s * MS_PER_S:.0f}ms'
         cache = 'held' if decision.held else 'first'
@@ -308,6 +337,7 @@
         decision: Granted,
         outcome: AttemptOutcome,
         run_s: float,
+        target_started_at_ms: int = 0,
     ) -> None:
         self._metrics.attempts.labels(state.service, outcome.ending).inc()
         self._placement_client.report_attempt_end(
@@ -320,6 +350,7 @@
                 run_s,
                 outcome.target_leaving,
                 outcome.pause_s,
+                target_started_at_ms,
             ),
         )
 
@@ -380,7 +411,10 @@
         outcome: AttemptOutcome,
         send: Send,
     ) -> str:
-        refusal = refusal_after_attempt(state, outcome)
+        paused_s = self._placement_client.time_to_unpaused_s(
+            state.service, state.route.allowed_regions
+        )
+        refusal = refusal_after_attempt(state, outcome, paused_s)
         await send_refusal(refusal, send)
         return f'failed-{refusal.reason}'
 
@@ -415,7 +449,7 @@
             objective_left_s=state.objective_ends_at - now,
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
-            excluded=tuple(state.tried_targets),
+            excluded=(*state.tried_targets, *state.skipped_targets),
         )
 
     def _record_request(self, state: RequestState, outcome: str) -> None:
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -48,6 +48,8 @@
         #: Round-trip time to the caller, in seconds; 0 if unknown.
         self.round_trip_s = float(0)
         self.tried_targets: list[str] = []
+        #: Targets that were granted but could not be sent the request.
+        self.skipped_targets: list[str] = []
         self.may_have_run = False
         self.sent = False
         self.waited_s = float(0)
