--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -142,6 +142,7 @@
             self.placement_client.handle_dispatcher_loss
         )
         links.running_attempts = self._running_attempts
+        links.unexpired_pauses = self.placement_client.unexpired_pauses
         links.progress = self._progress
         for coroutine in (
             links.run(),
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -17,6 +17,7 @@
 from ..logging_setup import logger
 from ..rendezvous import ranked
 from ..steering.decisions import AttemptReport, PlacementRequest
+from ..steering.target_pauses import TargetPause
 from .instance_config import Address, InstanceConfig
 from .link import Link, LinkHandler, Links
 from .link_meter import LinkMeter
@@ -26,6 +27,7 @@
     ControlEndpoint,
     FleetSummary,
     Hello,
+    PausesNotice,
     PlacementRequestNotice,
     ReadinessNotice,
     RunningNotice,
@@ -88,6 +90,7 @@
         self.on_message: Callable[[Message], None] = _ignore_message
         self.on_dispatcher_change: Callable[[], None] = _ignore
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
+        self.unexpired_pauses: Callable[[], tuple[TargetPause, ...]] = tuple
         self._config = config
         self._hello = hello
         self._now = now
@@ -248,6 +251,9 @@
         self.on_dispatcher_change()
         if chosen is not None:
             chosen.link.send(RunningNotice(running=self.running_attempts()))
+            pauses = self.unexpired_pauses()
+            if pauses:
+                chosen.link.send(PausesNotice(pauses=pauses))
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         control = _LinkedControl(hello, link, wanted_at=self._now())
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -17,6 +17,7 @@
     Refused,
 )
 from ..steering.demand import Demand
+from ..steering.target_pauses import TargetPause
 from ..steering.targets import TargetEntry
 from .instance_config import Address
 
@@ -239,6 +240,16 @@
     running: tuple[AttemptReport, ...]
 
 
+@register_message
+class PausesNotice(Message, frozen=True):
+    """Pauses that targets asked the sender for, repeated to a new dispatcher.
+
+    The dispatcher learns of later ones from attempt reports.
+    """
+
+    pauses: tuple[TargetPause, ...]
+
+
 @register_message
 class WithdrawNotice(Message, frozen=True):
     """Withdraws a waiting placement request whose caller has disconnected.
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -16,6 +16,7 @@
 from .messages import (
     AttemptReportNotice,
     DecisionNotice,
+    PausesNotice,
     PlacementRequestNotice,
     RunningNotice,
     WithdrawNotice,
@@ -77,10 +78,20 @@
                 msg.service,
                 self._now(),
             )
-        elif isinstance(msg, RunningNotice):
-            self.dispatcher.release_entry_instance(entry_id, self._now())
+        else:
+            self._restore(entry_id, msg)
+
+    def _restore(self, entry_id: str, msg: Message) -> None:
+        """Take over what an entry instance knows of a former dispatcher."""
+        now = self._now()
+        if isinstance(msg, RunningNotice):
+            self.dispatcher.release_entry_instance(entry_id, now)
             for report in msg.running:
-                self.dispatcher.restore_attempt(entry_id, report, self._now())
+                self.dispatcher.restore_attempt(entry_id, report, now)
+        elif isinstance(msg, PausesNotice):
+            self._send_decisions(
+                self.dispatcher.restore_pauses(entry_id, msg.pauses, now)
+            )
 
     def handle_peer_loss(self, peer: Peer) -> None:
         """Free the slots of an entry instance whose link has ended.
