--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -127,6 +127,11 @@
         """Whether the answer is complete or the exchange has failed."""
         return self.complete or self.error is not None
 
+    @property
+    def head_received(self) -> bool:
+        """Whether status and headers of the answer have arrived."""
+        return self._head_received
+
     def is_own_answer(self) -> bool:
         """Return whether the headers received answer this request.
 
--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -1,5 +1,7 @@
 """Sends answers to callers: answers of targets and refusals."""
 
+import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
@@ -31,6 +33,7 @@
 async def read_answer_start(
     exchange: Exchange,
     buffer_bytes: int,
+    body_timeout_s: float | None = None,
 ) -> TargetAnswer:
     """Return the head and the first body bytes of an answer.
 
@@ -38,18 +41,15 @@
 
     :param exchange: the request that was sent.
     :param buffer_bytes: body bytes to read before the answer is passed on.
+    :param body_timeout_s: how long to wait for these bytes, in seconds; None
+        for no limit.
     """
     await exchange.wait_for_head()
     chunks: list[bytes] = []
-    size = 0
     complete = False
-    while size < buffer_bytes:
-        chunk = await exchange.read()
-        if not chunk:
-            complete = True
-            break
-        chunks.append(chunk)
-        size += len(chunk)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(body_timeout_s):
+            complete = await _read_chunks(exchange, buffer_bytes, chunks)
     return TargetAnswer(
         exchange.status,
         exchange.headers,
@@ -59,6 +59,20 @@
     )
 
 
+async def _read_chunks(
+    exchange: Exchange, buffer_bytes: int, chunks: list[bytes]
+) -> bool:
+    """Add body bytes to the chunks; return whether the body is complete."""
+    size = 0
+    while size < buffer_bytes:
+        chunk = await exchange.read()
+        if not chunk:
+            return True
+        chunks.append(chunk)
+        size += len(chunk)
+    return False
+
+
 async def send_answer(
     answer: TargetAnswer,
     headers: Headers,
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -14,6 +14,10 @@
 from .target_connections import TargetConnections
 from .wire import IncomingRequest, WireFormat
 
+#: How long the body of an answer that asks for a pause may take, in seconds.
+#: The pause counts from the head of the answer and must be known by then.
+PAUSE_BODY_TIMEOUT_S = 0.25
+
 _MIN_FAILURE_STATUS = 500
 
 
@@ -88,21 +92,44 @@
             async with asyncio.timeout(left_s):
                 connected.conn.start(exchange)
                 self._start_upload(exchange, req, body)
+                await exchange.wait_for_head()
                 answer = await read_answer_start(
                     exchange,
                     self._connections.pacer.buffer_bytes,
+                    self._body_timeout_s(exchange),
                 )
         except TimeoutError:
             abort(exchange)
-            return AttemptOutcome(Ending.timeout, detail='timeout')
+            return self._outcome_without_answer(
+                exchange, Ending.timeout, 'timeout'
+            )
         except ProtocolError as exc:
             abort(exchange)
-            return AttemptOutcome(Ending.lost, detail=str(exc))
+            return self._outcome_without_answer(exchange, Ending.lost, str(exc))
         except BaseException:
             abort(exchange)
             raise
         return self._classify(target, answer)
 
+    def _body_timeout_s(self, exchange: Exchange) -> float | None:
+        metadata = self._wire.read_metadata(exchange.status, exchange.headers)
+        return PAUSE_BODY_TIMEOUT_S if metadata.pause_s else None
+
+    def _outcome_without_answer(
+        self, exchange: Exchange, ending: Ending, detail: str
+    ) -> AttemptOutcome:
+        if not exchange.head_received:
+            return AttemptOutcome(ending, detail=detail)
+        # What the head tells about the target holds also without the body.
+        metadata = self._wire.read_metadata(exchange.status, exchange.headers)
+        return AttemptOutcome(
+            ending,
+            detail=detail,
+            target_leaving=metadata.target_leaving,
+            pause_s=metadata.pause_s,
+            odd_pause=metadata.odd_pause,
+        )
+
     def _classify(
         self,
         target: TargetEntry,
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -131,6 +131,35 @@
     assert (report.pause_s, report.target_started_at_ms) == (1.5, 77)
 
 
+@pytest.mark.parametrize('not_run', [{}, {'x_not_executed': '1'}])
+async def test_pause_counts_from_the_head_of_its_answer(not_run):
+    """Guards against waiting for a body that is late, or never ends."""
+    fields = {'retry_after': '5', 'content_length': '900', **not_run}
+    paused = ScriptedTarget(
+        lambda head: answer(head, status='503 Busy', **fields)
+    )
+    good = ScriptedTarget(answer)
+    async with gateway(paused, good) as harness:
+        for number in range(3):
+            received = await harness.request(request_id=f'id{number}')
+            assert received.startswith(b'HTTP/1.1 200')
+    assert len(paused.heads) == 1
+
+
+async def test_pause_of_a_truncated_answer_counts():
+    """Guards against a pause that is lost with the body of its answer."""
+    fields = {'retry_after': '5', 'content_length': '900'}
+    target = ScriptedTarget(
+        lambda head: (
+            answer(head, status='503 Busy', **fields) + b'connection: close'
+        )
+    )
+    async with gateway(target) as harness:
+        for number in range(3):
+            await harness.request(request_id=f'id{number}')
+    assert len(target.heads) == 1
+
+
 async def test_cut_instance_keeps_its_pauses():
     """Guards against a local dispatcher that does not know the pauses."""
     paused, good = _pausing(), ScriptedTarget(answer)
