--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -205,12 +205,14 @@
             report.target, report.target_started_at_ms, report.pause_s
         )
         self._add_pause(entry_instance, pause, now)
-        target = self.queue(report.service).targets.get(report.target)
+        queue = self.queue(report.service)
+        target = queue.targets.get(report.target)
         # A report of an earlier start says nothing about the present one.
         if target is not None and self.pauses[entry_instance].left_s(
             target.entry, now
         ):
             target.record_pause(entry_instance, report.pause_s, now)
+            queue.recheck_overloaded_requests(target, now)
 
     def _add_pause(
         self, entry_instance: str, pause: TargetPause, now: float
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -119,6 +119,20 @@
                 waiting.leave_target_queue()
                 waiting.recheck_at = now
 
+    def recheck_overloaded_requests(
+        self, target: TrackedTarget, now: float
+    ) -> None:
+        """Make requests due for placement that wait for a target in overload.
+
+        :param target: a target, overloaded or not.
+        :param now: monotonic time in seconds.
+        """
+        if not target.is_overloaded(now):
+            return
+        for waiting in self.waiting:
+            if waiting.target is target:
+                waiting.recheck_at = now
+
     def init_run_times(self, objective_s: float) -> None:
         """Estimate run times from an objective if none are known yet.
 
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -165,7 +165,7 @@
         """
         if self.running >= self.slots or self.pool.is_full():
             return False
-        if now < self._overloaded_until:
+        if self.is_overloaded(now):
             return False
         if self.is_ejected(now) and not self.panic_mode:
             return False
@@ -173,6 +173,13 @@
             now >= self.warmup_until or self._available_warmup_tokens(now) >= 1
         )
 
+    def is_overloaded(self, now: float) -> bool:
+        """Tell whether the target asked several entry instances to pause.
+
+        :param now: monotonic time in seconds.
+        """
+        return now < self._overloaded_until
+
     def slowdown(self, now: float) -> float:
         """Return by what factor answers are expected to take longer.
 
--- a/tests/steering/test_pauses_in_dispatcher.py
+++ b/tests/steering/test_pauses_in_dispatcher.py
@@ -219,6 +219,16 @@
     assert 't0' in _granted_names(dispatcher, _PAUSE_S + 0.1, 'e3')
 
 
+def test_request_that_waits_for_an_overloaded_target_is_placed_again():
+    """Guards against waiting for a target that asks all to send less."""
+    dispatcher = make_dispatcher(count=1)
+    granted = [_place(dispatcher, 1, 0, 'e1')]
+    assert _place(dispatcher, 2, 0, 'e3') is None
+    _pause_target(dispatcher, 't0', 0.01, 'e2')
+    ((instance, decision),) = _report_pause(dispatcher, granted[0], 0.02, 'e1')
+    assert (instance, type(decision)) == ('e3', Refused)
+
+
 def test_pauses_at_unlike_times_are_no_overload():
     """Guards against taking single pauses for an overload."""
     dispatcher = make_dispatcher(count=2)
