Learn no run time from attempts that were not sent

A returned grant reported a run of 0 s, which counted as a cache hit of the target. Refusals with a pause and callers that left count as such attempts.

--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -458,9 +458,11 @@
         report: AttemptReport,
         now: float,
     ) -> None:
-        ratio = self._learn_run_time(
-            queue, target, report, attempt.expected_hit, now
-        )
+        ratio = float(1)
+        if report.ending is not Ending.withdrawn:
+            ratio = self._learn_run_time(
+                queue, target, report, attempt.expected_hit, now
+            )
         target.end(report.ending, attempt.key, ratio, now)
 
     def _learn_run_time(
--- a/tests/steering/test_pauses_in_dispatcher.py
+++ b/tests/steering/test_pauses_in_dispatcher.py
@@ -284,6 +284,24 @@
     assert decision.retry_after_s == pytest.approx(1.9)
 
 
+@pytest.mark.parametrize('pause_s', [0, _PAUSE_S])
+def test_attempt_that_never_ran_teaches_no_run_time(pause_s):
+    """Guards against returned grants that count as cache hits."""
+    dispatcher = make_dispatcher(count=1)
+    times = dispatcher.queue(SERVICE).run_times
+    presumed = times.presumed_hit_fraction
+    granted = _place(dispatcher, 1, 0, key='k')
+    report = attempt_report(
+        granted,
+        run_s=0.0,
+        key='k',
+        ending=Ending.shed if pause_s else Ending.withdrawn,
+        pause_s=pause_s,
+    )
+    dispatcher.end_attempt('e', report, 0)
+    assert times.presumed_hit_fraction == presumed
+
+
 def test_lost_instance_is_forgotten_with_its_pauses():
     """Guards against memory that grows with each start of an instance."""
     dispatcher = make_dispatcher(count=1)
