--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -101,6 +101,16 @@
             weight = max(SMOOTHING, 1 / (times.miss_count + 1))
             times.miss_run_s += weight * (run_s - times.miss_run_s)
 
+    def init_run_times(self, objective_s: float) -> None:
+        """Estimate run times from an objective if none are known yet.
+
+        :param objective_s: time until the objective, in seconds.
+        """
+        if not self.run_times.miss_run_s and objective_s > 0:
+            self.run_times.miss_run_s = objective_s * INITIAL_MISS_RUN_FRACTION
+            self.run_times.hit_run_s = objective_s * INITIAL_HIT_RUN_FRACTION
+            self.run_times.mean_s = self.run_times.miss_run_s
+
     def recheck_paused_requests(
         self, entry_instance: str, pauses: TargetPauses, now: float
     ) -> None:
@@ -132,13 +142,3 @@
         for waiting in self.waiting:
             if waiting.target is target:
                 waiting.recheck_at = now
-
-    def init_run_times(self, objective_s: float) -> None:
-        """Estimate run times from an objective if none are known yet.
-
-        :param objective_s: time until the objective, in seconds.
-        """
-        if not self.run_times.miss_run_s and objective_s > 0:
-            self.run_times.miss_run_s = objective_s * INITIAL_MISS_RUN_FRACTION
-            self.run_times.hit_run_s = objective_s * INITIAL_HIT_RUN_FRACTION
-            self.run_times.mean_s = self.run_times.miss_run_s
