--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -5,7 +5,11 @@
 
 import msgspec
 
-from ..exceptions import ProtocolError, RemoteProtocolError
+from ..exceptions import (
+    LocalProtocolError,
+    ProtocolError,
+    RemoteProtocolError,
+)
 from ..exchange import Exchange, Headers
 from ..steering.decisions import Ending
 from ..steering.targets import TargetEntry
@@ -151,13 +155,18 @@
                 odd_pause=metadata.odd_pause,
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
-        detail = f'status {answer.status}' if failed else ''
-        if not metadata.stamped:
-            detail = f'status {answer.status} without a stamp'
+        if not failed and not metadata.stamped:
+            # The application of the target has not given this answer.
+            abort(answer.exchange)
+            return AttemptOutcome(
+                Ending.lost,
+                detail=f'status {answer.status} without a stamp',
+                target_leaving=metadata.target_leaving,
+            )
         return AttemptOutcome(
             Ending.failed if failed else Ending.answered,
             answer,
-            detail=detail,
+            detail=f'status {answer.status}' if failed else '',
             target_leaving=metadata.target_leaving,
             pause_s=metadata.pause_s,
             odd_pause=metadata.odd_pause,
@@ -192,11 +201,18 @@
     with contextlib.suppress(asyncio.CancelledError):
         try:
             await conn.upload(exchange, body.chunks(), req.chunked)
+            _require_whole_body(req, body)
         except Exception as exc:
             # The target must not mistake a truncated body for a whole one.
             exchange.abort(exc)
 
 
+def _require_whole_body(req: IncomingRequest, body: RequestBody) -> None:
+    # The target would read the next request as the rest of this body.
+    if req.body_bytes not in {None, body.size}:
+        raise LocalProtocolError('the body is not as long as declared')
+
+
 def abort(exchange: Exchange) -> None:
     """Abort an exchange and close its connection.
 
