--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from .decisions import (
     AttemptReport,
     Decision,
@@ -28,6 +30,7 @@
     WaitingRequest,
 )
 from .region_shift_limiter import RegionShiftLimiter
+from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
 from .tracked_target import TrackedTarget
 
 #: Runs that take longer than expected by at least this factor are left out of
@@ -68,6 +71,8 @@
         self.shift_limiter = RegionShiftLimiter(shift_limit)
         self._services: dict[str, ServiceQueue] = {}
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
+        #: Pauses that targets asked for, by entry instance.
+        self.pauses: dict[str, TargetPauses] = {}
 
     def queue(self, name: str) -> ServiceQueue:
         """Return the queue of a service.
@@ -146,6 +151,84 @@
         :param now: monotonic time in seconds.
         :returns: decisions by entry instance.
         """
+        if report.pause_s <= 0:
+            return self._free_slot(entry_instance, report, now)
+        self._record_pause(entry_instance, report, now)
+        # A pause concerns one entry instance; it is no failure of the target.
+        report = msgspec.structs.replace(report, ending=Ending.withdrawn)
+        decisions = self._free_slot(entry_instance, report, now)
+        return [*decisions, *self.decide_waiting(now)]
+
+    def restore_pauses(
+        self,
+        entry_instance: str,
+        pauses: Iterable[TargetPause],
+        now: float,
+    ) -> list[tuple[str, Decision]]:
+        """Record the pauses that targets asked for under another dispatcher.
+
+        :param entry_instance: the entry instance that was asked for them.
+        :param pauses: the pauses.
+        :param now: monotonic time in seconds.
+        :returns: decisions by entry instance.
+        """
+        for pause in pauses:
+            self._add_pause(entry_instance, pause, now)
+        return self.decide_waiting(now)
+
+    def time_to_unpaused_s(
+        self,
+        entry_instance: str,
+        service: str,
+        allowed_regions: frozenset[str],
+        now: float,
+    ) -> float:
+        """Return how long all targets of a service pause, in seconds.
+
+        :param entry_instance: the entry instance that was asked to pause.
+        :param service: name of the service.
+        :param allowed_regions: regions of the targets; empty for all.
+        :param now: monotonic time in seconds.
+        :returns: seconds; 0 if one of its targets does not pause.
+        """
+        queue = self.queue(service)
+        pauses = self._pauses_of(entry_instance)
+        if queue.placement.has_unpaused(allowed_regions, pauses, now):
+            return 0
+        left_s = pauses.shortest_left_s(queue.targets, allowed_regions, now)
+        return 0 if left_s == float('inf') else left_s
+
+    def _record_pause(
+        self, entry_instance: str, report: AttemptReport, now: float
+    ) -> None:
+        pause = TargetPause(
+            report.target, report.target_started_at_ms, report.pause_s
+        )
+        self._add_pause(entry_instance, pause, now)
+        queue = self.queue(report.service)
+        target = queue.targets.get(report.target)
+        # A report of an earlier start says nothing about the present one.
+        if target is not None and self.pauses[entry_instance].left_s(
+            target.entry, now
+        ):
+            target.record_pause(entry_instance, report.pause_s, now)
+            queue.recheck_overloaded_requests(target, now)
+
+    def _add_pause(
+        self, entry_instance: str, pause: TargetPause, now: float
+    ) -> None:
+        """Record a pause and have waiting requests placed again."""
+        pauses = self.pauses.setdefault(entry_instance, TargetPauses())
+        pauses.record(pause, now)
+        for queue in self._services.values():
+            queue.recheck_paused_requests(entry_instance, pauses, now)
+
+    def _free_slot(
+        self,
+        entry_instance: str,
+        report: AttemptReport,
+        now: float,
+    ) -> list[tuple[str, Decision]]:
         attempt = self._running_attempts.pop(
             (entry_instance, report.number), None
         )
@@ -191,6 +274,7 @@
         :param entry_instance: the entry instance.
         :param now: monotonic time in seconds.
         """
+        self.pauses.pop(entry_instance, None)
         for queue in self._services.values():
             for waiting in tuple(queue.waiting):
                 if waiting.entry_instance == entry_instance:
@@ -280,12 +364,11 @@
             now,
             request.allowed_regions,
             request.excluded,
+            self._pauses_of(waiting.entry_instance),
         )
+        options = self._options_within_shift_limit(queue, waiting, options, now)
         if not options:
-            return Refused(
-                request.number, RefusalReason.no_target, NO_TARGET_RETRY_S
-            )
-        options = self._options_within_shift_limit(queue, options, now)
+            return self._refuse_without_option(queue, waiting, now)
         best = min(options, key=lambda option: option.total_s)
         if not best.wait_s:
             return self._grant(waiting, best.target, now)
@@ -300,6 +383,7 @@
     def _options_within_shift_limit(
         self,
         queue: ServiceQueue,
+        waiting: WaitingRequest,
         options: list[Option],
         now: float,
     ) -> list[Option]:
@@ -308,10 +392,27 @@
         own = [option for option in options if option.target.region == region]
         if queue.placement.disturbed_fraction() > MAX_DISTURBED_FRACTION:
             self.shift_limiter.record_disturbance(now)
-        if len(own) in {0, len(options)}:
+        if len(own) == len(options):
+            return options
+        if not own and not self._paused_in_region(queue, waiting, region, now):
             return options
         return options if self.shift_limiter.allows_shift(now) else own
 
+    def _paused_in_region(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        region: str,
+        now: float,
+    ) -> bool:
+        """Tell whether paused targets of a region could serve a request."""
+        allowed = waiting.request.allowed_regions
+        if allowed and region not in allowed:
+            return False
+        return self._pauses_of(waiting.entry_instance).shortest_left_s(
+            queue.targets, frozenset((region,)), now
+        ) < float('inf')
+
     def _decide_late(
         self,
         queue: ServiceQueue,
@@ -325,7 +426,10 @@
             soonest = min(free, key=lambda option: option.total_s)
             return self._grant(waiting, soonest.target, now)
         soonest = min(options, key=lambda option: option.wait_s)
-        return self._refuse(queue, waiting, soonest)
+        soonest_s = min(
+            soonest.wait_s, self._shortest_pause_s(queue, waiting, now)
+        )
+        return self._refuse(waiting, soonest_s)
 
     def _grant_waiting(
         self,
@@ -354,9 +458,11 @@
         report: AttemptReport,
         now: float,
     ) -> None:
-        ratio = self._learn_run_time(
-            queue, target, report, attempt.expected_hit, now
-        )
+        ratio = float(1)
+        if report.ending is not Ending.withdrawn:
+            ratio = self._learn_run_time(
+                queue, target, report, attempt.expected_hit, now
+            )
         target.end(report.ending, attempt.key, ratio, now)
 
     def _learn_run_time(
@@ -453,20 +559,36 @@
             target.region,
         )
 
-    def _refuse(
+    def _shortest_pause_s(
         self,
         queue: ServiceQueue,
         waiting: WaitingRequest,
-        soonest: Option,
-    ) -> Refused:
-        retry_after_s = max(
-            RETRY_FRACTION * waiting.request.left_s, soonest.wait_s
+        now: float,
+    ) -> float:
+        """Return the time until the first paused target may be used again."""
+        return self._pauses_of(waiting.entry_instance).shortest_left_s(
+            queue.targets, waiting.request.allowed_regions, now
         )
+
+    def _pauses_of(self, entry_instance: str) -> TargetPauses:
+        return self.pauses.get(entry_instance, NO_PAUSES)
+
+    def _refuse_without_option(
+        self, queue: ServiceQueue, waiting: WaitingRequest, now: float
+    ) -> Refused:
+        number = waiting.request.number
+        left_s = self._shortest_pause_s(queue, waiting, now)
+        if left_s == float('inf'):
+            return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
+        return Refused(number, RefusalReason.overload, left_s, left_s)
+
+    def _refuse(self, waiting: WaitingRequest, soonest_s: float) -> Refused:
+        retry_after_s = max(RETRY_FRACTION * waiting.request.left_s, soonest_s)
         return Refused(
             waiting.request.number,
             RefusalReason.overload,
             retry_after_s,
-            soonest.wait_s,
+            soonest_s,
         )
 
     def _release_slot(self, attempt: RunningAttempt, now: float) -> None:
