Send leaving notices and pauses from the soak's targets and check both rules

Stand-in targets announce that they leave in all their answers, in some plans before the list shows it, and answer 503 with Retry-After while they are over their limit or for some seconds by plan. Plans also cut all links of control instances at once and reassign addresses to another service.

The id of a request tells which entry instance sent it: callers use each id once and record the instance. A replaced target no longer inherits the leaving state of the incarnation before it.

New kinds of faults change the plans of all seeds, so seeds.txt names the version of each plan: seed 104 keeps the plan with which it failed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from rich.console import Console
 
 from .checks import find_violations
+from .plan import PLAN_VERSION
 from .run import Soak
 
 #: Length of the traffic of one soak, in seconds, unless a flag sets it.
@@ -27,6 +28,7 @@
         seed: int,
         length_s: float = DEFAULT_LENGTH_S,
         keep: str = '',
+        plan_version: int = PLAN_VERSION,
     ) -> None:
         """Play one seed; the exit status is 1 if a check is violated.
 
@@ -34,10 +36,11 @@
         :param length_s: length of the traffic, in seconds.
         :param keep: folder for logs, settings, disks, plan.json and
             evidence.json; empty to keep nothing.
+        :param plan_version: version of the fault plan.
         """
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(keep or scratch).resolve()
-            soak = Soak(seed, length_s, folder)
+            soak = Soak(seed, length_s, folder, plan_version)
             evidence = asyncio.run(soak.run())
         violations = find_violations(evidence)
         counts = collections.Counter(call.status for call in evidence.calls)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -134,6 +134,7 @@
         status = 0
         error = ''
         faulty = ''
+        leaving_target = ''
         if self._client is None:
             raise RuntimeError('the caller has no open connection')
         try:
@@ -148,6 +149,8 @@
         else:
             status = answer.status_code
             faulty = _describe_defect(answer, request_id)
+            if answer.headers.get('server-leaving') == '1':
+                leaving_target = answer.headers.get('x-server-stamp', '')
         return Call(
             request_id=request_id,
             instance=self._instance_names.get(self._connected_to, ''),
@@ -158,6 +161,7 @@
             status=status,
             error=error,
             faulty=faulty,
+            leaving_target=leaving_target,
         )
 
     async def _close_connection(self) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,7 +7,7 @@
 import collections
 from collections.abc import Iterator
 
-from .evidence import Call, Evidence, InjectedFault, OrderKind
+from .evidence import Arrival, Call, Evidence, InjectedFault, OrderKind
 from .plan import FaultKind
 
 #: Statuses that promise that a request has not run and will not run.
@@ -20,6 +20,28 @@
 DRAIN_LIMIT_S = 5.0
 #: Longest time until a leaving target gets no more requests, in seconds.
 LEAVING_LIMIT_S = 3.0
+#: Time after a 503 with a pause until an instance keeps it, in seconds.
+PAUSE_REACTION_S = 0.5
+#: Most requests that may reach a target from one instance in a pause.
+MAX_ARRIVALS_IN_PAUSE = 2
+#: Time around the disturbance of a target's link in which an answer that was
+#: under way may be lost, in seconds.
+LINK_SETTLE_S = 0.1
+#: Kinds of faults that restart or freeze an entry instance.
+INTERRUPTIONS = frozenset(
+    (FaultKind.kill, FaultKind.terminate, FaultKind.pause),
+)
+#: Kinds of faults that cut entry instances off from all control instances.
+CUTS = frozenset((FaultKind.links_cut,))
+#: Kinds of faults that reset or silence open connections to a target.
+TARGET_LINK_KINDS = frozenset(
+    (
+        FaultKind.target_down,
+        FaultKind.target_silent,
+        FaultKind.target_replaced,
+        FaultKind.target_reassigned,
+    ),
+)
 #: Longest time until instances are connected again after a fault, seconds.
 RECONNECT_S = 4.0
 #: Tolerance on the time-out of a route, in seconds.
@@ -63,6 +85,8 @@
         _acknowledged_invalid,
         _runs_in_drained_domains,
         _runs_at_leaving_targets,
+        _arrivals_after_notices,
+        _arrivals_in_pauses,
         _late_answers,
         _requests_cut_by_stops,
         _incomplete_recovery,
@@ -170,10 +194,103 @@
             yield f'{run.request_id} ran at the leaving target {run.target}'
 
 
+def _arrivals_after_notices(evidence: Evidence) -> Iterator[str]:
+    """Check requests sent after an instance passed on a leaving notice."""
+    noticed_at = collections.defaultdict(list)
+    for noticed in evidence.calls:
+        link = (noticed.instance, noticed.leaving_target)
+        noticed_at[link].append(noticed.ended_at)
+    calls = {call.request_id: call for call in evidence.calls}
+    for arrival in evidence.arrivals:
+        call = calls.get(arrival.request_id)
+        if call is None:
+            continue
+        due = [
+            notice
+            for notice in noticed_at[call.instance, arrival.target]
+            if call.sent_at > notice + LEAVING_LIMIT_S
+        ]
+        if due and not _disturbed(
+            call.instance, max(due), arrival.at, INTERRUPTIONS, evidence
+        ):
+            yield (
+                f'{call.request_id}, sent {call.sent_at - min(due):.2f} s '
+                f'after {call.instance} passed on the notice, reached the '
+                f'leaving target {arrival.target}'
+            )
+
+
+def _arrivals_in_pauses(evidence: Evidence) -> Iterator[str]:
+    """Check requests sent to targets that asked an instance for a pause."""
+    instances = {call.request_id: call.instance for call in evidence.calls}
+    arrivals_by_link = collections.defaultdict(list)
+    for arrival in evidence.arrivals:
+        link = (instances.get(arrival.request_id, ''), arrival.target)
+        arrivals_by_link[link].append(arrival)
+    for (instance, target), arrivals in arrivals_by_link.items():
+        for refused in arrivals:
+            end = refused.at + refused.pause_s
+            # While the soak's own process stalls, the answer is passed on and
+            # requests are read late.
+            begin = refused.at + PAUSE_REACTION_S
+            begin += _stalled_s(refused.at, end, evidence)
+            count = sum(begin < later.at < end for later in arrivals)
+            excused = (
+                not instance
+                or _answer_may_be_lost(refused, evidence)
+                or _disturbed(
+                    instance, refused.at, end, CUTS | INTERRUPTIONS, evidence
+                )
+            )
+            if count > MAX_ARRIVALS_IN_PAUSE and not excused:
+                yield (
+                    f'{count} requests of {instance} reached {target} in the '
+                    f'pause of {refused.pause_s} s that began with '
+                    f'{refused.request_id}'
+                )
+
+
+def _answer_may_be_lost(refused: Arrival, evidence: Evidence) -> bool:
+    """Tell whether a reset of the target's link may have dropped its answer.
+
+    Connections are only reset, or silenced, when a fault begins or ends.
+    """
+    base_name = refused.target.rpartition('-')[0]
+    return any(
+        fault.kind in TARGET_LINK_KINDS
+        and fault.on == base_name
+        and abs(edge - refused.at) < LINK_SETTLE_S
+        for fault in evidence.injected_faults
+        for edge in (fault.began, fault.ended)
+    )
+
+
+def _disturbed(
+    name: str,
+    begin: float,
+    end: float,
+    kinds: frozenset[FaultKind],
+    evidence: Evidence,
+) -> bool:
+    """Tell whether faults of some kinds were injected between two times.
+
+    :param name: name that the faults were injected into; faults without a
+        single subject count as well.
+    """
+    return any(
+        fault.kind in kinds
+        and fault.on in {'', name}
+        and fault.began < end
+        and fault.ended > begin
+        for fault in evidence.injected_faults
+    )
+
+
 def _late_answers(evidence: Evidence) -> Iterator[str]:
     for call in _fault_free_calls(evidence):
         # While the soak's own process stalls, callers read answers late.
-        duration_s = _duration_s(call) - _stalled_s(call, evidence)
+        stalled_s = _stalled_s(call.sent_at, call.ended_at, evidence)
+        duration_s = _duration_s(call) - stalled_s
         if duration_s > ROUTE_TIMEOUT_S + TIMEOUT_TOLERANCE_S:
             yield f'{call.request_id} was answered after {duration_s:.2f} s'
 
@@ -216,11 +333,11 @@
     return call.ended_at - call.sent_at
 
 
-def _stalled_s(call: Call, evidence: Evidence) -> float:
-    """Return how long the soak's own process stalled during a call."""
+def _stalled_s(begin: float, end: float, evidence: Evidence) -> float:
+    """Return how long the soak's own process stalled between two times."""
     return sum(
-        max(min(call.ended_at, ended) - max(call.sent_at, began), 0)
-        for began, ended in evidence.stalls
+        max(min(end, stall_end) - max(begin, stall_begin), 0)
+        for stall_begin, stall_end in evidence.stalls
     )
 
 
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -25,6 +25,21 @@
     at: float
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that reached a target and was meant for its incarnation.
+
+    :param target: identity of the target, with its generation.
+    :param at: when it arrived, in seconds of the monotonic clock.
+    :param pause_s: for how long the target asked in its 503 to get no more
+        requests, in seconds; 0 if it did not.
+    """
+
+    request_id: str
+    target: str
+    at: float
+    pause_s: float = 0
+
+
 class Call(msgspec.Struct, frozen=True, kw_only=True):
     """One request of a caller and its outcome.
 
@@ -35,6 +50,8 @@
     :param status: status of the answer; 0 if no answer came.
     :param error: why no answer came; empty if one came.
     :param faulty: what is wrong with the answer; empty if nothing is.
+    :param leaving_target: the target that said in the answer that it leaves;
+        empty if none did.
     """
 
     request_id: str
@@ -46,6 +63,7 @@
     status: int
     error: str = ''
     faulty: str = ''
+    leaving_target: str = ''
 
 
 class OrderKind(enum.StrEnum):
@@ -108,6 +126,7 @@
     """
 
     runs: list[Run] = msgspec.field(default_factory=list)
+    arrivals: list[Arrival] = msgspec.field(default_factory=list)
     calls: list[Call] = msgspec.field(default_factory=list)
     orders: list[Order] = msgspec.field(default_factory=list)
     injected_faults: list[InjectedFault] = msgspec.field(
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -11,7 +11,7 @@
 from .plan import Fault, FaultKind
 from .processes import OPERATORS_PORT, RESTART_S, Instance
 from .proxy import Mode
-from .upstreams import Target, TargetList
+from .upstreams import SERVICES, Target, TargetList
 
 #: Longest time between the end of a process and its restart, in seconds.
 MAX_DOWN_S = 1.2
@@ -65,6 +65,10 @@
             FaultKind.target_slow: self._slow_target,
             FaultKind.target_failing: self._fail_target,
             FaultKind.target_leaves: self._list_leaving,
+            FaultKind.target_announces: self._announce_leaving,
+            FaultKind.target_pauses: self._pause_target,
+            FaultKind.target_reassigned: self._reassign_target,
+            FaultKind.links_cut: self._cut_links,
             FaultKind.list_down: self._fail_target_list,
             FaultKind.configure: self._configure,
             FaultKind.configure_race: self._configure_concurrently,
@@ -142,11 +146,38 @@
         await asyncio.sleep(fault.for_s)
         instance.fill_disk(full=False)
 
+    async def _cut_links(self, fault: Fault) -> None:
+        proxies = [
+            instance.proxy
+            for instance in self._instances.values()
+            if instance.is_control
+        ]
+        for proxy in proxies:
+            proxy.switch_mode(Mode.refuse)
+        await asyncio.sleep(fault.for_s)
+        for proxy in proxies:
+            proxy.switch_mode(Mode.pass_on)
+
     async def _replace_target(self, fault: Fault) -> None:
         target = self._targets[fault.on]
         target.proxy.reset()
         target.replace()
 
+    async def _reassign_target(self, fault: Fault) -> None:
+        target = self._targets[fault.on]
+        own_service = fault.on.partition('-')[0]
+        target.proxy.reset()
+        target.replace(next(name for name in SERVICES if name != own_service))
+        await asyncio.sleep(fault.for_s)
+        target.proxy.reset()
+        target.replace(own_service)
+
+    async def _pause_target(self, fault: Fault) -> None:
+        target = self._targets[fault.on]
+        target.pausing = True
+        await asyncio.sleep(fault.for_s)
+        target.pausing = False
+
     async def _slow_target(self, fault: Fault) -> None:
         target = self._targets[fault.on]
         target.slow = True
@@ -162,9 +193,18 @@
     async def _list_leaving(self, fault: Fault) -> None:
         target = self._targets[fault.on]
         if not target.leaving:
+            target.announcing = True
             target.leaving = True
             self._evidence.leaving[target.name] = time.monotonic()
 
+    async def _announce_leaving(self, fault: Fault) -> None:
+        target = self._targets[fault.on]
+        target.announcing = True
+        generation = target.generation
+        await asyncio.sleep(fault.for_s)
+        if target.generation == generation:
+            await self._list_leaving(fault)
+
     async def _fail_target_list(self, fault: Fault) -> None:
         self._target_list.set_failing(failing=True)
         await asyncio.sleep(fault.for_s)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,14 @@
 CATCH_UP_S = 4.0
 
 
+#: Version of the plans that are drawn unless another one is asked for. The
+#: plan of a seed stays the same within a version.
+PLAN_VERSION = 2
+#: Factor of the durations of ``target_announces``: the target list has to be
+#: silent for longer than leaving targets may get requests.
+SILENT_LIST_FACTOR = 2.0
+
+
 class FaultKind(enum.StrEnum):
     """Kind of a fault in a process, link, target, list or configuration."""
 
@@ -46,8 +54,22 @@
     configure_invalid = 'configure_invalid'
     drain = 'drain'
     settings = 'settings'
+    links_cut = 'links_cut'
+    target_announces = 'target_announces'
+    target_pauses = 'target_pauses'
+    target_reassigned = 'target_reassigned'
 
 
+#: Kinds that plans of version 2 draw in addition to those of version 1.
+VERSION_2_KINDS = frozenset(
+    (
+        FaultKind.links_cut,
+        FaultKind.target_announces,
+        FaultKind.target_pauses,
+        FaultKind.target_reassigned,
+    ),
+)
+
 #: Kinds that are injected into control instances.
 CONTROL_KINDS = frozenset(
     (
@@ -73,6 +95,9 @@
         FaultKind.target_failing,
         FaultKind.target_silent,
         FaultKind.target_leaves,
+        FaultKind.target_announces,
+        FaultKind.target_pauses,
+        FaultKind.target_reassigned,
     ),
 )
 
@@ -112,6 +137,7 @@
         entries: tuple[str, ...],
         targets: tuple[str, ...],
         domains: tuple[str, ...],
+        version: int = PLAN_VERSION,
     ) -> Self:
         """Draw the faults of a seed.
 
@@ -123,6 +149,7 @@
         :param entries: names of entry instances.
         :param targets: names of targets.
         :param domains: names of failure domains.
+        :param version: version of the plan; 1 has fewer kinds of faults.
         """
         rng = random.Random(seed)  # noqa: S311
         choices = {
@@ -131,17 +158,22 @@
             **dict.fromkeys(TARGET_KINDS, targets),
             FaultKind.drain: domains,
         }
+        kinds = [
+            kind
+            for kind in FaultKind
+            if version >= PLAN_VERSION or kind not in VERSION_2_KINDS
+        ]
         faults: list[Fault] = []
         at_s = STARTUP_S
         last_end_s = length_s - FAULT_FREE_S
         while at_s < last_end_s:
-            kind = rng.choice(list(FaultKind))
+            kind = rng.choice(kinds)
             # Two of five draws give a series of two or three faults.
             for repeat in range(rng.choice((1, 1, 1, 2, 3))):
                 fault = Fault(
                     at_s + repeat * rng.uniform(0.1, 1.5),
                     kind,
-                    rng.uniform(0.3, 4.0),
+                    rng.uniform(0.3, 4.0) * _duration_factor(kind),
                     rng.choice(choices.get(kind, ('',))),
                 )
                 if (
@@ -154,6 +186,10 @@
         return cls(seed, length_s, tuple(faults))
 
 
+def _duration_factor(kind: FaultKind) -> float:
+    return SILENT_LIST_FACTOR if kind is FaultKind.target_announces else 1
+
+
 def _respects_wipe_limit(faults: list[Fault], new: Fault) -> bool:
     """Tell whether a fault keeps to the limit of disks lost at a time.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,13 +11,12 @@
 from .evidence import Evidence
 from .injector import Injector
 from .operators import Operator
-from .plan import FAULT_FREE_S, FaultPlan
+from .plan import FAULT_FREE_S, PLAN_VERSION, FaultPlan
 from .processes import GRACE_S, OPERATORS_PORT, Instance
-from .upstreams import Target, TargetList
+from .upstreams import SERVICES, Target, TargetList
 
 #: Region of each failure domain.
 DOMAINS = {'north-a': 'north', 'south-a': 'south', 'west-a': 'west'}
-SERVICES = ('catalogue', 'publisher')
 TARGETS_PER_DOMAIN = 2
 CALLER_COUNT = 8
 #: Time allowed until the first configuration is acknowledged, in seconds.
@@ -32,6 +31,7 @@
     :param seed: seed of the fault plan and of all random choices.
     :param length_s: length of the traffic, in seconds.
     :param folder: parent of the folders for logs, settings and disks.
+    :param plan_version: version of the fault plan.
     """
 
     def __init__(
@@ -39,6 +39,7 @@
         seed: int,
         length_s: float,
         folder: pathlib.Path,
+        plan_version: int = PLAN_VERSION,
     ) -> None:
         self.evidence = Evidence()
         self._rng = random.Random(seed)  # noqa: S311
@@ -55,6 +56,7 @@
             tuple(entry.name for entry in self._entries),
             tuple(target.base_name for target in self._targets),
             tuple(DOMAINS),
+            plan_version,
         )
 
     async def run(self) -> Evidence:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -9,9 +9,10 @@
 
 from cuminhoist.httpserver import HttpServer
 
-from .evidence import Evidence, Run
+from .evidence import Arrival, Evidence, Run
 from .proxy import Mode, Proxy
 
+SERVICES = ('catalogue', 'publisher')
 #: Duration of a run at a target, in seconds.
 WORK_S = 0.03
 #: Duration of a run at a target that is slow, in seconds.
@@ -20,6 +21,9 @@
 SLOTS = 3
 #: Requests that a target queues before it sheds load with a 503.
 MAX_QUEUED = 9
+#: Shortest and longest pause that a target asks for in a 503, in seconds.
+MIN_PAUSE_S = 0.5
+MAX_PAUSE_S = 3.0
 _MISDIRECTED = 421
 _SERVICE_UNAVAILABLE = 503
 _INTERNAL_SERVER_ERROR = 500
@@ -38,6 +42,15 @@
     return digest.hex().encode() * (1 + digest[0] * 4)
 
 
+def requested_pause_s(request_id: str) -> float:
+    """Return the pause that a target asks for when it refuses a request.
+
+    :param request_id: id of the request; equal ids give equal pauses.
+    """
+    fraction = hashlib.sha256(request_id.encode()).digest()[1] / 255
+    return round(MIN_PAUSE_S + fraction * (MAX_PAUSE_S - MIN_PAUSE_S), 2)
+
+
 class Target:
     """One stand-in target behind a proxy.
 
@@ -63,6 +76,10 @@
         self.started_at_ms = round(time.time() * 1000)
         self.slow = False
         self.failing = False
+        self.pausing = False
+        #: Whether its answers say that it leaves.
+        self.announcing = False
+        #: Whether the list says that it leaves.
         self.leaving = False
         self.listed = True
         self._evidence = evidence
@@ -86,9 +103,15 @@
         await self.proxy.stop()
         await _close_server(self._server, self._task)
 
-    def replace(self) -> None:
-        """Begin a new incarnation of the target, with a new identity."""
+    def replace(self, service: str = '') -> None:
+        """Begin a new incarnation of the target, with a new identity.
+
+        :param service: service that uses the address now; empty for the same.
+        """
+        self.service = service or self.service
         self.generation += 1
+        self.announcing = False
+        self.leaving = False
         self.started_at_ms = round(time.time() * 1000)
 
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
@@ -101,15 +124,24 @@
         if expected not in {'', self.name}:
             await self._send_answer(send, _MISDIRECTED, b'', request_id)
             return
-        if self._admitted >= SLOTS + MAX_QUEUED:
+        overloaded = self._admitted >= SLOTS + MAX_QUEUED
+        pause_s = float(0)
+        if self.pausing or overloaded:
+            pause_s = requested_pause_s(request_id)
+        self._evidence.arrivals.append(
+            Arrival(request_id, self.name, time.monotonic(), pause_s)
+        )
+        if pause_s:
             await self._send_answer(
-                send, _SERVICE_UNAVAILABLE, b'', request_id, ran=False
+                send, _SERVICE_UNAVAILABLE, b'', request_id, pause_s=pause_s
             )
             return
+        # The incarnation may be replaced while the request is queued.
+        incarnation = (self.name, self.service)
         self._admitted += 1
         try:
             async with self._slots:
-                await self._run(scope, request_id)
+                await self._run(scope, request_id, *incarnation)
         finally:
             self._admitted -= 1
         if self.failing:
@@ -120,12 +152,14 @@
             body = answer_body(request_id)
             await self._send_answer(send, _OK, body, request_id)
 
-    async def _run(self, scope: Any, request_id: str) -> None:
+    async def _run(
+        self, scope: Any, request_id: str, name: str, service: str
+    ) -> None:
         self._evidence.runs.append(
             Run(
                 request_id,
-                self.name,
-                self.service,
+                name,
+                service,
                 self.domain,
                 scope['method'],
                 scope['path'],
@@ -141,7 +175,7 @@
         body: bytes,
         request_id: str,
         *,
-        ran: bool = True,
+        pause_s: float = 0,
     ) -> None:
         headers = [
             (b'content-length', b'%d' % len(body)),
@@ -149,8 +183,11 @@
             (b'x-server-stamp', self.name.encode()),
             (b'x-server-load', b'%d,0,%d' % (self._admitted, SLOTS)),
         ]
-        if not ran:
+        if self.announcing:
+            headers.append((b'server-leaving', b'1'))
+        if pause_s:
             headers.append((b'x-not-executed', b'1'))
+            headers.append((b'retry-after', b'%.2f' % pause_s))
         await send(
             {
                 'type': 'http.response.start',
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from soak.evidence import Call, Evidence, Order, OrderKind, Run
+from soak.evidence import Arrival, Call, Evidence, Order, OrderKind, Run
 
 FAULT_FREE_FROM_S = 20.0
 ENDED_AT_S = 32.0
@@ -68,3 +68,13 @@
 def changed(original: Call, **changes: Any) -> Call:
     """Return a copy of a request with some fields changed."""
     return msgspec.structs.replace(original, **changes)
+
+
+def arrival(number: int, **changes: Any) -> Arrival:
+    """Return the arrival of a request at a target that serves it."""
+    fields: dict[str, Any] = {
+        'request_id': f'r{number}',
+        'target': 't1-g1',
+        'at': FAULT_FREE_FROM_S + 5,
+    }
+    return Arrival(**{**fields, **changes})
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -4,9 +4,21 @@
 with faults that no deployment survives makes soaks fail without a cause.
 """
 
+import hashlib
+
+import msgspec
 import pytest
 
-from soak.plan import CATCH_UP_S, FAULT_FREE_S, STARTUP_S, FaultKind, FaultPlan
+from soak.checks import LEAVING_LIMIT_S
+from soak.plan import (
+    CATCH_UP_S,
+    FAULT_FREE_S,
+    STARTUP_S,
+    VERSION_2_KINDS,
+    FaultKind,
+    FaultPlan,
+)
+from soak.run import Soak
 
 CONTROLS = ('c1', 'c2', 'c3')
 
@@ -22,6 +34,29 @@
     )
 
 
+def test_kept_seed_keeps_its_plan(tmp_path):
+    """Guards against new kinds of faults that change plans of kept seeds.
+
+    The digest is of the plan with which seed 104 failed.
+    """
+    plan = Soak(104, 30.0, tmp_path, 1).plan
+    digest = hashlib.sha256(msgspec.json.encode(plan)).hexdigest()
+    assert digest.startswith('4b6d4f402688dfd8')
+    assert not VERSION_2_KINDS & {fault.kind for fault in plan.faults}
+
+
+def test_list_is_silent_for_longer_than_the_leaving_limit():
+    """Guards against notices that the target list always confirms in time."""
+    silences_s = [
+        fault.for_s
+        for seed in range(20)
+        for fault in _plan(seed).faults
+        if fault.kind is FaultKind.target_announces
+    ]
+    assert max(silences_s) > LEAVING_LIMIT_S + 2
+    assert min(silences_s) < LEAVING_LIMIT_S
+
+
 def test_seed_always_draws_the_same_plan():
     """Guards against failures that cannot be repeated from their seed."""
     assert _plan(7) == _plan(7)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,21 +12,28 @@
 from soak.checks import find_violations
 from soak.run import Soak
 
-#: Seed, and length of the traffic in seconds, of the soaks always played.
-SHORT_SOAKS = ((11, 24.0),)
+#: Seed, length of the traffic in seconds and version of the plan of the soaks
+#: always played. The plan of seed 425 has leaving notices, pauses, cut links,
+#: ends of all control instances and reassigned addresses.
+SHORT_SOAKS = ((425, 24.0, 2),)
 FAILED_SEEDS = pathlib.Path(__file__).with_name('seeds.txt')
 
 
 def _failed_soaks():
     lines = FAILED_SEEDS.read_text().splitlines()
     fields = [line.split() for line in lines if not line.startswith('#')]
-    return [(int(seed), float(length)) for seed, length, *_ in fields]
+    return [
+        (int(seed), float(length), int(version))
+        for seed, length, version, *_ in fields
+    ]
 
 
-@pytest.mark.parametrize(('seed', 'length_s'), [*SHORT_SOAKS, *_failed_soaks()])
-def test_soak_has_no_violations(seed, length_s, tmp_path):
+@pytest.mark.parametrize(
+    ('seed', 'length_s', 'version'), [*SHORT_SOAKS, *_failed_soaks()]
+)
+def test_soak_has_no_violations(seed, length_s, version, tmp_path):
     """Guards against promises broken under several faults at a time."""
-    soak = Soak(seed, length_s, tmp_path)
+    soak = Soak(seed, length_s, tmp_path, version)
     evidence = asyncio.run(soak.run())
     assert not find_violations(evidence)
     assert len(evidence.calls) > length_s * 5
