Replay leaving notices before the list shows them and pauses at a peak

The bound counts leaving targets until they stop and overloaded ones with what they run. Reports count requests that broke either rule; nothing in the dispatchers acts on the signals yet.

The changes of targets that a pattern asks for are in a module of their own; the random numbers of the former patterns stay the same.

--- a/src/cuminhoist/emulator/bound.py
+++ b/src/cuminhoist/emulator/bound.py
@@ -36,6 +36,8 @@
     It is assumed that an object is cached wherever it is needed once any
     target has processed a request for it, and that slots are never idle.
     Requests that a target declines are retried as often as the pattern says.
+    Leaving targets serve until they stop, and overloaded ones never get more
+    requests than they run.
 
     :param pattern: the load pattern.
     """
@@ -105,6 +107,13 @@
     for slow in pattern.slow:
         if slow.at_s <= now < slow.at_s + slow.for_s:
             working_fraction -= slow.part * (1 - 1 / slow.factor)
+    for leaving in pattern.leaving:
+        if now >= leaving.at_s + leaving.stop_after_s:
+            working_fraction -= leaving.part
+    for overloaded in pattern.overloaded:
+        if overloaded.at_s <= now < overloaded.at_s + overloaded.for_s:
+            unused_fraction = 1 - overloaded.slots / work.slots
+            working_fraction -= overloaded.part * unused_fraction
     return slots * working_fraction / (work.cold_s * work.warm_part)
 
 
--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -104,6 +104,43 @@
     part: float
 
 
+class LeavingTargets(msgspec.Struct, frozen=True, kw_only=True):
+    """Targets that say in their answers that they leave, and then stop.
+
+    :param at_s: time of the first answer that says so, in seconds.
+    :param part: fraction of all targets that leave.
+    :param stop_after_s: time until they stop, in seconds.
+    :param silent_for_s: time until the target list drops them, in seconds.
+    """
+
+    at_s: float
+    part: float
+    stop_after_s: float = 4
+    silent_for_s: float = 10
+
+
+class Overloaded(msgspec.Struct, frozen=True, kw_only=True):
+    """A period in which some targets run fewer requests than listed.
+
+    Requests beyond that get a 503 with a pause, during which the target
+    refuses all requests of that region.
+
+    :param at_s: start of the period, in seconds.
+    :param for_s: length of the period, in seconds.
+    :param part: fraction of all targets that are overloaded.
+    :param slots: number of requests that each of them runs concurrently.
+    :param min_pause_s: shortest pause, in seconds.
+    :param max_pause_s: longest pause, in seconds.
+    """
+
+    at_s: float
+    for_s: float
+    part: float
+    slots: int = 1
+    min_pause_s: float = 0.5
+    max_pause_s: float = 3
+
+
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
     """A load pattern to replay.
 
@@ -122,6 +159,8 @@
     bursts: tuple[Burst, ...] = ()
     slow: tuple[SlowTargets, ...] = ()
     declining: tuple[Declining, ...] = ()
+    leaving: tuple[LeavingTargets, ...] = ()
+    overloaded: tuple[Overloaded, ...] = ()
 
 
 def load_pattern(path: pathlib.Path) -> Result[Pattern, FieldError]:
--- a/src/cuminhoist/emulator/report.py
+++ b/src/cuminhoist/emulator/report.py
@@ -32,10 +32,16 @@
     :param bound: fraction of the requests that could be in time if all
         arrivals were known, each object was cached where it is needed, and
         no slot was ever idle.
+    :param after_notices: requests that reached a target although their region
+        had passed on its leaving notice 3 s before the caller sent them.
+    :param in_pauses: requests beyond the second that reached a target in a
+        pause that it had asked their region for.
     """
 
     objective_s: float
     bound: float
+    after_notices: int = 0
+    in_pauses: int = 0
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
 
     def in_time(self, region: str = '') -> float:
--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -4,7 +4,6 @@
 import itertools
 import random
 from collections.abc import Callable
-from functools import partial
 from typing import Self
 
 import msgspec
@@ -20,6 +19,7 @@
 from ..steering.dispatcher import Dispatcher
 from ..steering.slot_lending import DispatchContext, make_tracked_targets
 from .bound import arrival_rate, max_in_time_fraction
+from .disturbances import schedule_disturbances
 from .patterns import Pattern
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
@@ -35,6 +35,9 @@
 #: Limit on the increase of the fraction of shifted requests from one
 #: two-second window to the next.
 SHIFT_LIMIT_FRACTION = 0.15
+#: Time after a leaving notice from which on callers' requests must not reach
+#: the target, in seconds.
+DRAIN_S = 3.0
 #: Maximum number of targets that a request is sent to between refusals.
 MAX_ATTEMPTS = 2
 #: Retry budget: tokens that each new caller adds, and the most that are
@@ -75,6 +78,8 @@
         self._numbers = itertools.count(1)
         self._waiting_callers: dict[int, _WaitingCaller] = {}
         self._retry_tokens = float(0)
+        #: Time of the first leaving notice by region and target, in seconds.
+        self._noticed_at: dict[tuple[str, str], float] = {}
         self.targets = {
             target.entry.name: target for target in self._make_targets()
         }
@@ -104,29 +109,21 @@
         pattern = self._pattern
         for region in pattern.regions:
             self._schedule_arrival(region.name)
-        for slow in pattern.slow:
-            count = round(slow.part * len(self.targets))
-            chosen = self._rng.sample(sorted(self.targets), count)
-            end_s = slow.at_s + slow.for_s
-            self._schedule_at(
-                slow.at_s, partial(self._set_slowdown, chosen, slow.factor)
-            )
-            self._schedule_at(end_s, partial(self._set_slowdown, chosen, 1))
-        for declining in pattern.declining:
-            self._schedule_at(
-                declining.at_s,
-                partial(self._set_declined_fraction, declining.part),
-            )
-            self._schedule_at(
-                declining.at_s + declining.for_s,
-                partial(self._set_declined_fraction, 0),
-            )
+        schedule_disturbances(
+            pattern,
+            [target for _, target in sorted(self.targets.items())],
+            self._rng,
+            self._schedule_at,
+        )
         self._update_targets()
         self._tick()
         while self._events:
             due_at, _, event = heapq.heappop(self._events)
             self.now = due_at
             event()
+        self.report.in_pauses = sum(
+            target.unwanted_arrivals for target in self.targets.values()
+        )
         return self.report
 
     def _make_targets(self) -> list[EmulatedTarget]:
@@ -149,14 +146,6 @@
     ) -> None:
         self._schedule_at(self.now + delay_s, event)
 
-    def _set_slowdown(self, names: list[str], factor: float) -> None:
-        for name in names:
-            self.targets[name].slowdown = factor
-
-    def _set_declined_fraction(self, fraction: float) -> None:
-        for target in self.targets.values():
-            target.declined_fraction = fraction
-
     def _schedule_arrival(self, region: str) -> None:
         gap_s = self._rng.expovariate(
             max(arrival_rate(self._pattern, region, self.now), 0.1)
@@ -234,6 +223,14 @@
         return self._pattern.region_s if remote else DISPATCHER_RTT_S / 4
 
     def _reach_target(self, job: Job, target: EmulatedTarget) -> None:
+        self._count_late_arrival(job, target)
+        if target.stopped:
+            self._return_answer(job, target, Ending.unreachable)
+            return
+        pause_s = target.refuse_for_s(job.region, self.now)
+        if pause_s:
+            self._return_answer(job, target, Ending.shed, pause_s)
+            return
         if target.declines():
             self._return_answer(job, target, Ending.declined)
             return
@@ -243,6 +240,14 @@
         elif started:
             self._start_run(job, target)
 
+    def _count_late_arrival(self, job: Job, target: EmulatedTarget) -> None:
+        """Count a request sent too long after a leaving notice."""
+        noticed_at = self._noticed_at.get((job.region, target.entry.name))
+        caller = self._waiting_callers[job.number]
+        if noticed_at is None or caller.asked_at <= noticed_at + DRAIN_S:
+            return
+        self.report.after_notices += 1
+
     def _start_run(self, job: Job, target: EmulatedTarget) -> None:
         run_s = target.run_s(job.key)
         self._schedule_after(run_s, lambda: self._finish_run(job, target))
@@ -254,29 +259,38 @@
         self._return_answer(job, target, Ending.answered)
 
     def _return_answer(
-        self, job: Job, target: EmulatedTarget, ending: Ending
+        self,
+        job: Job,
+        target: EmulatedTarget,
+        ending: Ending,
+        pause_s: float = 0,
     ) -> None:
         delay_s = self._one_way_delay_s(job, target)
-        self._schedule_after(
-            delay_s, lambda: self._handle_answer(job, target, ending)
-        )
-
-    def _handle_answer(
-        self, job: Job, target: EmulatedTarget, ending: Ending
-    ) -> None:
-        caller = self._waiting_callers.pop(job.number)
         report = AttemptReport(
             job.number,
             target.entry.name,
             SERVICE,
             job.key,
             ending,
-            self.now - job.sent_at,
+            self.now + delay_s - job.sent_at,
+            target_leaving=target.leaving and not target.stopped,
+            pause_s=pause_s,
         )
+        self._schedule_after(
+            delay_s, lambda: self._handle_answer(job, target, report)
+        )
+
+    def _handle_answer(
+        self, job: Job, target: EmulatedTarget, report: AttemptReport
+    ) -> None:
+        caller = self._waiting_callers.pop(job.number)
+        if report.target_leaving:
+            noticed = (job.region, target.entry.name)
+            self._noticed_at.setdefault(noticed, self.now)
         self._schedule_after(
             DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
         )
-        if ending is Ending.answered:
+        if report.ending is Ending.answered:
             shifted = target.region != job.region
             self._record_outcome(
                 caller, self.now + CALLER_RTT_S / 2, shifted=shifted
@@ -345,7 +359,7 @@
         )
         tracked_targets = make_tracked_targets(
             queue.targets,
-            [target.entry for target in self.targets.values()],
+            [target.entry for target in self.targets.values() if target.listed],
             demand,
             context,
             self.now,
--- a/src/cuminhoist/emulator/targets.py
+++ b/src/cuminhoist/emulator/targets.py
@@ -7,9 +7,13 @@
 
 from ..fleet.instance_config import Address
 from ..steering.targets import TargetEntry, TargetState
-from .patterns import Pattern, Work
+from .patterns import Overloaded, Pattern, Work
 
 SERVICE = 'service'
+#: Time that a region has to react to a pause, in seconds.
+PAUSE_REACTION_S = 0.5
+#: Most requests of a region that a target tolerates in a pause after that.
+MAX_ARRIVALS_IN_PAUSE = 2
 
 
 class Job(msgspec.Struct):
@@ -27,6 +31,19 @@
     sent_at: float
 
 
+class _Pause(msgspec.Struct):
+    """A time for which a target wants no requests of a region.
+
+    :param began_at: simulated time of its begin, in seconds.
+    :param ends_at: simulated time of its end, in seconds.
+    :param arrivals: requests that came once the region had time to react.
+    """
+
+    began_at: float
+    ends_at: float
+    arrivals: int = 0
+
+
 class EmulatedTarget:
     """Emulates one target.
 
@@ -55,6 +72,13 @@
         self.work: Work = pattern.work
         self.slowdown = float(1)
         self.declined_fraction = float(0)
+        self.leaving = False
+        self.stopped = False
+        self.listed = True
+        self.overload: Overloaded | None = None
+        #: Requests beyond the tolerated ones that came in pauses.
+        self.unwanted_arrivals = 0
+        self._pauses: dict[str, _Pause] = {}
         self._rng = rng
         self._running = 0
         self._waiting: collections.deque[Job] = collections.deque()
@@ -66,6 +90,29 @@
         """Decide at random whether it declines a request."""
         return self._rng.random() < self.declined_fraction
 
+    def refuse_for_s(self, region: str, now: float) -> float:
+        """Return how long it wants no requests of a region, in seconds.
+
+        :param region: region of the dispatcher that granted a request.
+        :param now: simulated time, in seconds.
+        :returns: 0 if it takes the request.
+        """
+        if self.overload is None:
+            return 0
+        pause = self._pauses.get(region)
+        if pause is not None and now < pause.ends_at:
+            if now > pause.began_at + PAUSE_REACTION_S:
+                pause.arrivals += 1
+                self.unwanted_arrivals += pause.arrivals > MAX_ARRIVALS_IN_PAUSE
+            return pause.ends_at - now
+        if self._running < self.overload.slots:
+            return 0
+        pause_s = self._rng.uniform(
+            self.overload.min_pause_s, self.overload.max_pause_s
+        )
+        self._pauses[region] = _Pause(now, now + pause_s)
+        return pause_s
+
     def arrive(self, job: Job) -> bool | None:
         """Run, queue or shed an arriving request.
 
--- a/tests/emulator/test_bound.py
+++ b/tests/emulator/test_bound.py
@@ -25,7 +25,10 @@
     return msgspec.structs.replace(pattern, work=work)
 
 
-@pytest.mark.parametrize('name', ['many-objects', 'declining-targets'])
+@pytest.mark.parametrize(
+    'name',
+    ['many-objects', 'declining-targets', 'leaving-unlisted', 'peak-pauses'],
+)
 def test_replay_stays_below_the_bound(name):
     """Guards against a bound that a replay exceeds."""
     report = Simulation.from_pattern(_pattern(name), 2).run()
@@ -51,3 +54,26 @@
     """Guards against counting a cache miss as late if it is in time."""
     pattern = _with_work('many-objects', cold_s=0.1)
     assert max_in_time_fraction(pattern) == pytest.approx(1)
+
+
+def test_leaving_targets_count_until_they_stop():
+    """Guards against a bound that counts slots of stopped targets."""
+    pattern = _pattern('leaving-unlisted')
+    everyone = msgspec.structs.replace(pattern.leaving[0], part=1)
+    pattern = msgspec.structs.replace(pattern, leaving=(everyone,))
+    served_fraction = (everyone.at_s + everyone.stop_after_s) / pattern.length_s
+    assert max_in_time_fraction(pattern) == pytest.approx(
+        served_fraction, abs=0.02
+    )
+
+
+def test_overloaded_targets_count_what_they_run():
+    """Guards against a bound that counts slots overloaded targets don't use."""
+    pattern = _pattern('peak-pauses')
+    idle = msgspec.structs.replace(pattern.overloaded[0], part=1, slots=0)
+    pattern = msgspec.structs.replace(pattern, overloaded=(idle,))
+    rest_s = pattern.length_s - idle.for_s
+    served_fraction = rest_s / (rest_s + idle.for_s * pattern.bursts[0].factor)
+    assert max_in_time_fraction(pattern) == pytest.approx(
+        served_fraction, abs=0.02
+    )
