Keep notices of leaving targets beside the target list

A target announces in its answers that it is about to stop, while the target list may still show it as ready. The feed of the target list now keeps such notices by the identity and start of the target, and the list to decide by shows these targets as draining. Other instances still get the list as it was read. The last warm target of a service may get requests for a limited time.

--- a/src/cuminhoist/fleet/entry_updates.py
+++ b/src/cuminhoist/fleet/entry_updates.py
@@ -93,7 +93,7 @@
 
     def send_targets(self) -> None:
         """Send the changes of the target list."""
-        entries = self._feed.entries
+        entries = self._feed.listed
         age_s = self._now() - self._feed.read_at
         changes = changes_between(self._sent_targets, entries, age_s)
         self._sent_targets = entries
--- a/src/cuminhoist/fleet/list_broadcast.py
+++ b/src/cuminhoist/fleet/list_broadcast.py
@@ -32,11 +32,11 @@
         links = self._links.links_to_controls()
         known = [link for link in links if link in self._receivers]
         new = [link for link in links if link not in self._receivers]
-        changes = changes_between(self._sent, feed.entries, age_s)
+        changes = changes_between(self._sent, feed.listed, age_s)
         self._links.send_to_links(known, changes)
         self._links.send_to_links(new, feed.to_message())
         self._receivers = weakref.WeakSet(links)
-        self._sent = feed.entries
+        self._sent = feed.listed
 
     def pause(self) -> None:
         """Start from complete lists again once this instance reads them."""
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -17,6 +17,7 @@
     Refused,
 )
 from ..steering.demand import Demand
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
 from .instance_config import Address
 
@@ -192,6 +193,18 @@
     gone: tuple[str, ...]
 
 
+@register_message
+class LeavingNotice(Message, frozen=True):
+    """Targets that announced in an answer that they are about to stop.
+
+    An entry instance sends new ones to its dispatcher, and all of them to a
+    new dispatcher. Control instances pass them on to each other and to their
+    subscribers, and send all of them on a new link or subscription.
+    """
+
+    targets: tuple[LeavingTarget, ...]
+
+
 @register_message
 class FleetSummary(Message, frozen=True):
     """Message of a control instance to its subscribers, every 3 s.
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -6,13 +6,14 @@
 
 import abc
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from returns.result import Result, Success
 
 from ..logging_setup import logger
+from ..steering.leaving_targets import LeavingTarget, LeavingTargets
 from ..steering.targets import TargetEntry
-from .messages import TargetList
+from .messages import LeavingNotice, TargetList
 
 #: Interval between reads, in seconds. A leaving target must get no requests
 #: from 3 s after the list shows it, even if the reading instance has just
@@ -34,13 +35,18 @@
 
 
 class TargetFeed:
-    """Keeps the newest list of targets.
+    """Keeps the newest list of targets and the notices of leaving targets.
+
+    ``listed`` is the list as it was read, which other instances get.
+    ``entries`` is the list to decide by: a target that has announced its stop
+    counts as draining there.
 
     :param source: reads the list.
     :param rank: returns the place of this instance in the order of take-over;
         0 reads the list while it is available.
     :param now: returns monotonic time in seconds.
     :param on_change: called with each newer list.
+    :param leaving: the notices in force; none at first if left out.
     """
 
     def __init__(
@@ -49,20 +55,23 @@
         rank: Callable[[], int],
         now: Callable[[], float],
         on_change: Callable[['TargetFeed'], None],
+        leaving: LeavingTargets | None = None,
     ) -> None:
+        self.listed: tuple[TargetEntry, ...] = ()
         self.entries: tuple[TargetEntry, ...] = ()
         self.read_at = float('-inf')
         self._source = source
         self._rank = rank
         self._now = now
         self._on_change = on_change
+        self._leaving = leaving or LeavingTargets()
         self._available = True
 
     def to_message(self) -> TargetList:
         """Return the message that carries the list to other instances."""
         return TargetList(
             age_s=self._now() - self.read_at,
-            targets=self.entries,
+            targets=self.listed,
         )
 
     def apply_list(self, msg: TargetList) -> None:
@@ -72,6 +81,29 @@
         """
         self._replace(msg.targets, self._now() - msg.age_s)
 
+    def leaving_notice(self) -> LeavingNotice:
+        """Return the message that carries all notices in force."""
+        return LeavingNotice(targets=self._leaving.in_force())
+
+    def add_leaving(
+        self, announced: Iterable[LeavingTarget]
+    ) -> tuple[LeavingTarget, ...]:
+        """Add notices of leaving targets and return those that are new.
+
+        :param announced: the notices.
+        """
+        added = self._leaving.add(announced, self.listed, self._now())
+        if added:
+            self._apply_leaving()
+        return added
+
+    def stop_last_targets(self) -> bool:
+        """Take out last targets of a service whose time is up, if any."""
+        if self._now() < self._leaving.next_stop_at:
+            return False
+        self._apply_leaving()
+        return True
+
     async def run(self) -> None:
         """Read the list whenever it is due, until cancelled.
 
@@ -105,13 +137,18 @@
         # less than 0.01 s newer counts as a repetition.
         if read_at <= self.read_at + 0.01:
             return
-        changed = set(entries) != set(self.entries)
+        changed = set(entries) != set(self.listed)
         if changed:
-            _log_changes(self.entries, entries)
-        self.entries = entries
+            _log_changes(self.listed, entries)
+        self.listed = entries
         self.read_at = read_at
+        self._leaving.end_obsolete(entries, self._now())
+        self._apply_leaving()
         self._on_change(self)
 
+    def _apply_leaving(self) -> None:
+        self.entries = self._leaving.apply(self.listed, self._now())
+
     def _set_available(self, *, available: bool, reason: str = '') -> None:
         if available != self._available:
             self._available = available
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -109,6 +109,6 @@
     """Return a feed that holds a list read just now."""
     now = asyncio.get_running_loop().time
     feed = TargetFeed(None, lambda: 0, now, lambda feed: None)
-    feed.entries = tuple(entries)
+    feed.listed = tuple(entries)
     feed.read_at = now()
     return feed
--- a/tests/fleet/test_entry_updates.py
+++ b/tests/fleet/test_entry_updates.py
@@ -57,7 +57,7 @@
     """Guards against complete lists on each change of the source."""
     links, feed, updates = await _updates([target('a')])
     peer = add_peer(links, hello('e0'))
-    digest = list_digest(feed.entries)
+    digest = list_digest(feed.listed)
     kinds = _subscribe(
         updates, peer, state_index=STATE.index, list_digest=digest
     )
@@ -73,14 +73,14 @@
     subscriber = add_peer(links, hello('e0'))
     other = add_peer(links, hello('e1'))
     _subscribe(updates, subscriber)
-    feed.entries = (target('a'),)
+    feed.listed = (target('a'),)
     updates.send_targets()
     updates.send_heartbeat(SUMMARY)
     kinds = [type(msg) for msg in subscriber.link.take()]
     assert kinds == [TargetChanges, Roster]
     assert not other.link.take()
     updates.handle_notice(subscriber, ReadinessNotice(ready=True), STATE)
-    feed.entries = ()
+    feed.listed = ()
     updates.send_targets()
     assert not subscriber.link.take()
 
--- a/tests/fleet/test_list_broadcast.py
+++ b/tests/fleet/test_list_broadcast.py
@@ -22,7 +22,7 @@
     broadcast = ListBroadcast(links)
     feed = feed_of([target('a')])
     broadcast.send(feed, 0)
-    feed.entries = (target('a'), target('b'))
+    feed.listed = (target('a'), target('b'))
     broadcast.send(feed, 0)
     complete, changes = peer.link.take()
     assert isinstance(complete, TargetList)
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -15,6 +15,8 @@
     TargetFeed,
     TargetSource,
 )
+from cuminhoist.steering.leaving_targets import LeavingTarget, LeavingTargets
+from cuminhoist.steering.targets import TargetState
 from tests.steering.builders import target
 
 pytestmark = pytest.mark.looptime
@@ -102,3 +104,59 @@
     assert (source.calls, idle.calls) == (1, 0)
     await _run(_feed(idle, 5), for_s=3.5)
     assert idle.calls == 1
+
+
+async def test_notice_changes_the_entries_but_not_the_list():
+    """Guards against requests to a target that has announced its stop.
+
+    Other instances get the list as it was read, so that a copy of it does not
+    outlast the notice.
+    """
+    feed = _feed(CountingSource(), 0)
+    feed.apply_list(TargetList(age_s=0, targets=(target('a'), target('b'))))
+    announced = (LeavingTarget('a'),)
+    assert feed.add_leaving(announced) == announced
+    states = [entry.state for entry in feed.entries]
+    assert states == [TargetState.draining, TargetState.ready]
+    assert feed.to_message().targets == (target('a'), target('b'))
+    assert feed.leaving_notice().targets == announced
+    assert feed.add_leaving(announced) == ()
+
+
+async def test_notice_outlasts_newer_lists():
+    """Guards against a list that ends a notice because it lags behind."""
+    feed = _feed(CountingSource(), 0)
+    feed.apply_list(TargetList(age_s=0, targets=(target('a'), target('b'))))
+    feed.add_leaving([LeavingTarget('a')])
+    await asyncio.sleep(1)
+    feed.apply_list(TargetList(age_s=0, targets=(target('a'), target('b'))))
+    assert feed.entries[0].state is TargetState.draining
+
+
+async def test_restart_shown_by_the_list_ends_the_notice():
+    """Guards against a restarted target that stays out of use."""
+    feed = _feed(CountingSource(), 0)
+    former = target('a', started_at_ms=1)
+    feed.apply_list(TargetList(age_s=0, targets=(former, target('b'))))
+    feed.add_leaving([LeavingTarget('a', 1)])
+    await asyncio.sleep(1)
+    restarted = target('a', started_at_ms=2)
+    feed.apply_list(TargetList(age_s=0, targets=(restarted, target('b'))))
+    assert feed.entries[0] == restarted
+    assert feed.leaving_notice().targets == ()
+
+
+async def test_last_target_of_a_service_stops_in_time():
+    """Guards against a last target that gets requests without end."""
+    loop = asyncio.get_running_loop()
+    leaving = LeavingTargets(last_target_s=1.5)
+    feed = TargetFeed(None, lambda: 0, loop.time, lambda feed: None, leaving)
+    feed.apply_list(TargetList(age_s=0, targets=(target('a'),)))
+    feed.add_leaving([LeavingTarget('a')])
+    await asyncio.sleep(1.4)
+    assert not feed.stop_last_targets()
+    assert feed.entries[0].state is TargetState.ready
+    await asyncio.sleep(0.1)
+    assert feed.stop_last_targets()
+    assert feed.entries[0].state is TargetState.draining
+    assert not feed.stop_last_targets()
