Place requests anew when the target they wait for is taken out

A waiting request kept its expected target until its estimated wait was over, also when that target had left the list, and was refused or granted another target only then. Both new tests failed before.

--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -113,6 +113,7 @@
         for name, former in queue.targets.items():
             if targets.get(name) is not former:
                 former.forget_objects()
+        queue.recheck_requests_without(targets, now)
         queue.placement = Placement(targets, region, queue.placement.history)
 
     def decide_or_queue(
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -1,6 +1,7 @@
 """Queue, running attempts and run times of one service."""
 
 import collections
+from collections.abc import Mapping
 
 import msgspec
 
@@ -100,6 +101,23 @@
             weight = max(SMOOTHING, 1 / (times.miss_count + 1))
             times.miss_run_s += weight * (run_s - times.miss_run_s)
 
+    def recheck_requests_without(
+        self, targets: Mapping[str, TrackedTarget], now: float
+    ) -> None:
+        """Make requests due for placement if their target is taken out.
+
+        :param targets: the targets that stay, by name.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self.waiting:
+            awaited = waiting.target
+            if (
+                awaited is not None
+                and targets.get(awaited.entry.name) is not awaited
+            ):
+                waiting.leave_target_queue()
+                waiting.recheck_at = now
+
     def init_run_times(self, objective_s: float) -> None:
         """Estimate run times from an objective if none are known yet.
 
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -11,6 +11,7 @@
     AttemptReport,
     Ending,
     Granted,
+    RefusalReason,
     Refused,
 )
 from cuminhoist.steering.dispatcher import (
@@ -372,3 +373,35 @@
     restarted = {'t0': TrackedTarget(target('t0'), REGION)}
     dispatcher.set_targets(SERVICE, restarted, REGION)
     assert not holders['k']
+
+
+def test_request_is_placed_anew_when_its_target_is_taken_out():
+    """Guards against waiting for a slot of a target that leaves.
+
+    The request waited until its estimated wait was over.
+    """
+    dispatcher = make_dispatcher(2)
+    running = [
+        dispatcher.decide_or_queue('e', request(number), 0)
+        for number in range(2)
+    ]
+    assert dispatcher.decide_or_queue('e', request(2), 0) is None
+    queue = dispatcher.queue(SERVICE)
+    awaited = queue.waiting[0].target.entry.name
+    other = next(name for name in queue.targets if name != awaited)
+    dispatcher.set_targets(SERVICE, {other: queue.targets[other]}, REGION, 0)
+    assert dispatcher.decide_waiting(0) == []
+    assert queue.waiting[0].target.entry.name == other
+    granted = next(one for one in running if one.target == other)
+    decisions = dispatcher.end_attempt('e', attempt_report(granted), 0.07)
+    assert [decision.target for _, decision in decisions] == [other]
+
+
+def test_request_without_any_other_target_is_refused_at_once():
+    """Guards against a request that waits for a target that has left."""
+    dispatcher = make_dispatcher(1)
+    dispatcher.decide_or_queue('e', request(0), 0)
+    assert dispatcher.decide_or_queue('e', request(1), 0) is None
+    dispatcher.set_targets(SERVICE, {}, REGION, 0.01)
+    (_, decision), *_ = dispatcher.decide_waiting(0.01)
+    assert decision.reason is RefusalReason.no_target
