--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -26,6 +26,8 @@
     :param lookup_ttl_s: longest validity of a look-up answer, in seconds.
     :param max_shift_fraction: largest fraction of a region's requests that may
         shift to another region within two seconds.
+    :param drain_s: time after which an instance that knows that a target is
+        about to stop must send it no new requests, in seconds.
     """
 
     retry_budget_ratio: float = 0.1
@@ -34,6 +36,7 @@
     stop_grace_s: float = 6
     lookup_ttl_s: float = 5
     max_shift_fraction: float = 0.15
+    drain_s: float = 3
 
 
 class InstanceConfig(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -41,6 +41,7 @@
     grace_s: float = 6
     ttl_max_s: float = 5
     shift_most: float = 0.15
+    drain_ms: float = 3000
 
 
 class _Boot(msgspec.Struct, frozen=True):
@@ -125,6 +126,7 @@
         stop_grace_s=wire.grace_s,
         lookup_ttl_s=wire.ttl_max_s,
         max_shift_fraction=wire.shift_most,
+        drain_s=wire.drain_ms / _MS,
     )
 
 
--- a/src/cuminhoist/steering/leaving_targets.py
+++ b/src/cuminhoist/steering/leaving_targets.py
@@ -5,14 +5,19 @@
 """
 
 from collections.abc import Iterable
+from typing import Self
 
 import msgspec
 
+from ..fleet.instance_config import DeploymentLimits
 from .targets import TargetEntry, TargetState
 
 #: Time for which a notice outlives the last list that names its target, in
 #: seconds. A single list may lack a target by an error of another writer.
 UNLISTED_KEPT_S = 30.0
+#: Fraction of the drain time for which the last warm target of a service still
+#: gets requests. Grants on their way and new connections need the remainder.
+LAST_TARGET_FRACTION = 0.5
 
 
 class LeavingTarget(msgspec.Struct, frozen=True, array_like=True):
@@ -54,6 +59,14 @@
         #: Next time at which a last target stops getting requests.
         self.next_stop_at = float('inf')
 
+    @classmethod
+    def from_limits(cls, limits: DeploymentLimits) -> Self:
+        """Return an empty set of notices for a deployment.
+
+        :param limits: limits of the deployment.
+        """
+        return cls(LAST_TARGET_FRACTION * limits.drain_s)
+
     def in_force(self) -> tuple[LeavingTarget, ...]:
         """Return all notices in force."""
         return tuple(
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -24,7 +24,12 @@
     'bootstrap': True,
     'data_dir': '/data/control',
     'cloud': {'address': '10.200.0.187:8541', 'rate_per_s': 44.0},
-    'bounds': {'grace_s': 6, 'retry_slack': 56, 'unknown': 1},
+    'bounds': {
+        'grace_s': 6,
+        'retry_slack': 56,
+        'drain_ms': 2500,
+        'unknown': 1,
+    },
     'later': {'field': 1},
 }
 
@@ -40,6 +45,7 @@
     assert cfg.metrics_address == Address('10.1.0.8', 7555)
     assert cfg.request_address is None
     assert cfg.limits.min_retry_budget == 56
+    assert cfg.limits.drain_s == 2.5
 
 
 def test_unreadable_settings_are_a_value(tmp_path):
--- a/tests/steering/test_leaving_targets.py
+++ b/tests/steering/test_leaving_targets.py
@@ -4,6 +4,7 @@
 against targets that stay out of use although they have started anew.
 """
 
+from cuminhoist.fleet.instance_config import DeploymentLimits
 from cuminhoist.steering.leaving_targets import (
     UNLISTED_KEPT_S,
     LeavingTarget,
@@ -131,6 +132,14 @@
     assert leaving.next_stop_at == float('inf')
 
 
+def test_last_target_stops_well_within_the_drain_time():
+    """Guards against requests later than the deployment allows."""
+    leaving = LeavingTargets.from_limits(DeploymentLimits(drain_s=2))
+    leaving.add([NOTICE], LISTED, 0)
+    assert _usable(leaving, LISTED[:1], 0.9) == ['t0']
+    assert _usable(leaving, LISTED[:1], 1) == []
+
+
 def test_target_stops_at_once_where_others_serve():
     """Guards against requests to a leaving target without need."""
     leaving = _with_notice(last_target_s=1.5)
