Tell all control instances and subscribers which targets leave

A control instance that gets a notice of a leaving target takes the target out, places its waiting requests anew and passes the notice on: from an entry instance to all control instances, and in each case to its subscribers. New links and new subscribers get all notices in force.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -25,17 +25,20 @@
 )
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
+from ..steering.leaving_targets import LeavingTargets
 from .background import BackgroundTasks
 from .control_links import HEARTBEAT_INTERVAL_S, ControlLinks
 from .control_metrics import ControlMetrics
 from .entry_updates import EntryUpdates
 from .instance_config import Address, InstanceConfig
+from .leaving_broadcast import LeavingBroadcast
 from .link_meter import PrometheusMeter
 from .list_broadcast import ListBroadcast
 from .lookups import nearest_entries
 from .messages import (
     FleetSummary,
     Hello,
+    LeavingNotice,
     ReadinessNotice,
     TargetChanges,
     TargetList,
@@ -120,7 +123,11 @@
         )
         self.replica = self._open_replica()
         self.feed = TargetFeed(
-            source, self._read_rank, now, self._on_target_list
+            source,
+            self._read_rank,
+            now,
+            self._on_target_list,
+            LeavingTargets.from_limits(config.limits),
         )
         self.dispatch = RegionDispatch(
             config.region,
@@ -132,6 +139,9 @@
         self._demand = self.dispatch.measure()
         self._entry_updates = EntryUpdates(self.links, self.feed, now)
         self._list_broadcast = ListBroadcast(self.links)
+        self._leaving_broadcast = LeavingBroadcast(
+            self.links, self.feed, self.metrics
+        )
         self._learned_at = float('-inf')
         self._started = False
 
@@ -343,11 +353,19 @@
         if state is not None:
             peer.link.send(Learned(state=state))
         peer.link.send(self.links.fleet.all_linked())
+        self._leaving_broadcast.send_in_force(peer.link)
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
-        if not peer.hello.control:
+        if isinstance(msg, LeavingNotice):
+            if self._leaving_broadcast.handle_notice(peer, msg):
+                self._update_dispatch()
+        elif peer.hello.control:
+            self._on_control_message(peer, msg)
+        else:
             self._on_entry_message(peer, msg)
-        elif isinstance(msg, Learned):
+
+    def _on_control_message(self, peer: Peer, msg: Message) -> None:
+        if isinstance(msg, Learned):
             self.replica.learn(msg.state)
         elif isinstance(msg, Join):
             self.replica.on_join(msg)
@@ -378,6 +396,7 @@
         while True:
             self._demand = self.dispatch.measure()
             self._send_heartbeats()
+            self.feed.stop_last_targets()
             self._update_dispatch()
             self._record_state()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -51,6 +51,12 @@
             buckets=ORDER_BUCKETS_S,
             registry=self.registry,
         )
+        self.leaving_notices = Counter(
+            'cuminhoist_leaving_notices',
+            'New notices of leaving targets by kind of the sending instance.',
+            ('source',),
+            registry=self.registry,
+        )
         self.state_gauge = Gauge(
             'cuminhoist_belief',
             'Versions, ages and sizes of the state that decisions use.',
--- a/src/cuminhoist/fleet/entry_updates.py
+++ b/src/cuminhoist/fleet/entry_updates.py
@@ -82,6 +82,9 @@
         if notice.list_digest != list_digest(self._sent_targets):
             age_s = self._now() - self._feed.read_at
             peer.link.send(TargetList(age_s=age_s, targets=self._sent_targets))
+        leaving = self._feed.leaving_notice()
+        if leaving.targets:
+            peer.link.send(leaving)
         peer.link.send(
             Roster(
                 entries=tuple(self._sent_roster.values()),
--- /dev/null
+++ b/tests/fleet/test_control_instance.py
@@ -0,0 +1,112 @@
+"""Tests of a control instance that learns of a target that leaves.
+
+They guard against a dispatcher that grants slots of a target which has
+announced its stop, and against instances that do not learn of it.
+"""
+
+import asyncio
+
+import msgspec
+import pytest
+from returns.result import Failure
+
+from cuminhoist.fleet.control_instance import ControlInstance
+from cuminhoist.fleet.instance_config import DeploymentLimits
+from cuminhoist.fleet.messages import (
+    DecisionNotice,
+    LeavingNotice,
+    PlacementRequestNotice,
+    TargetList,
+)
+from cuminhoist.steering.decisions import Granted
+from cuminhoist.steering.leaving_targets import LeavingTarget
+from tests.steering.builders import request, target
+
+from .builders import SOUTH_A, add_peer, hello, instance_config
+
+pytestmark = pytest.mark.looptime
+
+NOTICE = LeavingNotice(targets=(LeavingTarget('a', 1),))
+
+
+def _control(folder, **limits):
+    """Return a control instance with the targets ``a`` and ``b``."""
+    config = msgspec.structs.replace(
+        instance_config(),
+        data_folder=str(folder),
+        first_start=True,
+        limits=DeploymentLimits(**limits),
+    )
+    clock = asyncio.get_running_loop().time
+    instance = ControlInstance(config, None, Failure, clock)
+    listed = tuple(
+        target(name, domain=SOUTH_A, slots=2, started_at_ms=1) for name in 'ab'
+    )
+    instance.feed.apply_list(TargetList(age_s=0, targets=listed))
+    return instance
+
+
+def _granted(control, entry, *numbers):
+    """Send placement requests and return the granted targets."""
+    for number in numbers:
+        notice = PlacementRequestNotice(request=request(number))
+        control._on_message(entry, notice)
+    return [
+        msg.decision.target
+        for msg in entry.link.take()
+        if isinstance(msg, DecisionNotice) and isinstance(msg.decision, Granted)
+    ]
+
+
+async def test_leaving_target_gets_no_more_grants(tmp_path):
+    """Guards against grants until the list shows the target as draining."""
+    control = _control(tmp_path)
+    entry = add_peer(control.links, hello('e0'))
+    assert sorted(_granted(control, entry, 1, 2)) == ['a', 'b']
+    control._on_message(entry, NOTICE)
+    assert _granted(control, entry, 3, 4) == ['b']
+
+
+async def test_requests_that_wait_for_a_leaving_target_are_decided(tmp_path):
+    """Guards against requests that wait for a slot of a leaving target."""
+    control = _control(tmp_path, drain_s=0)
+    entry = add_peer(control.links, hello('e0'))
+    assert len(_granted(control, entry, 1, 2, 3, 4, 5)) == 4
+    only = LeavingNotice(targets=(LeavingTarget('a', 1), LeavingTarget('b', 1)))
+    control._on_message(entry, only)
+    (refused,) = entry.link.take()
+    assert refused.decision.number == 5
+
+
+async def test_notice_of_another_control_instance_is_applied(tmp_path):
+    """Guards against a dispatcher that only its own callers can inform."""
+    control = _control(tmp_path)
+    entry = add_peer(control.links, hello('e0'))
+    other = add_peer(control.links, hello('c1', control=True))
+    control._on_message(other, NOTICE)
+    assert _granted(control, entry, 1, 2) == ['b', 'b']
+
+
+async def test_new_control_instance_learns_notices_in_force(tmp_path):
+    """Guards against a dispatcher that starts without the notices."""
+    control = _control(tmp_path)
+    control._on_message(add_peer(control.links, hello('e0')), NOTICE)
+    joining = add_peer(control.links, hello('c1', control=True))
+    control._on_peer_linked(joining)
+    assert NOTICE in joining.link.take()
+
+
+async def test_last_target_stops_between_two_lists(tmp_path):
+    """Guards against grants of a last target while the list is not read."""
+    control = _control(tmp_path)
+    entry = add_peer(control.links, hello('e0'))
+    only = (target('a', domain=SOUTH_A, slots=9, started_at_ms=1),)
+    await asyncio.sleep(1)
+    control.feed.apply_list(TargetList(age_s=0, targets=only))
+    control._on_message(entry, NOTICE)
+    heartbeats = asyncio.create_task(control._run_heartbeats())
+    await asyncio.sleep(1)
+    assert _granted(control, entry, 1) == ['a']
+    await asyncio.sleep(1)
+    assert _granted(control, entry, 2) == []
+    heartbeats.cancel()
--- a/tests/fleet/test_entry_updates.py
+++ b/tests/fleet/test_entry_updates.py
@@ -12,6 +12,7 @@
 from cuminhoist.fleet.list_changes import list_digest
 from cuminhoist.fleet.messages import (
     FleetSummary,
+    LeavingNotice,
     ReadinessNotice,
     Roster,
     TargetChanges,
@@ -19,6 +20,7 @@
 )
 from cuminhoist.register.declared_state import DeclaredState
 from cuminhoist.register.messages import Learned
+from cuminhoist.steering.leaving_targets import LeavingTarget
 from tests.steering.builders import target
 
 from .builders import add_peer, control_links, feed_of, hello
@@ -115,3 +117,12 @@
     later = next(msg for msg in peer.link.take() if isinstance(msg, Roster))
     assert [entry.name for entry in later.entries] == ['e0']
     assert later.complete
+
+
+async def test_new_subscriber_learns_notices_in_force():
+    """Guards against requests to a target that has announced its stop."""
+    links, feed, updates = await _updates([target('a')])
+    feed.add_leaving([LeavingTarget('a')])
+    peer = add_peer(links, hello('e0'))
+    kinds = _subscribe(updates, peer)
+    assert kinds == {Learned, TargetList, LeavingNotice, Roster, FleetSummary}
