--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Self
 
 import msgspec
@@ -17,9 +18,12 @@
 )
 from ..steering.demand import DemandMeter
 from ..steering.dispatcher import Dispatcher
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, make_tracked_targets
+from ..steering.targets import TargetEntry
 from .bound import arrival_rate, max_in_time_fraction
 from .disturbances import schedule_disturbances
+from .notices import RegionNotices
 from .patterns import Pattern
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
@@ -35,9 +39,6 @@
 #: Limit on the increase of the fraction of shifted requests from one
 #: two-second window to the next.
 SHIFT_LIMIT_FRACTION = 0.15
-#: Time after a leaving notice from which on callers' requests must not reach
-#: the target, in seconds.
-DRAIN_S = 3.0
 #: Maximum number of targets that a request is sent to between refusals.
 MAX_ATTEMPTS = 2
 #: Retry budget: tokens that each new caller adds, and the most that are
@@ -78,8 +79,8 @@
         self._numbers = itertools.count(1)
         self._waiting_callers: dict[int, _WaitingCaller] = {}
         self._retry_tokens = float(0)
-        #: Time of the first leaving notice by region and target, in seconds.
-        self._noticed_at: dict[tuple[str, str], float] = {}
+        self._notices = RegionNotices(region.name for region in pattern.regions)
+        self._demand: dict[str, float] = {}
         self.targets = {
             target.entry.name: target for target in self._make_targets()
         }
@@ -223,7 +224,10 @@
         return self._pattern.region_s if remote else DISPATCHER_RTT_S / 4
 
     def _reach_target(self, job: Job, target: EmulatedTarget) -> None:
-        self._count_late_arrival(job, target)
+        caller = self._waiting_callers[job.number]
+        self.report.after_notices += self._notices.is_late(
+            job.region, target.entry.name, caller.asked_at
+        )
         if target.stopped:
             self._return_answer(job, target, Ending.unreachable)
             return
@@ -240,13 +244,26 @@
         elif started:
             self._start_run(job, target)
 
-    def _count_late_arrival(self, job: Job, target: EmulatedTarget) -> None:
-        """Count a request sent too long after a leaving notice."""
-        noticed_at = self._noticed_at.get((job.region, target.entry.name))
-        caller = self._waiting_callers[job.number]
-        if noticed_at is None or caller.asked_at <= noticed_at + DRAIN_S:
-            return
-        self.report.after_notices += 1
+    def _spread_notice(self, region: str, entry: TargetEntry) -> None:
+        """Tell all dispatchers that a target leaves."""
+        self._notices.record_answer(region, entry.name, self.now)
+        notice = LeavingTarget(entry.name, entry.started_at_ms)
+        for name in self.dispatchers:
+            delay_s = DISPATCHER_RTT_S / 2
+            delay_s += self._pattern.region_s if name != region else 0
+            self._schedule_after(
+                delay_s, partial(self._apply_notice, name, notice)
+            )
+
+    def _apply_notice(self, region: str, notice: LeavingTarget) -> None:
+        listed = self._listed_entries()
+        if self._notices.add(region, notice, listed, self.now):
+            self._update_region_targets(region)
+
+    def _listed_entries(self) -> tuple[TargetEntry, ...]:
+        return tuple(
+            target.entry for target in self.targets.values() if target.listed
+        )
 
     def _start_run(self, job: Job, target: EmulatedTarget) -> None:
         run_s = target.run_s(job.key)
@@ -285,8 +302,7 @@
     ) -> None:
         caller = self._waiting_callers.pop(job.number)
         if report.target_leaving:
-            noticed = (job.region, target.entry.name)
-            self._noticed_at.setdefault(noticed, self.now)
+            self._spread_notice(job.region, target.entry)
         self._schedule_after(
             DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
         )
@@ -328,24 +344,20 @@
         )
 
     def _update_targets(self) -> None:
-        demand = {
+        self._demand = {
             need.region: need.slots
             for name, meter in self._meters.items()
             for need in meter.measure(
                 self.dispatchers[name].service_loads(), self.now
             )
         }
-        for name, dispatcher in self.dispatchers.items():
-            self._update_region_targets(name, dispatcher, demand)
+        for name in self.dispatchers:
+            self._update_region_targets(name)
         if self.now < self._pattern.length_s:
             self._schedule_after(TARGET_UPDATE_S, self._update_targets)
 
-    def _update_region_targets(
-        self,
-        name: str,
-        dispatcher: Dispatcher,
-        demand: dict[str, float],
-    ) -> None:
+    def _update_region_targets(self, name: str) -> None:
+        dispatcher = self.dispatchers[name]
         queue = dispatcher.queue(SERVICE)
         context = DispatchContext(
             region=name,
@@ -359,8 +371,8 @@
         )
         tracked_targets = make_tracked_targets(
             queue.targets,
-            [target.entry for target in self.targets.values() if target.listed],
-            demand,
+            self._notices.usable(name, self._listed_entries(), self.now),
+            self._demand,
             context,
             self.now,
         )
--- a/tests/emulator/test_replay.py
+++ b/tests/emulator/test_replay.py
@@ -34,6 +34,16 @@
     assert first.outcomes == second.outcomes
 
 
+def test_leaving_targets_get_no_late_requests():
+    """Guards against requests to targets that said long ago that they leave."""
+    assert _replay('leaving-unlisted').after_notices == 0
+
+
+def test_pauses_of_targets_are_kept():
+    """Guards against requests to targets that asked a region for a pause."""
+    assert _replay('peak-pauses').in_pauses == 0
+
+
 def test_small_region_is_served():
     """Guards against late answers in a region with few targets.
 
