--- a/tests/steering/test_pauses_in_dispatcher.py
+++ b/tests/steering/test_pauses_in_dispatcher.py
@@ -219,6 +219,16 @@
     assert 't0' in _granted_names(dispatcher, _PAUSE_S + 0.1, 'e3')
 
 
+def test_request_that_waits_for_an_overloaded_target_is_placed_again():
+    """Guards against waiting for a target that asks all to send less."""
+    dispatcher = make_dispatcher(count=1)
+    granted = [_place(dispatcher, 1, 0, 'e1')]
+    assert _place(dispatcher, 2, 0, 'e3') is None
+    _pause_target(dispatcher, 't0', 0.01, 'e2')
+    ((instance, decision),) = _report_pause(dispatcher, granted[0], 0.02, 'e1')
+    assert (instance, type(decision)) == ('e3', Refused)
+
+
 def test_pauses_at_unlike_times_are_no_overload():
     """Guards against taking single pauses for an overload."""
     dispatcher = make_dispatcher(count=2)
@@ -274,6 +284,24 @@
     assert decision.retry_after_s == pytest.approx(1.9)
 
 
+@pytest.mark.parametrize('pause_s', [0, _PAUSE_S])
+def test_attempt_that_never_ran_teaches_no_run_time(pause_s):
+    """Guards against returned grants that count as cache hits."""
+    dispatcher = make_dispatcher(count=1)
+    times = dispatcher.queue(SERVICE).run_times
+    presumed = times.presumed_hit_fraction
+    granted = _place(dispatcher, 1, 0, key='k')
+    report = attempt_report(
+        granted,
+        run_s=0.0,
+        key='k',
+        ending=Ending.shed if pause_s else Ending.withdrawn,
+        pause_s=pause_s,
+    )
+    dispatcher.end_attempt('e', report, 0)
+    assert times.presumed_hit_fraction == presumed
+
+
 def test_lost_instance_is_forgotten_with_its_pauses():
     """Guards against memory that grows with each start of an instance."""
     dispatcher = make_dispatcher(count=1)
