--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -44,14 +43,10 @@
     View,
 )
 from .subscription import Progress
-from .target_feed import TargetFeed, TargetSource
+from .target_feed import TargetFeed, TargetSource, entry_read_rank
 
-#: Shortest time without a target list from a control instance before an entry
-#: instance reads the list itself, in seconds.
-MIN_OWN_READ_PAUSE_S = 3.0
-#: Fraction of the call limit of the target list that all entry instances use
-#: together.
-OWN_READ_FRACTION = 0.3
+#: Number of entry instances that is assumed without a view.
+ASSUMED_ENTRY_COUNT = 8
 
 _log = logger('entry')
 
@@ -190,19 +185,12 @@
         apply_changes(self._roster, msg.entries, msg.gone)
 
     def _read_rank(self) -> int:
-        # Entry instances read the list only while no control instance sends
-        # it. The pause grows with their number and the pages of the list (50
-        # targets each), so that all together stay below OWN_READ_FRACTION of
-        # the call limit. Without a view, 8 entry instances are assumed. The
-        # feed waits 0.6 s for each rank.
-        page_count = len(self.feed.entries) // 50 + 1
         view = self.links.view()
-        entry_count = view.entries if view is not None else 8
-        limit = OWN_READ_FRACTION * self._config.list_calls_per_s
-        pause_s = max(
-            MIN_OWN_READ_PAUSE_S, entry_count * page_count / max(limit, 1)
+        return entry_read_rank(
+            len(self.feed.listed),
+            view.entries if view is not None else ASSUMED_ENTRY_COUNT,
+            self._config.list_calls_per_s,
         )
-        return round(pause_s * random.uniform(1, 1.5) / 0.6)  # noqa: S311
 
     def _on_message(self, msg: Message) -> None:
         if isinstance(msg, Learned):
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from returns.result import Result, Success
@@ -22,6 +23,14 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
+#: Shortest time without a target list from a control instance before an entry
+#: instance reads the list itself, in seconds.
+MIN_OWN_READ_PAUSE_S = 3.0
+#: Fraction of the call limit of the target list that all entry instances use
+#: together.
+OWN_READ_FRACTION = 0.3
+#: Targets on one page of the list.
+PAGE_TARGET_COUNT = 50
 
 _log = logger('targets')
 
@@ -156,6 +165,26 @@
             _log.bind(dependency='target list', reason=reason).info(state)
 
 
+def entry_read_rank(
+    target_count: int, entry_count: int, calls_per_s: float
+) -> int:
+    """Return the rank with which an entry instance reads the list itself.
+
+    It does so only while no control instance sends the list. The pause grows
+    with the number of entry instances and pages, so that all together stay
+    below ``OWN_READ_FRACTION`` of the call limit.
+
+    :param target_count: number of listed targets.
+    :param entry_count: number of entry instances.
+    :param calls_per_s: call limit of the list, in calls a second.
+    """
+    page_count = target_count // PAGE_TARGET_COUNT + 1
+    limit = max(OWN_READ_FRACTION * calls_per_s, 1)
+    pause_s = max(MIN_OWN_READ_PAUSE_S, entry_count * page_count / limit)
+    spread = random.uniform(1, 1.5)  # noqa: S311
+    return round(pause_s * spread / TAKEOVER_DELAY_S)
+
+
 def _log_changes(
     before: tuple[TargetEntry, ...],
     after: tuple[TargetEntry, ...],
