Take a target out as soon as an answer announces its stop

The entry instance that reads the announcement sends the target no new requests from then on, with or without a link to control instances: the check at the moment of sending covers grants that were made before. It reports the target and its start to the dispatcher before the attempt report frees the slot, and reports all notices in force to a new dispatcher. A metric counts new notices, and a log line names the request that brought one.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -25,7 +25,6 @@
 )
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
-from ..steering.leaving_targets import LeavingTargets
 from .background import BackgroundTasks
 from .control_links import HEARTBEAT_INTERVAL_S, ControlLinks
 from .control_metrics import ControlMetrics
@@ -127,7 +126,7 @@
             self._read_rank,
             now,
             self._on_target_list,
-            LeavingTargets.from_limits(config.limits),
+            config.limits,
         )
         self.dispatch = RegionDispatch(
             config.region,
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -25,6 +25,7 @@
 from ..steering.assignment import assign_targets
 from ..steering.demand import Demand
 from ..steering.dispatcher import Dispatcher
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, usable_entries
 from .background import BackgroundTasks
 from .control_instance import DecodeConfiguration
@@ -38,6 +39,7 @@
     EntryEndpoint,
     FleetSummary,
     Hello,
+    LeavingNotice,
     Roster,
     TargetList,
     View,
@@ -107,9 +109,15 @@
             config.limits.retry_budget_ratio,
             config.limits.min_retry_budget,
         )
+        self.request_proxy.on_target_leaving = self._on_target_leaving
         self.feed = TargetFeed(
-            source, self._read_rank, now, self._on_target_list
+            source,
+            self._read_rank,
+            now,
+            self._on_target_list,
+            config.limits,
         )
+        self.links.leaving_notice = self.feed.leaving_notice
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
         self._round_trips_s: dict[str, float] = {}
@@ -208,6 +216,8 @@
         elif isinstance(msg, FleetSummary):
             self._demand = msg.demand
             self._round_trips_s = msg.round_trips_s
+        elif isinstance(msg, LeavingNotice):
+            self._apply_leaving(msg, source='control')
         elif isinstance(msg, Roster):
             self._on_roster(msg)
 
@@ -243,6 +253,32 @@
         self._target_connections.close_unlisted(list(feed.entries))
         self._update_targets()
 
+    def _on_target_leaving(
+        self, announced: LeavingTarget, request_id: str
+    ) -> None:
+        if self.feed.is_stale():
+            # The target may have started anew since the list was read.
+            announced = LeavingTarget(announced.name)
+        notice = LeavingNotice(targets=(announced,))
+        if self._apply_leaving(notice, source='answer', id=request_id):
+            self.links.report_leaving(notice)
+
+    def _apply_leaving(self, notice: LeavingNotice, **context: str) -> bool:
+        """Take leaving targets out at once; tell if any notice is new.
+
+        :param notice: the targets.
+        :param context: where the notice comes from, for the log line.
+        """
+        added = self.feed.add_leaving(notice.targets)
+        if not added:
+            return False
+        self.metrics.leaving_notices.labels(context['source']).inc(len(added))
+        _log.bind(targets=[one.name for one in added], **context).info(
+            'targets leaving'
+        )
+        self._update_targets()
+        return True
+
     def _update_targets(self) -> None:
         """Give the local dispatcher this instance's share of the slots.
 
@@ -288,6 +324,8 @@
                 self.links.ready = self.ready
                 self.links.send_readiness()
                 _log.bind(ready=self.ready).info('readiness')
+            if self.feed.stop_last_targets():
+                self._update_targets()
             self._record_state()
             await asyncio.sleep(0.1)
 
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -26,6 +26,7 @@
     ControlEndpoint,
     FleetSummary,
     Hello,
+    LeavingNotice,
     PlacementRequestNotice,
     ReadinessNotice,
     RunningNotice,
@@ -88,6 +89,7 @@
         self.on_message: Callable[[Message], None] = _ignore_message
         self.on_dispatcher_change: Callable[[], None] = _ignore
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
+        self.leaving_notice: Callable[[], LeavingNotice] = _no_notice
         self._config = config
         self._hello = hello
         self._now = now
@@ -213,6 +215,13 @@
         """
         self._send_to_dispatcher(AttemptReportNotice(report=report))
 
+    def report_leaving(self, notice: LeavingNotice) -> None:
+        """Report targets that have announced their stop.
+
+        :param notice: the targets.
+        """
+        self._send_to_dispatcher(notice)
+
     def withdraw(self, number: int, service: str) -> None:
         """Withdraw a placement request.
 
@@ -248,6 +257,9 @@
         self.on_dispatcher_change()
         if chosen is not None:
             chosen.link.send(RunningNotice(running=self.running_attempts()))
+            leaving = self.leaving_notice()
+            if leaving.targets:
+                chosen.link.send(leaving)
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         control = _LinkedControl(hello, link, wanted_at=self._now())
@@ -375,5 +387,9 @@
     """Ignore a message."""
 
 
+def _no_notice() -> LeavingNotice:
+    return LeavingNotice(targets=())
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -14,6 +14,7 @@
 from ..logging_setup import logger
 from ..steering.leaving_targets import LeavingTarget, LeavingTargets
 from ..steering.targets import TargetEntry
+from .instance_config import DeploymentLimits
 from .messages import LeavingNotice, TargetList
 
 #: Interval between reads, in seconds. A leaving target must get no requests
@@ -23,6 +24,9 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
+#: Age from which a list counts as stale, in seconds: several reads have failed
+#: or have not arrived.
+STALE_LIST_S = 3.0
 #: Shortest time without a target list from a control instance before an entry
 #: instance reads the list itself, in seconds.
 MIN_OWN_READ_PAUSE_S = 3.0
@@ -55,7 +59,7 @@
         0 reads the list while it is available.
     :param now: returns monotonic time in seconds.
     :param on_change: called with each newer list.
-    :param leaving: the notices in force; none at first if left out.
+    :param limits: limits of the deployment; the defaults if left out.
     """
 
     def __init__(
@@ -64,7 +68,7 @@
         rank: Callable[[], int],
         now: Callable[[], float],
         on_change: Callable[['TargetFeed'], None],
-        leaving: LeavingTargets | None = None,
+        limits: DeploymentLimits | None = None,
     ) -> None:
         self.listed: tuple[TargetEntry, ...] = ()
         self.entries: tuple[TargetEntry, ...] = ()
@@ -73,7 +77,7 @@
         self._rank = rank
         self._now = now
         self._on_change = on_change
-        self._leaving = leaving or LeavingTargets()
+        self._leaving = LeavingTargets.from_limits(limits or DeploymentLimits())
         self._available = True
 
     def to_message(self) -> TargetList:
@@ -90,6 +94,10 @@
         """
         self._replace(msg.targets, self._now() - msg.age_s)
 
+    def is_stale(self) -> bool:
+        """Tell whether the list is too old to tell one start from the next."""
+        return self._now() - self.read_at > STALE_LIST_S
+
     def leaving_notice(self) -> LeavingNotice:
         """Return the message that carries all notices in force."""
         return LeavingNotice(targets=self._leaving.in_force())
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -45,6 +45,13 @@
             ('service', 'ending'),
             registry=self.registry,
         )
+        self.leaving_notices = Counter(
+            'cuminhoist_leaving_notices',
+            'New notices of leaving targets: from an answer, or from control '
+            'instances.',
+            ('source',),
+            registry=self.registry,
+        )
         self.latency = Histogram(
             'cuminhoist_request_seconds',
             'Time from the arrival of a request to its complete answer.',
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -22,6 +22,7 @@
     PlacementRequest,
     Refused,
 )
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
 from ..types import Reason
 from .answers import (
@@ -84,6 +85,11 @@
     ) -> None:
         self.routing_state = RoutingState()
         self.running_requests = 0
+        #: Called with a target that announces its stop in an answer, and the
+        #: identity of the request.
+        self.on_target_leaving: Callable[[LeavingTarget, str], None] = (
+            _ignore_leaving
+        )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
@@ -279,6 +285,13 @@
                 target,
                 state.ends_at - started_at,
             )
+            if outcome.target_leaving:
+                # The report below frees the slot, so the target is taken out
+                # before it.
+                self.on_target_leaving(
+                    LeavingTarget(target.name, target.started_at_ms),
+                    state.req.request_id,
+                )
         finally:
             self._record_attempt(state, decision, decider, outcome, started_at)
         if outcome.detail:
@@ -453,3 +466,7 @@
             config_version=routes.version if routes else 0,
             outcome=f'refused-{refusal.reason}',
         )
+
+
+def _ignore_leaving(_announced: LeavingTarget, _request_id: str) -> None:
+    """Ignore that a target is about to stop."""
--- a/tests/fleet/test_control_instance.py
+++ b/tests/fleet/test_control_instance.py
@@ -98,15 +98,15 @@
 
 async def test_last_target_stops_between_two_lists(tmp_path):
     """Guards against grants of a last target while the list is not read."""
-    control = _control(tmp_path)
+    control = _control(tmp_path, drain_s=4)
     entry = add_peer(control.links, hello('e0'))
     only = (target('a', domain=SOUTH_A, slots=9, started_at_ms=1),)
     await asyncio.sleep(1)
     control.feed.apply_list(TargetList(age_s=0, targets=only))
     control._on_message(entry, NOTICE)
     heartbeats = asyncio.create_task(control._run_heartbeats())
-    await asyncio.sleep(1)
+    await asyncio.sleep(1.8)
     assert _granted(control, entry, 1) == ['a']
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.8)
     assert _granted(control, entry, 2) == []
     heartbeats.cancel()
--- /dev/null
+++ b/tests/fleet/test_entry_instance.py
@@ -0,0 +1,135 @@
+"""Tests of an entry instance that gets an answer of a target that leaves.
+
+They guard against requests that reach a target from an instance which has
+passed on its announcement, whether control instances can be reached or not.
+"""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from cuminhoist.fleet import entry_instance
+from cuminhoist.fleet.entry_instance import EntryInstance
+from cuminhoist.fleet.instance_config import Address, DeploymentLimits
+from cuminhoist.fleet.messages import LeavingNotice, TargetList
+from cuminhoist.fleet.target_feed import STALE_LIST_S
+from cuminhoist.platform.requests import PlatformWire
+from cuminhoist.steering.decisions import Granted
+from cuminhoist.steering.leaving_targets import LeavingTarget
+from tests.steering.builders import request, target
+
+from .builders import SOUTH_A, instance_config
+
+pytestmark = pytest.mark.looptime
+
+ANNOUNCED = LeavingTarget('a', 1)
+LISTED = tuple(
+    target(name, domain=SOUTH_A, slots=2, started_at_ms=1) for name in 'ab'
+)
+
+
+def _entry_instance():
+    """Return an entry instance with two targets and no link."""
+    config = msgspec.structs.replace(
+        instance_config('e0'),
+        operator_address=None,
+        request_address=Address('e0', 80),
+        limits=DeploymentLimits(drain_s=4),
+    )
+    clock = asyncio.get_running_loop().time
+    entry = EntryInstance(config, None, None, PlatformWire(), clock)
+    entry.feed.apply_list(TargetList(age_s=0, targets=LISTED))
+    return entry
+
+
+def _usable(entry):
+    return sorted(entry.request_proxy.routing_state.targets)
+
+
+async def test_announcement_takes_the_target_out_without_any_link():
+    """Guards against a cut instance that goes on sending requests."""
+    entry = _entry_instance()
+    assert _usable(entry) == ['a', 'b']
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    assert _usable(entry) == ['b']
+    client = entry.placement_client
+    for number in range(2):
+        decision, _ = await client.request_placement(request(number))
+        assert isinstance(decision, Granted)
+        assert decision.target == 'b'
+
+
+async def test_newer_list_that_lags_behind_changes_nothing():
+    """Guards against requests after the next list of a cut instance."""
+    entry = _entry_instance()
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    await asyncio.sleep(1)
+    entry.feed.apply_list(TargetList(age_s=0, targets=LISTED))
+    assert _usable(entry) == ['b']
+
+
+async def test_new_dispatcher_gets_what_answers_announced():
+    """Guards against a change of dispatcher that loses the announcement."""
+    entry = _entry_instance()
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    assert entry.links.leaving_notice().targets == (ANNOUNCED,)
+
+
+async def test_announcement_is_reported_and_logged_once(monkeypatch):
+    """Guards against a message and a log line for each answer."""
+    entry = _entry_instance()
+    reported, lines = [], []
+    monkeypatch.setattr(entry.links, 'report_leaving', reported.append)
+    monkeypatch.setattr(
+        entry_instance._log, 'bind', lambda **fields: _Line(lines, fields)
+    )
+    for request_id in ('id1', 'id2'):
+        entry.request_proxy.on_target_leaving(ANNOUNCED, request_id)
+    notice = LeavingNotice(targets=(ANNOUNCED,))
+    assert reported == [notice]
+    assert [(line['id'], line['targets']) for line in lines] == [('id1', ['a'])]
+    registry = entry.metrics.registry
+    name = 'cuminhoist_leaving_notices_total'
+    assert registry.get_sample_value(name, {'source': 'answer'}) == 1
+
+
+class _Line:
+    def __init__(self, lines, fields):
+        self._lines = lines
+        self._fields = fields
+
+    def info(self, _event):
+        self._lines.append(self._fields)
+
+
+async def test_notice_of_the_fleet_takes_the_target_out():
+    """Guards against each instance having to learn from its own request."""
+    entry = _entry_instance()
+    entry._on_message(LeavingNotice(targets=(ANNOUNCED,)))
+    assert _usable(entry) == ['b']
+    name = 'cuminhoist_leaving_notices_total'
+    registry = entry.metrics.registry
+    assert registry.get_sample_value(name, {'source': 'control'}) == 1
+
+
+async def test_start_is_unknown_without_a_recent_list():
+    """Guards against ending a notice of a target that restarted unseen."""
+    entry = _entry_instance()
+    await asyncio.sleep(STALE_LIST_S + 1)
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    assert entry.feed.leaving_notice().targets == (LeavingTarget('a', 0),)
+
+
+async def test_last_target_stops_between_two_lists():
+    """Guards against requests to a last target while no list arrives."""
+    entry = _entry_instance()
+    await asyncio.sleep(1)
+    entry.feed.apply_list(TargetList(age_s=0, targets=LISTED[:1]))
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    checks = asyncio.create_task(entry._run_checks())
+    await asyncio.sleep(1.8)
+    assert _usable(entry) == ['a']
+    await asyncio.sleep(0.4)
+    assert _usable(entry) == []
+    checks.cancel()
--- a/tests/fleet/test_entry_links.py
+++ b/tests/fleet/test_entry_links.py
@@ -13,11 +13,13 @@
 from cuminhoist.fleet.messages import (
     ControlEndpoint,
     FleetSummary,
+    LeavingNotice,
     ReadinessNotice,
     TargetChanges,
     TargetList,
     View,
 )
+from cuminhoist.steering.leaving_targets import LeavingTarget
 from tests.steering.builders import target
 
 from .builders import RecordingLink, hello, instance_config
@@ -106,3 +108,29 @@
     notice = second.take()[-1]
     assert notice.subscribed
     assert notice.list_digest
+
+
+async def test_new_dispatcher_learns_notices_in_force():
+    """Guards against a new dispatcher that grants slots of a leaving target."""
+    links = _entry_links()
+    notice = LeavingNotice(targets=(LeavingTarget('a', 1),))
+    links.leaving_notice = lambda: notice
+    first, second = _link(links, 'c1'), _link(links, 'c2')
+    _send_view(links, first, dispatcher='c1')
+    assert notice in first.take()
+    assert notice not in second.take()
+    first.ended = True
+    links.link_closed(first)
+    _send_view(links, second, dispatcher='c2')
+    assert notice in second.take()
+
+
+async def test_announced_stop_is_reported_to_the_dispatcher():
+    """Guards against a notice that reaches no control instance."""
+    links = _entry_links()
+    notice = LeavingNotice(targets=(LeavingTarget('a', 1),))
+    link = _link(links, 'c1')
+    _send_view(links, link, dispatcher='c1')
+    assert not any(isinstance(msg, LeavingNotice) for msg in link.take())
+    links.report_leaving(notice)
+    assert link.take() == [notice]
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -9,13 +9,14 @@
 import pytest
 from returns.result import Failure, Success
 
+from cuminhoist.fleet.instance_config import DeploymentLimits
 from cuminhoist.fleet.messages import TargetList
 from cuminhoist.fleet.target_feed import (
     READ_INTERVAL_S,
     TargetFeed,
     TargetSource,
 )
-from cuminhoist.steering.leaving_targets import LeavingTarget, LeavingTargets
+from cuminhoist.steering.leaving_targets import LeavingTarget
 from cuminhoist.steering.targets import TargetState
 from tests.steering.builders import target
 
@@ -149,8 +150,8 @@
 async def test_last_target_of_a_service_stops_in_time():
     """Guards against a last target that gets requests without end."""
     loop = asyncio.get_running_loop()
-    leaving = LeavingTargets(last_target_s=1.5)
-    feed = TargetFeed(None, lambda: 0, loop.time, lambda feed: None, leaving)
+    limits = DeploymentLimits(drain_s=3)
+    feed = TargetFeed(None, lambda: 0, loop.time, lambda feed: None, limits)
     feed.apply_list(TargetList(age_s=0, targets=(target('a'),)))
     feed.add_leaving([LeavingTarget('a')])
     await asyncio.sleep(1.4)
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -4,7 +4,10 @@
 the connection.
 """
 
+import asyncio
+
 import msgspec
+import pytest
 
 from cuminhoist import httpserver
 from cuminhoist.gateway import request_proxy
@@ -273,3 +276,56 @@
             )
             await harness.request()
     assert seen[0] - seen[1] > 0.1
+
+
+@pytest.mark.parametrize('status', ['200 OK', '500 Failed', '503 Full'])
+async def test_announced_stop_is_handed_over_before_the_report(status):
+    """Guards against a slot of a leaving target that is granted once more.
+
+    The report frees the slot, so the announcement has to come first.
+    """
+    target = ScriptedTarget(
+        lambda head: answer(head, status=status, server_leaving='1')
+    )
+    events = []
+    async with gateway(target, max_targets=1) as harness:
+        client = harness.proxy._placement_client
+        client.report_attempt_end = lambda report: events.append(report.target)
+        harness.proxy.on_target_leaving = lambda entry, request_id: (
+            events.append((entry.name, request_id))
+        )
+        await harness.request()
+    assert events == [('t0', 'id1'), 't0']
+
+
+async def test_streamed_answer_announces_the_stop_before_its_end():
+    """Guards against requests to a leaving target during a long answer."""
+    known, finished = asyncio.Event(), asyncio.Event()
+    body = [b'x' * 100_000, b'end']
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        head = f'HTTP/1.1 200 OK\r\ncontent-length: {len(b"".join(body))}\r\n'
+        head += 'x-request-id: id1\r\nx-server-stamp: s\r\nserver-leaving: 1'
+        writer.write(f'{head}\r\n\r\n'.encode() + body[0])
+        await asyncio.wait_for(known.wait(), 5)
+        finished.set()
+        writer.write(body[1])
+
+    target = ScriptedTarget(answer)
+    target._serve = serve
+    async with gateway(target) as harness:
+        harness.proxy.on_target_leaving = lambda *_: known.set()
+        received = await harness.request()
+    assert finished.is_set()
+    assert received.endswith(b'end')
+
+
+async def test_answer_without_the_announcement_is_no_notice():
+    """Guards against taking out targets that merely close a connection."""
+    target = ScriptedTarget(lambda head: answer(head, connection='close'))
+    noticed = []
+    async with gateway(target) as harness:
+        harness.proxy.on_target_leaving = lambda *args: noticed.append(args)
+        await harness.request()
+    assert not noticed
