Leave the announced stop out of the attempt report

The leaving notice carries it together with the start of the target, which the report does not tell, so that a notice of a former start takes out no restarted target. Nothing read the field of the report.

--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -331,8 +331,7 @@
                 state.req.key,
                 outcome.ending,
                 run_s,
-                outcome.target_leaving,
-                outcome.pause_s,
+                pause_s=outcome.pause_s,
             ),
         )
 
--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -94,7 +94,6 @@
 
     :param run_s: time from sending the request to receiving the complete
         answer, in seconds.
-    :param target_leaving: whether the target said that it is about to stop.
     :param pause_s: how long the target asked this entry instance to send it
         no requests, in seconds; 0 for no pause.
     """
@@ -105,5 +104,4 @@
     key: str
     ending: Ending
     run_s: float
-    target_leaving: bool = False
     pause_s: float = 0
