--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -228,6 +228,20 @@
     )
     proxy.routing_state.routes = RouteTable(1, {HOST: (route(**changes),)}, {})
     proxy.routing_state.targets = {entry.name: entry for entry in entries}
+    async with served(proxy) as harness:
+        try:
+            yield harness
+        finally:
+            for target in targets:
+                target.stop()
+
+
+@contextlib.asynccontextmanager
+async def served(proxy: RequestProxy) -> AsyncIterator[GatewayHarness]:
+    """Run a request proxy behind a listener.
+
+    :param proxy: the proxy, with routes and targets.
+    """
     server = HttpServer.from_app(proxy, '127.0.0.1', 0)
     serving = asyncio.create_task(server.serve())
     while not server.started:
@@ -239,8 +253,6 @@
         server.drain_timeout_s = 0
         server.should_exit = True
         await serving
-        for target in targets:
-            target.stop()
 
 
 def _length(head: bytes) -> int:
