--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -290,9 +290,12 @@
             job.key,
             ending,
             self.now + delay_s - job.sent_at,
-            target_leaving=target.leaving and not target.stopped,
             pause_s=pause_s,
         )
+        if target.leaving and not target.stopped:
+            self._schedule_after(
+                delay_s, lambda: self._spread_notice(job.region, target.entry)
+            )
         self._schedule_after(
             delay_s, lambda: self._handle_answer(job, target, report)
         )
@@ -301,8 +304,6 @@
         self, job: Job, target: EmulatedTarget, report: AttemptReport
     ) -> None:
         caller = self._waiting_callers.pop(job.number)
-        if report.target_leaving:
-            self._spread_notice(job.region, target.entry)
         self._schedule_after(
             DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
         )
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -26,6 +25,7 @@
 from ..steering.assignment import assign_targets
 from ..steering.demand import Demand
 from ..steering.dispatcher import Dispatcher
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, usable_entries
 from .background import BackgroundTasks
 from .control_instance import DecodeConfiguration
@@ -39,19 +39,16 @@
     EntryEndpoint,
     FleetSummary,
     Hello,
+    LeavingNotice,
     Roster,
     TargetList,
     View,
 )
 from .subscription import Progress
-from .target_feed import TargetFeed, TargetSource
+from .target_feed import TargetFeed, TargetSource, entry_read_rank
 
-#: Shortest time without a target list from a control instance before an entry
-#: instance reads the list itself, in seconds.
-MIN_OWN_READ_PAUSE_S = 3.0
-#: Fraction of the call limit of the target list that all entry instances use
-#: together.
-OWN_READ_FRACTION = 0.3
+#: Number of entry instances that is assumed without a view.
+ASSUMED_ENTRY_COUNT = 8
 
 _log = logger('entry')
 
@@ -112,9 +109,15 @@
             config.limits.retry_budget_ratio,
             config.limits.min_retry_budget,
         )
+        self.request_proxy.on_target_leaving = self._on_target_leaving
         self.feed = TargetFeed(
-            source, self._read_rank, now, self._on_target_list
+            source,
+            self._read_rank,
+            now,
+            self._on_target_list,
+            config.limits,
         )
+        self.links.leaving_notice = self.feed.leaving_notice
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
         self._round_trips_s: dict[str, float] = {}
@@ -191,19 +194,12 @@
         apply_changes(self._roster, msg.entries, msg.gone)
 
     def _read_rank(self) -> int:
-        # Entry instances read the list only while no control instance sends
-        # it. The pause grows with their number and the pages of the list (50
-        # targets each), so that all together stay below OWN_READ_FRACTION of
-        # the call limit. Without a view, 8 entry instances are assumed. The
-        # feed waits 0.6 s for each rank.
-        page_count = len(self.feed.entries) // 50 + 1
         view = self.links.view()
-        entry_count = view.entries if view is not None else 8
-        limit = OWN_READ_FRACTION * self._config.list_calls_per_s
-        pause_s = max(
-            MIN_OWN_READ_PAUSE_S, entry_count * page_count / max(limit, 1)
+        return entry_read_rank(
+            len(self.feed.listed),
+            view.entries if view is not None else ASSUMED_ENTRY_COUNT,
+            self._config.list_calls_per_s,
         )
-        return round(pause_s * random.uniform(1, 1.5) / 0.6)  # noqa: S311
 
     def _on_message(self, msg: Message) -> None:
         if isinstance(msg, Learned):
@@ -221,6 +217,8 @@
         elif isinstance(msg, FleetSummary):
             self._demand = msg.demand
             self._round_trips_s = msg.round_trips_s
+        elif isinstance(msg, LeavingNotice):
+            self._apply_leaving(msg, source='control')
         elif isinstance(msg, Roster):
             self._on_roster(msg)
 
@@ -256,6 +254,32 @@
         self._target_connections.close_unlisted(list(feed.entries))
         self._update_targets()
 
+    def _on_target_leaving(
+        self, announced: LeavingTarget, request_id: str
+    ) -> None:
+        if self.feed.is_stale():
+            # The target may have started anew since the list was read.
+            announced = LeavingTarget(announced.name)
+        notice = LeavingNotice(targets=(announced,))
+        if self._apply_leaving(notice, source='answer', id=request_id):
+            self.links.report_leaving(notice)
+
+    def _apply_leaving(self, notice: LeavingNotice, **context: str) -> bool:
+        """Take leaving targets out at once; tell if any notice is new.
+
+        :param notice: the targets.
+        :param context: where the notice comes from, for the log line.
+        """
+        added = self.feed.add_leaving(notice.targets)
+        if not added:
+            return False
+        self.metrics.leaving_notices.labels(context['source']).inc(len(added))
+        _log.bind(targets=[one.name for one in added], **context).info(
+            'targets leaving'
+        )
+        self._update_targets()
+        return True
+
     def _update_targets(self) -> None:
         """Give the local dispatcher this instance's share of the slots.
 
@@ -301,6 +325,8 @@
                 self.links.ready = self.ready
                 self.links.send_readiness()
                 _log.bind(ready=self.ready).info('readiness')
+            if self.feed.stop_last_targets():
+                self._update_targets()
             self._record_state()
             await asyncio.sleep(0.1)
 
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -27,6 +27,7 @@
     ControlEndpoint,
     FleetSummary,
     Hello,
+    LeavingNotice,
     PausesNotice,
     PlacementRequestNotice,
     ReadinessNotice,
@@ -91,6 +92,7 @@
         self.on_dispatcher_change: Callable[[], None] = _ignore
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
         self.unexpired_pauses: Callable[[], tuple[TargetPause, ...]] = tuple
+        self.leaving_notice: Callable[[], LeavingNotice] = _no_notice
         self._config = config
         self._hello = hello
         self._now = now
@@ -216,6 +218,13 @@
         """
         self._send_to_dispatcher(AttemptReportNotice(report=report))
 
+    def report_leaving(self, notice: LeavingNotice) -> None:
+        """Report targets that have announced their stop.
+
+        :param notice: the targets.
+        """
+        self._send_to_dispatcher(notice)
+
     def withdraw(self, number: int, service: str) -> None:
         """Withdraw a placement request.
 
@@ -254,6 +263,9 @@
             pauses = self.unexpired_pauses()
             if pauses:
                 chosen.link.send(PausesNotice(pauses=pauses))
+            leaving = self.leaving_notice()
+            if leaving.targets:
+                chosen.link.send(leaving)
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         control = _LinkedControl(hello, link, wanted_at=self._now())
@@ -381,5 +393,9 @@
     """Ignore a message."""
 
 
+def _no_notice() -> LeavingNotice:
+    return LeavingNotice(targets=())
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from returns.result import Result, Success
@@ -13,6 +14,7 @@
 from ..logging_setup import logger
 from ..steering.leaving_targets import LeavingTarget, LeavingTargets
 from ..steering.targets import TargetEntry
+from .instance_config import DeploymentLimits
 from .messages import LeavingNotice, TargetList
 
 #: Interval between reads, in seconds. A leaving target must get no requests
@@ -22,6 +24,17 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
+#: Age from which a list counts as stale, in seconds: several reads have failed
+#: or have not arrived.
+STALE_LIST_S = 3.0
+#: Shortest time without a target list from a control instance before an entry
+#: instance reads the list itself, in seconds.
+MIN_OWN_READ_PAUSE_S = 3.0
+#: Fraction of the call limit of the target list that all entry instances use
+#: together.
+OWN_READ_FRACTION = 0.3
+#: Targets on one page of the list.
+PAGE_TARGET_COUNT = 50
 
 _log = logger('targets')
 
@@ -46,7 +59,7 @@
         0 reads the list while it is available.
     :param now: returns monotonic time in seconds.
     :param on_change: called with each newer list.
-    :param leaving: the notices in force; none at first if left out.
+    :param limits: limits of the deployment; the defaults if left out.
     """
 
     def __init__(
@@ -55,7 +68,7 @@
         rank: Callable[[], int],
         now: Callable[[], float],
         on_change: Callable[['TargetFeed'], None],
-        leaving: LeavingTargets | None = None,
+        limits: DeploymentLimits | None = None,
     ) -> None:
         self.listed: tuple[TargetEntry, ...] = ()
         self.entries: tuple[TargetEntry, ...] = ()
@@ -64,7 +77,7 @@
         self._rank = rank
         self._now = now
         self._on_change = on_change
-        self._leaving = leaving or LeavingTargets()
+        self._leaving = LeavingTargets.from_limits(limits or DeploymentLimits())
         self._available = True
 
     def to_message(self) -> TargetList:
@@ -81,6 +94,10 @@
         """
         self._replace(msg.targets, self._now() - msg.age_s)
 
+    def is_stale(self) -> bool:
+        """Tell whether the list is too old to tell one start from the next."""
+        return self._now() - self.read_at > STALE_LIST_S
+
     def leaving_notice(self) -> LeavingNotice:
         """Return the message that carries all notices in force."""
         return LeavingNotice(targets=self._leaving.in_force())
@@ -156,6 +173,26 @@
             _log.bind(dependency='target list', reason=reason).info(state)
 
 
+def entry_read_rank(
+    target_count: int, entry_count: int, calls_per_s: float
+) -> int:
+    """Return the rank with which an entry instance reads the list itself.
+
+    It does so only while no control instance sends the list. The pause grows
+    with the number of entry instances and pages, so that all together stay
+    below ``OWN_READ_FRACTION`` of the call limit.
+
+    :param target_count: number of listed targets.
+    :param entry_count: number of entry instances.
+    :param calls_per_s: call limit of the list, in calls a second.
+    """
+    page_count = target_count // PAGE_TARGET_COUNT + 1
+    limit = max(OWN_READ_FRACTION * calls_per_s, 1)
+    pause_s = max(MIN_OWN_READ_PAUSE_S, entry_count * page_count / limit)
+    spread = random.uniform(1, 1.5)  # noqa: S311
+    return round(pause_s * spread / TAKEOVER_DELAY_S)
+
+
 def _log_changes(
     before: tuple[TargetEntry, ...],
     after: tuple[TargetEntry, ...],
