--- a/src/cuminhoist/emulator/__main__.py
+++ b/src/cuminhoist/emulator/__main__.py
@@ -20,6 +20,7 @@
     'refused again',
     'largest shift',
     'bound',
+    'unwanted',
 )
 
 
@@ -64,7 +65,8 @@
             row.largest_shift,
             row.bound,
         )
-        table.add_row(row.name, *(f'{figure:.3f}' for figure in figures))
+        texts = (f'{figure:.3f}' for figure in figures)
+        table.add_row(row.name, *texts, str(row.unwanted))
     return table
 
 
--- a/src/cuminhoist/emulator/experiment.py
+++ b/src/cuminhoist/emulator/experiment.py
@@ -17,8 +17,10 @@
     """Results of one pattern over all seeds.
 
     Fractions are means, but ``worst_region`` is the lowest and
-    ``largest_shift`` the highest value of any replay.
+    ``largest_shift`` and ``unwanted`` are the highest values of any replay.
 
+    :param unwanted: requests that reached targets although these had said
+        that they leave or had asked for a pause.
     :param bound_fraction: fraction in time divided by the bound.
     """
 
@@ -30,6 +32,7 @@
     largest_shift: float
     bound: float
     bound_fraction: float
+    unwanted: int
 
 
 def replay(pattern: Pattern, seeds: int) -> list[Report]:
@@ -63,6 +66,9 @@
         largest_shift=max(report.largest_shift() for report in reports),
         bound=bound,
         bound_fraction=in_time / bound,
+        unwanted=max(
+            report.after_notices + report.in_pauses for report in reports
+        ),
     )
 
 
