--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -18,8 +18,12 @@
 )
 from ..steering.demand import DemandMeter
 from ..steering.dispatcher import Dispatcher
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, make_tracked_targets
+from ..steering.targets import TargetEntry
 from .bound import arrival_rate, max_in_time_fraction
+from .disturbances import schedule_disturbances
+from .notices import RegionNotices
 from .patterns import Pattern
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
@@ -75,6 +79,8 @@
         self._numbers = itertools.count(1)
         self._waiting_callers: dict[int, _WaitingCaller] = {}
         self._retry_tokens = float(0)
+        self._notices = RegionNotices(region.name for region in pattern.regions)
+        self._demand: dict[str, float] = {}
         self.targets = {
             target.entry.name: target for target in self._make_targets()
         }
@@ -104,29 +110,21 @@
         pattern = self._pattern
         for region in pattern.regions:
             self._schedule_arrival(region.name)
-        for slow in pattern.slow:
-            count = round(slow.part * len(self.targets))
-            chosen = self._rng.sample(sorted(self.targets), count)
-            end_s = slow.at_s + slow.for_s
-            self._schedule_at(
-                slow.at_s, partial(self._set_slowdown, chosen, slow.factor)
-            )
-            self._schedule_at(end_s, partial(self._set_slowdown, chosen, 1))
-        for declining in pattern.declining:
-            self._schedule_at(
-                declining.at_s,
-                partial(self._set_declined_fraction, declining.part),
-            )
-            self._schedule_at(
-                declining.at_s + declining.for_s,
-                partial(self._set_declined_fraction, 0),
-            )
+        schedule_disturbances(
+            pattern,
+            [target for _, target in sorted(self.targets.items())],
+            self._rng,
+            self._schedule_at,
+        )
         self._update_targets()
         self._tick()
         while self._events:
             due_at, _, event = heapq.heappop(self._events)
             self.now = due_at
             event()
+        self.report.in_pauses = sum(
+            target.unwanted_arrivals for target in self.targets.values()
+        )
         return self.report
 
     def _make_targets(self) -> list[EmulatedTarget]:
@@ -149,14 +147,6 @@
     ) -> None:
         self._schedule_at(self.now + delay_s, event)
 
-    def _set_slowdown(self, names: list[str], factor: float) -> None:
-        for name in names:
-            self.targets[name].slowdown = factor
-
-    def _set_declined_fraction(self, fraction: float) -> None:
-        for target in self.targets.values():
-            target.declined_fraction = fraction
-
     def _schedule_arrival(self, region: str) -> None:
         gap_s = self._rng.expovariate(
             max(arrival_rate(self._pattern, region, self.now), 0.1)
@@ -234,6 +224,17 @@
         return self._pattern.region_s if remote else DISPATCHER_RTT_S / 4
 
     def _reach_target(self, job: Job, target: EmulatedTarget) -> None:
+        caller = self._waiting_callers[job.number]
+        self.report.after_notices += self._notices.is_late(
+            job.region, target.entry.name, caller.asked_at
+        )
+        if target.stopped:
+            self._return_answer(job, target, Ending.unreachable)
+            return
+        pause_s = target.refuse_for_s(job.region, self.now)
+        if pause_s:
+            self._return_answer(job, target, Ending.shed, pause_s)
+            return
         if target.declines():
             self._return_answer(job, target, Ending.declined)
             return
@@ -243,6 +244,27 @@
         elif started:
             self._start_run(job, target)
 
+    def _spread_notice(self, region: str, entry: TargetEntry) -> None:
+        """Tell all dispatchers that a target leaves."""
+        self._notices.record_answer(region, entry.name, self.now)
+        notice = LeavingTarget(entry.name, entry.started_at_ms)
+        for name in self.dispatchers:
+            delay_s = DISPATCHER_RTT_S / 2
+            delay_s += self._pattern.region_s if name != region else 0
+            self._schedule_after(
+                delay_s, partial(self._apply_notice, name, notice)
+            )
+
+    def _apply_notice(self, region: str, notice: LeavingTarget) -> None:
+        listed = self._listed_entries()
+        if self._notices.add(region, notice, listed, self.now):
+            self._update_region_targets(region)
+
+    def _listed_entries(self) -> tuple[TargetEntry, ...]:
+        return tuple(
+            target.entry for target in self.targets.values() if target.listed
+        )
+
     def _start_run(self, job: Job, target: EmulatedTarget) -> None:
         run_s = target.run_s(job.key)
         self._schedule_after(run_s, lambda: self._finish_run(job, target))
@@ -254,29 +276,38 @@
         self._return_answer(job, target, Ending.answered)
 
     def _return_answer(
-        self, job: Job, target: EmulatedTarget, ending: Ending
+        self,
+        job: Job,
+        target: EmulatedTarget,
+        ending: Ending,
+        pause_s: float = 0,
     ) -> None:
         delay_s = self._one_way_delay_s(job, target)
-        self._schedule_after(
-            delay_s, lambda: self._handle_answer(job, target, ending)
-        )
-
-    def _handle_answer(
-        self, job: Job, target: EmulatedTarget, ending: Ending
-    ) -> None:
-        caller = self._waiting_callers.pop(job.number)
         report = AttemptReport(
             job.number,
             target.entry.name,
             SERVICE,
             job.key,
             ending,
-            self.now - job.sent_at,
+            self.now + delay_s - job.sent_at,
+            pause_s=pause_s,
+        )
+        if target.leaving and not target.stopped:
+            self._schedule_after(
+                delay_s, lambda: self._spread_notice(job.region, target.entry)
+            )
+        self._schedule_after(
+            delay_s, lambda: self._handle_answer(job, target, report)
         )
+
+    def _handle_answer(
+        self, job: Job, target: EmulatedTarget, report: AttemptReport
+    ) -> None:
+        caller = self._waiting_callers.pop(job.number)
         self._schedule_after(
             DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
         )
-        if ending is Ending.answered:
+        if report.ending is Ending.answered:
             shifted = target.region != job.region
             self._record_outcome(
                 caller, self.now + CALLER_RTT_S / 2, shifted=shifted
@@ -314,24 +345,20 @@
         )
 
     def _update_targets(self) -> None:
-        demand = {
+        self._demand = {
             need.region: need.slots
             for name, meter in self._meters.items()
             for need in meter.measure(
                 self.dispatchers[name].service_loads(), self.now
             )
         }
-        for name, dispatcher in self.dispatchers.items():
-            self._update_region_targets(name, dispatcher, demand)
+        for name in self.dispatchers:
+            self._update_region_targets(name)
         if self.now < self._pattern.length_s:
             self._schedule_after(TARGET_UPDATE_S, self._update_targets)
 
-    def _update_region_targets(
-        self,
-        name: str,
-        dispatcher: Dispatcher,
-        demand: dict[str, float],
-    ) -> None:
+    def _update_region_targets(self, name: str) -> None:
+        dispatcher = self.dispatchers[name]
         queue = dispatcher.queue(SERVICE)
         context = DispatchContext(
             region=name,
@@ -345,8 +372,8 @@
         )
         tracked_targets = make_tracked_targets(
             queue.targets,
-            [target.entry for target in self.targets.values()],
-            demand,
+            self._notices.usable(name, self._listed_entries(), self.now),
+            self._demand,
             context,
             self.now,
         )
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -22,6 +22,7 @@
     PlacementRequest,
     Refused,
 )
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
 from ..types import Reason
 from .answers import (
@@ -87,6 +88,11 @@
     ) -> None:
         self.routing_state = RoutingState()
         self.running_requests = 0
+        #: Called with a target that announces its stop in an answer, and the
+        #: identity of the request.
+        self.on_target_leaving: Callable[[LeavingTarget, str], None] = (
+            _ignore_leaving
+        )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
@@ -309,6 +315,13 @@
                 target,
                 state.ends_at - started_at,
             )
+            if outcome.target_leaving:
+                # The report below frees the slot, so the target is taken out
+                # before it.
+                self.on_target_leaving(
+                    LeavingTarget(target.name, target.started_at_ms),
+                    state.req.request_id,
+                )
         finally:
             self._pause_log.record(
                 state.req.request_id,
@@ -361,9 +374,8 @@
                 state.req.key,
                 outcome.ending,
                 run_s,
-                outcome.target_leaving,
-                outcome.pause_s,
-                target_started_at_ms,
+                pause_s=outcome.pause_s,
+                target_started_at_ms=target_started_at_ms,
             ),
         )
 
@@ -516,3 +528,7 @@
         return False
     abort(answer.exchange)
     return True
+
+
+def _ignore_leaving(_announced: LeavingTarget, _request_id: str) -> None:
+    """Ignore that a target is about to stop."""
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -1,6 +1,7 @@
 """Queue, running attempts and run times of one service."""
 
 import collections
+from collections.abc import Mapping
 
 import msgspec
 
@@ -129,6 +130,23 @@
                 waiting.leave_target_queue()
                 waiting.recheck_at = now
 
+    def recheck_requests_without(
+        self, targets: Mapping[str, TrackedTarget], now: float
+    ) -> None:
+        """Make requests due for placement if their target is taken out.
+
+        :param targets: the targets that stay, by name.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self.waiting:
+            awaited = waiting.target
+            if (
+                awaited is not None
+                and targets.get(awaited.entry.name) is not awaited
+            ):
+                waiting.leave_target_queue()
+                waiting.recheck_at = now
+
     def recheck_overloaded_requests(
         self, target: TrackedTarget, now: float
     ) -> None:
