--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -25,7 +25,7 @@
 )
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
-from .background import BackgroundTasks
+from .background import BackgroundTasks, UpdateLimiter
 from .control_links import HEARTBEAT_INTERVAL_S, ControlLinks
 from .control_metrics import ControlMetrics
 from .entry_updates import EntryUpdates
@@ -141,6 +141,7 @@
         self._leaving_broadcast = LeavingBroadcast(
             self.links, self.feed, self.metrics
         )
+        self._dispatch_update = UpdateLimiter(self._update_dispatch, now)
         self._learned_at = float('-inf')
         self._started = False
 
@@ -357,7 +358,7 @@
     def _on_message(self, peer: Peer, msg: Message) -> None:
         if isinstance(msg, LeavingNotice):
             if self._leaving_broadcast.handle_notice(peer, msg):
-                self._update_dispatch()
+                self._dispatch_update.request()
         elif peer.hello.control:
             self._on_control_message(peer, msg)
         else:
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -27,7 +27,7 @@
 from ..steering.dispatcher import Dispatcher
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, usable_entries
-from .background import BackgroundTasks
+from .background import BackgroundTasks, UpdateLimiter
 from .control_instance import DecodeConfiguration
 from .entry_links import EntryLinks
 from .fleet_view import apply_changes
@@ -118,6 +118,7 @@
             config.limits,
         )
         self.links.leaving_notice = self.feed.leaving_notice
+        self._target_update = UpdateLimiter(self._update_targets, now)
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
         self._round_trips_s: dict[str, float] = {}
@@ -276,7 +277,7 @@
         _log.bind(targets=[one.name for one in added], **context).info(
             'targets leaving'
         )
-        self._update_targets()
+        self._target_update.request()
         return True
 
     def _update_targets(self) -> None:
--- a/tests/fleet/test_control_instance.py
+++ b/tests/fleet/test_control_instance.py
@@ -10,6 +10,7 @@
 import pytest
 from returns.result import Failure
 
+from cuminhoist.fleet import region_dispatch
 from cuminhoist.fleet.control_instance import ControlInstance
 from cuminhoist.fleet.instance_config import DeploymentLimits
 from cuminhoist.fleet.messages import (
@@ -110,3 +111,27 @@
     await asyncio.sleep(0.8)
     assert _granted(control, entry, 2) == []
     heartbeats.cancel()
+
+
+async def test_many_notices_cause_few_assignments(tmp_path, monkeypatch):
+    """Guards against a dispatcher that is busy while many targets leave."""
+    control = _control(tmp_path)
+    entry = add_peer(control.links, hello('e0'))
+    listed = tuple(target(f't{number}', domain=SOUTH_A) for number in range(90))
+    await asyncio.sleep(1)
+    control.feed.apply_list(TargetList(age_s=0, targets=listed))
+    assign = region_dispatch.assign_targets
+    assigned = []
+
+    def count(*args, **fields):
+        assigned.append(args)
+        assign(*args, **fields)
+
+    monkeypatch.setattr(region_dispatch, 'assign_targets', count)
+    for number in range(30):
+        one = LeavingTarget(f't{number}')
+        control._on_message(entry, LeavingNotice(targets=(one,)))
+    await asyncio.sleep(0.1)
+    assert len(assigned) == 2
+    services = dict(control.dispatch.dispatcher.queues())
+    assert len(services['catalogue'].targets) == 60
--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -133,3 +133,28 @@
     await asyncio.sleep(0.4)
     assert _usable(entry) == []
     checks.cancel()
+
+
+async def test_many_announcements_cause_few_assignments(monkeypatch):
+    """Guards against work for each of hundreds of targets that leave at once.
+
+    A single assignment of 500 targets takes more than a millisecond.
+    """
+    entry = _entry_instance()
+    listed = tuple(target(f't{number}', domain=SOUTH_A) for number in range(90))
+    await asyncio.sleep(1)
+    entry.feed.apply_list(TargetList(age_s=0, targets=listed))
+    assign = entry_instance.assign_targets
+    assigned = []
+
+    def count(*args, **fields):
+        assigned.append(args)
+        assign(*args, **fields)
+
+    monkeypatch.setattr(entry_instance, 'assign_targets', count)
+    for number in range(30):
+        announced = LeavingTarget(f't{number}')
+        entry.request_proxy.on_target_leaving(announced, 'id1')
+    await asyncio.sleep(0.1)
+    assert len(_usable(entry)) == 60
+    assert len(assigned) == 2
