--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -23,22 +23,15 @@
 )
 from .placement import Option, Placement
 from .queues import (
-    INITIAL_MISS_RUN_FRACTION,
-    SMOOTHING,
     RunningAttempt,
     ServiceQueue,
     WaitingRequest,
 )
 from .region_shift_limiter import RegionShiftLimiter
+from .run_time_learning import learn_run_time
 from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
 from .tracked_target import TrackedTarget
 
-#: Runs that take longer than expected by at least this factor are left out of
-#: the average run times of the service.
-OUTLIER_RATIO = 4.0
-#: A run time within this factor of the usual run time after a cache miss
-#: counts as a cache miss.
-MISS_LIKE_RATIO = 1.35
 #: With a larger fraction of a region's own targets disturbed, the limit on
 #: shifts is suspended. Up to it, the other targets of the region take over.
 MAX_DISTURBED_FRACTION = 0.05
@@ -346,7 +339,7 @@
         target = queue.targets.get(report.target)
         if target is None or report.ending is not Ending.answered:
             return
-        ratio = self._learn_run_time(
+        ratio = learn_run_time(
             queue, target, report, target.has_cached(report.key), now
         )
         target.observe(report.key, ratio, now)
@@ -461,76 +454,11 @@
     ) -> None:
         ratio = float(1)
         if report.ending is not Ending.withdrawn:
-            ratio = self._learn_run_time(
+            ratio = learn_run_time(
                 queue, target, report, attempt.expected_hit, now
             )
         target.end(report.ending, attempt.key, ratio, now)
 
-    def _learn_run_time(
-        self,
-        queue: ServiceQueue,
-        target: TrackedTarget,
-        report: AttemptReport,
-        expected_hit: bool,
-        now: float,
-    ) -> float:
-        """Learn a run time and return its ratio to the expected one."""
-        times = queue.run_times
-        run_s = max(report.run_s - target.extra_rtt_s, 0)
-        queue.init_run_times(run_s / INITIAL_MISS_RUN_FRACTION)
-        if not times.miss_run_s:
-            # No run time is known yet, and this one is zero after subtracting
-            # the network round trip.
-            return 1
-        expected = times.hit_run_s if expected_hit else times.miss_run_s
-        if report.ending is Ending.answered:
-            times.mean_s += SMOOTHING * (run_s - times.mean_s)
-        was_hit = run_s < (times.hit_run_s + times.miss_run_s) / 2
-        # At a slow target, a long run time is no evidence of a cache miss.
-        miss_like = (
-            1 / MISS_LIKE_RATIO < run_s / times.miss_run_s < MISS_LIKE_RATIO
-        )
-        if was_hit or (miss_like and not target.is_disturbed(now)):
-            self._learn_cache_result(
-                queue, target, report.key, was_hit, expected_hit
-            )
-        if not expected_hit and was_hit:
-            # The target had cached the object, which was not expected.
-            return run_s / times.hit_run_s if times.hit_run_s else 1
-        if (
-            expected_hit
-            and not was_hit
-            and target.is_cache_full(times.cache_capacity)
-        ):
-            # The full cache has evicted the object; the target is not slow.
-            expected = times.miss_run_s
-        ratio = run_s / expected if expected else 1
-        is_usual = not target.is_warming_up(now) and ratio < OUTLIER_RATIO
-        if report.ending is Ending.answered and is_usual:
-            queue.add_run_time(run_s, expected_hit=expected_hit)
-        return ratio
-
-    def _learn_cache_result(
-        self,
-        queue: ServiceQueue,
-        target: TrackedTarget,
-        key: str,
-        was_hit: bool,
-        expected_hit: bool,
-    ) -> None:
-        if not key:
-            return
-        times = queue.run_times
-        if expected_hit:
-            times.record_cached_object(
-                was_hit=was_hit,
-                cache_full=target.is_cache_full(times.cache_capacity),
-            )
-        else:
-            remote = target.region != queue.placement.region
-            times.record_presumed_object(was_hit=was_hit, remote=remote)
-        target.cache_capacity = times.cache_capacity
-
     def _grant(
         self,
         waiting: WaitingRequest,
