--- a/src/cuminhoist/caller_api.py
+++ b/src/cuminhoist/caller_api.py
@@ -28,7 +28,7 @@
     find_duplicate_header,
 )
 from .hop_signing import Hop, HopRequest, HopSigner
-from .httpserver import MAX_HEADER_BYTES, MAX_HEADERS
+from .caller_connection import MAX_HEADER_BYTES, MAX_HEADERS
 from .logging_setup import logger
 from .lookup import Lookup, LookupAnswer
 from .problems import Refusal, encode_problem, problem_headers
--- /dev/null
+++ b/src/cuminhoist/caller_connection.py
@@ -0,0 +1,212 @@
+"""A caller's connection, built on the HTTP protocol of uvicorn.
+
+It limits the size of request heads, tells the application when the caller
+disconnects, and refuses malformed requests with problem details.
+"""
+
+import asyncio
+import sys
+from typing import Any, cast
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from .caller_round_trip import round_trip_s
+from .logging_setup import logger
+from .problems import PROBLEM_TYPE, Refusal, encode_problem
+from .request_target import split_target
+from .types import Ran, Reason
+
+MAX_HEADER_BYTES = 32 * 1024
+MAX_HEADERS = 100
+#: Time for a caller to read an answer that was sent before the request body
+#: had been read.
+CLOSE_DELAY_S = 2.0
+
+#: Bytes of a malformed request's target and header names that are logged.
+_LOGGED_BYTES = 200
+
+_log = logger('listener')
+
+
+class CallerConnection(HttpToolsProtocol):
+    """A caller's connection with size limits, disconnect notice and drain."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._head_bytes = 0
+        self._in_head = True
+        self._half_closed = False
+        self._disconnected: asyncio.Future[None] = self.loop.create_future()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is running or its head is arriving."""
+        running = self.cycle is not None and not self.cycle.response_complete
+        return running or bool(self.pipeline) or self._head_bytes > 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes of a request.
+
+        :param data: the bytes.
+        """
+        if self._half_closed:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        if self._in_head and self._head_bytes > MAX_HEADER_BYTES:
+            self.send_400_response('The head of the request is too large.')
+
+    def on_message_begin(self) -> None:
+        """Start counting the head of a request (callback of the parser)."""
+        super().on_message_begin()
+        self._in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header of the head (callback of the parser).
+
+        Trailers are dropped: the application may already have read the head,
+        and a trailer must not replace one of its headers.
+
+        :param name: name of the header.
+        :param value: value of the header.
+        """
+        if self._in_head:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Hand the request to the application (callback of the parser)."""
+        self._in_head = False
+        self._head_bytes = 0
+        # The base class reads targets in origin form only.
+        authority, target = split_target(self.url)
+        self.url = target
+        # The application reaches this connection through the ASGI scope.
+        self.scope['state'] = {
+            'caller_disconnected': self._disconnected,
+            'abort': self.abort,
+            'omit_date_header': self._omit_date,
+            'header_bytes': len(self.url) + _size_bytes(self.headers),
+            'authority': authority,
+            'request_target': target,
+            'round_trip_s': round_trip_s(self.transport),
+        }
+        super().on_headers_complete()
+        self.cycle.transport = cast(asyncio.Transport, _CycleTransport(self))
+        if getattr(self.server_state, 'draining', False):
+            self.cycle.keep_alive = False
+
+    def on_message_complete(self) -> None:
+        """Expect the next request (callback of the parser)."""
+        super().on_message_complete()
+        self._in_head = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notify the application that the caller has disconnected.
+
+        :param exc: the error, if there was one.
+        """
+        super().connection_lost(exc)
+        if not self._disconnected.done():
+            self._disconnected.set_result(None)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse a malformed request and close the connection.
+
+        :param msg: detail of the refusal for the caller.
+        """
+        if self._half_closed or self.transport.is_closing():
+            return
+        self._record_malformed_request(msg)
+        if self.cycle is not None and not self.cycle.response_complete:
+            # An earlier answer on this connection is not complete yet.
+            self.abort()
+            return
+        refusal = Refusal(
+            ran=Ran.not_run,
+            reason=Reason.bad_request,
+            detail=msg,
+        )
+        body = encode_problem(refusal)
+        head = (
+            f'HTTP/1.1 {refusal.status} Bad Request\r\n'
+            f'content-type: {PROBLEM_TYPE}\r\n'
+            f'content-length: {len(body)}\r\n'
+            'x-cuminhoist-refusal: 1\r\n'
+            'connection: close\r\n\r\n'
+        )
+        self.transport.write(head.encode() + body)
+        self._half_close()
+
+    def close_after_answer(self) -> None:
+        """Close the connection so that the caller still reads the answer.
+
+        Closing a socket with unread request bytes resets the connection, and
+        a reset can discard the answer before the caller has read it. In this
+        case only the sending side is closed at first.
+        """
+        if self.cycle.more_body:
+            self._half_close()
+        else:
+            self.transport.close()
+
+    def start_drain(self) -> None:
+        """Send ``connection: close`` with an answer that has not started."""
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_started:
+            cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close the connection if it is idle."""
+        if not self.busy:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once, even within an answer."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _record_malformed_request(self, msg: str) -> None:
+        # The base class calls from the handler of the parser's error and
+        # passes on a fixed message only.
+        exc = sys.exception()
+        names = b' '.join(name for name, _ in self.headers or ())
+        _log.bind(
+            reason=msg if exc is None else str(exc),
+            target=getattr(self, 'url', b'')[:_LOGGED_BYTES].decode('latin-1'),
+            header_names=names[:_LOGGED_BYTES].decode('latin-1'),
+        ).warning('malformed request refused')
+        on_malformed = getattr(self.server_state, 'on_malformed', None)
+        if on_malformed is not None:
+            on_malformed()
+
+    def _half_close(self) -> None:
+        self._half_closed = True
+        self.pipeline.clear()
+        self.transport.write_eof()
+        self.loop.call_later(CLOSE_DELAY_S, self.abort)
+
+    def _omit_date(self) -> None:
+        self.cycle.default_headers = []
+
+    def _unsupported_upgrade_warning(self) -> None:
+        # After an upgrade request, the parser treats all further bytes as
+        # another protocol, so the connection can carry no other request.
+        self.cycle.keep_alive = False
+
+
+class _CycleTransport:
+    """Transport of a request cycle; replaces its close of the connection."""
+
+    def __init__(self, conn: CallerConnection) -> None:
+        self._conn = conn
+        self.write = conn.transport.write
+        self.is_closing = conn.transport.is_closing
+
+    def close(self) -> None:
+        """Close the connection after the answer."""
+        self._conn.close_after_answer()
+
+
+def _size_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    return sum(len(name) + len(value) for name, value in headers)
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cuminhoist import httpserver
+from cuminhoist import caller_connection
 from cuminhoist.gateway import request_proxy
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
 from tests.waiting import eventually
@@ -269,7 +269,9 @@
         monkeypatch.setattr(client, 'request_placement', record)
         for round_trip_s in (0, 0.2):
             monkeypatch.setattr(
-                httpserver, 'round_trip_s', lambda _transport, s=round_trip_s: s
+                caller_connection,
+                'round_trip_s',
+                lambda _transport, s=round_trip_s: s,
             )
             await harness.request()
     assert seen[0] - seen[1] > 0.1
