Bound request heads by max_header_bytes of the configuration in force

Heads were bound by a constant of 32 KiB, whatever the operators set, and a head above it got 400. The listener now takes its limits from the routes in force, for open connections too, counts a head exactly up to its empty line and answers a longer one with 431 before it is complete. The same status goes to heads above 32 KiB at the other listeners, so the check of the caller interface that stood behind it is gone; its two tests expect the new reason.

All four limits are decoded; one that is missing, null, zero or negative counts as not set, one that is no number makes the configuration unreadable.

--- a/src/cuminhoist/caller_api.py
+++ b/src/cuminhoist/caller_api.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from .attempts import Answer, ForwardingError, RequestBodyError
+from .caller_connection import MAX_HEADERS
 from .caller_request import CallerRequest
 from .entry import EntryService
 from .explain import Explainer, Explanation
@@ -28,7 +29,6 @@
     find_duplicate_header,
 )
 from .hop_signing import Hop, HopRequest, HopSigner
-from .caller_connection import MAX_HEADER_BYTES, MAX_HEADERS
 from .logging_setup import logger
 from .lookup import Lookup, LookupAnswer
 from .problems import Refusal, encode_problem, problem_headers
@@ -108,13 +108,9 @@
 
 def _check_head(scope: Any) -> Refusal | None:
     headers = scope['headers']
-    size = sum(len(name) + len(text) for name, text in headers)
-    size += len(scope['raw_path']) + len(scope['query_string'])
     detail = ''
     if len(headers) > MAX_HEADERS:
         detail = f'More than {MAX_HEADERS} headers.'
-    elif size > MAX_HEADER_BYTES:
-        detail = f'The header exceeds {MAX_HEADER_BYTES} bytes.'
     else:
         duplicate = find_duplicate_header(headers)
         detail = f'More than one header {duplicate!r}.' if duplicate else ''
--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -5,18 +5,19 @@
 """
 
 import asyncio
+import http
 import sys
 from typing import Any, cast
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .caller_round_trip import round_trip_s
+from .listener_limits import ListenerLimits
 from .logging_setup import logger
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
 from .request_target import split_target
 from .types import Ran, Reason
 
-MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
 #: Time for a caller to read an answer that was sent before the request body
 #: had been read.
@@ -25,6 +26,8 @@
 #: Bytes of a malformed request's target and header names that are logged.
 _LOGGED_BYTES = 200
 
+_HEAD_END = b'\r\n\r\n'
+
 _log = logger('listener')
 
 
@@ -34,7 +37,14 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self._head_bytes = 0
+        #: Last bytes of an incomplete head; the empty line may begin there.
+        self._head_tail = b''
+        #: Whether a head is expected or arriving.
         self._in_head = True
+        #: Whether a head has begun to arrive.
+        self._head_begun = False
+        #: Why the head that was parsed last is refused.
+        self._head_refusal: Refusal | None = None
         self._half_closed = False
         self._disconnected: asyncio.Future[None] = self.loop.create_future()
 
@@ -42,25 +52,30 @@
     def busy(self) -> bool:
         """Whether a request is running or its head is arriving."""
         running = self.cycle is not None and not self.cycle.response_complete
-        return running or bool(self.pipeline) or self._head_bytes > 0
+        return running or bool(self.pipeline) or self._head_begun
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of a request.
 
         :param data: the bytes.
         """
-        if self._half_closed:
-            return
-        if self._in_head:
-            self._head_bytes += len(data)
-        super().data_received(data)
-        if self._in_head and self._head_bytes > MAX_HEADER_BYTES:
-            self.send_400_response('The head of the request is too large.')
+        while data and not self._half_closed:
+            piece, data = self._cut_after_head(data)
+            super().data_received(piece)
+            if self.transport.is_closing():
+                return
+            if self._head_begun:
+                if self._head_bytes > self._limits.max_head_bytes:
+                    self._refuse(self._head_too_large())
+            elif self._in_head:
+                # Empty lines before a request are no part of its head.
+                self._reset_head()
 
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
         self._in_head = True
+        self._head_begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header of the head (callback of the parser).
@@ -76,8 +91,10 @@
 
     def on_headers_complete(self) -> None:
         """Hand the request to the application (callback of the parser)."""
+        self._check_head_size()
         self._in_head = False
-        self._head_bytes = 0
+        self._head_begun = False
+        self._reset_head()
         # The base class reads targets in origin form only.
         authority, target = split_target(self.url)
         self.url = target
@@ -115,21 +132,31 @@
 
         :param msg: detail of the refusal for the caller.
         """
+        self._refuse(
+            self._head_refusal
+            or Refusal(
+                ran=Ran.not_run,
+                reason=Reason.bad_request,
+                detail=msg,
+            )
+        )
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """Refuse a request that is not passed on, and close the connection.
+
+        :param refusal: the refusal; the request has not run.
+        """
         if self._half_closed or self.transport.is_closing():
             return
-        self._record_malformed_request(msg)
+        self._record_refusal(refusal)
         if self.cycle is not None and not self.cycle.response_complete:
             # An earlier answer on this connection is not complete yet.
             self.abort()
             return
-        refusal = Refusal(
-            ran=Ran.not_run,
-            reason=Reason.bad_request,
-            detail=msg,
-        )
         body = encode_problem(refusal)
+        status = http.HTTPStatus(refusal.status)
         head = (
-            f'HTTP/1.1 {refusal.status} Bad Request\r\n'
+            f'HTTP/1.1 {status.value} {status.phrase}\r\n'
             f'content-type: {PROBLEM_TYPE}\r\n'
             f'content-length: {len(body)}\r\n'
             'x-cuminhoist-refusal: 1\r\n'
@@ -166,19 +193,70 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _record_malformed_request(self, msg: str) -> None:
+    @property
+    def _limits(self) -> ListenerLimits:
+        return getattr(self.server_state, 'limits', ListenerLimits())
+
+    def _cut_after_head(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return the bytes up to the end of the head, and the others.
+
+        The parser does not tell where a head ends, and its size must not
+        include bytes of the body.
+        """
+        if not self._in_head:
+            self._head_tail = data[1 - len(_HEAD_END) :]
+            return data, b''
+        window = self._head_tail + data
+        end = window.find(_HEAD_END)
+        size = len(data)
+        if end >= 0:
+            size = end + len(_HEAD_END) - len(self._head_tail)
+        piece = data[:size]
+        self._head_bytes += len(
+            piece if self._head_begun else piece.lstrip(b'\r\n')
+        )
+        self._head_tail = window[1 - len(_HEAD_END) :]
+        return piece, data[size:]
+
+    def _check_head_size(self) -> None:
+        # The head of a pipelined request may begin within a piece that is
+        # counted for the request before it; its parsed parts are counted.
+        size = max(self._head_bytes, len(self.url) + _size_bytes(self.headers))
+        if size > self._limits.max_head_bytes:
+            self._head_refusal = self._head_too_large()
+            # Ends the parsing; the base class calls send_400_response.
+            raise ValueError(self._head_refusal.detail)
+
+    def _head_too_large(self) -> Refusal:
+        limit = self._limits.max_head_bytes
+        return Refusal(
+            ran=Ran.not_run,
+            reason=Reason.head_too_large,
+            detail=f'The head of the request exceeds {limit} bytes.',
+        )
+
+    def _reset_head(self) -> None:
+        self._head_bytes = 0
+        self._head_tail = b''
+
+    def _record_refusal(self, refusal: Refusal) -> None:
         # The base class calls from the handler of the parser's error and
         # passes on a fixed message only.
         exc = sys.exception()
         names = b' '.join(name for name, _ in self.headers or ())
         _log.bind(
-            reason=msg if exc is None else str(exc),
+            refused=refusal.reason,
+            reason=(
+                str(exc)
+                if exc is not None and self._head_refusal is None
+                else refusal.detail
+            ),
             target=getattr(self, 'url', b'')[:_LOGGED_BYTES].decode('latin-1'),
             header_names=names[:_LOGGED_BYTES].decode('latin-1'),
         ).warning('malformed request refused')
-        on_malformed = getattr(self.server_state, 'on_malformed', None)
-        if on_malformed is not None:
-            on_malformed()
+        on_refusal = getattr(self.server_state, 'on_refusal', None)
+        if on_refusal is not None:
+            on_refusal(refusal.reason)
 
     def _half_close(self) -> None:
         self._half_closed = True
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -233,7 +233,9 @@
         ):
             decoded = self._decode(state.body)
             if isinstance(decoded, Success):
-                self.request_proxy.routing_state.routes = decoded.unwrap()
+                self.request_proxy.routing_state.replace_routes(
+                    decoded.unwrap()
+                )
             else:
                 _log.bind(reason=decoded.failure()).error(
                     'configuration in the declared state is invalid'
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -4,6 +4,7 @@
 from prometheus_client.exposition import generate_latest
 
 from ..logging_setup import logger
+from ..types import Reason
 
 #: Upper bounds of the latency histograms, in seconds; objectives lie between
 #: 0.2 and 1 s, timeouts between 1 and 7 s.
@@ -66,6 +67,13 @@
             registry=self.registry,
         )
 
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a request that was refused before it was routed.
+
+        :param reason: why it was refused.
+        """
+        self.requests.labels('', reason).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return generate_latest(self.registry)
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -444,7 +444,7 @@
         return None if math.isinf(age_s) else round(age_s * MS_PER_S)
 
     def _log_refusal(self, req: IncomingRequest, refusal: Refusal) -> None:
-        self._metrics.requests.labels('', refusal.reason).inc()
+        self._metrics.count_refusal(refusal.reason)
         routes = self.routing_state.routes
         log_request(
             id=req.request_id,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -1,13 +1,20 @@
 """Routing state of an entry instance, and the state of one request."""
 
+from collections.abc import Callable
+
 import msgspec
 
+from ..listener_limits import ListenerLimits
 from ..steering.targets import TargetEntry
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
 from .wire import IncomingRequest
 
 
+def _ignore_limits(_limits: ListenerLimits) -> None:
+    """Ignore limits: there is no listener for callers."""
+
+
 class RoutingState(msgspec.Struct):
     """Configuration and targets by which an entry instance routes requests.
 
@@ -18,6 +25,7 @@
     :param entry_count: entry instances that share the retry budget.
     :param refuses_requests: whether new requests are refused because the
         instance stops.
+    :param apply_limits: applies the limits of new routes to the listener.
     """
 
     routes: RouteTable | None = None
@@ -25,6 +33,15 @@
     target_list_read_at: float = float('-inf')
     entry_count: int = 1
     refuses_requests: bool = False
+    apply_limits: Callable[[ListenerLimits], None] = _ignore_limits
+
+    def replace_routes(self, routes: RouteTable) -> None:
+        """Put routes and their limits in force.
+
+        :param routes: the routes.
+        """
+        self.routes = routes
+        self.apply_limits(routes.limits.listener)
 
 
 class RequestState:
--- a/src/cuminhoist/gateway/routes.py
+++ b/src/cuminhoist/gateway/routes.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ..listener_limits import ListenerLimits
+
 
 class RepeatPolicy(enum.StrEnum):
     """Whether a request may run more than once."""
@@ -60,9 +62,11 @@
     """Limits on the requests of callers.
 
     :param max_body_bytes: longest body of a request, in bytes.
+    :param listener: limits on heads and idle connections.
     """
 
     max_body_bytes: int = 64 * 1024 * 1024
+    listener: ListenerLimits = ListenerLimits()
 
 
 class RouteTable(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -12,6 +12,8 @@
 import uvicorn
 
 from .caller_connection import CallerConnection
+from .listener_limits import ListenerLimits
+from .types import Reason
 
 #: Idle connections stay open this long after a stop begins, so that a request
 #: that a caller has already sent still gets an answer.
@@ -68,17 +70,22 @@
         server.drain_timeout_s = drain_timeout_s
         return server
 
-    def report_malformed_requests(
-        self, on_malformed: Callable[[], None]
-    ) -> None:
-        """Call a function for each request that the parser refuses.
+    def report_refusals(self, on_refusal: Callable[[Reason], None]) -> None:
+        """Call a function for each request that the listener refuses.
 
-        :param on_malformed: counts the request.
+        :param on_refusal: counts the request by its reason.
         """
-        self.server_state.on_malformed = (  # type: ignore[attr-defined]
-            on_malformed
+        self.server_state.on_refusal = (  # type: ignore[attr-defined]
+            on_refusal
         )
 
+    def apply_limits(self, limits: ListenerLimits) -> None:
+        """Apply limits to new and open connections.
+
+        :param limits: the limits.
+        """
+        self.server_state.limits = limits  # type: ignore[attr-defined]
+
     def start_drain(self) -> None:
         """Send ``connection: close`` with each answer from now on.
 
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decodes the operators' configuration, in the platform's format."""
 
+import math
 from typing import Annotated
 
 import msgspec
@@ -14,6 +15,7 @@
     ServiceSettings,
     WeightedService,
 )
+from ..listener_limits import ListenerLimits
 
 _MS = 1000
 #: An objective this far above the timeout of its route is refused as a
@@ -36,7 +38,12 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_body_bytes: int = 64 * 1024 * 1024
+    """Limits on callers; one that is missing or not positive is not set."""
+
+    max_header_bytes: float | None = None
+    max_body_bytes: float | None = None
+    header_timeout_ms: float | None = None
+    idle_timeout_ms: float | None = None
 
 
 class _Split(msgspec.Struct, frozen=True):
@@ -68,7 +75,7 @@
     version: str
     services: tuple[_Service, ...]
     hosts: tuple[_Host, ...]
-    limits: _Limits = _Limits()
+    limits: _Limits | None = None
 
 
 def decode_routes(body: bytes) -> Result[RouteTable, str]:
@@ -106,10 +113,31 @@
         version=_parse_version(wire.version),
         hosts=hosts,
         services=services,
-        limits=CallerLimits(wire.limits.max_body_bytes),
+        limits=_caller_limits(wire.limits or _Limits()),
+    )
+
+
+def _caller_limits(wire: _Limits) -> CallerLimits:
+    default = CallerLimits()
+    listener = default.listener
+    return CallerLimits(
+        math.ceil(_positive_or(wire.max_body_bytes, default.max_body_bytes)),
+        ListenerLimits(
+            math.ceil(
+                _positive_or(wire.max_header_bytes, listener.max_head_bytes)
+            ),
+            _positive_or(wire.header_timeout_ms, listener.head_timeout_s * _MS)
+            / _MS,
+            _positive_or(wire.idle_timeout_ms, listener.idle_timeout_s * _MS)
+            / _MS,
+        ),
     )
 
 
+def _positive_or(limit: float | None, default: float) -> float:
+    return default if limit is None or limit <= 0 else limit
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -18,9 +18,9 @@
 from ..fleet.target_feed import TargetSource
 from ..httpserver import HttpServer
 from ..json_logs import configure_json_logs
+from ..listener_limits import UNCONFIGURED_LIMITS
 from ..logging_setup import logger
 from ..steering.targets import TargetEntry
-from ..types import Reason
 from .apps import (
     lookup_app,
     metrics_app,
@@ -151,9 +151,9 @@
         )
         server = self._start_server(cfg.request_address, entry.request_proxy)
         if server is not None:
-            server.report_malformed_requests(
-                entry.metrics.requests.labels('', Reason.bad_request).inc
-            )
+            server.apply_limits(UNCONFIGURED_LIMITS)
+            entry.request_proxy.routing_state.apply_limits = server.apply_limits
+            server.report_refusals(entry.metrics.count_refusal)
         self._start_server(
             cfg.readiness_address, readiness_app(lambda: entry.ready)
         )
--- a/src/cuminhoist/types.py
+++ b/src/cuminhoist/types.py
@@ -58,6 +58,7 @@
     target_timeout = 'target-timeout'
     cancelled = 'cancelled'
     body_too_large = 'body-too-large'
+    head_too_large = 'head-too-large'
 
 
 class DrainScope(enum.StrEnum):
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
+import msgspec
+
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.gateway.pacing import LinkPacer
 from cuminhoist.gateway.placement_client import (
@@ -14,6 +16,7 @@
 from cuminhoist.gateway.request_metrics import RequestMetrics
 from cuminhoist.gateway.request_proxy import RequestProxy
 from cuminhoist.gateway.routes import (
+    CallerLimits,
     RepeatPolicy,
     Route,
     RouteTable,
@@ -21,6 +24,7 @@
 )
 from cuminhoist.gateway.target_connections import TargetConnections
 from cuminhoist.httpserver import HttpServer
+from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.requests import PlatformWire
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.slot_lending import (
@@ -68,7 +72,9 @@
 
     async def start(self) -> Address:
         """Listen and return the address."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', 0, limit=2**20
+        )
         host, port = self._server.sockets[0].getsockname()
         return Address(host, port)
 
@@ -148,13 +154,30 @@
     """A running gateway between a caller and scripted targets.
 
     :param proxy: request proxy of the gateway.
+    :param server: its listener.
     :param port: port on loopback where it takes requests.
     """
 
-    def __init__(self, proxy: RequestProxy, port: int) -> None:
+    def __init__(
+        self, proxy: RequestProxy, server: HttpServer, port: int
+    ) -> None:
         self.proxy = proxy
+        self.server = server
         self.port = port
 
+    def set_limits(self, **limits: float) -> None:
+        """Put a configuration with limits on heads and idle time in force.
+
+        :param limits: the limits that are not at their defaults.
+        """
+        routing_state = self.proxy.routing_state
+        routing_state.replace_routes(
+            msgspec.structs.replace(
+                routing_state.routes,
+                limits=CallerLimits(listener=ListenerLimits(**limits)),
+            )
+        )
+
     async def request(
         self,
         method: str = 'GET',
@@ -229,12 +252,13 @@
     proxy.routing_state.routes = RouteTable(1, {HOST: (route(**changes),)}, {})
     proxy.routing_state.targets = {entry.name: entry for entry in entries}
     server = HttpServer.from_app(proxy, '127.0.0.1', 0)
+    proxy.routing_state.apply_limits = server.apply_limits
     serving = asyncio.create_task(server.serve())
     while not server.started:
         await asyncio.sleep(0.01)
     port = server.servers[0].sockets[0].getsockname()[1]
     try:
-        yield GatewayHarness(proxy, port)
+        yield GatewayHarness(proxy, server, port)
     finally:
         server.drain_timeout_s = 0
         server.should_exit = True
--- a/tests/gateway/message_strategies.py
+++ b/tests/gateway/message_strategies.py
@@ -35,6 +35,10 @@
 )
 
 
+#: Header and empty line that end a head of the full size.
+_FILLER_FRAME = '\r\nx-filler: \r\n\r\n'
+
+
 class SentRequest(msgspec.Struct, frozen=True):
     """A request as a caller writes it, and what a target must receive.
 
@@ -224,8 +228,8 @@
         )
     head = '\r\n'.join(lines)
     if draw(st.booleans()):
-        filler = 'f' * (max_head_bytes - len(head) - 20)
-        head = f'{head}\r\nx-filler: {filler}'
+        filler = 'f' * (max_head_bytes - len(head) - len(_FILLER_FRAME))
+        head = f'{head}{_FILLER_FRAME[:-4]}{filler}'
         headers = [*headers, ('x-filler', filler)]
     data = f'{head}\r\n\r\n'.encode('latin-1') + coded
     return SentRequest(
--- a/tests/gateway/test_proper_requests.py
+++ b/tests/gateway/test_proper_requests.py
@@ -2,14 +2,12 @@
 
 import asyncio
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 
 from .builders import gateway
 from .message_strategies import SentRequest, StrictTarget, proper_requests
 
-#: Smallest limit of a head that operators set; callers may use all of it.
-MAX_HEAD_BYTES = 16 * 1024
-
 
 async def _send(port: int, req: SentRequest) -> bytes:
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
@@ -24,16 +22,22 @@
     return head
 
 
-def test_proper_request_is_never_refused_as_wrong():
-    """Guards against a 4xx for, or a change of, a request that is proper."""
+@pytest.mark.parametrize('max_head_bytes', [4 * 1024, 16 * 1024, 200 * 1024])
+def test_proper_request_is_never_refused_as_wrong(max_head_bytes):
+    """Guards against a 4xx for, or a change of, a request that is proper.
+
+    Heads may use all of the limit that is in force, however high it is.
+    """
     target = StrictTarget()
     harness = gateway(target, timeout_s=5.0)
     with asyncio.Runner() as runner:
         running = runner.run(harness.__aenter__())
 
-        @given(proper_requests(MAX_HEAD_BYTES))
+        running.set_limits(max_head_bytes=max_head_bytes)
+
+        @given(proper_requests(max_head_bytes))
         @settings(
-            max_examples=300,
+            max_examples=200,
             derandomize=True,
             database=None,
             deadline=None,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -9,7 +9,8 @@
 import pytest
 from returns.result import Failure
 
-from cuminhoist.gateway.routes import RepeatPolicy
+from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
+from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.configuration import decode_routes
 
 
@@ -90,3 +91,36 @@
     assert isinstance(decode_routes(b'\xff\xfe'), Failure)
     bad = json.dumps({**_wire(), 'version': '7'}).encode()
     assert isinstance(decode_routes(bad), Failure)
+
+
+def test_limits_of_callers_are_decoded():
+    """Guards against limits of an operator that no caller ever meets."""
+    limits = {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 1000,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    }
+    table = _decode({**_wire(), 'limits': limits}).unwrap()
+    assert table.limits == CallerLimits(1000, ListenerLimits(16384, 3, 15))
+
+
+@pytest.mark.parametrize('limit', [None, 0, -1])
+def test_missing_limits_leave_a_configuration_valid(limit):
+    """Guards against refusing a configuration for a limit that is not set."""
+    names = (
+        'max_header_bytes',
+        'max_body_bytes',
+        'header_timeout_ms',
+        'idle_timeout_ms',
+    )
+    for limits in (None, {}, dict.fromkeys(names, limit)):
+        table = _decode({**_wire(), 'limits': limits}).unwrap()
+        assert table.limits == CallerLimits()
+
+
+@pytest.mark.parametrize('limit', ['3000', 'odd', [], True])
+def test_limit_that_is_no_number_is_refused(limit):
+    """Guards against a configuration that can be read in part only."""
+    limits = {'header_timeout_ms': limit}
+    assert isinstance(_decode({**_wire(), 'limits': limits}), Failure)
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -114,7 +114,9 @@
             )
         )
         assert (await server.send(request_head())).startswith(b'HTTP/1.1 200')
-    assert (problem['ran'], problem['reason']) == ('not-run', 'bad-request')
+    too_large = name in {'too large', 'endless'}
+    reason = 'head-too-large' if too_large else 'bad-request'
+    assert (problem['ran'], problem['reason']) == ('not-run', reason)
     assert len(entry.requests) == 1
 
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -10,6 +10,8 @@
 import pytest
 from loguru import logger
 
+from cuminhoist.types import Reason
+
 from .builders_carry import RunningServer, read_head
 
 REQUEST = b'GET /%d HTTP/1.1\r\nhost: x\r\n\r\n'
@@ -175,10 +177,10 @@
     """Guards against a 400 whose cause no log line or metric tells."""
     refused = []
     async with RunningServer(GatedApp(start_early=False)) as server:
-        server.server.report_malformed_requests(lambda: refused.append(1))
+        server.server.report_refusals(refused.append)
         answer = await server.send(b'GET /odd HTTP/1.1\r\nh\x01: x\r\n\r\n')
     assert answer.startswith(b'HTTP/1.1 400')
-    assert refused == [1]
+    assert refused == [Reason.bad_request]
     [line] = [
         line for line in logged if line['message'].startswith('malformed')
     ]
