Close idle connections of callers by the idle limit of the configuration

Idle connections were closed after 30 s, whatever idle_timeout_ms said: a caller with a longer limit met a close, and with a shorter one connections stayed open too long. A connection that never sent a request was never closed.

The limit holds in full plus a margin for requests on their way, a changed one on open connections too; a shorter one counts from its start.

On the code before, three of the five new tests timed out waiting for the close; the one of the longer limit and the one of a running request passed.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import http
+import math
 import sys
 from typing import Any, cast
 
@@ -23,6 +24,10 @@
 #: had been read.
 CLOSE_DELAY_S = 2.0
 
+#: Idle connections stay open this long after the limit, because a request
+#: that was sent within the limit may still be on its way.
+IDLE_MARGIN_S = 1.0
+
 #: Bytes of a malformed request's target and header names that are logged.
 _LOGGED_BYTES = 200
 
@@ -46,13 +51,25 @@
         #: Why the head that was parsed last is refused.
         self._head_refusal: Refusal | None = None
         self._half_closed = False
+        #: Loop time since which no request runs or since which a head has
+        #: been arriving.
+        self._waits_since = self.loop.time()
         self._disconnected: asyncio.Future[None] = self.loop.create_future()
 
     @property
     def busy(self) -> bool:
         """Whether a request is running or its head is arriving."""
-        running = self.cycle is not None and not self.cycle.response_complete
-        return running or bool(self.pipeline) or self._head_begun
+        return self._running or self._head_begun
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Start to wait for the first request.
+
+        :param transport: the transport of the connection.
+        """
+        super().connection_made(transport)
+        self._start_waiting()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of a request.
@@ -61,6 +78,7 @@
         """
         while data and not self._half_closed:
             piece, data = self._cut_after_head(data)
+            # The base class stops the timer.
             super().data_received(piece)
             if self.transport.is_closing():
                 return
@@ -70,12 +88,17 @@
             elif self._in_head:
                 # Empty lines before a request are no part of its head.
                 self._reset_head()
+        if self._head_begun:
+            self._start_timer()
+        else:
+            self._start_waiting()
 
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
         self._in_head = True
         self._head_begun = True
+        self._waits_since = self.loop.time()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header of the head (callback of the parser).
@@ -124,9 +147,27 @@
         :param exc: the error, if there was one.
         """
         super().connection_lost(exc)
+        self._unset_keepalive_if_required()
         if not self._disconnected.done():
             self._disconnected.set_result(None)
 
+    def on_response_complete(self) -> None:
+        """Wait for the next request (callback of the request cycle)."""
+        super().on_response_complete()
+        if not self.transport.is_closing():
+            self._start_waiting()
+
+    def apply_limits(self) -> None:
+        """Apply changed limits to the time that has begun.
+
+        A shorter limit counts from now on at the earliest, because the
+        caller may still go by the former one.
+        """
+        timer = self.timeout_keep_alive_task
+        former_end = math.inf if timer is None else timer.when()
+        now = self.loop.time()
+        self._start_timer(min(former_end, now + self._time_limit_s()))
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request and close the connection.
 
@@ -193,10 +234,32 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def _running(self) -> bool:
+        # A pipelined request waits while this cycle is not complete.
+        return self.cycle is not None and not self.cycle.response_complete
+
     @property
     def _limits(self) -> ListenerLimits:
         return getattr(self.server_state, 'limits', ListenerLimits())
 
+    def _start_waiting(self) -> None:
+        self._waits_since = self.loop.time()
+        self._start_timer()
+
+    def _start_timer(self, not_before: float = 0) -> None:
+        self._unset_keepalive_if_required()
+        ends_at = max(self._waits_since + self._time_limit_s(), not_before)
+        if not self._running and math.isfinite(ends_at):
+            self.timeout_keep_alive_task = self.loop.call_at(
+                ends_at, self.timeout_keep_alive_handler
+            )
+
+    def _time_limit_s(self) -> float:
+        if self._head_begun:
+            return math.inf
+        return self._limits.idle_timeout_s + IDLE_MARGIN_S
+
     def _cut_after_head(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the bytes up to the end of the head, and the others.
 
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -63,7 +63,6 @@
                 lifespan='off',
                 access_log=False,
                 log_level='warning',
-                timeout_keep_alive=30,
                 server_header=False,
             ),
         )
@@ -85,6 +84,8 @@
         :param limits: the limits.
         """
         self.server_state.limits = limits  # type: ignore[attr-defined]
+        for conn in self._connections():
+            conn.apply_limits()
 
     def start_drain(self) -> None:
         """Send ``connection: close`` with each answer from now on.
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from cuminhoist import caller_connection
+
 from .builders import HOST, ScriptedTarget, answer, gateway
 
 
@@ -13,6 +15,25 @@
     return f'{start}{fill}\r\n\r\n'.encode()
 
 
+async def _send(harness, data: bytes):
+    reader, writer = await asyncio.open_connection('127.0.0.1', harness.port)
+    writer.write(data)
+    return reader, writer
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> None:
+    assert await _status(reader) == '200'
+    assert await reader.readexactly(len(b'whole')) == b'whole'
+
+
+async def _seconds_until_closed(reader: asyncio.StreamReader) -> float:
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    async with asyncio.timeout(10):
+        assert await reader.read() == b''
+    return loop.time() - started_at
+
+
 async def _status(reader: asyncio.StreamReader) -> str:
     async with asyncio.timeout(5):
         line = await reader.readline()
@@ -78,3 +99,71 @@
         writer.write(_head(2000))
         assert await _status(reader) == '431'
         writer.close()
+
+
+async def test_idle_connection_is_closed_after_the_whole_limit(monkeypatch):
+    """Guards against a request that meets a connection being closed.
+
+    Callers reuse connections that have been idle for most of the limit.
+    """
+    monkeypatch.setattr(caller_connection, 'IDLE_MARGIN_S', 0.05)
+    async with gateway(ScriptedTarget(answer)) as harness:
+        harness.set_limits(idle_timeout_s=0.5)
+        reader, writer = await _send(harness, _head(200))
+        for _ in range(3):
+            await _read_answer(reader)
+            await asyncio.sleep(0.8 * 0.5)
+            writer.write(_head(200))
+        await _read_answer(reader)
+        assert await _seconds_until_closed(reader) >= 0.5
+        writer.close()
+
+
+async def test_connection_without_a_request_is_closed(monkeypatch):
+    """Guards against unused connections that stay open for ever."""
+    monkeypatch.setattr(caller_connection, 'IDLE_MARGIN_S', 0.05)
+    async with gateway(ScriptedTarget(answer)) as harness:
+        harness.set_limits(idle_timeout_s=0.3)
+        reader, writer = await _send(harness, b'')
+        assert await _seconds_until_closed(reader) >= 0.25
+        writer.close()
+
+
+async def test_longer_idle_limit_holds_on_open_connections(monkeypatch):
+    """Guards against closing connections by a limit that was raised."""
+    monkeypatch.setattr(caller_connection, 'IDLE_MARGIN_S', 0.05)
+    async with gateway(ScriptedTarget(answer)) as harness:
+        harness.set_limits(idle_timeout_s=0.3)
+        reader, writer = await _send(harness, _head(200))
+        await _read_answer(reader)
+        harness.set_limits(idle_timeout_s=60)
+        await asyncio.sleep(0.6)
+        writer.write(_head(200))
+        await _read_answer(reader)
+        writer.close()
+
+
+async def test_shorter_idle_limit_counts_from_its_start(monkeypatch):
+    """Guards against closing connections that the former limit allows.
+
+    A caller may not know of the new limit yet.
+    """
+    monkeypatch.setattr(caller_connection, 'IDLE_MARGIN_S', 0.05)
+    async with gateway(ScriptedTarget(answer)) as harness:
+        harness.set_limits(idle_timeout_s=60)
+        reader, writer = await _send(harness, _head(200))
+        await _read_answer(reader)
+        await asyncio.sleep(0.5)
+        harness.set_limits(idle_timeout_s=0.3)
+        assert await _seconds_until_closed(reader) >= 0.3
+        writer.close()
+
+
+async def test_running_request_is_not_idle(monkeypatch):
+    """Guards against cutting a request that outlasts the idle limit."""
+    monkeypatch.setattr(caller_connection, 'IDLE_MARGIN_S', 0)
+    async with gateway(ScriptedTarget(lambda _head: None)) as harness:
+        harness.set_limits(idle_timeout_s=0.1)
+        reader, writer = await _send(harness, _head(200))
+        assert await _status(reader) == '504'
+        writer.close()
