Refuse heads that take longer than header_timeout_ms with 408

A caller could hold a connection with a head that never ends: the limit of the configuration was not applied. The time runs from the first byte of the head, or from the end of the answer before it, and does not include the body; the request was not passed on, so that the refusal as not run is true.

The tests of slow heads failed while the timer knew only the idle limit.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -157,6 +157,20 @@
         if not self.transport.is_closing():
             self._start_waiting()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Refuse a slow head or close an idle connection (timer callback)."""
+        if not self._head_begun:
+            super().timeout_keep_alive_handler()
+            return
+        limit_s = self._limits.head_timeout_s
+        self._refuse(
+            Refusal(
+                ran=Ran.not_run,
+                reason=Reason.head_timeout,
+                detail=f'The head of the request took over {limit_s:g} s.',
+            )
+        )
+
     def apply_limits(self) -> None:
         """Apply changed limits to the time that has begun.
 
@@ -257,7 +271,7 @@
 
     def _time_limit_s(self) -> float:
         if self._head_begun:
-            return math.inf
+            return self._limits.head_timeout_s
         return self._limits.idle_timeout_s + IDLE_MARGIN_S
 
     def _cut_after_head(self, data: bytes) -> tuple[bytes, bytes]:
--- a/src/cuminhoist/problems.py
+++ b/src/cuminhoist/problems.py
@@ -14,6 +14,7 @@
     Reason.unknown_service: 404,
     Reason.body_too_large: 413,
     Reason.rate_exceeded: 429,
+    Reason.head_timeout: 408,
     Reason.head_too_large: 431,
     Reason.target_lost: 502,
     Reason.target_timeout: 504,
--- a/src/cuminhoist/types.py
+++ b/src/cuminhoist/types.py
@@ -59,6 +59,7 @@
     cancelled = 'cancelled'
     body_too_large = 'body-too-large'
     head_too_large = 'head-too-large'
+    head_timeout = 'head-timeout'
 
 
 class DrainScope(enum.StrEnum):
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -167,3 +167,65 @@
         reader, writer = await _send(harness, _head(200))
         assert await _status(reader) == '504'
         writer.close()
+
+
+async def test_slow_head_is_refused_truly():
+    """Guards against connections held by callers that never end a head.
+
+    A byte now and then must not extend the time.
+    """
+    target = ScriptedTarget(answer)
+    async with gateway(target) as harness:
+        harness.set_limits(head_timeout_s=0.3)
+        reader, writer = await _send(harness, _head(200)[:50])
+        status = asyncio.create_task(_status(reader))
+        while not status.done():
+            writer.write(b'f')
+            await asyncio.sleep(0.05)
+        assert await status == '408'
+        assert b'"ran":"not-run"' in await reader.read()
+        writer.close()
+    assert not target.heads
+
+
+async def test_changed_head_timeout_holds_on_open_connections():
+    """Guards against heads that keep the limit of their start."""
+    async with gateway(ScriptedTarget(answer)) as harness:
+        reader, writer = await _send(harness, _head(200)[:50])
+        await asyncio.sleep(0.05)
+        harness.set_limits(head_timeout_s=0.1)
+        assert await _status(reader) == '408'
+        writer.close()
+
+
+async def test_time_between_requests_is_no_time_of_a_head():
+    """Guards against a 408 on a connection that is only idle.
+
+    Empty lines before a request line belong to no request.
+    """
+    async with gateway(ScriptedTarget(answer)) as harness:
+        harness.set_limits(head_timeout_s=0.2)
+        reader, writer = await _send(harness, b'\r\n')
+        await asyncio.sleep(0.4)
+        for _ in range(2):
+            writer.write(_head(200) + b'\r\n')
+            await _read_answer(reader)
+            await asyncio.sleep(0.4)
+        writer.close()
+
+
+async def test_slow_body_is_no_slow_head():
+    """Guards against a 408 while only the body is still arriving."""
+    target = ScriptedTarget(answer)
+    async with gateway(target) as harness:
+        harness.set_limits(head_timeout_s=0.1)
+        reader, writer = await _send(
+            harness,
+            f'POST /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            'Content-Length: 4\r\n\r\nab'.encode(),
+        )
+        await asyncio.sleep(0.3)
+        writer.write(b'cd')
+        await _read_answer(reader)
+        writer.close()
+    assert target.bodies == [b'abcd']
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -10,6 +10,7 @@
 import pytest
 from loguru import logger
 
+from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.types import Reason
 
 from .builders_carry import RunningServer, read_head
@@ -173,6 +174,25 @@
     assert answer.endswith(b'abcd')
 
 
+async def test_slow_head_behind_a_running_request_does_not_cut_it():
+    """Guards against a 408 within, or instead of, the answer before it."""
+    app = GatedApp(start_early=True)
+    async with RunningServer(app) as server:
+        server.server.drain_timeout_s = 0
+        server.server.apply_limits(ListenerLimits(head_timeout_s=0.1))
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 1 + b'GET /2 HTTP/1.1')
+        while not app.running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+        app.gate.set()
+        await read_answer(reader)
+        async with asyncio.timeout(5):
+            assert b' 408 ' in await read_head(reader)
+        writer.close()
+    assert app.paths == ['/1']
+
+
 async def test_malformed_request_is_logged_with_its_reason(logged):
     """Guards against a 400 whose cause no log line or metric tells."""
     refused = []
