Refuse ambiguous requests before any byte of them reaches a target

A property test sends improper heads and bodies through the real listener, each followed by another request on the same connection. On the code before it failed, and a list of single cases showed what got through: - an unknown transfer coding: the parser reports it only after the head, when the application has already sent the request on an idle connection; - gzip before chunked: passed on as chunked only, so with another body; - two different hosts: routed by the last one, both passed on; - HTTP/0.9, HTTP/2.0, a request line without version, CONNECT with a path and an absolute target without authority: passed on as HTTP/1.1; - no host: 404, and the bytes after it were read as the next request.

The listener now checks these before it hands the request on; a missing or malformed host is refused by the gateway, as only it routes by hosts. The test of truncated bodies passed on the code before.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -16,6 +16,7 @@
 from .listener_limits import ListenerLimits
 from .logging_setup import logger
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
+from .request_head import find_head_fault
 from .request_target import split_target
 from .types import Ran, Reason
 
@@ -114,7 +115,7 @@
 
     def on_headers_complete(self) -> None:
         """Hand the request to the application (callback of the parser)."""
-        self._check_head_size()
+        self._check_head()
         self._in_head = False
         self._head_begun = False
         self._reset_head()
@@ -187,14 +188,7 @@
 
         :param msg: detail of the refusal for the caller.
         """
-        self._refuse(
-            self._head_refusal
-            or Refusal(
-                ran=Ran.not_run,
-                reason=Reason.bad_request,
-                detail=msg,
-            )
-        )
+        self._refuse(self._head_refusal or _malformed(msg))
 
     def _refuse(self, refusal: Refusal) -> None:
         """Refuse a request that is not passed on, and close the connection.
@@ -295,13 +289,26 @@
         self._head_tail = window[1 - len(_HEAD_END) :]
         return piece, data[size:]
 
-    def _check_head_size(self) -> None:
+    def _check_head(self) -> None:
+        """Raise if the request must not be passed on.
+
+        That ends the parsing, and the base class calls
+        :meth:`send_400_response`.
+        """
         # The head of a pipelined request may begin within a piece that is
         # counted for the request before it; its parsed parts are counted.
         size = max(self._head_bytes, len(self.url) + _size_bytes(self.headers))
         if size > self._limits.max_head_bytes:
             self._head_refusal = self._head_too_large()
-            # Ends the parsing; the base class calls send_400_response.
+        else:
+            fault = find_head_fault(
+                self.parser.get_method(),
+                self.parser.get_http_version(),
+                self.url,
+                self.headers,
+            )
+            self._head_refusal = _malformed(fault) if fault else None
+        if self._head_refusal is not None:
             raise ValueError(self._head_refusal.detail)
 
     def _head_too_large(self) -> Refusal:
@@ -363,5 +370,9 @@
         self._conn.close_after_answer()
 
 
+def _malformed(detail: str) -> Refusal:
+    return Refusal(ran=Ran.not_run, reason=Reason.bad_request, detail=detail)
+
+
 def _size_bytes(headers: list[tuple[bytes, bytes]]) -> int:
     return sum(len(name) + len(value) for name, value in headers)
--- a/src/cuminhoist/gateway/hosts.py
+++ b/src/cuminhoist/gateway/hosts.py
@@ -1,5 +1,19 @@
 """Canonical form of host names, for the routes and for requests alike."""
 
+import re
+
+_HOST = re.compile(
+    r"(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._~!$&'()*+,;=%-]+)(:[0-9]*)?"
+)
+
+
+def is_host(text: str) -> bool:
+    """Return whether a text is a host with an optional port.
+
+    :param text: text of a host header.
+    """
+    return _HOST.fullmatch(text) is not None
+
 
 def canonical_host(text: str) -> str:
     """Return the host name by which routes are looked up.
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -135,7 +135,10 @@
             await send_refusal(
                 refusal,
                 send,
-                close_connection=self.routing_state.refuses_requests,
+                close_connection=(
+                    self.routing_state.refuses_requests
+                    or refusal.reason is Reason.bad_request
+                ),
             )
             return
         state = RequestState(req, route, self._splitter.choose(route))
@@ -179,6 +182,10 @@
             return not_run_refusal(
                 reason, 'Retry at another entry instance.', NOT_READY_RETRY_S
             ), None
+        if not req.host:
+            return not_run_refusal(
+                Reason.bad_request, 'The host header is missing or malformed.'
+            ), None
         return None, routes.find(req.host, req.path)
 
     def _set_deadlines(
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -15,7 +15,8 @@
     """A request of a caller, decoded.
 
     :param request_id: identity that the caller gave to this attempt.
-    :param host: canonical name of the host.
+    :param host: canonical name of the host; empty if it is missing or
+        malformed.
     :param path: path without the query, as the caller sent it.
     :param request_target: path and query as the caller sent them.
     :param key: identity of the object that the request is about, or empty.
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from ..exchange import Headers, RequestHead
-from ..gateway.hosts import canonical_host
+from ..gateway.hosts import canonical_host, is_host
 from ..gateway.wire import AnswerMetadata, IncomingRequest, WireFormat
 
 _REQUEST_ID = b'x-request-id'
@@ -70,7 +70,7 @@
         return IncomingRequest(
             request_id=headers_by_name.get(_REQUEST_ID, b'').decode('latin-1'),
             method=scope['method'],
-            host=canonical_host(host),
+            host=canonical_host(host) if is_host(host) else '',
             path=request_target.partition(b'?')[0].decode('latin-1'),
             request_target=request_target,
             key=_object_key(
--- a/tests/gateway/message_strategies.py
+++ b/tests/gateway/message_strategies.py
@@ -66,9 +66,14 @@
 
 
 class StrictTarget:
-    """A target that reads requests with a strict parser and answers them."""
+    """A target that reads requests with a strict parser and answers them.
+
+    It records each whole request, and each head even if its body is not
+    whole.
+    """
 
     def __init__(self) -> None:
+        self.heads: list[h11.Request] = []
         self.received: list[ReceivedRequest] = []
         self._server: asyncio.Server | None = None
 
@@ -84,7 +89,9 @@
 
     async def _serve(self, reader, writer) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=2**20)
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        with contextlib.suppress(
+            ConnectionError, asyncio.CancelledError, h11.RemoteProtocolError
+        ):
             while True:
                 head, body = None, b''
                 while not isinstance(
@@ -94,6 +101,7 @@
                         conn.receive_data(await reader.read(65536))
                     elif isinstance(event, h11.Request):
                         head = event
+                        self.heads.append(event)
                     elif isinstance(event, h11.Data):
                         body += bytes(event.data)
                     elif isinstance(event, h11.ConnectionClosed):
--- a/tests/gateway/test_hosts.py
+++ b/tests/gateway/test_hosts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cuminhoist.gateway.hosts import canonical_host
+from cuminhoist.gateway.hosts import canonical_host, is_host
 
 
 @pytest.mark.parametrize(
@@ -25,3 +25,20 @@
 def test_spellings_of_a_host_are_one(text, name):
     """Guards against a 404 for a host that is written in another way."""
     assert canonical_host(text) == name
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['shop.example', 'SHOP.example.:80', '[::1]:80', '10.0.0.1:', 'a%20'],
+)
+def test_host_with_an_optional_port(text):
+    """Guards against a 400 for a proper host header."""
+    assert is_host(text)
+
+
+@pytest.mark.parametrize(
+    'text', ['', ':80', 'a/b', 'user@a', 'a, b', 'a b', 'a:b', 'a:80:90', 'é']
+)
+def test_text_that_is_no_host(text):
+    """Guards against routing by a host header that is malformed."""
+    assert not is_host(text)
