Promise nothing with the 413 of a body that was being passed on

A body found too long while it streams was refused as not run, although a target had its first part. Such a refusal now says that it may have run. A declared length above the limit is refused before the body is read; until now the listener waited for the bytes.

Both tests failed before: the first got ran not-run, the second no answer.

--- a/src/cuminhoist/gateway/bodies.py
+++ b/src/cuminhoist/gateway/bodies.py
@@ -37,11 +37,16 @@
         """Whether the body can be sent to another target."""
         return not self._streamed
 
-    async def fill_buffer(self) -> None:
+    async def fill_buffer(self, declared_bytes: int = 0) -> None:
         """Read until the buffer is full or the body ends.
 
         Raises :class:`CallerDisconnected` or :class:`BodyTooLarge`.
+
+        :param declared_bytes: length that the caller declared, in bytes; 0
+            if it is unknown.
         """
+        if declared_bytes > self._limit_bytes:
+            raise BodyTooLarge
         while not self._complete and len(self._buffer) < RETRY_BUFFER_BYTES:
             self._buffer += await self._receive_chunk()
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -23,7 +23,7 @@
     Refused,
 )
 from ..steering.targets import TargetEntry
-from ..types import Reason
+from ..types import Ran, Reason
 from .answers import (
     Send,
     TargetAnswer,
@@ -149,12 +149,12 @@
         outcome = 'gone'
         try:
             if req.has_body:
-                await body.fill_buffer()
+                await body.fill_buffer(req.declared_body_bytes)
             outcome = await self._place_and_send(state, body, scope, send)
         except CallerDisconnected:
             outcome = 'gone'
         except BodyTooLarge:
-            outcome = await self._refuse_body(send)
+            outcome = await self._refuse_body(body, send)
         finally:
             self._record_request(state, outcome)
 
@@ -162,9 +162,12 @@
         routes = self.routing_state.routes
         return routes.limits.max_body_bytes if routes else 0
 
-    async def _refuse_body(self, send: Send) -> str:
-        refusal = not_run_refusal(
-            Reason.body_too_large, 'The body is too large.'
+    async def _refuse_body(self, body: RequestBody, send: Send) -> str:
+        refusal = Refusal(
+            # A target may have run what it got of a streamed body.
+            ran=Ran.not_run if body.can_resend else Ran.unknown,
+            reason=Reason.body_too_large,
+            detail='The body is too large.',
         )
         await send_refusal(refusal, send, close_connection=True)
         return f'refused-{refusal.reason}'
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -25,6 +25,8 @@
     :param headers: headers that are passed on to the target.
     :param has_body: whether a body follows.
     :param chunked: whether the body is framed as chunks.
+    :param declared_body_bytes: length of the body that the caller declared,
+        in bytes; 0 for chunks.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     headers: Headers
     has_body: bool
     chunked: bool
+    declared_body_bytes: int = 0
 
 
 class AnswerMetadata(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -66,7 +66,8 @@
         chunked = (
             b'chunked' in headers_by_name.get(b'transfer-encoding', b'').lower()
         )
-        length = headers_by_name.get(b'content-length', b'0')
+        # The parser accepts only digits.
+        length = int(headers_by_name.get(b'content-length', b'0'))
         return IncomingRequest(
             request_id=headers_by_name.get(_REQUEST_ID, b'').decode('latin-1'),
             method=scope['method'],
@@ -78,8 +79,9 @@
             ),
             left_s=_deadline_s(headers_by_name.get(_DEADLINE)),
             headers=_forwarded_headers(headers, chunked),
-            has_body=chunked or length != b'0',
+            has_body=chunked or length > 0,
             chunked=chunked,
+            declared_body_bytes=length,
         )
 
     def encode_attempt(
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -4,14 +4,17 @@
 the connection.
 """
 
+import asyncio
+
 import msgspec
 
 from cuminhoist import caller_connection
-from cuminhoist.gateway import request_proxy
+from cuminhoist.gateway import bodies, request_proxy
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
 from tests.waiting import eventually
 
-from .builders import ScriptedTarget, answer, gateway, header
+from .builders import HOST, ScriptedTarget, answer, gateway, header
+from .message_strategies import StrictTarget
 
 
 async def test_answer_is_passed_on_unchanged():
@@ -206,6 +209,57 @@
     assert not target.heads
 
 
+async def test_body_found_too_long_while_it_streams_may_have_run(monkeypatch):
+    """Guards against a promise about a request that a target has begun.
+
+    The part of the body within the limit has reached the target.
+    """
+    monkeypatch.setattr(bodies, 'RETRY_BUFFER_BYTES', 4)
+    target = StrictTarget()
+    async with gateway(target) as harness:
+        routing_state = harness.proxy.routing_state
+        routing_state.routes = msgspec.structs.replace(
+            routing_state.routes, limits=CallerLimits(max_body_bytes=10)
+        )
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', harness.port
+        )
+        writer.write(
+            f'POST /a/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: id1\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n'.encode()
+        )
+        await eventually(lambda: bool(target.heads))
+        writer.write(b'6\r\nworld!\r\n0\r\n\r\n')
+        received = await reader.read()
+        writer.close()
+    assert received.startswith(b'HTTP/1.1 413')
+    assert b'"ran":"unknown"' in received
+    assert not target.received
+
+
+async def test_declared_length_over_the_limit_is_refused_at_once():
+    """Guards against reading a body that is too long to be passed on."""
+    target = ScriptedTarget(answer)
+    async with gateway(target) as harness:
+        routing_state = harness.proxy.routing_state
+        routing_state.routes = msgspec.structs.replace(
+            routing_state.routes, limits=CallerLimits(max_body_bytes=10)
+        )
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', harness.port
+        )
+        writer.write(
+            f'POST /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            'Content-Length: 11\r\n\r\nhello'.encode()
+        )
+        async with asyncio.timeout(5):
+            received = await reader.read()
+        writer.close()
+    assert received.startswith(b'HTTP/1.1 413')
+    assert b'"ran":"not-run"' in received
+    assert not target.heads
+
+
 def test_route_selection_takes_the_longest_prefix():
     """Guards against choosing the wrong route of a host."""
     from cuminhoist.gateway.routes import RouteTable
