Close the connection of a request that cannot be sent and refuse it as not run

When the encoder refused a head, the connection that had been opened for it stayed open, the target counted as having lost the request, and the caller was told that it may have run. It now gets a 400 that says not-run.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from ..exceptions import ProtocolError, RemoteProtocolError
+from ..client_connection import ClientConnection
+from ..exceptions import LocalProtocolError, RemoteProtocolError
 from ..exchange import Exchange, Headers
 from ..steering.decisions import Ending
 from ..steering.targets import TargetEntry
@@ -62,6 +63,8 @@
         :param body: body of the request.
         :param target: the target to send it to.
         :param left_s: time left for the attempt, in seconds.
+        :raises LocalProtocolError: if the request can't be sent as it is;
+            nothing was sent then.
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + left_s
@@ -83,7 +86,7 @@
             exchange.high_water_bytes = self._connections.pacer.buffer_bytes
         try:
             async with asyncio.timeout(left_s):
-                connected.conn.start(exchange)
+                _start(connected.conn, exchange)
                 self._start_upload(exchange, req, body)
                 answer = await read_answer_start(
                     exchange,
@@ -92,7 +95,7 @@
         except TimeoutError:
             abort(exchange)
             return AttemptOutcome(Ending.timeout, detail='timeout')
-        except ProtocolError as exc:
+        except RemoteProtocolError as exc:
             abort(exchange)
             return AttemptOutcome(Ending.lost, detail=str(exc))
         except BaseException:
@@ -149,6 +152,16 @@
             )
 
 
+def _start(conn: ClientConnection, exchange: Exchange) -> None:
+    try:
+        conn.start(exchange)
+    except LocalProtocolError:
+        # The exchange does not own the connection yet, so that aborting it
+        # would leave the connection open.
+        conn.abort()
+        raise
+
+
 async def _upload(
     exchange: Exchange,
     req: IncomingRequest,
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..exceptions import LocalProtocolError
 from ..exchange import Headers
 from ..logging_setup import logger
 from ..problems import Refusal
@@ -153,6 +154,8 @@
             outcome = await self._place_and_send(state, body, scope, send)
         except CallerDisconnected:
             outcome = 'gone'
+        except LocalProtocolError as exc:
+            outcome = await self._refuse_unsendable(state, str(exc), send)
         except BodyTooLarge:
             outcome = await self._refuse_body(body, send)
         finally:
@@ -172,6 +175,18 @@
         await send_refusal(refusal, send, close_connection=True)
         return f'refused-{refusal.reason}'
 
+    async def _refuse_unsendable(
+        self, state: RequestState, detail: str, send: Send
+    ) -> str:
+        state.trail.append(detail)
+        refusal = Refusal(
+            ran=Ran.unknown if state.may_have_run else Ran.not_run,
+            reason=Reason.bad_request,
+            detail=f'The request cannot be passed on: {detail}.',
+        )
+        await send_refusal(refusal, send, close_connection=True)
+        return f'refused-{refusal.reason}'
+
     def _find_route(
         self, req: IncomingRequest
     ) -> tuple[Refusal | None, Route | None]:
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -9,8 +9,10 @@
 import msgspec
 
 from cuminhoist import caller_connection
+from cuminhoist.exchange import RequestHead
 from cuminhoist.gateway import bodies, request_proxy
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
+from cuminhoist.platform.requests import PlatformWire
 from tests.waiting import eventually
 
 from .builders import HOST, ScriptedTarget, answer, gateway, header
@@ -260,6 +262,26 @@
     assert not target.heads
 
 
+async def test_request_that_cannot_be_sent_is_refused_truly(monkeypatch):
+    """Guards against an open connection and a doubt about an unsent request.
+
+    The encoder refuses a head that a target could read as two requests.
+    """
+
+    def encode_unsafe_target(_wire, _req, _left_s, _target_name):
+        return RequestHead(b'GET', b'/a/x\r\nX-Odd: 1', [])
+
+    monkeypatch.setattr(PlatformWire, 'encode_attempt', encode_unsafe_target)
+    targets = [ScriptedTarget(answer) for _ in range(2)]
+    async with gateway(*targets) as harness:
+        received = await harness.request()
+        await eventually(
+            lambda: sum(target.closed_connections for target in targets) == 1
+        )
+    assert received.startswith(b'HTTP/1.1 400')
+    assert b'"ran":"not-run"' in received
+
+
 def test_route_selection_takes_the_longest_prefix():
     """Guards against choosing the wrong route of a host."""
     from cuminhoist.gateway.routes import RouteTable
