Skip listed targets whose id no header can carry

The id is sent with each attempt. An entry with control characters or other text in its id made each request fail that was placed there: with 400, or with an encoding error and a reset.

--- a/src/cuminhoist/platform/target_list.py
+++ b/src/cuminhoist/platform/target_list.py
@@ -1,6 +1,7 @@
 """Reads the platform's list of targets, page by page."""
 
 import contextlib
+import re
 from typing import Any
 
 import httpx
@@ -18,6 +19,9 @@
 MAX_PAGES = 200
 _MS = 1000
 _OK = 200
+#: ASCII without control characters; the id of a target is sent with each
+#: attempt.
+_SENDABLE_ID = re.compile('[!-~]([ -~]*[!-~])?')
 
 
 class _Page(msgspec.Struct, frozen=True):
@@ -104,6 +108,8 @@
 
 
 def _target_entry(name: str, wire: _Entry) -> TargetEntry:
+    if not _SENDABLE_ID.fullmatch(name):
+        raise ValueError(f'target id {name!r} cannot be sent in a header')
     host, _, port = wire.address.rpartition(':')
     return TargetEntry(
         name=name,
--- a/tests/platform/test_target_list.py
+++ b/tests/platform/test_target_list.py
@@ -6,6 +6,7 @@
 import json
 
 import msgspec
+import pytest
 
 from cuminhoist.platform.target_list import decode_entries
 from cuminhoist.steering.targets import TargetState
@@ -55,3 +56,14 @@
         other='text',
     )
     assert [entry.name for entry in entries] == ['good']
+
+
+@pytest.mark.parametrize('name', ['', 'i1 ', 'i\r\n1', 'i\x7f', 'ié', 'i☃'])
+def test_entry_whose_id_no_header_can_carry_is_skipped(name):
+    """Guards against requests that fail because of the id of their target.
+
+    The id is sent with each attempt.
+    """
+    assert [
+        entry.name for entry in _decode(**{name: _entry(), 'i2': _entry()})
+    ] == ['i2']
