Finish the answers before a malformed request on the same connection

A fault of a pipelined request reset the connection while the answer to the proper request before it was under way. Further input is now ignored and the connection is closed after that answer.

Both cases of the test failed before with a reset.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -198,10 +198,16 @@
         if self._half_closed or self.transport.is_closing():
             return
         self._record_refusal(refusal)
-        if self.cycle is not None and not self.cycle.response_complete:
-            # An earlier answer on this connection is not complete yet.
+        if self._running and self.cycle.more_body:
+            # The fault is in the body of a request that may be passed on.
             self.abort()
             return
+        if self._running:
+            # The answers to the requests before it are sent; then the
+            # connection is closed.
+            self._half_closed = True
+            self.cycle.keep_alive = False
+            return
         body = encode_problem(refusal)
         status = http.HTTPStatus(refusal.status)
         head = (
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -193,6 +193,25 @@
     assert app.paths == ['/1']
 
 
+@pytest.mark.parametrize('start_early', [False, True])
+async def test_malformed_request_does_not_cut_the_answer_before_it(
+    start_early,
+):
+    """Guards against resetting a proper request for a fault of the next one."""
+    app = GatedApp(start_early)
+    async with RunningServer(app) as server:
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 1 + b'GET /2 HTTP/1.1\r\nh\x01: x\r\n\r\n')
+        while not app.running:
+            await asyncio.sleep(0.01)
+        writer.write(REQUEST % 3)
+        await asyncio.sleep(0.05)
+        app.gate.set()
+        await read_answer(reader)
+        assert await reader.read() == b''
+    assert app.paths == ['/1']
+
+
 async def test_malformed_request_is_logged_with_its_reason(logged):
     """Guards against a 400 whose cause no log line or metric tells."""
     refused = []
