--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -10,6 +10,7 @@
 import sys
 from typing import Any, cast
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .caller_round_trip import round_trip_s
@@ -42,6 +43,8 @@
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
+        #: Bytes that the parser is reading.
+        self._received = b''
         self._head_bytes = 0
         #: Last bytes of an incomplete head; the empty line may begin there.
         self._head_tail = b''
@@ -80,7 +83,9 @@
         while data and not self._half_closed:
             piece, data = self._cut_after_head(data)
             # The base class stops the timer.
+            self._received = piece
             super().data_received(piece)
+            self._received = b''
             if self.transport.is_closing():
                 return
             if self._head_begun:
@@ -333,11 +338,14 @@
         # The base class calls from the handler of the parser's error and
         # passes on a fixed message only.
         exc = sys.exception()
+        if exc is not None:
+            # An error of a parser callback is the context of a general one.
+            exc = exc.__context__ or exc
         names = b' '.join(name for name, _ in self.headers or ())
         _log.bind(
             refused=refusal.reason,
             reason=(
-                str(exc)
+                repr(exc)
                 if exc is not None and self._head_refusal is None
                 else refusal.detail
             ),
@@ -361,6 +369,23 @@
         # After an upgrade request, the parser treats all further bytes as
         # another protocol, so the connection can carry no other request.
         self.cycle.keep_alive = False
+        exc = sys.exception()
+        framing = _body_framing(self.headers)
+        if framing and isinstance(exc, httptools.HttpParserUpgrade):
+            # The parser skips the body too; another one reads it.
+            self.cycle.more_body = True
+            self.parser = httptools.HttpRequestParser(_BodyReceiver(self))
+            self.parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n' % framing)
+            self._in_head = False
+            self.data_received(self._received[exc.args[0] :])
+
+
+class _BodyReceiver:
+    """Passes the body of a request on, but nothing of its head."""
+
+    def __init__(self, conn: CallerConnection) -> None:
+        self.on_body = conn.on_body
+        self.on_message_complete = conn.on_message_complete
 
 
 class _CycleTransport:
@@ -382,3 +407,12 @@
 
 def _size_bytes(headers: list[tuple[bytes, bytes]]) -> int:
     return sum(len(name) + len(value) for name, value in headers)
+
+
+def _body_framing(headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the header lines that frame a body; empty if there is none."""
+    return b''.join(
+        b'%b: %b\r\n' % (name, text)
+        for name, text in headers
+        if name in {b'content-length', b'transfer-encoding'}
+    )
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -25,6 +25,8 @@
     :param entry_count: entry instances that share the retry budget.
     :param refuses_requests: whether new requests are refused because the
         instance stops.
+    :param routes_confirmed: whether the routes are known to be the newest
+        ones.
     :param apply_limits: applies the limits of new routes to the listener.
     """
 
@@ -33,6 +35,7 @@
     target_list_read_at: float = float('-inf')
     entry_count: int = 1
     refuses_requests: bool = False
+    routes_confirmed: bool = True
     apply_limits: Callable[[ListenerLimits], None] = _ignore_limits
 
     def replace_routes(self, routes: RouteTable) -> None:
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -24,9 +24,9 @@
         send it.
     :param headers: headers that are passed on to the target.
     :param has_body: whether a body follows.
+    :param body_bytes: declared length of the body, in bytes; None if it is
+        framed as chunks.
     :param chunked: whether the body is framed as chunks.
-    :param declared_body_bytes: length of the body that the caller declared,
-        in bytes; 0 for chunks.
     """
 
     request_id: str
@@ -39,7 +39,7 @@
     headers: Headers
     has_body: bool
     chunked: bool
-    declared_body_bytes: int = 0
+    body_bytes: int | None = None
 
 
 class AnswerMetadata(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the platform's headers of requests and answers."""
 
+import math
 from typing import Any
 
 from ..exchange import Headers, RequestHead
@@ -57,17 +58,14 @@
         headers: Headers = scope['headers']
         if authority:
             # The host of an absolute target goes before the host header.
-            headers = [
-                (name, authority if name == b'host' else text)
-                for name, text in headers
-            ]
+            others = [header for header in headers if header[0] != b'host']
+            headers = [(b'host', authority), *others]
         headers_by_name = dict(headers)
         host = headers_by_name.get(b'host', b'').decode('latin-1')
         chunked = (
             b'chunked' in headers_by_name.get(b'transfer-encoding', b'').lower()
         )
-        # The parser accepts only digits.
-        length = int(headers_by_name.get(b'content-length', b'0'))
+        length = headers_by_name.get(b'content-length', b'0')
         return IncomingRequest(
             request_id=headers_by_name.get(_REQUEST_ID, b'').decode('latin-1'),
             method=scope['method'],
@@ -79,9 +77,9 @@
             ),
             left_s=_deadline_s(headers_by_name.get(_DEADLINE)),
             headers=_forwarded_headers(headers, chunked),
-            has_body=chunked or length > 0,
+            has_body=chunked or length != b'0',
             chunked=chunked,
-            declared_body_bytes=length,
+            body_bytes=None if chunked else int(length),
         )
 
     def encode_attempt(
@@ -183,9 +181,10 @@
 
 def _deadline_s(text: bytes | None) -> float | None:
     try:
-        return float(text) / _MS if text else None
+        left_ms = float(text or b'nan')
     except ValueError:
         return None
+    return left_ms / _MS if math.isfinite(left_ms) else None
 
 
 def _has_free_slots(load: bytes) -> bool | None:
--- a/tests/gateway/test_hosts.py
+++ b/tests/gateway/test_hosts.py
@@ -1,8 +1,12 @@
-"""Host names are compared in one spelling."""
+"""Hosts and paths are compared in one spelling."""
 
 import pytest
 
-from cuminhoist.gateway.hosts import canonical_host, is_host
+from cuminhoist.gateway.hosts import (
+    canonical_host,
+    canonical_path,
+    is_host,
+)
 
 
 @pytest.mark.parametrize(
@@ -42,3 +46,18 @@
 def test_text_that_is_no_host(text):
     """Guards against routing by a host header that is malformed."""
     assert not is_host(text)
+
+
+@pytest.mark.parametrize(
+    ('text', 'path'),
+    [
+        ('/a/b', '/a/b'),
+        ('/a/%2f%C3', '/a/%2F%C3'),
+        ('/t\u0101maki/', '/t%C4%81maki/'),
+        ('/a/100%/x', '/a/100%/x'),
+        ('/a/"<|>', '/a/"<|>'),
+    ],
+)
+def test_spellings_of_a_path_are_one(text, path):
+    """Guards against a 404 for a path that is escaped in another way."""
+    assert canonical_path(text) == path
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -124,3 +124,21 @@
     """Guards against a configuration that can be read in part only."""
     limits = {'header_timeout_ms': limit}
     assert isinstance(_decode({**_wire(), 'limits': limits}), Failure)
+
+
+def test_prefix_matches_the_escaped_form_of_its_letters():
+    """Guards against a route that no request can match.
+
+    Requests carry letters outside ASCII in percent-encoded UTF-8 only.
+    """
+    table = _decode(_wire(path_prefix='/tāmaki/')).unwrap()
+    assert table.find('shop.example', '/t%C4%81maki/b') is not None
+    assert table.find('shop.example', '/t%c4%81maki/b') is not None
+
+
+def test_host_name_matches_its_ascii_form():
+    """Guards against a route of an international name that never matches."""
+    content = _wire()
+    content['hosts'][0]['hostname'] = 'tāmaki.example'
+    table = _decode(content).unwrap()
+    assert table.find('xn--tmaki-fwa.example', '/a/b') is not None
--- a/tests/platform/test_target_list.py
+++ b/tests/platform/test_target_list.py
@@ -6,7 +6,6 @@
 import json
 
 import msgspec
-import pytest
 
 from cuminhoist.platform.target_list import decode_entries
 from cuminhoist.steering.targets import TargetState
@@ -58,12 +57,26 @@
     assert [entry.name for entry in entries] == ['good']
 
 
-@pytest.mark.parametrize('name', ['', 'i1 ', 'i\r\n1', 'i\x7f', 'ié', 'i☃'])
-def test_entry_whose_id_no_header_can_carry_is_skipped(name):
-    """Guards against requests that fail because of the id of their target.
+def test_entry_with_an_unreadable_id_is_skipped():
+    """Guards against an id that no header can carry to the target."""
+    entries = _decode(
+        **{
+            'good': _entry(),
+            'i-\ufffd': _entry(),
+            'i 2': _entry(),
+            'i-3\n': _entry(),
+            '': _entry(),
+        }
+    )
+    assert [entry.name for entry in entries] == ['good']
+
 
-    The id is sent with each attempt.
-    """
-    assert [
-        entry.name for entry in _decode(**{name: _entry(), 'i2': _entry()})
-    ] == ['i2']
+def test_entry_with_an_address_that_is_no_ip_number_is_skipped():
+    """Guards against a name look-up for each attempt at such a target."""
+    entries = _decode(
+        good=_entry(),
+        name=_entry(address='host.example:8080'),
+        unreadable=_entry(address='10.128.\ufffd.9:8080'),
+        port=_entry(address='10.128.0.9:99999'),
+    )
+    assert [entry.name for entry in entries] == ['good']
