--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -14,6 +14,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .caller_round_trip import round_trip_s
+from .head_counter import HeadCounter
 from .listener_limits import ListenerLimits
 from .logging_setup import logger
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
@@ -33,8 +34,6 @@
 #: Bytes of a malformed request's target and header names that are logged.
 _LOGGED_BYTES = 200
 
-_HEAD_END = b'\r\n\r\n'
-
 _log = logger('listener')
 
 
@@ -45,13 +44,7 @@
         super().__init__(*args, **options)
         #: Bytes that the parser is reading.
         self._received = b''
-        self._head_bytes = 0
-        #: Last bytes of an incomplete head; the empty line may begin there.
-        self._head_tail = b''
-        #: Whether a head is expected or arriving.
-        self._in_head = True
-        #: Whether a head has begun to arrive.
-        self._head_begun = False
+        self._head = HeadCounter()
         #: Why the head that was parsed last is refused.
         self._head_refusal: Refusal | None = None
         self._half_closed = False
@@ -63,7 +56,7 @@
     @property
     def busy(self) -> bool:
         """Whether a request is running or its head is arriving."""
-        return self._running or self._head_begun
+        return self._running or self._head.begun
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -81,20 +74,19 @@
         :param data: the bytes.
         """
         while data and not self._half_closed:
-            piece, data = self._cut_after_head(data)
+            piece, data = self._head.cut(data)
             # The base class stops the timer.
             self._received = piece
             super().data_received(piece)
             self._received = b''
             if self.transport.is_closing():
                 return
-            if self._head_begun:
-                if self._head_bytes > self._limits.max_head_bytes:
+            if self._head.begun:
+                if self._head.size > self._limits.max_head_bytes:
                     self._refuse(self._head_too_large())
-            elif self._in_head:
-                # Empty lines before a request are no part of its head.
-                self._reset_head()
-        if self._head_begun:
+            elif self._head.expected:
+                self._head.reset()
+        if self._head.begun:
             self._start_timer()
         else:
             self._start_waiting()
@@ -102,8 +94,7 @@
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
-        self._in_head = True
-        self._head_begun = True
+        self._head.begin()
         self._waits_since = self.loop.time()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -115,15 +106,13 @@
         :param name: name of the header.
         :param value: value of the header.
         """
-        if self._in_head:
+        if self._head.expected:
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Hand the request to the application (callback of the parser)."""
         self._check_head()
-        self._in_head = False
-        self._head_begun = False
-        self._reset_head()
+        self._head.end_head()
         # The base class reads targets in origin form only.
         authority, target = split_target(self.url)
         self.url = target
@@ -145,7 +134,7 @@
     def on_message_complete(self) -> None:
         """Expect the next request (callback of the parser)."""
         super().on_message_complete()
-        self._in_head = True
+        self._head.end_message()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the application that the caller has disconnected.
@@ -165,7 +154,7 @@
 
     def timeout_keep_alive_handler(self) -> None:
         """Refuse a slow head or close an idle connection (timer callback)."""
-        if not self._head_begun:
+        if not self._head.begun:
             super().timeout_keep_alive_handler()
             return
         limit_s = self._limits.head_timeout_s
@@ -275,31 +264,10 @@
             )
 
     def _time_limit_s(self) -> float:
-        if self._head_begun:
+        if self._head.begun:
             return self._limits.head_timeout_s
         return self._limits.idle_timeout_s + IDLE_MARGIN_S
 
-    def _cut_after_head(self, data: bytes) -> tuple[bytes, bytes]:
-        """Return the bytes up to the end of the head, and the others.
-
-        The parser does not tell where a head ends, and its size must not
-        include bytes of the body.
-        """
-        if not self._in_head:
-            self._head_tail = data[1 - len(_HEAD_END) :]
-            return data, b''
-        window = self._head_tail + data
-        end = window.find(_HEAD_END)
-        size = len(data)
-        if end >= 0:
-            size = end + len(_HEAD_END) - len(self._head_tail)
-        piece = data[:size]
-        self._head_bytes += len(
-            piece if self._head_begun else piece.lstrip(b'\r\n')
-        )
-        self._head_tail = window[1 - len(_HEAD_END) :]
-        return piece, data[size:]
-
     def _check_head(self) -> None:
         """Raise if the request must not be passed on.
 
@@ -308,7 +276,7 @@
         """
         # The head of a pipelined request may begin within a piece that is
         # counted for the request before it; its parsed parts are counted.
-        size = max(self._head_bytes, len(self.url) + _size_bytes(self.headers))
+        size = max(self._head.size, len(self.url) + _size_bytes(self.headers))
         if size > self._limits.max_head_bytes:
             self._head_refusal = self._head_too_large()
         else:
@@ -330,10 +298,6 @@
             detail=f'The head of the request exceeds {limit} bytes.',
         )
 
-    def _reset_head(self) -> None:
-        self._head_bytes = 0
-        self._head_tail = b''
-
     def _record_refusal(self, refusal: Refusal) -> None:
         # The base class calls from the handler of the parser's error and
         # passes on a fixed message only.
@@ -376,7 +340,7 @@
             self.cycle.more_body = True
             self.parser = httptools.HttpRequestParser(_BodyReceiver(self))
             self.parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n' % framing)
-            self._in_head = False
+            self._head.end_head()
             self.data_received(self._received[exc.args[0] :])
 
 
