--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..client_connection import ClientConnection
 from ..exceptions import (
     LocalProtocolError,
     ProtocolError,
@@ -73,6 +74,8 @@
         :param body: body of the request.
         :param target: the target to send it to.
         :param left_s: time left for the attempt, in seconds.
+        :raises LocalProtocolError: if the request can't be sent as it is;
+            nothing was sent then.
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + left_s
@@ -92,9 +95,9 @@
         exchange.upload_complete = not req.has_body
         if self._connections.pacer.is_slow:
             exchange.high_water_bytes = self._connections.pacer.buffer_bytes
+        _start(connected.conn, exchange)
         try:
             async with asyncio.timeout(left_s):
-                connected.conn.start(exchange)
                 self._start_upload(exchange, req, body)
                 await exchange.wait_for_head()
                 answer = await read_answer_start(
@@ -190,6 +193,16 @@
             )
 
 
+def _start(conn: ClientConnection, exchange: Exchange) -> None:
+    try:
+        conn.start(exchange)
+    except LocalProtocolError:
+        # The exchange does not own the connection yet, so that aborting it
+        # would leave the connection open.
+        conn.abort()
+        raise
+
+
 async def _upload(
     exchange: Exchange,
     req: IncomingRequest,
--- a/src/cuminhoist/gateway/hosts.py
+++ b/src/cuminhoist/gateway/hosts.py
@@ -6,6 +6,17 @@
 _ESCAPE = re.compile('%[0-9a-fA-F]{2}')
 #: Printable ASCII characters stay as they are.
 _ASCII = ''.join(chr(code) for code in range(0x21, 0x7F))
+_HOST = re.compile(
+    r"(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._~!$&'()*+,;=%-]+)(:[0-9]*)?"
+)
+
+
+def is_host(text: str) -> bool:
+    """Return whether a text is a host with an optional port.
+
+    :param text: text of a host header.
+    """
+    return _HOST.fullmatch(text) is not None
 
 
 def canonical_host(text: str) -> str:
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..exceptions import LocalProtocolError
 from ..exchange import Headers
 from ..logging_setup import logger
 from ..problems import Refusal
@@ -24,7 +25,7 @@
 )
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
-from ..types import Reason
+from ..types import Ran, Reason
 from .answers import (
     Send,
     TargetAnswer,
@@ -143,7 +144,10 @@
             await send_refusal(
                 refusal,
                 send,
-                close_connection=self.routing_state.refuses_requests,
+                close_connection=(
+                    self.routing_state.refuses_requests
+                    or refusal.reason is Reason.bad_request
+                ),
             )
             return
         state = RequestState(req, route, self._splitter.choose(route))
@@ -154,12 +158,14 @@
         outcome = 'gone'
         try:
             if req.has_body:
-                await body.fill_buffer()
+                await body.fill_buffer(req.body_bytes or 0)
             outcome = await self._place_and_send(state, body, scope, send)
         except CallerDisconnected:
             outcome = 'gone'
+        except LocalProtocolError as exc:
+            outcome = await self._refuse_unsendable(state, str(exc), send)
         except BodyTooLarge:
-            outcome = await self._refuse_body(send)
+            outcome = await self._refuse_body(body, send)
         finally:
             self._record_request(state, outcome)
 
@@ -167,9 +173,24 @@
         routes = self.routing_state.routes
         return routes.limits.max_body_bytes if routes else 0
 
-    async def _refuse_body(self, send: Send) -> str:
-        refusal = not_run_refusal(
-            Reason.body_too_large, 'The body is too large.'
+    async def _refuse_body(self, body: RequestBody, send: Send) -> str:
+        refusal = Refusal(
+            # A target may have run what it got of a streamed body.
+            ran=Ran.not_run if body.can_resend else Ran.unknown,
+            reason=Reason.body_too_large,
+            detail='The body is too large.',
+        )
+        await send_refusal(refusal, send, close_connection=True)
+        return f'refused-{refusal.reason}'
+
+    async def _refuse_unsendable(
+        self, state: RequestState, detail: str, send: Send
+    ) -> str:
+        state.trail.append(detail)
+        refusal = Refusal(
+            ran=Ran.unknown if state.may_have_run else Ran.not_run,
+            reason=Reason.bad_request,
+            detail=f'The request cannot be passed on: {detail}.',
         )
         await send_refusal(refusal, send, close_connection=True)
         return f'refused-{refusal.reason}'
@@ -187,6 +208,10 @@
             return not_run_refusal(
                 reason, 'Retry at another entry instance.', NOT_READY_RETRY_S
             ), None
+        if not req.host:
+            return not_run_refusal(
+                Reason.bad_request, 'The host header is missing or malformed.'
+            ), None
         return None, routes.find(req.host, req.path)
 
     def _refuse_unknown_route(self) -> Refusal:
@@ -503,7 +528,7 @@
         return None if math.isinf(age_s) else round(age_s * MS_PER_S)
 
     def _log_refusal(self, req: IncomingRequest, refusal: Refusal) -> None:
-        self._metrics.requests.labels('', refusal.reason).inc()
+        self._metrics.count_refusal(refusal.reason)
         routes = self.routing_state.routes
         log_request(
             id=req.request_id,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -1,13 +1,20 @@
 """Routing state of an entry instance, and the state of one request."""
 
+from collections.abc import Callable
+
 import msgspec
 
+from ..listener_limits import ListenerLimits
 from ..steering.targets import TargetEntry
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
 from .wire import IncomingRequest
 
 
+def _ignore_limits(_limits: ListenerLimits) -> None:
+    """Ignore limits: there is no listener for callers."""
+
+
 class RoutingState(msgspec.Struct):
     """Configuration and targets by which an entry instance routes requests.
 
@@ -20,6 +27,7 @@
         instance stops.
     :param routes_confirmed: whether the routes are known to be the newest
         ones.
+    :param apply_limits: applies the limits of new routes to the listener.
     """
 
     routes: RouteTable | None = None
@@ -28,6 +36,15 @@
     entry_count: int = 1
     refuses_requests: bool = False
     routes_confirmed: bool = True
+    apply_limits: Callable[[ListenerLimits], None] = _ignore_limits
+
+    def replace_routes(self, routes: RouteTable) -> None:
+        """Put routes and their limits in force.
+
+        :param routes: the routes.
+        """
+        self.routes = routes
+        self.apply_limits(routes.limits.listener)
 
 
 class RequestState:
--- a/src/cuminhoist/gateway/routes.py
+++ b/src/cuminhoist/gateway/routes.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..listener_limits import ListenerLimits
 from .hosts import canonical_path
 
 
@@ -62,9 +63,11 @@
     """Limits on the requests of callers.
 
     :param max_body_bytes: longest body of a request, in bytes.
+    :param listener: limits on heads and idle connections.
     """
 
     max_body_bytes: int = 64 * 1024 * 1024
+    listener: ListenerLimits = ListenerLimits()
 
 
 class RouteTable(msgspec.Struct, frozen=True):
--- a/tests/gateway/message_strategies.py
+++ b/tests/gateway/message_strategies.py
@@ -35,6 +35,10 @@
 )
 
 
+#: Header and empty line that end a head of the full size.
+_FILLER_FRAME = '\r\nx-filler: \r\n\r\n'
+
+
 class SentRequest(msgspec.Struct, frozen=True):
     """A request as a caller writes it, and what a target must receive.
 
@@ -62,9 +66,14 @@
 
 
 class StrictTarget:
-    """A target that reads requests with a strict parser and answers them."""
+    """A target that reads requests with a strict parser and answers them.
+
+    It records each whole request, and each head even if its body is not
+    whole.
+    """
 
     def __init__(self) -> None:
+        self.heads: list[h11.Request] = []
         self.received: list[ReceivedRequest] = []
         self._server: asyncio.Server | None = None
 
@@ -80,7 +89,9 @@
 
     async def _serve(self, reader, writer) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=2**20)
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        with contextlib.suppress(
+            ConnectionError, asyncio.CancelledError, h11.RemoteProtocolError
+        ):
             while True:
                 head, body = None, b''
                 while not isinstance(
@@ -90,6 +101,7 @@
                         conn.receive_data(await reader.read(65536))
                     elif isinstance(event, h11.Request):
                         head = event
+                        self.heads.append(event)
                     elif isinstance(event, h11.Data):
                         body += bytes(event.data)
                     elif isinstance(event, h11.ConnectionClosed):
@@ -224,8 +236,8 @@
         )
     head = '\r\n'.join(lines)
     if draw(st.booleans()):
-        filler = 'f' * (max_head_bytes - len(head) - 20)
-        head = f'{head}\r\nx-filler: {filler}'
+        filler = 'f' * (max_head_bytes - len(head) - len(_FILLER_FRAME))
+        head = f'{head}{_FILLER_FRAME[:-4]}{filler}'
         headers = [*headers, ('x-filler', filler)]
     data = f'{head}\r\n\r\n'.encode('latin-1') + coded
     return SentRequest(
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -10,6 +10,9 @@
 import pytest
 from loguru import logger
 
+from cuminhoist.listener_limits import ListenerLimits
+from cuminhoist.types import Reason
+
 from .builders_carry import RunningServer, read_head
 
 REQUEST = b'GET /%d HTTP/1.1\r\nhost: x\r\n\r\n'
@@ -171,14 +174,52 @@
     assert answer.endswith(b'abcd')
 
 
+async def test_slow_head_behind_a_running_request_does_not_cut_it():
+    """Guards against a 408 within, or instead of, the answer before it."""
+    app = GatedApp(start_early=True)
+    async with RunningServer(app) as server:
+        server.server.drain_timeout_s = 0
+        server.server.apply_limits(ListenerLimits(head_timeout_s=0.1))
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 1 + b'GET /2 HTTP/1.1')
+        while not app.running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+        app.gate.set()
+        await read_answer(reader)
+        async with asyncio.timeout(5):
+            assert b' 408 ' in await read_head(reader)
+        writer.close()
+    assert app.paths == ['/1']
+
+
+@pytest.mark.parametrize('start_early', [False, True])
+async def test_malformed_request_does_not_cut_the_answer_before_it(
+    start_early,
+):
+    """Guards against resetting a proper request for a fault of the next one."""
+    app = GatedApp(start_early)
+    async with RunningServer(app) as server:
+        reader, writer = await server.connect()
+        writer.write(REQUEST % 1 + b'GET /2 HTTP/1.1\r\nh\x01: x\r\n\r\n')
+        while not app.running:
+            await asyncio.sleep(0.01)
+        writer.write(REQUEST % 3)
+        await asyncio.sleep(0.05)
+        app.gate.set()
+        await read_answer(reader)
+        assert await reader.read() == b''
+    assert app.paths == ['/1']
+
+
 async def test_malformed_request_is_logged_with_its_reason(logged):
     """Guards against a 400 whose cause no log line or metric tells."""
     refused = []
     async with RunningServer(GatedApp(start_early=False)) as server:
-        server.server.report_malformed_requests(lambda: refused.append(1))
+        server.server.report_refusals(refused.append)
         answer = await server.send(b'GET /odd HTTP/1.1\r\nh\x01: x\r\n\r\n')
     assert answer.startswith(b'HTTP/1.1 400')
-    assert refused == [1]
+    assert refused == [Reason.bad_request]
     [line] = [
         line for line in logged if line['message'].startswith('malformed')
     ]
