Identify cached objects by route and object

Targets cache what each route returns for an object by itself. Placement knew objects by the caller's key only, so the first request of a second route at a target was expected to be a cache hit. It took about four times the expected time.

--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -266,7 +266,7 @@
             decision.number,
             target.name,
             state.service,
-            state.req.key,
+            state.object_key,
             Ending.withdrawn,
             0,
         )
@@ -315,7 +315,7 @@
                 decision.number,
                 decision.target,
                 state.service,
-                state.req.key,
+                state.object_key,
                 outcome.ending,
                 run_s,
                 outcome.target_leaving,
@@ -411,7 +411,7 @@
         return PlacementRequest(
             number=self._placement_client.next_number(),
             service=state.service,
-            key=state.req.key,
+            key=state.object_key,
             objective_left_s=state.objective_ends_at - now,
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -54,3 +54,14 @@
         self.trail: list[str] = []
         #: Last failed answer that a retry may still replace.
         self.failed_answer: TargetAnswer | None = None
+
+    @property
+    def object_key(self) -> str:
+        """Identity of the object in the caches of targets; empty without one.
+
+        Targets cache what each route returns for an object by itself. With
+        the object alone as identity, the first request of a second route
+        would be expected to be a cache hit, and its long run time would count
+        as evidence of a slow target.
+        """
+        return f'{self.route.name}/{self.req.key}' if self.req.key else ''
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -22,6 +22,7 @@
 from cuminhoist.gateway.target_connections import TargetConnections
 from cuminhoist.httpserver import HttpServer
 from cuminhoist.platform.requests import PlatformWire
+from cuminhoist.steering.decisions import Decision, PlacementRequest
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.slot_lending import (
     DispatchContext,
@@ -144,16 +145,34 @@
     return Route(**fields)
 
 
+class RecordingDispatcher(Dispatcher):
+    """Dispatcher that keeps the placement requests that it decided on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests: list[PlacementRequest] = []
+
+    def decide_or_queue(
+        self, entry_instance: str, request: PlacementRequest, now: float
+    ) -> Decision | None:
+        self.requests.append(request)
+        return super().decide_or_queue(entry_instance, request, now)
+
+
 class GatewayHarness:
     """A running gateway between a caller and scripted targets.
 
     :param proxy: request proxy of the gateway.
     :param port: port on loopback where it takes requests.
+    :param dispatcher: its local dispatcher.
     """
 
-    def __init__(self, proxy: RequestProxy, port: int) -> None:
+    def __init__(
+        self, proxy: RequestProxy, port: int, dispatcher: RecordingDispatcher
+    ) -> None:
         self.proxy = proxy
         self.port = port
+        self.dispatcher = dispatcher
 
     async def request(
         self,
@@ -162,11 +181,13 @@
         body: bytes = b'',
         deadline_ms: int = 1000,
         request_id: str = 'id1',
+        cookie: str = '',
     ) -> bytes:
         """Send a request on a new connection and return all bytes received."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        cookies = f'Cookie: {cookie}\r\n' if cookie else ''
         writer.write(
-            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{cookies}'
             f'X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
             f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'.encode()
             + body,
@@ -209,7 +230,7 @@
         )
         for index, target in enumerate(targets)
     ]
-    local = Dispatcher()
+    local = RecordingDispatcher()
     terms = DispatchContext('r', {'z': 'r'}, frozenset(), {}, {}, {})
     local.set_targets(
         SERVICE, make_tracked_targets({}, entries, {}, terms, 0), 'r'
@@ -234,7 +255,7 @@
         await asyncio.sleep(0.01)
     port = server.servers[0].sockets[0].getsockname()[1]
     try:
-        yield GatewayHarness(proxy, port)
+        yield GatewayHarness(proxy, port, local)
     finally:
         server.drain_timeout_s = 0
         server.should_exit = True
