Limit shifts between regions in each pair of windows

The limit compared only the two windows that end now. Shifts after a burst of other requests were a small fraction of these, but a large one of the window that began after the burst. With cold caches and two targets in a region the own targets take a burst of requests, answer after a second, and other regions get all requests in between.

Windows that have just begun are now compared as well, and are taken to get as many requests as the ones before.

--- a/src/cuminhoist/steering/region_shift_limiter.py
+++ b/src/cuminhoist/steering/region_shift_limiter.py
@@ -8,12 +8,17 @@
 """
 
 import collections
+from typing import Self
+
+import msgspec
 
 #: Length of each of the two consecutive windows that are compared, in
 #: seconds.
 WINDOW_S = 2.0
 #: Requests are counted in intervals of this length, in seconds.
 INTERVAL_S = 0.25
+#: Number of intervals in a window.
+WINDOW_INTERVALS = round(WINDOW_S / INTERVAL_S)
 #: Fraction of the configured limit that is used. The margin covers that
 #: entry instances count their requests at slightly different times.
 USED_LIMIT_FRACTION = 0.9
@@ -34,9 +39,33 @@
         self.shifted = 0
 
 
+class _WindowCounts(msgspec.Struct, frozen=True):
+    """Counts of the requests within several intervals."""
+
+    total: int = 0
+    shifted: int = 0
+
+    def plus(self, interval: _IntervalCounts) -> Self:
+        """Return the counts with one more interval."""
+        return type(self)(
+            self.total + interval.total, self.shifted + interval.shifted
+        )
+
+    def minus(self, other: Self) -> Self:
+        """Return the counts without the first intervals."""
+        return type(self)(
+            self.total - other.total, self.shifted - other.shifted
+        )
+
+
 class RegionShiftLimiter:
     """Limits the shift of the requests of one region.
 
+    The limit holds for any two consecutive windows, not only for those that
+    end now: shifts after a burst of other requests are a small fraction of
+    the last two seconds, but a large one of the window that begins after the
+    burst.
+
     :param limit: largest increase of the fraction of shifted requests from
         one window to the next.
     """
@@ -66,36 +95,56 @@
             self._intervals.append(_IntervalCounts(number))
         self._intervals[-1].total += 1
         self._intervals[-1].shifted += shifted
-        oldest = number - 2 * WINDOW_S / INTERVAL_S
+        oldest = number - 2 * WINDOW_INTERVALS
         while self._intervals[0].number < oldest:
             self._intervals.popleft()
 
+    def is_suspended(self, now: float) -> bool:
+        """Tell whether a recent disturbance suspends the limit.
+
+        :param now: monotonic time in seconds.
+        """
+        return now - self._disturbed_at < DISTURBED_S
+
     def allows_shift(self, now: float) -> bool:
         """Tell whether one more request may shift to another region.
 
         :param now: monotonic time in seconds.
         """
-        if now - self._disturbed_at < DISTURBED_S:
+        if self.is_suspended(now):
             return True
-        previous_end = int((now - WINDOW_S) / INTERVAL_S)
-        previous = [
-            interval
-            for interval in self._intervals
-            if interval.number <= previous_end
-        ]
-        total = sum(interval.total for interval in previous)
-        recent = [
-            interval
-            for interval in self._intervals
-            if interval.number > previous_end
-        ]
-        recent_total = sum(interval.total for interval in recent) + 1
-        if total + recent_total <= MIN_REQUESTS:
+        # Counts before each of the last intervals, the present one included.
+        before = self._counts_before_intervals(int(now / INTERVAL_S))
+        return all(
+            self._allows_shift_between(
+                before[start].minus(before[start - WINDOW_INTERVALS]),
+                before[-1].minus(before[start]),
+            )
+            for start in range(WINDOW_INTERVALS, 2 * WINDOW_INTERVALS)
+        )
+
+    def _counts_before_intervals(self, last: int) -> list[_WindowCounts]:
+        intervals = {interval.number: interval for interval in self._intervals}
+        before = [_WindowCounts()]
+        for number in range(last - 2 * WINDOW_INTERVALS + 1, last + 1):
+            interval = intervals.get(number)
+            before.append(before[-1].plus(interval) if interval else before[-1])
+        return before
+
+    def _allows_shift_between(
+        self, previous: _WindowCounts, current: _WindowCounts
+    ) -> bool:
+        """Tell whether one more request may shift in the current window.
+
+        :param previous: counts of the previous window.
+        :param current: counts of the current window so far; it is taken to
+            get as many requests as the previous one.
+        """
+        total = current.total + 1
+        if previous.total + total <= MIN_REQUESTS:
             return True
         # Without requests in the previous window, the previous fraction is 0,
         # as if all requests had stayed in the region.
-        previous_fraction = sum(
-            interval.shifted for interval in previous
-        ) / max(total, 1)
-        shifted = sum(interval.shifted for interval in recent) + 1
-        return shifted / recent_total <= previous_fraction + self._limit
+        previous_fraction = previous.shifted / max(previous.total, 1)
+        allowed = (previous_fraction + self._limit) * max(total, previous.total)
+        return current.shifted + 1 <= allowed
--- a/tests/steering/test_region_shift_limiter.py
+++ b/tests/steering/test_region_shift_limiter.py
@@ -34,6 +34,44 @@
     assert shifted <= 400 * LIMIT + MIN_REQUESTS
 
 
+def test_shifts_after_a_burst_are_limited():
+    """Guards against windows that begin after a burst of other requests.
+
+    When the first requests have taken all slots of the region, only shifted
+    requests are sent until the first answers. They were a small fraction of
+    the two seconds that had just passed.
+    """
+    limiter = RegionShiftLimiter(LIMIT)
+    requests = []
+    for tick in range(320):
+        now = tick / 40
+        if tick % 40 == 0:
+            burst = [False] * 12
+        else:
+            burst = (
+                [True] if now % 1 >= 0.25 and limiter.allows_shift(now) else []
+            )
+        for shifted in burst:
+            limiter.count_request(now, shifted=shifted)
+            requests.append((now, shifted))
+    increases = [
+        _shifted_fraction(requests, 2 + number / 4)
+        - _shifted_fraction(requests, number / 4)
+        for number in range(17)
+    ]
+    assert max(increases) <= LIMIT
+
+
+def _shifted_fraction(requests, started_at):
+    """Return the fraction of shifted requests in the window of two seconds."""
+    shifts = [
+        shifted
+        for sent_at, shifted in requests
+        if started_at <= sent_at < started_at + 2
+    ]
+    return sum(shifts) / len(shifts)
+
+
 def test_shifts_grow_from_window_to_window():
     """Guards against a limit that never lets an overloaded region shift."""
     limiter = RegionShiftLimiter(LIMIT)
