Log when the limit on shifts is suspended

A suspended limit left no trace in the logs, so its cause had to be inferred from the run times of requests.

Test: test_suspended_shift_limit_is_logged_once fails without the change (no event).

--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -55,6 +55,7 @@
         self._entry_peers: dict[str, Peer] = {}
         self._meter = DemandMeter(region, now())
         self._tick_timer: asyncio.TimerHandle | None = None
+        self._limit_was_suspended = False
 
     def handle_message(self, peer: Peer, msg: Message) -> None:
         """Process a message of an entry instance.
@@ -96,6 +97,7 @@
         """Return the smoothed demand and start the next measurement."""
         now = self._now()
         self.dispatcher.expire_attempts(now)
+        self._log_shift_limit(now)
         return self._meter.measure(self.dispatcher.service_loads(), now)
 
     def update(
@@ -135,6 +137,24 @@
         )
         self._send_decisions(self.dispatcher.decide_waiting(self._now()))
 
+    def _log_shift_limit(self, now: float) -> None:
+        """Log when the limit on shifts is suspended or applies again."""
+        suspended = self.dispatcher.shift_limiter.is_suspended(now)
+        if suspended == self._limit_was_suspended:
+            return
+        self._limit_was_suspended = suspended
+        disturbed = [
+            name
+            for _, queue in self.dispatcher.queues()
+            for name, target in queue.targets.items()
+            if target.region == self._region and target.is_disturbed(now)
+        ]
+        _log.info(
+            'shift limit suspended' if suspended else 'shift limit applies',
+            region=self._region,
+            disturbed=disturbed,
+        )
+
     def _on_request(self, entry_id: str, request: PlacementRequest) -> None:
         self._meter.count_request(request.service)
         started_at = self._now()
