Learn run times although the first objective was nearly over

The expected run times were guessed from the objective of the first request. With 30 ms left, every answer took at least four times the expected time and was left out as an outlier: run times were never learned, all targets counted as slow, and the limit on shifts stayed suspended. An outlier among guessed run times now counts as measured, and is no evidence of a slow target.

Test: test_first_request_with_little_time_left fails without the change (the limit is suspended after the second answer).

--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -398,6 +398,11 @@
             # The full cache has evicted the object; the target is not slow.
             expected = times.miss_run_s
         ratio = run_s / expected if expected else 1
+        if ratio >= OUTLIER_RATIO and not times.is_measured(hit=expected_hit):
+            # The expected run time is a guess from the objective of the first
+            # request. If little of that was left, all run times would be
+            # outliers for good.
+            ratio = 1
         is_usual = not target.is_warming_up(now) and ratio < OUTLIER_RATIO
         if report.ending is Ending.answered and is_usual:
             queue.add_run_time(run_s, expected_hit=expected_hit)
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -77,6 +77,14 @@
     hit_count: int = 0
     miss_count: int = 0
 
+    def is_measured(self, *, hit: bool) -> bool:
+        """Tell whether any run time has been measured.
+
+        :param hit: whether run times after a cache hit are meant, or those
+            after a cache miss.
+        """
+        return (self.hit_count if hit else self.miss_count) > 0
+
     def presumed_run_s(self, *, remote: bool) -> float:
         """Return the expected run time at the first-ranked target.
 
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -372,3 +372,31 @@
     restarted = {'t0': TrackedTarget(target('t0'), REGION)}
     dispatcher.set_targets(SERVICE, restarted, REGION)
     assert not holders['k']
+
+
+def test_first_request_with_little_time_left():
+    """Guards against run times that are guessed too low and never learned.
+
+    The objective of the first request set the expected run times. With 30 ms
+    left, each answer took many times longer than expected, counted as an
+    outlier, and its target as slow; the limit on shifts stayed suspended.
+    """
+    dispatcher = Dispatcher(shift_limit=0.15)
+    targets = {
+        name: TrackedTarget(target(name), REGION) for name in ('t0', 't1')
+    }
+    dispatcher.set_targets(SERVICE, targets, REGION)
+    now = 0.0
+    for number in range(40):
+        key = f'k{number % 10}'
+        objective_s = 0.244 if number else 0.03
+        run_s = 0.24 if number < 20 else 0.07
+        granted = dispatcher.decide_or_queue(
+            'e', request(number, key, objective_s), now
+        )
+        assert isinstance(granted, Granted)
+        now += run_s
+        ended = attempt_report(granted, run_s, key=key)
+        dispatcher.end_attempt('e', ended, now)
+        assert not dispatcher.shift_limiter.is_suspended(now)
+    assert dispatcher.queue(SERVICE).run_times.miss_run_s > 0.15
