--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -327,7 +327,7 @@
             decision.number,
             target.name,
             state.service,
-            state.req.key,
+            state.object_key,
             Ending.withdrawn,
             0,
         )
@@ -396,7 +396,7 @@
                 decision.number,
                 decision.target,
                 state.service,
-                state.req.key,
+                state.object_key,
                 outcome.ending,
                 run_s,
                 pause_s=outcome.pause_s,
@@ -495,7 +495,7 @@
         return PlacementRequest(
             number=self._placement_client.next_number(),
             service=state.service,
-            key=state.req.key,
+            key=state.object_key,
             objective_left_s=state.objective_ends_at - now,
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -26,6 +26,7 @@
 from cuminhoist.httpserver import HttpServer
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.requests import PlatformWire
+from cuminhoist.steering.decisions import Decision, PlacementRequest
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.slot_lending import (
     DispatchContext,
@@ -150,6 +151,20 @@
     return Route(**fields)
 
 
+class RecordingDispatcher(Dispatcher):
+    """Dispatcher that keeps the placement requests that it decided on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests: list[PlacementRequest] = []
+
+    def decide_or_queue(
+        self, entry_instance: str, request: PlacementRequest, now: float
+    ) -> Decision | None:
+        self.requests.append(request)
+        return super().decide_or_queue(entry_instance, request, now)
+
+
 class GatewayHarness:
     """A running gateway between a caller and scripted targets.
 
@@ -164,6 +179,8 @@
         self.proxy = proxy
         self.server = server
         self.port = port
+        #: Its local dispatcher; none if it was built elsewhere.
+        self.dispatcher: RecordingDispatcher | None = None
 
     def set_limits(self, **limits: float) -> None:
         """Put a configuration with limits on heads and idle time in force.
@@ -185,11 +202,13 @@
         body: bytes = b'',
         deadline_ms: int = 1000,
         request_id: str = 'id1',
+        cookie: str = '',
     ) -> bytes:
         """Send a request on a new connection and return all bytes received."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        cookies = f'Cookie: {cookie}\r\n' if cookie else ''
         writer.write(
-            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{cookies}'
             f'X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
             f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'.encode()
             + body,
@@ -232,7 +251,7 @@
         )
         for index, target in enumerate(targets)
     ]
-    local = Dispatcher()
+    local = RecordingDispatcher()
     terms = DispatchContext('r', {'z': 'r'}, frozenset(), {}, {}, {})
     local.set_targets(
         SERVICE, make_tracked_targets({}, entries, {}, terms, 0), 'r'
@@ -252,6 +271,7 @@
     proxy.routing_state.routes = RouteTable(1, {HOST: (route(**changes),)}, {})
     proxy.routing_state.targets = {entry.name: entry for entry in entries}
     async with served(proxy) as harness:
+        harness.dispatcher = local
         try:
             yield harness
         finally:
