End the body of an ignored upgrade where its request ends

Bytes after it were added to the body: a chunked one reached the target prolonged by the body of the next request, one with a length made the attempt fail. Both cases of the test failed before.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -345,11 +345,25 @@
 
 
 class _BodyReceiver:
-    """Passes the body of a request on, but nothing of its head."""
+    """Passes the body of one request on, but no head and nothing after it."""
 
     def __init__(self, conn: CallerConnection) -> None:
-        self.on_body = conn.on_body
-        self.on_message_complete = conn.on_message_complete
+        self._conn = conn
+        self._complete = False
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of the body on (callback of the parser).
+
+        :param body: the bytes.
+        """
+        if not self._complete:
+            self._conn.on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the body (callback of the parser)."""
+        if not self._complete:
+            self._complete = True
+            self._conn.on_message_complete()
 
 
 class _CycleTransport:
--- a/tests/gateway/test_improper_requests.py
+++ b/tests/gateway/test_improper_requests.py
@@ -106,3 +106,30 @@
         assert b'/a/smuggled' not in {head.target for head in target.heads}
 
     _check_all(improper_bodies(), check)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'Content-Length: 3\r\n\r\nabc',
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
+    ],
+)
+async def test_bytes_after_an_ignored_upgrade_are_no_body(body):
+    """Guards against a body that is prolonged by bytes of another protocol."""
+    target = StrictTarget()
+    async with gateway(target) as harness:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', harness.port
+        )
+        writer.write(
+            b'POST /a/x HTTP/1.1\r\nHost: %b\r\nX-Request-Id: id1\r\n'
+            b'Connection: upgrade\r\nUpgrade: h2c\r\n%b'
+            b'POST /a/smuggled HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n'
+            b'\r\nhello' % (HOST.encode(), body)
+        )
+        async with asyncio.timeout(5):
+            received = await reader.read()
+        writer.close()
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert [req.body for req in target.received] == [b'abc']
