--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -17,6 +17,7 @@
 from ..logging_setup import logger
 from ..rendezvous import ranked
 from ..steering.decisions import AttemptReport, PlacementRequest
+from ..steering.target_pauses import TargetPause
 from .instance_config import Address, InstanceConfig
 from .link import Link, LinkHandler, Links
 from .link_meter import LinkMeter
@@ -26,6 +27,8 @@
     ControlEndpoint,
     FleetSummary,
     Hello,
+    LeavingNotice,
+    PausesNotice,
     PlacementRequestNotice,
     ReadinessNotice,
     RunningNotice,
@@ -88,6 +91,8 @@
         self.on_message: Callable[[Message], None] = _ignore_message
         self.on_dispatcher_change: Callable[[], None] = _ignore
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
+        self.unexpired_pauses: Callable[[], tuple[TargetPause, ...]] = tuple
+        self.leaving_notice: Callable[[], LeavingNotice] = _no_notice
         self._config = config
         self._hello = hello
         self._now = now
@@ -230,6 +235,13 @@
         """
         self._send_to_dispatcher(AttemptReportNotice(report=report))
 
+    def report_leaving(self, notice: LeavingNotice) -> None:
+        """Report targets that have announced their stop.
+
+        :param notice: the targets.
+        """
+        self._send_to_dispatcher(notice)
+
     def withdraw(self, number: int, service: str) -> None:
         """Withdraw a placement request.
 
@@ -265,6 +277,12 @@
         self.on_dispatcher_change()
         if chosen is not None:
             chosen.link.send(RunningNotice(running=self.running_attempts()))
+            pauses = self.unexpired_pauses()
+            if pauses:
+                chosen.link.send(PausesNotice(pauses=pauses))
+            leaving = self.leaving_notice()
+            if leaving.targets:
+                chosen.link.send(leaving)
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         control = _LinkedControl(hello, link, wanted_at=self._now())
@@ -392,5 +410,9 @@
     """Ignore a message."""
 
 
+def _no_notice() -> LeavingNotice:
+    return LeavingNotice(targets=())
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -6,13 +6,16 @@
 
 import abc
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 
 from returns.result import Result, Success
 
 from ..logging_setup import logger
+from ..steering.leaving_targets import LeavingTarget, LeavingTargets
 from ..steering.targets import TargetEntry
-from .messages import TargetList
+from .instance_config import DeploymentLimits
+from .messages import LeavingNotice, TargetList
 
 #: Interval between reads, in seconds. A leaving target must get no requests
 #: from 3 s after the list shows it, even if the reading instance has just
@@ -21,6 +24,17 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
+#: Age from which a list counts as stale, in seconds: several reads have failed
+#: or have not arrived.
+STALE_LIST_S = 3.0
+#: Shortest time without a target list from a control instance before an entry
+#: instance reads the list itself, in seconds.
+MIN_OWN_READ_PAUSE_S = 3.0
+#: Fraction of the call limit of the target list that all entry instances use
+#: together.
+OWN_READ_FRACTION = 0.3
+#: Targets on one page of the list.
+PAGE_TARGET_COUNT = 50
 
 _log = logger('targets')
 
@@ -34,13 +48,18 @@
 
 
 class TargetFeed:
-    """Keeps the newest list of targets.
+    """Keeps the newest list of targets and the notices of leaving targets.
+
+    ``listed`` is the list as it was read, which other instances get.
+    ``entries`` is the list to decide by: a target that has announced its stop
+    counts as draining there.
 
     :param source: reads the list.
     :param rank: returns the place of this instance in the order of take-over;
         0 reads the list while it is available.
     :param now: returns monotonic time in seconds.
     :param on_change: called with each newer list.
+    :param limits: limits of the deployment; the defaults if left out.
     """
 
     def __init__(
@@ -49,20 +68,23 @@
         rank: Callable[[], int],
         now: Callable[[], float],
         on_change: Callable[['TargetFeed'], None],
+        limits: DeploymentLimits | None = None,
     ) -> None:
+        self.listed: tuple[TargetEntry, ...] = ()
         self.entries: tuple[TargetEntry, ...] = ()
         self.read_at = float('-inf')
         self._source = source
         self._rank = rank
         self._now = now
         self._on_change = on_change
+        self._leaving = LeavingTargets.from_limits(limits or DeploymentLimits())
         self._available = True
 
     def to_message(self) -> TargetList:
         """Return the message that carries the list to other instances."""
         return TargetList(
             age_s=self._now() - self.read_at,
-            targets=self.entries,
+            targets=self.listed,
         )
 
     def apply_list(self, msg: TargetList) -> None:
@@ -72,6 +94,33 @@
         """
         self._replace(msg.targets, self._now() - msg.age_s)
 
+    def is_stale(self) -> bool:
+        """Tell whether the list is too old to tell one start from the next."""
+        return self._now() - self.read_at > STALE_LIST_S
+
+    def leaving_notice(self) -> LeavingNotice:
+        """Return the message that carries all notices in force."""
+        return LeavingNotice(targets=self._leaving.in_force())
+
+    def add_leaving(
+        self, announced: Iterable[LeavingTarget]
+    ) -> tuple[LeavingTarget, ...]:
+        """Add notices of leaving targets and return those that are new.
+
+        :param announced: the notices.
+        """
+        added = self._leaving.add(announced, self.listed, self._now())
+        if added:
+            self._apply_leaving()
+        return added
+
+    def stop_last_targets(self) -> bool:
+        """Take out last targets of a service whose time is up, if any."""
+        if self._now() < self._leaving.next_stop_at:
+            return False
+        self._apply_leaving()
+        return True
+
     async def run(self) -> None:
         """Read the list whenever it is due, until cancelled.
 
@@ -105,13 +154,18 @@
         # less than 0.01 s newer counts as a repetition.
         if read_at <= self.read_at + 0.01:
             return
-        changed = set(entries) != set(self.entries)
+        changed = set(entries) != set(self.listed)
         if changed:
-            _log_changes(self.entries, entries)
-        self.entries = entries
+            _log_changes(self.listed, entries)
+        self.listed = entries
         self.read_at = read_at
+        self._leaving.end_obsolete(entries, self._now())
+        self._apply_leaving()
         self._on_change(self)
 
+    def _apply_leaving(self) -> None:
+        self.entries = self._leaving.apply(self.listed, self._now())
+
     def _set_available(self, *, available: bool, reason: str = '') -> None:
         if available != self._available:
             self._available = available
@@ -119,6 +173,26 @@
             _log.bind(dependency='target list', reason=reason).info(state)
 
 
+def entry_read_rank(
+    target_count: int, entry_count: int, calls_per_s: float
+) -> int:
+    """Return the rank with which an entry instance reads the list itself.
+
+    It does so only while no control instance sends the list. The pause grows
+    with the number of entry instances and pages, so that all together stay
+    below ``OWN_READ_FRACTION`` of the call limit.
+
+    :param target_count: number of listed targets.
+    :param entry_count: number of entry instances.
+    :param calls_per_s: call limit of the list, in calls a second.
+    """
+    page_count = target_count // PAGE_TARGET_COUNT + 1
+    limit = max(OWN_READ_FRACTION * calls_per_s, 1)
+    pause_s = max(MIN_OWN_READ_PAUSE_S, entry_count * page_count / limit)
+    spread = random.uniform(1, 1.5)  # noqa: S311
+    return round(pause_s * spread / TAKEOVER_DELAY_S)
+
+
 def _log_changes(
     before: tuple[TargetEntry, ...],
     after: tuple[TargetEntry, ...],
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -23,6 +23,7 @@
     PlacementRequest,
     Refused,
 )
+from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
 from ..types import Ran, Reason
 from .answers import (
@@ -45,6 +46,7 @@
 from .routes import RepeatPolicy, Route
 from .splits import Splitter
 from .target_connections import TargetConnections
+from .target_pause_log import TargetPauseLog
 from .wire import IncomingRequest, WireFormat
 
 #: Time reserved for the final answer to reach the caller, in seconds.
@@ -87,12 +89,18 @@
     ) -> None:
         self.routing_state = RoutingState()
         self.running_requests = 0
+        #: Called with a target that announces its stop in an answer, and the
+        #: identity of the request.
+        self.on_target_leaving: Callable[[LeavingTarget, str], None] = (
+            _ignore_leaving
+        )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
+        self._pause_log = TargetPauseLog(metrics, now)
         self._splitter = Splitter(random.Random())  # noqa: S311
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._retry_ratio = retry_ratio
@@ -274,11 +282,11 @@
                 return await self._answer_without_target(state, decision, send)
             target = self.routing_state.targets.get(decision.target)
             state.waited_s += decision.waited_s
-            if target is None:
+            if target is None or self._is_paused(state, target, decider):
                 self._report_attempt(
                     state, decision, AttemptOutcome(Ending.withdrawn), 0
                 )
-                state.tried_targets.append(decision.target)
+                state.skipped_targets.append(decision.target)
                 continue
             outcome = await self._attempt(
                 state, body, target, decision, decider
@@ -291,6 +299,21 @@
                 state, outcome.answer, scope, send
             )
 
+    def _is_paused(
+        self, state: RequestState, target: TargetEntry, decider: str
+    ) -> bool:
+        """Tell whether a granted target asked this instance for a pause.
+
+        The dispatcher may not have known the pause when it sent the grant.
+        """
+        left_s = self._placement_client.pause_left_s(target)
+        if not left_s:
+            return False
+        self._pause_log.record_returned_grant(state.service)
+        pause = f'pauses for {left_s * MS_PER_S:.0f}ms'
+        state.trail.append(f'{decider}: {target.name} {pause}')
+        return True
+
     async def _attempt(
         self,
         state: RequestState,
@@ -317,8 +340,24 @@
                 target,
                 state.ends_at - started_at,
             )
+            if outcome.target_leaving:
+                # The report below frees the slot, so the target is taken out
+                # before it.
+                self.on_target_leaving(
+                    LeavingTarget(target.name, target.started_at_ms),
+                    state.req.request_id,
+                )
         finally:
-            self._record_attempt(state, decision, decider, outcome, started_at)
+            self._pause_log.record(
+                state.req.request_id,
+                state.service,
+                target.name,
+                outcome,
+                pausing=self._placement_client.pause_left_s(target) > 0,
+            )
+            self._record_attempt(
+                state, decision, decider, outcome, started_at, target
+            )
         if outcome.detail:
             state.trail.append(outcome.detail)
         state.may_have_run = state.may_have_run or outcome.may_have_run
@@ -331,9 +370,12 @@
         decider: str,
         outcome: AttemptOutcome,
         started_at: float,
+        target: TargetEntry,
     ) -> None:
         run_s = self._now() - started_at
-        self._report_attempt(state, decision, outcome, run_s)
+        self._report_attempt(
+            state, decision, outcome, run_s, target.started_at_ms
+        )
         state.tried_targets.append(decision.target)
         took = f'{run_s * MS_PER_S:.0f}ms'
         cache = 'held' if decision.held else 'first'
@@ -346,6 +388,7 @@
         decision: Granted,
         outcome: AttemptOutcome,
         run_s: float,
+        target_started_at_ms: int = 0,
     ) -> None:
         self._metrics.attempts.labels(state.service, outcome.ending).inc()
         self._placement_client.report_attempt_end(
@@ -356,8 +399,8 @@
                 state.req.key,
                 outcome.ending,
                 run_s,
-                outcome.target_leaving,
-                outcome.pause_s,
+                pause_s=outcome.pause_s,
+                target_started_at_ms=target_started_at_ms,
             ),
         )
 
@@ -418,7 +461,10 @@
         outcome: AttemptOutcome,
         send: Send,
     ) -> str:
-        refusal = refusal_after_attempt(state, outcome)
+        paused_s = self._placement_client.time_to_unpaused_s(
+            state.service, state.route.allowed_regions
+        )
+        refusal = refusal_after_attempt(state, outcome, paused_s)
         await send_refusal(refusal, send)
         return f'failed-{refusal.reason}'
 
@@ -453,7 +499,7 @@
             objective_left_s=state.objective_ends_at - now,
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
-            excluded=tuple(state.tried_targets),
+            excluded=(*state.tried_targets, *state.skipped_targets),
         )
 
     def _record_request(self, state: RequestState, outcome: str) -> None:
@@ -507,3 +553,7 @@
         return False
     abort(answer.exchange)
     return True
+
+
+def _ignore_leaving(_announced: LeavingTarget, _request_id: str) -> None:
+    """Ignore that a target is about to stop."""
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -1,11 +1,13 @@
 """Queue, running attempts and run times of one service."""
 
 import collections
+from collections.abc import Mapping
 
 import msgspec
 
 from .decisions import PlacementRequest
 from .placement import Option, Placement, RunTimes
+from .target_pauses import TargetPauses
 from .tracked_target import TrackedTarget
 
 #: Least weight of a new observation in the run times of a service.
@@ -109,3 +111,52 @@
             self.run_times.miss_run_s = objective_s * INITIAL_MISS_RUN_FRACTION
             self.run_times.hit_run_s = objective_s * INITIAL_HIT_RUN_FRACTION
             self.run_times.mean_s = self.run_times.miss_run_s
+
+    def recheck_paused_requests(
+        self, entry_instance: str, pauses: TargetPauses, now: float
+    ) -> None:
+        """Make requests due for placement that wait for a paused target.
+
+        :param entry_instance: entry instance that was asked to pause.
+        :param pauses: its pauses.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self.waiting:
+            if (
+                waiting.entry_instance == entry_instance
+                and waiting.target is not None
+                and pauses.left_s(waiting.target.entry, now)
+            ):
+                waiting.leave_target_queue()
+                waiting.recheck_at = now
+
+    def recheck_requests_without(
+        self, targets: Mapping[str, TrackedTarget], now: float
+    ) -> None:
+        """Make requests due for placement if their target is taken out.
+
+        :param targets: the targets that stay, by name.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self.waiting:
+            awaited = waiting.target
+            if (
+                awaited is not None
+                and targets.get(awaited.entry.name) is not awaited
+            ):
+                waiting.leave_target_queue()
+                waiting.recheck_at = now
+
+    def recheck_overloaded_requests(
+        self, target: TrackedTarget, now: float
+    ) -> None:
+        """Make requests due for placement that wait for a target in overload.
+
+        :param target: a target, overloaded or not.
+        :param now: monotonic time in seconds.
+        """
+        if not target.is_overloaded(now):
+            return
+        for waiting in self.waiting:
+            if waiting.target is target:
+                waiting.recheck_at = now
--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -1,50 +1,168 @@
-"""What an entry instance does with a configuration that comes in force."""
+"""Tests of what an entry instance does with news of targets and settings.
 
+Those of leaving targets guard against requests that reach a target from an
+instance which has passed on its announcement, whether control instances can be
+reached or not.
+"""
+
+import asyncio
 import json
-import time
 
-from returns.result import Success
+import msgspec
+import pytest
 
+from cuminhoist.fleet import entry_instance
 from cuminhoist.fleet.entry_instance import EntryInstance
-from cuminhoist.fleet.instance_config import Address, InstanceConfig
-from cuminhoist.fleet.target_feed import TargetSource
+from cuminhoist.fleet.instance_config import Address, DeploymentLimits
+from cuminhoist.fleet.messages import LeavingNotice, TargetList
+from cuminhoist.fleet.target_feed import STALE_LIST_S
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.configuration import decode_routes
 from cuminhoist.platform.requests import PlatformWire
 from cuminhoist.register.declared_state import DeclaredState
+from cuminhoist.steering.decisions import Granted
+from cuminhoist.steering.leaving_targets import LeavingTarget
+from tests.steering.builders import request, target
 
-IP = '127.8.7.6'
-
+from .builders import SOUTH_A, instance_config
 
-class EmptyTargetList(TargetSource):
-    """A list of targets without entries."""
+pytestmark = pytest.mark.looptime
 
-    async def read(self):
-        """Return no targets."""
-        return Success(())
+ANNOUNCED = LeavingTarget('a', 1)
+LISTED = tuple(
+    target(name, domain=SOUTH_A, slots=2, started_at_ms=1) for name in 'ab'
+)
 
 
-def _entry_instance() -> EntryInstance:
-    cfg = InstanceConfig(
-        name='entry-a',
-        domain='a',
-        region='south',
-        regions={'a': 'south'},
-        peer_address=Address(IP, 7540),
-        seeds=(Address(IP, 7540),),
-        first_start=True,
-        data_folder='',
-        request_address=Address(IP, 7541),
-        readiness_address=None,
+def _entry_instance():
+    """Return an entry instance with two targets and no link."""
+    config = msgspec.structs.replace(
+        instance_config('e0'),
         operator_address=None,
-        lookup_address=None,
-        metrics_address=Address(IP, 7555),
-        target_list_address=Address(IP, 8541),
-        list_calls_per_s=1,
+        request_address=Address('e0', 80),
+        limits=DeploymentLimits(drain_s=4),
     )
-    return EntryInstance(
-        cfg, EmptyTargetList(), decode_routes, PlatformWire(), time.monotonic
+    clock = asyncio.get_running_loop().time
+    entry = EntryInstance(config, None, None, PlatformWire(), clock)
+    entry.feed.apply_list(TargetList(age_s=0, targets=LISTED))
+    return entry
+
+
+def _usable(entry):
+    return sorted(entry.request_proxy.routing_state.targets)
+
+
+async def test_announcement_takes_the_target_out_without_any_link():
+    """Guards against a cut instance that goes on sending requests."""
+    entry = _entry_instance()
+    assert _usable(entry) == ['a', 'b']
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    assert _usable(entry) == ['b']
+    client = entry.placement_client
+    for number in range(2):
+        decision, _ = await client.request_placement(request(number))
+        assert isinstance(decision, Granted)
+        assert decision.target == 'b'
+
+
+async def test_newer_list_that_lags_behind_changes_nothing():
+    """Guards against requests after the next list of a cut instance."""
+    entry = _entry_instance()
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    await asyncio.sleep(1)
+    entry.feed.apply_list(TargetList(age_s=0, targets=LISTED))
+    assert _usable(entry) == ['b']
+
+
+async def test_new_dispatcher_gets_what_answers_announced():
+    """Guards against a change of dispatcher that loses the announcement."""
+    entry = _entry_instance()
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    assert entry.links.leaving_notice().targets == (ANNOUNCED,)
+
+
+async def test_announcement_is_reported_and_logged_once(monkeypatch):
+    """Guards against a message and a log line for each answer."""
+    entry = _entry_instance()
+    reported, lines = [], []
+    monkeypatch.setattr(entry.links, 'report_leaving', reported.append)
+    monkeypatch.setattr(
+        entry_instance._log, 'bind', lambda **fields: _Line(lines, fields)
     )
+    for request_id in ('id1', 'id2'):
+        entry.request_proxy.on_target_leaving(ANNOUNCED, request_id)
+    notice = LeavingNotice(targets=(ANNOUNCED,))
+    assert reported == [notice]
+    assert [(line['id'], line['targets']) for line in lines] == [('id1', ['a'])]
+    registry = entry.metrics.registry
+    name = 'cuminhoist_leaving_notices_total'
+    assert registry.get_sample_value(name, {'source': 'answer'}) == 1
+
+
+class _Line:
+    def __init__(self, lines, fields):
+        self._lines = lines
+        self._fields = fields
+
+    def info(self, _event):
+        self._lines.append(self._fields)
+
+
+async def test_notice_of_the_fleet_takes_the_target_out():
+    """Guards against each instance having to learn from its own request."""
+    entry = _entry_instance()
+    entry._on_message(LeavingNotice(targets=(ANNOUNCED,)))
+    assert _usable(entry) == ['b']
+    name = 'cuminhoist_leaving_notices_total'
+    registry = entry.metrics.registry
+    assert registry.get_sample_value(name, {'source': 'control'}) == 1
+
+
+async def test_start_is_unknown_without_a_recent_list():
+    """Guards against ending a notice of a target that restarted unseen."""
+    entry = _entry_instance()
+    await asyncio.sleep(STALE_LIST_S + 1)
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    assert entry.feed.leaving_notice().targets == (LeavingTarget('a', 0),)
+
+
+async def test_last_target_stops_between_two_lists():
+    """Guards against requests to a last target while no list arrives."""
+    entry = _entry_instance()
+    await asyncio.sleep(1)
+    entry.feed.apply_list(TargetList(age_s=0, targets=LISTED[:1]))
+    entry.request_proxy.on_target_leaving(ANNOUNCED, 'id1')
+    checks = asyncio.create_task(entry._run_checks())
+    await asyncio.sleep(1.8)
+    assert _usable(entry) == ['a']
+    await asyncio.sleep(0.4)
+    assert _usable(entry) == []
+    checks.cancel()
+
+
+async def test_many_announcements_cause_few_assignments(monkeypatch):
+    """Guards against work for each of hundreds of targets that leave at once.
+
+    A single assignment of 500 targets takes more than a millisecond.
+    """
+    entry = _entry_instance()
+    listed = tuple(target(f't{number}', domain=SOUTH_A) for number in range(90))
+    await asyncio.sleep(1)
+    entry.feed.apply_list(TargetList(age_s=0, targets=listed))
+    assign = entry_instance.assign_targets
+    assigned = []
+
+    def count(*args, **fields):
+        assigned.append(args)
+        assign(*args, **fields)
+
+    monkeypatch.setattr(entry_instance, 'assign_targets', count)
+    for number in range(30):
+        announced = LeavingTarget(f't{number}')
+        entry.request_proxy.on_target_leaving(announced, 'id1')
+    await asyncio.sleep(0.1)
+    assert len(_usable(entry)) == 60
+    assert len(assigned) == 2
 
 
 def _state(index: int, max_header_bytes: int) -> DeclaredState:
@@ -62,6 +180,7 @@
 async def test_limits_of_each_new_configuration_reach_the_listener():
     """Guards against a listener that keeps the limits of its start."""
     entry = _entry_instance()
+    entry._decode = decode_routes
     applied = []
     entry.request_proxy.routing_state.apply_limits = applied.append
     for index, max_header_bytes in ((1, 1000), (2, 2000)):
