--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -1,10 +1,12 @@
-"""Tests of an entry instance that gets an answer of a target that leaves.
+"""Tests of what an entry instance does with news of targets and settings.
 
-They guard against requests that reach a target from an instance which has
-passed on its announcement, whether control instances can be reached or not.
+Those of leaving targets guard against requests that reach a target from an
+instance which has passed on its announcement, whether control instances can be
+reached or not.
 """
 
 import asyncio
+import json
 
 import msgspec
 import pytest
@@ -14,7 +16,10 @@
 from cuminhoist.fleet.instance_config import Address, DeploymentLimits
 from cuminhoist.fleet.messages import LeavingNotice, TargetList
 from cuminhoist.fleet.target_feed import STALE_LIST_S
+from cuminhoist.listener_limits import ListenerLimits
+from cuminhoist.platform.configuration import decode_routes
 from cuminhoist.platform.requests import PlatformWire
+from cuminhoist.register.declared_state import DeclaredState
 from cuminhoist.steering.decisions import Granted
 from cuminhoist.steering.leaving_targets import LeavingTarget
 from tests.steering.builders import request, target
@@ -158,3 +163,26 @@
     await asyncio.sleep(0.1)
     assert len(_usable(entry)) == 60
     assert len(assigned) == 2
+
+
+def _state(index: int, max_header_bytes: int) -> DeclaredState:
+    body = {
+        'version': f'r{index}',
+        'services': [],
+        'hosts': [],
+        'limits': {'max_header_bytes': max_header_bytes},
+    }
+    return DeclaredState(
+        index=index, version=index, body=json.dumps(body).encode()
+    )
+
+
+async def test_limits_of_each_new_configuration_reach_the_listener():
+    """Guards against a listener that keeps the limits of its start."""
+    entry = _entry_instance()
+    entry._decode = decode_routes
+    applied = []
+    entry.request_proxy.routing_state.apply_limits = applied.append
+    for index, max_header_bytes in ((1, 1000), (2, 2000)):
+        entry._on_declared_state(_state(index, max_header_bytes))
+    assert applied == [ListenerLimits(1000), ListenerLimits(2000)]
