Keep the review's tests of unusual request heads

The test of a coded body expected 501 and now expects 400, which is what all malformed requests get; that nothing reaches a target is checked as before.

--- a/tests/gateway/test_request_heads.py
+++ b/tests/gateway/test_request_heads.py
@@ -170,3 +170,85 @@
         second = await harness.request(request_id='id2')
     assert first.startswith(b'HTTP/1.1 200')
     assert second[:12] in {b'HTTP/1.1 200', b'HTTP/1.1 502'}
+
+
+async def test_two_host_headers_are_refused():
+    """Guards against a route by one host and a target that reads the other."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target,
+        b'GET /a/x HTTP/1.1\r\nHost: other.example\r\n'
+        + _HOST
+        + _FIELDS
+        + b'\r\n',
+    )
+    assert head.startswith(b'HTTP/1.1 400')
+    assert not target.heads
+
+
+async def test_unknown_transfer_coding_is_refused():
+    """Guards against passing on a request whose body has no known end."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target,
+        b'POST /a/x HTTP/1.1\r\n'
+        + _HOST
+        + _FIELDS
+        + b'Transfer-Encoding: identity\r\n\r\n',
+    )
+    assert head[:12] in {b'HTTP/1.1 400', b'HTTP/1.1 501'}
+    assert not target.heads
+
+
+async def test_unframed_request_reaches_no_target_on_an_idle_connection():
+    """Guards against running a request whose body framing is invalid."""
+    target = ScriptedTarget(answer)
+    async with gateway(target) as harness:
+        await harness.request()
+        _, writer = await asyncio.open_connection('127.0.0.1', harness.port)
+        writer.write(
+            b'POST /a/y HTTP/1.1\r\n'
+            + _HOST
+            + _FIELDS
+            + b'Transfer-Encoding: identity\r\n\r\n'
+        )
+        await asyncio.sleep(0.2)
+        writer.close()
+    assert [head.split()[1] for head in target.heads] == [b'/a/x']
+
+
+async def test_extension_method_is_passed_on():
+    """Guards against a 400 for a method that the parser does not know."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target, b'SYNC /a/x HTTP/1.1\r\n' + _HOST + _FIELDS + b'\r\n'
+    )
+    assert head.startswith(b'HTTP/1.1 200')
+    assert target.heads[0].startswith(b'SYNC /a/x ')
+
+
+async def test_white_space_in_a_chunk_extension_is_ignored():
+    """Guards against a closed connection for white space that HTTP allows."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target,
+        b'POST /a/x HTTP/1.1\r\n'
+        + _HOST
+        + _FIELDS
+        + b'Transfer-Encoding: chunked\r\n\r\n2 ; a = b\r\nab\r\n0\r\n\r\n',
+    )
+    assert head.startswith(b'HTTP/1.1 200')
+
+
+async def test_coded_body_is_not_passed_on_as_uncoded():
+    """Guards against dropping a transfer coding that the body still has."""
+    target = ScriptedTarget(answer)
+    head = await _send(
+        target,
+        b'POST /a/x HTTP/1.1\r\n'
+        + _HOST
+        + _FIELDS
+        + b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
+    )
+    assert head.startswith(b'HTTP/1.1 400')
+    assert not target.heads
--- a/tests/gateway/test_request_proxy.py
+++ b/tests/gateway/test_request_proxy.py
@@ -11,7 +11,7 @@
 
 from cuminhoist import caller_connection
 from cuminhoist.exchange import RequestHead
-from cuminhoist.gateway import bodies, request_proxy, request_recorder
+from cuminhoist.gateway import bodies, request_recorder
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
 from cuminhoist.platform.requests import PlatformWire
 from tests.waiting import eventually
