--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -57,6 +57,8 @@
 #: their counts of requests differ at any one moment.
 RETRY_BUDGET_FRACTION = 0.6
 MS_PER_S = 1000
+#: Statuses by which a caller learns that its request has not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 _log = logger('request')
 
@@ -136,9 +138,7 @@
         req = self._wire.decode_request(scope)
         refusal, route = self._find_route(req)
         if refusal is not None or route is None:
-            refusal = refusal or not_run_refusal(
-                Reason.unknown_service, 'No route for this host and path.'
-            )
+            refusal = refusal or self._refuse_unknown_route()
             self._log_refusal(req, refusal)
             await send_refusal(
                 refusal,
@@ -189,6 +189,19 @@
             ), None
         return None, routes.find(req.host, req.path)
 
+    def _refuse_unknown_route(self) -> Refusal:
+        if self.routing_state.routes_confirmed:
+            return not_run_refusal(
+                Reason.unknown_service, 'No route for this host and path.'
+            )
+        # A caller does not try again after a 404, and a newer configuration
+        # may have the route.
+        return not_run_refusal(
+            Reason.no_state,
+            'The routes of this entry instance may be outdated.',
+            NOT_READY_RETRY_S,
+        )
+
     def _set_deadlines(
         self, state: RequestState, arrived_at: float, round_trip_s: float
     ) -> None:
@@ -255,7 +268,7 @@
             )
             if self._may_retry(state, body, outcome):
                 continue
-            if outcome.answer is None:
+            if outcome.answer is None or _promises_not_run(state, outcome):
                 return await self._answer_failed_attempt(state, outcome, send)
             return await self._pass_answer_on(
                 state, outcome.answer, scope, send
@@ -495,11 +508,27 @@
         log_request(
             id=req.request_id,
             host=req.host,
+            host_header=dict(req.headers).get(b'host', b'').decode('latin-1'),
             path=req.path,
             config_version=routes.version if routes else 0,
             outcome=f'refused-{refusal.reason}',
         )
 
 
+def _promises_not_run(state: RequestState, outcome: AttemptOutcome) -> bool:
+    """Tell whether an answer would say falsely that the request has not run.
+
+    Callers repeat a request after these statuses whatever its kind, but the
+    target has not said that it did not run it.
+    """
+    answer = outcome.answer
+    if answer is None or state.route.repeat is not RepeatPolicy.once:
+        return False
+    if answer.status not in _NOT_RUN_STATUSES:
+        return False
+    abort(answer.exchange)
+    return True
+
+
 def _ignore_leaving(_announced: LeavingTarget, _request_id: str) -> None:
     """Ignore that a target is about to stop."""
