Make runs of the simulated control replicas repeatable

The leader started the requests to its peers in the order of a set. The hash of a member contains the address of its class, so the order differed between processes, even with a fixed PYTHONHASHSEED. A crash cancelled tasks in the order of their addresses. Both changed the order of random draws, so that an example of the property-based test passed or failed from run to run.

--- a/src/cuminhoist/leader.py
+++ b/src/cuminhoist/leader.py
@@ -251,11 +251,13 @@
         ctx = self._ctx
         now = ctx.clock.now()
         members = {*ctx.membership.voters, *self._learners} - {ctx.own_member}
-        for member in self._peers.keys() - members:
+        # Sorted, because the hash of a member differs between processes and
+        # the order of a set would make the order of the requests differ.
+        for member in sorted(self._peers.keys() - members):
             peer = self._peers.pop(member)
             if peer.task is not None:
                 peer.task.cancel()
-        for member in members - self._peers.keys():
+        for member in sorted(members - self._peers.keys()):
             self._peers[member] = FollowerProgress(
                 member, ctx.log.last.index + 1, now
             )
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -42,8 +42,8 @@
     node = current_node.get() if context is None else context.get(current_node)
     task = asyncio.Task(coro, loop=loop, context=context)
     if node is not None:
-        node.tasks.add(task)
-        task.add_done_callback(node.tasks.discard)
+        node.tasks[task] = None
+        task.add_done_callback(node.tasks.pop)
     return task
 
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -103,7 +103,9 @@
     def __init__(self, world: 'World', name: str) -> None:
         self.world = world
         self.name = name
-        self.tasks: set[asyncio.Task[Any]] = set()
+        #: Tasks in the order of their start. The order of a set would make
+        #: the cancellations of a crash differ from run to run.
+        self.tasks: dict[asyncio.Task[Any], None] = {}
         self.disk = FakeDisk(world.rng)
         self.not_paused = asyncio.Event()
         self.alive = False
