Let a replica join again after its addition was replaced

A replica that held the uncommitted entry that added it considered itself a voter and sent no join requests. If the next leader lacked that entry, it sent nothing to the replica, which stayed without a vote and with an old configuration, also after restarts. The property-based test saw it as 'not all are voters'. The replica now asks to join while that entry is not known to be committed and no leader was heard for the longest election timeout.

--- a/src/cuminhoist/consensus.py
+++ b/src/cuminhoist/consensus.py
@@ -269,13 +269,13 @@
             self._ctx.campaigning = False
 
     async def _join_until_voter(self) -> None:
-        """Send join requests while this replica is not a voter."""
+        """Send join requests while this replica may not be a voter."""
         ctx = self._ctx
         attempts = 0
         leader_hint = ''
         others = [name for name in ctx.control_names if name != ctx.name]
         while others:
-            if ctx.own_member not in ctx.membership.voters:
+            if self._may_be_no_voter():
                 # A leader hint is used once: it may name a leader that has
                 # failed, or this replica before it lost its disk.
                 peer = (
@@ -288,6 +288,25 @@
                 leader_hint = '' if peer == leader_hint else named_leader
             await asyncio.sleep(ctx.timings.join_interval_s)
 
+    def _may_be_no_voter(self) -> bool:
+        """Tell whether the leader may not know this replica as a voter.
+
+        The entry that made it a voter can be replaced while it is not
+        committed. A later leader without that entry sends no requests to
+        this replica, so the silence of all leaders is the only sign of it.
+        A leader ignores the join request of a voter.
+        """
+        ctx = self._ctx
+        membership = ctx.membership
+        if ctx.own_member not in membership.voters:
+            return True
+        silent_s = ctx.clock.now() - ctx.leader_contact_at
+        return (
+            not ctx.leading
+            and membership.defined_at.index > ctx.commit_index
+            and silent_s > ctx.timings.election_max_s
+        )
+
     async def _send_join_request(self, peer: str) -> str:
         ctx = self._ctx
         result = await ctx.transport.call(
--- a/tests/test_consensus_failures.py
+++ b/tests/test_consensus_failures.py
@@ -353,3 +353,40 @@
         )
         reply = world.wait(voter.run(voter.replica._election.on_vote(req)))
         assert reply.reason == 'this replica is not a voter'
+
+
+def test_replica_joins_again_after_its_addition_was_replaced():
+    """Guards against a replica that waits as a voter no leader knows of.
+
+    It held the entry that added it, but that entry was not committed and
+    the next leader did not have it.
+    """
+    world = World(5, seed=1)
+    world.boot()
+    old_leader = leader_of(world)
+    lost, *others = followers_of(world)
+    world.network.delay_s = 0.2
+    lost.lose_disk()
+    lost.start()
+    for _ in range(8000):
+        world.advance(0.001)
+        if lost.ready and lost.ctx.own_member in world.voters():
+            break
+    for other in others:
+        world.isolate(other.name)
+    world.advance(0.4)
+    added = old_leader.ctx.membership
+    assert lost.ctx.membership == added
+    assert all(other.ctx.membership != added for other in others)
+    world.heal()
+    world.isolate(old_leader.name)
+    world.isolate(lost.name)
+    world.advance(8)
+    new_leader = leader_of(world)
+    assert new_leader in others
+    world.heal()
+    world.advance(15)
+    assert lost.ctx.own_member in world.voters()
+    assert world.complete()
+    accept(world, 'afterwards')
+    world.close()
