Let a fault of the soak's own tests last until its answers have arrived

The fault lasted 0.3 s of real time and the request was sent after 0.1 s, so a request that took longer than 0.2 s reached the target after the fault had ended. With the request sent after 0.5 s the old test fails in the same way on an idle path, the new one passes. The sleeps of the injector now last until the answers have arrived; the assertions are the same.

--- a/tests/soak/test_upstreams.py
+++ b/tests/soak/test_upstreams.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+from unittest import mock
 
 import httpx
 import pytest
@@ -32,10 +33,31 @@
         )
 
 
+class _GatedAsyncio:
+    """The module asyncio, but each sleep lasts until the gate opens.
+
+    :param gate: the gate.
+    """
+
+    def __init__(self, gate: asyncio.Event) -> None:
+        self._gate = gate
+
+    def __getattr__(self, name):
+        return getattr(asyncio, name)
+
+    async def sleep(self, _delay_s):
+        """Wait for the gate."""
+        await self._gate.wait()
+
+
 def _answers_during(fault, *, count=1, wait_s=0.1, setup=None):
-    """Return answers, evidence and target, with a fault under way."""
+    """Return answers, evidence and target, with a fault under way.
+
+    The fault lasts until all answers have arrived, however long they take.
+    """
 
     async def scenario():
+        gate = asyncio.Event()
         evidence = Evidence()
         target = Target(HOST, 'catalogue', 'north-a', evidence)
         if setup:
@@ -44,12 +66,15 @@
             [], [target], TargetList(HOST, [target]), None, evidence
         )
         await target.start()
-        task = asyncio.create_task(injector.inject(fault))
-        await asyncio.sleep(wait_s)
-        answers = await asyncio.gather(
-            *(_request(number) for number in range(count)),
-        )
-        await task
+        gated = _GatedAsyncio(gate)
+        with mock.patch('soak.injector.asyncio', gated):
+            task = asyncio.create_task(injector.inject(fault))
+            await asyncio.sleep(wait_s)
+            answers = await asyncio.gather(
+                *(_request(number) for number in range(count)),
+            )
+            gate.set()
+            await task
         await target.stop()
         return answers, evidence, target
 
