Keep torn writes in a row from cutting files that are in force

The injection cuts the older file of a pair, and the cut itself made that file the newer one, so the next cut hit the file in force: synced data was destroyed, the instance joined as a new voter, and two of three voters were gone, more than any deployment promises to bear. The cut keeps the time of the file now.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import resource
 import shutil
@@ -166,8 +167,11 @@
             present = [path for path in pair if path.exists()]
             if len(present) == 2:
                 older = min(present, key=lambda path: path.stat().st_mtime_ns)
-                content = older.read_bytes()
+                content, times = older.read_bytes(), older.stat()
                 older.write_bytes(content[: len(content) // 2])
+                # The torn file stays the older one: another torn write before
+                # the next whole one must not cut the file that is in force.
+                os.utime(older, ns=(times.st_atime_ns, times.st_mtime_ns))
 
     def fill_disk(self, *, full: bool) -> None:
         """Make every write to the disk fail, or let writes succeed again.
