Log when more requests than the limit changed their region

Each dispatcher now counts the requests that it grants by region, and logs the shares before and after when more than the limit changed their region between two windows of 2 s. The fraction is a metric as well. No decision changes.

--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -57,6 +57,12 @@
             ('source',),
             registry=self.registry,
         )
+        self.changed_region = Gauge(
+            'cuminhoist_changed_region_ratio',
+            'Fraction of the requests of this region that changed the region '
+            'in which they run from one window of 2 s to the next.',
+            registry=self.registry,
+        )
         self.state_gauge = Gauge(
             'cuminhoist_belief',
             'Versions, ages and sizes of the state that decisions use.',
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -10,6 +10,12 @@
 from ..steering.decisions import Decision, PlacementRequest
 from ..steering.demand import Demand, DemandMeter
 from ..steering.dispatcher import Dispatcher
+from ..steering.region_shares import (
+    RegionCounts,
+    changed_fraction,
+    shares,
+)
+from ..steering.region_shift_limiter import MIN_REQUESTS, WINDOW_S
 from ..steering.slot_lending import DispatchContext
 from ..steering.targets import TargetEntry
 from .control_metrics import ControlMetrics
@@ -57,6 +63,8 @@
         self._meter = DemandMeter(region, now())
         self._tick_timer: asyncio.TimerHandle | None = None
         self._limit_was_suspended = False
+        self._shift_limit = shift_limit
+        self._change_logged_at = float('-inf')
 
     def handle_message(self, peer: Peer, msg: Message) -> None:
         """Process a message of an entry instance.
@@ -109,6 +117,7 @@
         now = self._now()
         self.dispatcher.expire_attempts(now)
         self._log_shift_limit(now)
+        self._check_region_change(now)
         return self._meter.measure(self.dispatcher.service_loads(), now)
 
     def update(
@@ -166,6 +175,33 @@
             disturbed=disturbed,
         )
 
+    def _check_region_change(self, now: float) -> None:
+        """Measure which fraction of the requests changed their region.
+
+        One line for each window in which more of them did than is allowed.
+        """
+        window_began_at = now - WINDOW_S
+        counts = self.dispatcher.region_shares
+        before = counts.between(window_began_at - WINDOW_S, window_began_at)
+        after = counts.between(window_began_at, now)
+        if min(before.total(), after.total()) < MIN_REQUESTS:
+            return
+        changed = changed_fraction(before, after)
+        self._metrics.changed_region.set(changed)
+        is_due = now - self._change_logged_at >= WINDOW_S
+        if changed <= self._shift_limit or not is_due:
+            return
+        self._change_logged_at = now
+        _log.warning(
+            'requests changed region',
+            region=self._region,
+            changed=round(changed, 3),
+            limit=self._shift_limit,
+            before=_rounded_shares(before),
+            after=_rounded_shares(after),
+            requests=after.total(),
+        )
+
     def _on_request(self, entry_id: str, request: PlacementRequest) -> None:
         self._meter.count_request(request.service)
         started_at = self._now()
@@ -196,3 +232,7 @@
         self._send_decisions(self.dispatcher.decide_waiting(self._now()))
         if self.dispatcher.has_waiting():
             self._schedule_tick()
+
+
+def _rounded_shares(counts: RegionCounts) -> dict[str, float]:
+    return {region: round(share, 2) for region, share in shares(counts).items()}
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -27,6 +27,7 @@
     ServiceQueue,
     WaitingRequest,
 )
+from .region_shares import RegionShares
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
 from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
@@ -62,6 +63,8 @@
 
     def __init__(self, shift_limit: float = 1) -> None:
         self.shift_limiter = RegionShiftLimiter(shift_limit)
+        #: In which regions the granted requests run.
+        self.region_shares = RegionShares()
         self._services: dict[str, ServiceQueue] = {}
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
@@ -480,6 +483,7 @@
         target.start(request.key, now)
         shifted = target.region != self.queue(request.service).placement.region
         self.shift_limiter.count_request(now, shifted=shifted)
+        self.region_shares.count(now, target.region)
         return Granted(
             request.number,
             name,
--- a/tests/fleet/test_region_dispatch.py
+++ b/tests/fleet/test_region_dispatch.py
@@ -7,6 +7,43 @@
 from cuminhoist.steering.region_shift_limiter import DISTURBED_S
 
 
+def _run(now, dispatch, times):
+    """Measure at some times; return the messages that are logged."""
+    events = []
+    sink = logger.add(lambda text: events.append(text.record['message']))
+    try:
+        for now[0] in times:
+            dispatch.measure()
+    finally:
+        logger.remove(sink)
+    return events
+
+
+def test_requests_that_changed_region_are_logged():
+    """Guards against a fast move of requests that leaves no trace."""
+    now = [0.0]
+    dispatch = RegionDispatch(
+        'south', {}, lambda: now[0], 0.15, ControlMetrics()
+    )
+    for number in range(100):
+        region = 'south' if number < 50 or number % 2 else 'north'
+        dispatch.dispatcher.region_shares.count(number / 25, region)
+    assert _run(now, dispatch, (2.0, 4.0, 4.5)) == ['requests changed region']
+    assert b'changed_region_ratio 0.' in dispatch._metrics.render()
+
+
+def test_requests_that_stay_are_not_logged():
+    """Guards against warnings about requests that move within the limit."""
+    now = [0.0]
+    dispatch = RegionDispatch(
+        'south', {}, lambda: now[0], 0.15, ControlMetrics()
+    )
+    for number in range(100):
+        region = 'north' if number % 2 else 'south'
+        dispatch.dispatcher.region_shares.count(number / 25, region)
+    assert _run(now, dispatch, (2.0, 4.0, 4.5)) == []
+
+
 def test_suspended_shift_limit_is_logged_once():
     """Guards against a limit that is suspended without a trace."""
     events = []
