--- a/src/cuminhoist/steering/region_shares.py
+++ b/src/cuminhoist/steering/region_shares.py
@@ -24,11 +24,10 @@
         :param region: region of the target.
         """
         number = int(now / INTERVAL_S)
-        counts = self._intervals.get(number)
-        if counts is None:
-            counts = self._intervals[number] = collections.Counter()
+        if number not in self._intervals:
+            self._intervals[number] = collections.Counter()
             self._drop_before(number - int(KEPT_S / INTERVAL_S))
-        counts[region] += 1
+        self._intervals[number][region] += 1
 
     def between(self, start: float, end: float) -> RegionCounts:
         """Return the counts from the interval of one time to that of another.
