--- a/tests/steering/test_region_shift_limiter.py
+++ b/tests/steering/test_region_shift_limiter.py
@@ -93,3 +93,25 @@
     limiter = RegionShiftLimiter(LIMIT)
     limiter.record_disturbance(0)
     assert _send(limiter, 100, 0, 2) == 100
+
+
+def test_end_of_a_disturbance_sent_all_requests_back():
+    """Guards against a fall of the shifted fraction to zero.
+
+    Found on porth-data-grown: the limit applied again while the fraction still
+    grew, and refused every shift until the next window (the incident SHIFT).
+    """
+    limiter = RegionShiftLimiter(LIMIT)
+    requests = []
+    for number in range(1150):
+        now = number / 100
+        limiter.record_disturbance(min(now, 0.5))
+        wants_shift = number % 10 < (3 if now < 7.5 else 9)
+        shifted = wants_shift and limiter.allows_shift(now)
+        limiter.count_request(now, shifted=shifted)
+        requests.append((now, shifted))
+    for half_second in range(15, 23):
+        shifts = [
+            shifted for at, shifted in requests if int(2 * at) == half_second
+        ]
+        assert sum(shifts) / len(shifts) > 0.3 - LIMIT
