Suspend the limit on shifts only when much of a region is lost

Cold caches and full slots look like a slow target.

The limit is now suspended only when more than a quarter of the region's own slots, over all services, are at targets that keep failing or have left the list at once. Slow targets still get fewer requests, and requests may leave within the limit.

--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -163,16 +163,16 @@
         if suspended == self._limit_was_suspended:
             return
         self._limit_was_suspended = suspended
-        disturbed = [
+        failing = [
             name
             for _, queue in self.dispatcher.queues()
             for name, target in queue.targets.items()
-            if target.region == self._region and target.is_disturbed(now)
+            if target.region == self._region and target.is_failing(now)
         ]
         _log.info(
             'shift limit suspended' if suspended else 'shift limit applies',
             region=self._region,
-            disturbed=disturbed,
+            failing=failing,
         )
 
     def _check_region_change(self, now: float) -> None:
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -33,9 +33,10 @@
 from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
 from .tracked_target import TrackedTarget
 
-#: With a larger fraction of a region's own targets disturbed, the limit on
-#: shifts is suspended. Up to it, the other targets of the region take over.
-MAX_DISTURBED_FRACTION = 0.05
+#: With a larger fraction of a region's own slots lost, over all services, the
+#: limit on shifts is suspended. Up to it, the other targets of the region take
+#: over. A lost failure domain is at least a quarter of most regions.
+MAX_LOST_FRACTION = 0.25
 #: Margin that an estimate must keep to the objective, as a fraction of the
 #: estimate. Run times vary by about 15%, so answers that are estimated closer
 #: to the objective are late too often.
@@ -109,7 +110,12 @@
         """
         queue = self.queue(service)
         removed = queue.targets.keys() - targets.keys()
-        if any(queue.targets[name].region == region for name in removed):
+        removed_slots = sum(
+            queue.targets[name].slots
+            for name in removed
+            if queue.targets[name].region == region
+        )
+        if removed_slots > MAX_LOST_FRACTION * self._own_slots():
             self.shift_limiter.record_disturbance(now)
         for name, former in queue.targets.items():
             if targets.get(name) is not former:
@@ -387,7 +393,10 @@
         """Drop options in other regions while the shift limit is reached."""
         region = queue.placement.region
         own = [option for option in options if option.target.region == region]
-        if queue.placement.disturbed_fraction() > MAX_DISTURBED_FRACTION:
+        failing_slots = sum(
+            each.placement.failing_own_slots for each in self._services.values()
+        )
+        if failing_slots > MAX_LOST_FRACTION * self._own_slots():
             self.shift_limiter.record_disturbance(now)
         if len(own) == len(options):
             return options
@@ -395,6 +404,12 @@
             return options
         return options if self.shift_limiter.allows_shift(now) else own
 
+    def _own_slots(self) -> int:
+        """Return the slots of the region's own targets, over all services."""
+        return sum(
+            queue.placement.own_slots for queue in self._services.values()
+        )
+
     def _paused_in_region(
         self,
         queue: ServiceQueue,
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -34,7 +34,7 @@
 SAMPLE_COUNT = 8
 #: A target is hardly ever faster than expected by more than this factor.
 MIN_RUN_TIME_FRACTION = 0.8
-#: Interval at which ejected and disturbed targets are counted in a service
+#: Interval at which ejected and failing targets are counted in a service
 #: with many targets, in seconds.
 HEALTH_INTERVAL_S = 0.1
 #: Assumed hit fraction until the first requests show whether targets have
@@ -217,7 +217,12 @@
         ]
         self._regions = self._group_by_region()
         self._health_at = float('-inf')
-        self._disturbed_fraction = float(0)
+        #: Slots of the region's own targets, and those of them at targets that
+        #: kept failing at the last call of ``options``.
+        self.own_slots = sum(
+            target.slots for target in self.usable if target.region == region
+        )
+        self.failing_own_slots = 0
         for tracked in targets.values():
             tracked.share_holders(self.history.holders)
 
@@ -266,13 +271,6 @@
             if other is not None
         ]
 
-    def disturbed_fraction(self) -> float:
-        """Return the fraction of the region's own targets that is disturbed.
-
-        It is as of the last call of ``options``.
-        """
-        return self._disturbed_fraction
-
     def has_unpaused(
         self, allowed_regions: frozenset[str], pauses: TargetPauses, now: float
     ) -> bool:
@@ -370,9 +368,11 @@
         panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
         for usable_target in self.usable:
             usable_target.panic_mode = panic_mode
-        own = [target for target in self.usable if target.region == self.region]
-        disturbed = sum(target.is_disturbed(now) for target in own)
-        self._disturbed_fraction = disturbed / max(len(own), 1)
+        self.failing_own_slots = sum(
+            target.slots
+            for target in self.usable
+            if target.region == self.region and target.is_failing(now)
+        )
 
     def _option(
         self,
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -432,4 +432,5 @@
         ended = attempt_report(granted, run_s, key=key)
         dispatcher.end_attempt('e', ended, now)
         assert not dispatcher.shift_limiter.is_suspended(now)
+        assert not any(one.is_disturbed(now) for one in targets.values())
     assert dispatcher.queue(SERVICE).run_times.miss_run_s > 0.15
