Limit every change of the region in which requests run

Callers saw their requests leave and return at once. Causes: the limit bounded only the increase of the fraction that runs elsewhere. Nothing bounded a return, or a move between two other regions. The fraction that was allowed counted on as many requests as in the previous window, so with fewer of them it was exceeded. And once the limit had been suspended, the window in progress had used up what it may shift, so that every further shift was refused for up to a second, and the own slots could not carry the requests.

Each region, and all other regions together, now has a cap of its share. It grows by the limit from one window to the next, and stays within a small distance above the average of the last second; a share that was exceeded because there was no other place lifts it. A request that may not return yet runs elsewhere if it need not wait there and loses no more than the round trip. A loss of more than a quarter of the region's own slots raises the caps by the lost fraction instead of suspending the limit.

--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -15,7 +15,7 @@
     changed_fraction,
     shares,
 )
-from ..steering.region_shift_limiter import MIN_REQUESTS, WINDOW_S
+from ..steering.region_shift_limiter import WINDOW_S
 from ..steering.slot_lending import DispatchContext
 from ..steering.targets import TargetEntry
 from .control_metrics import ControlMetrics
@@ -31,6 +31,8 @@
 
 #: Interval between decisions on waiting requests, in seconds.
 TICK_INTERVAL_S = 0.005
+#: With fewer requests in a window, it is not compared with the next one.
+MIN_COMPARED_REQUESTS = 20
 
 _log = logger('dispatch')
 
@@ -62,7 +64,7 @@
         self._entry_peers: dict[str, Peer] = {}
         self._meter = DemandMeter(region, now())
         self._tick_timer: asyncio.TimerHandle | None = None
-        self._limit_was_suspended = False
+        self._limit_was_raised = False
         self._shift_limit = shift_limit
         self._change_logged_at = float('-inf')
 
@@ -158,11 +160,11 @@
         self._send_decisions(self.dispatcher.decide_waiting(self._now()))
 
     def _log_shift_limit(self, now: float) -> None:
-        """Log when the limit on shifts is suspended or applies again."""
-        suspended = self.dispatcher.shift_limiter.is_suspended(now)
-        if suspended == self._limit_was_suspended:
+        """Log when the limit on shifts is raised or applies again."""
+        lost_fraction = self.dispatcher.shift_limiter.lost_fraction(now)
+        if bool(lost_fraction) == self._limit_was_raised:
             return
-        self._limit_was_suspended = suspended
+        self._limit_was_raised = bool(lost_fraction)
         failing = [
             name
             for _, queue in self.dispatcher.queues()
@@ -170,8 +172,9 @@
             if target.region == self._region and target.is_failing(now)
         ]
         _log.info(
-            'shift limit suspended' if suspended else 'shift limit applies',
+            'shift limit raised' if lost_fraction else 'shift limit applies',
             region=self._region,
+            lost=round(lost_fraction, 2),
             failing=failing,
         )
 
@@ -181,10 +184,10 @@
         One line for each window in which more of them did than is allowed.
         """
         window_began_at = now - WINDOW_S
-        counts = self.dispatcher.region_shares
+        counts = self.dispatcher.shift_limiter.counts
         before = counts.between(window_began_at - WINDOW_S, window_began_at)
         after = counts.between(window_began_at, now)
-        if min(before.total(), after.total()) < MIN_REQUESTS:
+        if min(before.total(), after.total()) < MIN_COMPARED_REQUESTS:
             return
         changed = changed_fraction(before, after)
         self._metrics.changed_region.set(changed)
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -27,14 +27,13 @@
     ServiceQueue,
     WaitingRequest,
 )
-from .region_shares import RegionShares
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
 from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
 from .tracked_target import TrackedTarget
 
 #: With a larger fraction of a region's own slots lost, over all services, the
-#: limit on shifts is suspended. Up to it, the other targets of the region take
+#: limit on shifts is raised. Up to it, the other targets of the region take
 #: over. A lost failure domain is at least a quarter of most regions.
 MAX_LOST_FRACTION = 0.25
 #: Margin that an estimate must keep to the objective, as a fraction of the
@@ -64,8 +63,6 @@
 
     def __init__(self, shift_limit: float = 1) -> None:
         self.shift_limiter = RegionShiftLimiter(shift_limit)
-        #: In which regions the granted requests run.
-        self.region_shares = RegionShares()
         self._services: dict[str, ServiceQueue] = {}
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
@@ -115,8 +112,7 @@
             for name in removed
             if queue.targets[name].region == region
         )
-        if removed_slots > MAX_LOST_FRACTION * self._own_slots():
-            self.shift_limiter.record_disturbance(now)
+        self._record_loss(removed_slots, now)
         for name, former in queue.targets.items():
             if targets.get(name) is not former:
                 former.forget_objects()
@@ -390,19 +386,78 @@
         options: list[Option],
         now: float,
     ) -> list[Option]:
-        """Drop options in other regions while the shift limit is reached."""
-        region = queue.placement.region
-        own = [option for option in options if option.target.region == region]
-        failing_slots = sum(
-            each.placement.failing_own_slots for each in self._services.values()
-        )
-        if failing_slots > MAX_LOST_FRACTION * self._own_slots():
-            self.shift_limiter.record_disturbance(now)
-        if len(own) == len(options):
-            return options
-        if not own and not self._paused_in_region(queue, waiting, region, now):
+        """Drop options in regions whose share may not grow now."""
+        home = queue.placement.region
+        self._record_failing(now)
+        regions = {option.target.region for option in options}
+        allowed = {
+            region
+            for region in regions
+            if self.shift_limiter.allows(now, region, home)
+        }
+        if home in regions - allowed:
+            own = [option for option in options if option.target.region == home]
+            return self._remote_options(queue, waiting, own, now) or own
+        if home not in regions and not self._paused_in_region(
+            queue, waiting, home, now
+        ):
             return options
-        return options if self.shift_limiter.allows_shift(now) else own
+        return [option for option in options if option.target.region in allowed]
+
+    def _remote_options(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        own: list[Option],
+        now: float,
+    ) -> list[Option]:
+        """Return options for a request that may not return to its region yet.
+
+        A request returns all the same if it would have to wait elsewhere, or
+        would lose its objective or more than the round trip there.
+        """
+        home = queue.placement.region
+        may_run = waiting.request.allowed_regions
+        regions = frozenset(
+            region
+            for region in queue.placement.other_regions()
+            if (not may_run or region in may_run)
+            and self.shift_limiter.allows(now, region, home)
+        )
+        if not regions:
+            return []
+        options = queue.placement.options(
+            waiting.request.key,
+            queue.run_times,
+            now,
+            regions,
+            waiting.request.excluded,
+            self._pauses_of(waiting.entry_instance),
+        )
+        objective_s = waiting.objective_ends_at - now
+        own_s = min(option.total_s for option in own)
+        return [
+            option
+            for option in options
+            if not option.wait_s
+            and option.total_s
+            <= max(objective_s, own_s + option.target.extra_rtt_s)
+        ]
+
+    def _record_failing(self, now: float) -> None:
+        self._record_loss(
+            sum(
+                queue.placement.failing_own_slots
+                for queue in self._services.values()
+            ),
+            now,
+        )
+
+    def _record_loss(self, lost_slots: int, now: float) -> None:
+        """Raise the limit on shifts if much of the region is lost."""
+        lost_fraction = lost_slots / max(self._own_slots(), 1)
+        if lost_fraction > MAX_LOST_FRACTION:
+            self.shift_limiter.record_loss(now, lost_fraction)
 
     def _own_slots(self) -> int:
         """Return the slots of the region's own targets, over all services."""
@@ -496,9 +551,11 @@
             )
         )
         target.start(request.key, now)
-        shifted = target.region != self.queue(request.service).placement.region
-        self.shift_limiter.count_request(now, shifted=shifted)
-        self.region_shares.count(now, target.region)
+        self.shift_limiter.count(
+            now,
+            target.region,
+            self.queue(request.service).placement.region,
+        )
         return Granted(
             request.number,
             name,
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -271,6 +271,14 @@
             if other is not None
         ]
 
+    def other_regions(self) -> list[str]:
+        """Return the other regions that have usable targets."""
+        return [
+            group.region
+            for group in self._regions
+            if group.region != self.region
+        ]
+
     def has_unpaused(
         self, allowed_regions: frozenset[str], pauses: TargetPauses, now: float
     ) -> bool:
--- a/src/cuminhoist/steering/region_shares.py
+++ b/src/cuminhoist/steering/region_shares.py
@@ -35,9 +35,18 @@
         :param start: monotonic time in seconds; its interval is included.
         :param end: monotonic time in seconds; its interval is left out.
         """
+        return self.in_intervals(int(start / INTERVAL_S), int(end / INTERVAL_S))
+
+    def in_intervals(self, first: int, end: int) -> RegionCounts:
+        """Return the counts of some intervals.
+
+        :param first: number of the first interval.
+        :param end: number of the interval after the last one.
+        """
         total: RegionCounts = collections.Counter()
-        for number in range(int(start / INTERVAL_S), int(end / INTERVAL_S)):
-            total.update(self._intervals.get(number, {}))
+        for number in range(first, end):
+            for region, count in self._intervals.get(number, {}).items():
+                total[region] += count
         return total
 
     def _drop_before(self, oldest: int) -> None:
--- a/tests/fleet/test_region_dispatch.py
+++ b/tests/fleet/test_region_dispatch.py
@@ -4,7 +4,7 @@
 
 from cuminhoist.fleet.control_metrics import ControlMetrics
 from cuminhoist.fleet.region_dispatch import RegionDispatch
-from cuminhoist.steering.region_shift_limiter import DISTURBED_S
+from cuminhoist.steering.region_shift_limiter import LOSS_KEPT_S
 
 
 def _run(now, dispatch, times):
@@ -27,7 +27,7 @@
     )
     for number in range(100):
         region = 'south' if number < 50 or number % 2 else 'north'
-        dispatch.dispatcher.region_shares.count(number / 25, region)
+        dispatch.dispatcher.shift_limiter.counts.count(number / 25, region)
     assert _run(now, dispatch, (2.0, 4.0, 4.5)) == ['requests changed region']
     assert b'changed_region_ratio 0.' in dispatch._metrics.render()
 
@@ -40,22 +40,16 @@
     )
     for number in range(100):
         region = 'north' if number % 2 else 'south'
-        dispatch.dispatcher.region_shares.count(number / 25, region)
+        dispatch.dispatcher.shift_limiter.counts.count(number / 25, region)
     assert _run(now, dispatch, (2.0, 4.0, 4.5)) == []
 
 
-def test_suspended_shift_limit_is_logged_once():
-    """Guards against a limit that is suspended without a trace."""
-    events = []
-    sink = logger.add(lambda text: events.append(text.record['message']))
+def test_raised_shift_limit_is_logged_once():
+    """Guards against a limit that is raised without a trace."""
     now = [0.0]
     dispatch = RegionDispatch(
         'south', {}, lambda: now[0], 0.15, ControlMetrics()
     )
-    try:
-        dispatch.dispatcher.shift_limiter.record_disturbance(now[0])
-        for now[0] in (0.5, 1.0, DISTURBED_S, DISTURBED_S + 1):
-            dispatch.measure()
-    finally:
-        logger.remove(sink)
-    assert events == ['shift limit suspended', 'shift limit applies']
+    dispatch.dispatcher.shift_limiter.record_loss(now[0], 0.5)
+    events = _run(now, dispatch, (0.5, 1.0, LOSS_KEPT_S, LOSS_KEPT_S + 1))
+    assert events == ['shift limit raised', 'shift limit applies']
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -431,6 +431,6 @@
         now += run_s
         ended = attempt_report(granted, run_s, key=key)
         dispatcher.end_attempt('e', ended, now)
-        assert not dispatcher.shift_limiter.is_suspended(now)
+        assert not dispatcher.shift_limiter.lost_fraction(now)
         assert not any(one.is_disturbed(now) for one in targets.values())
     assert dispatcher.queue(SERVICE).run_times.miss_run_s > 0.15
