--- a/src/cuminhoist/steering/region_shift_limiter.py
+++ b/src/cuminhoist/steering/region_shift_limiter.py
@@ -116,8 +116,6 @@
         for used_cap in used:
             used_cap.credit = max(used_cap.credit - 1, -1)
         self._averaged[region] += 1
-        if not self._is_averaged():
-            self._assumed = ASSUMED_REQUESTS
 
     def allows(self, now: float, region: str, home: str) -> bool:
         """Tell whether one more request may run in a region.
@@ -153,6 +151,8 @@
         self._assumed *= remaining
         for region in self._averaged:
             self._averaged[region] *= remaining
+        if not self._is_averaged():
+            self._assumed = ASSUMED_REQUESTS
         for key, cap in self._caps.items():
             average = self._average_share(key, home)
             grown = cap.share + self._growth_per_s * passed_s
--- a/tests/steering/test_region_shift_limiter.py
+++ b/tests/steering/test_region_shift_limiter.py
@@ -96,6 +96,16 @@
     assert _send(limiter, 5, 0, 2) == 5
 
 
+def test_limit_holds_after_an_idle_time():
+    """Guards against averages that fade to nothing while no requests come.
+
+    All requests of a day failed, as the time of its first one was large.
+    """
+    limiter = RegionShiftLimiter(LIMIT)
+    for started_at in (1e6, 2e6):
+        assert 0 < _send(limiter, 400, started_at, 2) <= 400 * LIMIT + 20
+
+
 def test_region_that_lost_its_targets_shifts_freely():
     """Guards against a limit while the region's own targets are lost."""
     limiter = RegionShiftLimiter(LIMIT)
