Keep the limit on shifts when entry instances decide themselves

The local dispatcher now has the configured limit and counts the grants of the region's dispatcher. Without that the test keeps 0 to 20 of 40 requests where they ran.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -95,7 +95,9 @@
             now,
             meter,
         )
-        self.placement_client = PlacementClient(self.links, Dispatcher(), now)
+        self.placement_client = PlacementClient(
+            self.links, Dispatcher(config.limits.max_shift_fraction), now
+        )
         self._target_connections = TargetConnections(
             now,
             LinkPacer(config.link_bytes_per_s, now),
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -165,17 +165,17 @@
         if bool(lost_fraction) == self._limit_was_raised:
             return
         self._limit_was_raised = bool(lost_fraction)
-        failing = [
+        disturbed = [
             name
             for _, queue in self.dispatcher.queues()
             for name, target in queue.targets.items()
-            if target.region == self._region and target.is_failing(now)
+            if target.region == self._region and target.is_disturbed(now)
         ]
         _log.info(
             'shift limit raised' if lost_fraction else 'shift limit applies',
             region=self._region,
             lost=round(lost_fraction, 2),
-            failing=failing,
+            disturbed=disturbed,
         )
 
     def _check_region_change(self, now: float) -> None:
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -214,8 +214,11 @@
         finally:
             self._pending.pop(req.number, None)
         if isinstance(decision, Granted):
-            round_trip_s = self._now() - sent_at - decision.waited_s
+            now = self._now()
+            round_trip_s = now - sent_at - decision.waited_s
             self._record_round_trip(req.number, max(round_trip_s, 0))
+            # The limit on shifts holds over the decisions of both dispatchers.
+            self.local_dispatcher.count_remote_grant(req, decision, now)
         return decision
 
     def _record_round_trip(self, number: int, round_trip_s: float) -> None:
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -334,6 +334,18 @@
             )
             target.start(report.key, now)
 
+    def count_remote_grant(
+        self, request: PlacementRequest, granted: Granted, now: float
+    ) -> None:
+        """Count a request that another dispatcher has granted a target.
+
+        :param request: the placement request.
+        :param granted: the decision of the other dispatcher.
+        :param now: monotonic time in seconds.
+        """
+        home = self.queue(request.service).placement.region
+        self.shift_limiter.count(now, granted.region, home)
+
     def learn_from_attempt(self, report: AttemptReport, now: float) -> None:
         """Learn from an attempt that another dispatcher granted.
 
@@ -388,7 +400,7 @@
     ) -> list[Option]:
         """Drop options in regions whose share may not grow now."""
         home = queue.placement.region
-        self._record_failing(now)
+        self._record_disturbed(now)
         regions = {option.target.region for option in options}
         allowed = {
             region
@@ -444,10 +456,10 @@
             <= max(objective_s, own_s + option.target.extra_rtt_s)
         ]
 
-    def _record_failing(self, now: float) -> None:
+    def _record_disturbed(self, now: float) -> None:
         self._record_loss(
             sum(
-                queue.placement.failing_own_slots
+                queue.placement.disturbed_own_slots
                 for queue in self._services.values()
             ),
             now,
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -34,7 +34,7 @@
 SAMPLE_COUNT = 8
 #: A target is hardly ever faster than expected by more than this factor.
 MIN_RUN_TIME_FRACTION = 0.8
-#: Interval at which ejected and failing targets are counted in a service
+#: Interval at which ejected and disturbed targets are counted in a service
 #: with many targets, in seconds.
 HEALTH_INTERVAL_S = 0.1
 #: Assumed hit fraction until the first requests show whether targets have
@@ -217,12 +217,12 @@
         ]
         self._regions = self._group_by_region()
         self._health_at = float('-inf')
-        #: Slots of the region's own targets, and those of them at targets that
-        #: kept failing at the last call of ``options``.
+        #: Slots of the region's own targets, and those of them at disturbed
+        #: targets at the last call of ``options``.
         self.own_slots = sum(
             target.slots for target in self.usable if target.region == region
         )
-        self.failing_own_slots = 0
+        self.disturbed_own_slots = 0
         for tracked in targets.values():
             tracked.share_holders(self.history.holders)
 
@@ -376,10 +376,10 @@
         panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
         for usable_target in self.usable:
             usable_target.panic_mode = panic_mode
-        self.failing_own_slots = sum(
+        self.disturbed_own_slots = sum(
             target.slots
             for target in self.usable
-            if target.region == self.region and target.is_failing(now)
+            if target.region == self.region and target.is_disturbed(now)
         )
 
     def _option(
--- a/src/cuminhoist/steering/region_shift_limiter.py
+++ b/src/cuminhoist/steering/region_shift_limiter.py
@@ -37,7 +37,7 @@
 LOSS_KEPT_S = 8.0
 
 #: Stands for all other regions together.
-_ELSEWHERE = ''
+_ELSEWHERE = '*'
 
 
 class _ShareCap:
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -147,25 +147,16 @@
     def is_disturbed(self, now: float) -> bool:
         """Tell whether the target keeps failing or is much too slow.
 
-        :param now: monotonic time in seconds.
-        """
-        return (
-            self.is_failing(now)
-            or self.current_run_time_ratio(now) > DISTURBED_SLOWDOWN
-        )
-
-    def is_failing(self, now: float) -> bool:
-        """Tell whether the target keeps failing.
-
         A single failure is not enough, because an attempt also fails if its
         caller had little time left.
 
         :param now: monotonic time in seconds.
         """
-        return (
-            now < self._failure_ejection_until
-            or self._consecutive_failures >= MAX_CONSECUTIVE_FAILURES
-        )
+        if now < self._failure_ejection_until:
+            return True
+        if self._consecutive_failures >= MAX_CONSECUTIVE_FAILURES:
+            return True
+        return self.current_run_time_ratio(now) > DISTURBED_SLOWDOWN
 
     def has_free_slot(self, now: float) -> bool:
         """Tell whether a request may be sent to the target now.
--- a/tests/gateway/test_placement_client.py
+++ b/tests/gateway/test_placement_client.py
@@ -23,6 +23,7 @@
     DispatchContext,
     make_tracked_targets,
 )
+from cuminhoist.steering.tracked_target import TrackedTarget
 from tests.steering.builders import target
 
 _TERMS = DispatchContext('south', {'south-a': 'south'}, frozenset(), 0, {}, {})
@@ -43,6 +44,7 @@
         self.unanswered = set()
         self.sent = []
         self.client = None
+        self.region = ''
 
     def is_available(self):
         return True
@@ -51,7 +53,7 @@
         self.sent.append(req.number)
         if req.number in self.unanswered:
             return
-        granted = Granted(req.number, 't1', waited_s=0.02)
+        granted = Granted(req.number, 't1', waited_s=0.02, region=self.region)
         loop = asyncio.get_running_loop()
         loop.call_later(
             0.02 + self.delay_s,
@@ -165,3 +167,36 @@
         return dispatcher.reported
 
     assert asyncio.run(scenario()) == [0, 0]
+
+
+def test_local_decisions_keep_the_limit_on_shifts():
+    """Guards against requests that change region with the dispatcher.
+
+    Entry instances that decided themselves had no limit, and did not know in
+    which regions their requests had run.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        local = Dispatcher(shift_limit=0.15)
+        entries = {
+            name: TrackedTarget(target(name, service='s'), region)
+            for name, region in (('t1', 'south'), ('t2', 'north'))
+        }
+        local.set_targets('s', entries, 'south')
+        dispatcher = _DelayedDispatcher()
+        dispatcher.region = 'north'
+        client = PlacementClient(dispatcher, local, loop.time)
+        dispatcher.client = client
+        for _ in range(60):
+            await _request(client, 0.01)
+        limiter = local.shift_limiter
+        now = loop.time()
+        stayed = 0
+        for _ in range(40):
+            stays = limiter.allows(now, 'north', 'south')
+            limiter.count(now, 'north' if stays else 'south', 'south')
+            stayed += stays
+        return stayed
+
+    assert asyncio.run(scenario()) > 20
