--- a/src/cuminhoist/emulator/disturbances.py
+++ b/src/cuminhoist/emulator/disturbances.py
@@ -33,7 +33,13 @@
         count = round(part * len(targets))
         return rng.sample(targets, count) if count < len(targets) else targets
 
-    for list_changes in (_slow, _declining, _leaving, _overloaded):
+    for list_changes in (
+        _slow,
+        _declining,
+        _leaving,
+        _overloaded,
+        _limiting,
+    ):
         for due_at, target, attribute, content in list_changes(pattern, choose):
             schedule_at(due_at, partial(setattr, target, attribute, content))
 
@@ -67,3 +73,11 @@
         for target in choose(overloaded.part):
             yield overloaded.at_s, target, 'overload', overloaded
             yield end_s, target, 'overload', None
+
+
+def _limiting(pattern: Pattern, choose: _Choose) -> Iterator[_Change]:
+    for limiting in pattern.limiting:
+        end_s = limiting.at_s + limiting.for_s
+        for target in choose(limiting.part):
+            yield limiting.at_s, target, 'limit_per_s', limiting.per_s
+            yield end_s, target, 'limit_per_s', None
--- a/src/cuminhoist/emulator/experiment.py
+++ b/src/cuminhoist/emulator/experiment.py
@@ -20,7 +20,7 @@
     ``largest_shift`` and ``unwanted`` are the highest values of any replay.
 
     :param unwanted: requests that reached targets although these had said
-        that they leave or had asked for a pause.
+        that they leave, had asked for a pause or had named a limit.
     :param bound_fraction: fraction in time divided by the bound.
     """
 
@@ -67,7 +67,8 @@
         bound=bound,
         bound_fraction=in_time / bound,
         unwanted=max(
-            report.after_notices + report.in_pauses for report in reports
+            report.after_notices + report.in_pauses + report.over_limits
+            for report in reports
         ),
     )
 
--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -141,6 +141,22 @@
     max_pause_s: float = 3
 
 
+class Limiting(msgspec.Struct, frozen=True, kw_only=True):
+    """A period in which some targets name a limit on their requests.
+
+    :param at_s: start of the period, in seconds.
+    :param for_s: length of the period, in seconds.
+    :param part: fraction of all targets that name a limit.
+    :param per_s: requests per second that each of them takes from all
+        instances together.
+    """
+
+    at_s: float
+    for_s: float
+    part: float
+    per_s: float
+
+
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
     """A load pattern to replay.
 
@@ -161,6 +177,7 @@
     declining: tuple[Declining, ...] = ()
     leaving: tuple[LeavingTargets, ...] = ()
     overloaded: tuple[Overloaded, ...] = ()
+    limiting: tuple[Limiting, ...] = ()
 
 
 def load_pattern(path: pathlib.Path) -> Result[Pattern, FieldError]:
--- a/src/cuminhoist/emulator/report.py
+++ b/src/cuminhoist/emulator/report.py
@@ -36,12 +36,15 @@
         had passed on its leaving notice 3 s before the caller sent them.
     :param in_pauses: requests beyond the second that reached a target in a
         pause that it had asked their region for.
+    :param over_limits: requests beyond the tolerated ones that reached a
+        target 4 s or later after it had first named a limit.
     """
 
     objective_s: float
     bound: float
     after_notices: int = 0
     in_pauses: int = 0
+    over_limits: int = 0
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
 
     def in_time(self, region: str = '') -> float:
--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -125,6 +125,9 @@
         self.report.in_pauses = sum(
             target.unwanted_arrivals for target in self.targets.values()
         )
+        self.report.over_limits = sum(
+            target.limited_arrivals.excess for target in self.targets.values()
+        )
         return self.report
 
     def _make_targets(self) -> list[EmulatedTarget]:
@@ -238,6 +241,7 @@
         if target.declines():
             self._return_answer(job, target, Ending.declined)
             return
+        target.limited_arrivals.count(self.now, target.limit_per_s)
         started = target.arrive(job)
         if started is None:
             self._return_answer(job, target, Ending.shed)
--- a/src/cuminhoist/emulator/targets.py
+++ b/src/cuminhoist/emulator/targets.py
@@ -7,6 +7,7 @@
 
 from ..fleet.instance_config import Address
 from ..steering.targets import TargetEntry, TargetState
+from .limits import LimitedArrivals
 from .patterns import Overloaded, Pattern, Work
 
 SERVICE = 'service'
@@ -76,6 +77,9 @@
         self.stopped = False
         self.listed = True
         self.overload: Overloaded | None = None
+        #: Requests per second that it takes; None for no limit.
+        self.limit_per_s: float | None = None
+        self.limited_arrivals = LimitedArrivals()
         #: Requests beyond the tolerated ones that came in pauses.
         self.unwanted_arrivals = 0
         self._pauses: dict[str, _Pause] = {}
--- a/tests/emulator/test_replay.py
+++ b/tests/emulator/test_replay.py
@@ -44,6 +44,11 @@
     assert _replay('peak-pauses').in_pauses == 0
 
 
+def test_named_limits_of_targets_were_ignored():
+    """Guards against more requests than a target takes (the incident LIMIT)."""
+    assert _replay('named-limits').over_limits == 0
+
+
 def test_small_region_is_served():
     """Guards against late answers in a region with few targets.
 
