Keep the limits that targets name, over all instances

Targets in need got up to four times what they had said they take.

The limit of each answer reaches the dispatcher with the attempt report, and from it all control instances and their subscribers; a new dispatcher also learns it from its entry instances. A limit ends with an answer to a request that was sent after the last answer with it, or with a restart of the target.

--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -20,6 +20,7 @@
 from ..steering.dispatcher import Dispatcher
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, make_tracked_targets
+from ..steering.target_limits import UNLIMITED, TargetLimit
 from ..steering.targets import TargetEntry
 from .bound import arrival_rate, max_in_time_fraction
 from .disturbances import schedule_disturbances
@@ -88,6 +89,8 @@
             region.name: Dispatcher(SHIFT_LIMIT_FRACTION)
             for region in pattern.regions
         }
+        for name, dispatcher in self.dispatchers.items():
+            dispatcher.on_limit = partial(self._spread_limit, name)
         self._meters = {
             region.name: DemandMeter(region.name, 0)
             for region in pattern.regions
@@ -259,6 +262,18 @@
                 delay_s, partial(self._apply_notice, name, notice)
             )
 
+    def _spread_limit(self, region: str, limit: TargetLimit) -> None:
+        """Tell the other dispatchers of the limit of a target."""
+        for name, dispatcher in self.dispatchers.items():
+            if name != region:
+                self._schedule_after(
+                    self._pattern.region_s,
+                    partial(self._apply_limit, dispatcher, limit),
+                )
+
+    def _apply_limit(self, dispatcher: Dispatcher, limit: TargetLimit) -> None:
+        dispatcher.apply_limits((limit,), self.now)
+
     def _apply_notice(self, region: str, notice: LeavingTarget) -> None:
         listed = self._listed_entries()
         if self._notices.add(region, notice, listed, self.now):
@@ -295,6 +310,7 @@
             ending,
             self.now + delay_s - job.sent_at,
             pause_s=pause_s,
+            limit_per_s=target.limit_per_s or UNLIMITED,
         )
         if target.leaving and not target.stopped:
             self._schedule_after(
--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -31,6 +31,7 @@
 from .entry_updates import EntryUpdates
 from .instance_config import Address, InstanceConfig
 from .leaving_broadcast import LeavingBroadcast
+from .limit_broadcast import LimitBroadcast
 from .link_meter import PrometheusMeter
 from .list_broadcast import ListBroadcast
 from .lookups import nearest_entries
@@ -38,6 +39,7 @@
     FleetSummary,
     Hello,
     LeavingNotice,
+    LimitsNotice,
     ReadinessNotice,
     TargetChanges,
     TargetList,
@@ -141,6 +143,10 @@
         self._leaving_broadcast = LeavingBroadcast(
             self.links, self.feed, self.metrics
         )
+        self._limit_broadcast = LimitBroadcast(
+            self.links, self.dispatch.dispatcher, self.metrics
+        )
+        self._entry_updates.send_limits = self._limit_broadcast.send_in_force
         self._dispatch_update = UpdateLimiter(self._update_dispatch, now)
         self._learned_at = float('-inf')
         self._started = False
@@ -354,11 +360,14 @@
             peer.link.send(Learned(state=state))
         peer.link.send(self.links.fleet.all_linked())
         self._leaving_broadcast.send_in_force(peer.link)
+        self._limit_broadcast.send_in_force(peer.link)
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
         if isinstance(msg, LeavingNotice):
             if self._leaving_broadcast.handle_notice(peer, msg):
                 self._dispatch_update.request()
+        elif isinstance(msg, LimitsNotice):
+            self._limit_broadcast.handle_notice(peer, msg, self._now())
         elif peer.hello.control:
             self._on_control_message(peer, msg)
         else:
--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -57,6 +57,12 @@
             ('source',),
             registry=self.registry,
         )
+        self.limit_changes = Counter(
+            'cuminhoist_limit_changes',
+            'Changes of the limits that targets name, by source.',
+            ('source',),
+            registry=self.registry,
+        )
         self.changed_region = Gauge(
             'cuminhoist_changed_region_ratio',
             'Fraction of the requests of this region that changed the region '
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -40,6 +40,7 @@
     FleetSummary,
     Hello,
     LeavingNotice,
+    LimitsNotice,
     Roster,
     TargetList,
     View,
@@ -120,6 +121,8 @@
             config.limits,
         )
         self.links.leaving_notice = self.feed.leaving_notice
+        local = self.placement_client.local_dispatcher
+        self.links.limits = local.limits.in_force
         self._target_update = UpdateLimiter(self._update_targets, now)
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
@@ -220,10 +223,18 @@
         elif isinstance(msg, FleetSummary):
             self._demand = msg.demand
             self._round_trips_s = msg.round_trips_s
-        elif isinstance(msg, LeavingNotice):
-            self._apply_leaving(msg, source='control')
         elif isinstance(msg, Roster):
             self._on_roster(msg)
+        else:
+            self._on_target_notice(msg)
+
+    def _on_target_notice(self, msg: Message) -> None:
+        if isinstance(msg, LeavingNotice):
+            self._apply_leaving(msg, source='control')
+        elif isinstance(msg, LimitsNotice):
+            self.placement_client.local_dispatcher.apply_limits(
+                msg.limits, self._now()
+            )
 
     def _on_declared_state(self, state: DeclaredState) -> None:
         previous = self._declared
@@ -311,12 +322,15 @@
                 )
             },
         )
+        local = self.placement_client.local_dispatcher
+        local.share_limits(self._region_entry_count, self._now())
+        local.limits.forget_unlisted(entry.name for entry in self.feed.listed)
         usable = usable_entries(self.feed.entries, drained)
         self.request_proxy.routing_state.targets = {
             entry.name: entry for entry in usable
         }
         assign_targets(
-            self.placement_client.local_dispatcher,
+            local,
             usable,
             self._demand,
             context,
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -17,6 +17,7 @@
 from ..logging_setup import logger
 from ..rendezvous import ranked
 from ..steering.decisions import AttemptReport, PlacementRequest
+from ..steering.target_limits import TargetLimit
 from ..steering.target_pauses import TargetPause
 from .instance_config import Address, InstanceConfig
 from .link import Link, LinkHandler, Links
@@ -28,6 +29,7 @@
     FleetSummary,
     Hello,
     LeavingNotice,
+    LimitsNotice,
     PausesNotice,
     PlacementRequestNotice,
     ReadinessNotice,
@@ -93,6 +95,7 @@
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
         self.unexpired_pauses: Callable[[], tuple[TargetPause, ...]] = tuple
         self.leaving_notice: Callable[[], LeavingNotice] = _no_notice
+        self.limits: Callable[[], tuple[TargetLimit, ...]] = tuple
         self._config = config
         self._hello = hello
         self._now = now
@@ -283,6 +286,9 @@
             leaving = self.leaving_notice()
             if leaving.targets:
                 chosen.link.send(leaving)
+            limits = self.limits()
+            if limits:
+                chosen.link.send(LimitsNotice(limits=limits))
 
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         control = _LinkedControl(hello, link, wanted_at=self._now())
--- a/src/cuminhoist/fleet/entry_updates.py
+++ b/src/cuminhoist/fleet/entry_updates.py
@@ -13,6 +13,7 @@
 from ..steering.targets import TargetEntry
 from .control_links import ControlLinks
 from .fleet_view import endpoint_changes
+from .link import Link
 from .list_changes import changes_between, list_digest
 from .messages import (
     ControlEndpoint,
@@ -58,6 +59,8 @@
         self._sent_controls: tuple[ControlEndpoint, ...] = ()
         self._summary: FleetSummary | None = None
         self._heartbeat_count = 0
+        #: Sends the limits of targets on the link of a new subscriber.
+        self.send_limits: Callable[[Link], None] = _send_nothing
 
     def handle_notice(
         self,
@@ -85,6 +88,7 @@
         leaving = self._feed.leaving_notice()
         if leaving.targets:
             peer.link.send(leaving)
+        self.send_limits(peer.link)
         peer.link.send(
             Roster(
                 entries=tuple(self._sent_roster.values()),
@@ -129,3 +133,7 @@
             msg = Roster(entries=added, gone=gone, complete=False)
         if msg.complete or msg.entries or msg.gone:
             self._links.send_to_subscribers(msg)
+
+
+def _send_nothing(_link: Link) -> None:
+    """Send no limits: none are known."""
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -18,6 +18,7 @@
 )
 from ..steering.demand import Demand
 from ..steering.leaving_targets import LeavingTarget
+from ..steering.target_limits import TargetLimit
 from ..steering.target_pauses import TargetPause
 from ..steering.targets import TargetEntry
 from .instance_config import Address
@@ -206,6 +207,18 @@
     targets: tuple[LeavingTarget, ...]
 
 
+@register_message
+class LimitsNotice(Message, frozen=True):
+    """Changes of the limits that targets name.
+
+    An entry instance sends all that it knows to a new dispatcher. Control
+    instances pass changes on to each other and to their subscribers, and send
+    all limits on a new link or subscription.
+    """
+
+    limits: tuple[TargetLimit, ...]
+
+
 @register_message
 class FleetSummary(Message, frozen=True):
     """Message of a control instance to its subscribers, every 3 s.
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -150,6 +150,7 @@
                 for name, queue in self.dispatcher.queues()
             },
         )
+        self.dispatcher.limits.forget_unlisted(entry.name for entry in entries)
         assign_targets(
             self.dispatcher,
             entries,
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -37,6 +37,9 @@
         requests, in seconds; 0 for no pause.
     :param odd_pause: the text of a pause that is ignored or bounded, for the
         log; empty otherwise.
+    :param limit_per_s: requests per second that the target takes from all
+        instances together; infinite if its answer names no limit, None if no
+        answer of it arrived.
     """
 
     ending: Ending
@@ -46,6 +49,7 @@
     target_leaving: bool = False
     pause_s: float = 0
     odd_pause: str = ''
+    limit_per_s: float | None = None
 
 
 class AttemptSender:
@@ -135,6 +139,7 @@
             target_leaving=metadata.target_leaving,
             pause_s=metadata.pause_s,
             odd_pause=metadata.odd_pause,
+            limit_per_s=metadata.limit_per_s,
         )
 
     def _classify(
@@ -156,6 +161,9 @@
                 target_leaving=metadata.target_leaving,
                 pause_s=metadata.pause_s,
                 odd_pause=metadata.odd_pause,
+                limit_per_s=(
+                    None if metadata.misdirected else metadata.limit_per_s
+                ),
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
         if not failed and not metadata.stamped:
@@ -165,6 +173,7 @@
                 Ending.lost,
                 detail=f'status {answer.status} without a stamp',
                 target_leaving=metadata.target_leaving,
+                limit_per_s=metadata.limit_per_s,
             )
         return AttemptOutcome(
             Ending.failed if failed else Ending.answered,
@@ -173,6 +182,7 @@
             target_leaving=metadata.target_leaving,
             pause_s=metadata.pause_s,
             odd_pause=metadata.odd_pause,
+            limit_per_s=metadata.limit_per_s,
         )
 
     def _release_connection(
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -92,6 +92,8 @@
         self._pending: dict[int, asyncio.Future[Decision | None]] = {}
         self._local_numbers: set[int] = set()
         self._paused_until = float('-inf')
+        #: Whether the region's dispatcher has decided since the local one did.
+        self._decided_remotely = False
         self._last_decision_at = float('-inf')
         self._poll_timer: asyncio.TimerHandle | None = None
         self.running_attempts: dict[int, AttemptReport] = {}
@@ -219,6 +221,7 @@
             self._record_round_trip(req.number, max(round_trip_s, 0))
             # The limit on shifts holds over the decisions of both dispatchers.
             self.local_dispatcher.count_remote_grant(req, decision, now)
+            self._decided_remotely = True
         return decision
 
     def _record_round_trip(self, number: int, round_trip_s: float) -> None:
@@ -229,6 +232,9 @@
 
     async def _place_local(self, req: PlacementRequest) -> Decision:
         now = self._now()
+        if self._decided_remotely:
+            self._decided_remotely = False
+            self.local_dispatcher.restart_rates(now)
         decision = self.local_dispatcher.decide_or_queue('', req, now)
         if decision is None:
             fut = self._add_pending(req.number)
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -382,6 +382,7 @@
                 run_s,
                 pause_s=outcome.pause_s,
                 target_started_at_ms=target_started_at_ms,
+                limit_per_s=outcome.limit_per_s,
             ),
         )
 
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -57,6 +57,8 @@
         seconds; 0 if the answer does not ask for a pause.
     :param odd_pause: the text of a pause that is ignored or bounded, for the
         log; empty otherwise.
+    :param limit_per_s: requests per second that the target takes from all
+        instances together; infinite if it names no limit.
     :param idle_timeout_s: how long the target keeps an idle connection, in
         seconds; None if the answer does not tell.
     :param stamped: whether the target marked the answer as its own.
@@ -69,6 +71,7 @@
     target_leaving: bool = False
     pause_s: float = 0
     odd_pause: str = ''
+    limit_per_s: float = float('inf')
     idle_timeout_s: float | None = None
     stamped: bool = True
 
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -23,13 +23,16 @@
 _LEAVING = b'server-leaving'
 #: In a 503 of a target: seconds in which this instance shall send it nothing.
 _RETRY_AFTER = b'retry-after'
+#: In all answers of a target in need: requests per second that it takes from
+#: all instances together.
+_LIMIT = b'server-limit'
 
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 #: Longest pause that a target may ask for, in seconds; the list of targets
 #: tells of one that is gone for longer.
 MAX_PAUSE_S = 30.0
-_SECONDS = re.compile(rb'\d+(\.\d*)?')
+_DECIMAL = re.compile(rb'\d+(\.\d*)?')
 #: Longest part of a header that is kept for a log line, in bytes.
 _LOGGED_TEXT_BYTES = 40
 _MS = 1000
@@ -137,6 +140,7 @@
             target_leaving=headers_by_name.get(_LEAVING, b'').strip() == b'1',
             pause_s=pause_s,
             odd_pause=odd_pause,
+            limit_per_s=_limit_per_s(headers_by_name.get(_LIMIT, b'')),
             idle_timeout_s=_idle_timeout_s(
                 headers_by_name.get(b'keep-alive', b'')
             ),
@@ -206,7 +210,7 @@
         return 0, ''
     text = headers_by_name[_RETRY_AFTER].strip()
     # An HTTP date is ignored: the clocks of targets may differ.
-    pause_s = float(text) if _SECONDS.fullmatch(text) else 0
+    pause_s = float(text) if _DECIMAL.fullmatch(text) else 0
     if 0 < pause_s <= MAX_PAUSE_S:
         return pause_s, ''
     return min(pause_s, MAX_PAUSE_S), text[:_LOGGED_TEXT_BYTES].decode(
@@ -214,6 +218,11 @@
     )
 
 
+def _limit_per_s(text: bytes) -> float:
+    text = text.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else float('inf')
+
+
 def _idle_timeout_s(text: bytes) -> float | None:
     for part in text.split(b','):
         name, _, content = part.strip().partition(b'=')
--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -98,6 +98,9 @@
         no requests, in seconds; 0 for no pause.
     :param target_started_at_ms: Unix time of the start of the target in
         milliseconds; 0 if unknown.
+    :param limit_per_s: requests per second that the target takes from all
+        instances together; infinite if its answer names no limit, None if no
+        answer of it arrived.
     """
 
     number: int
@@ -108,3 +111,4 @@
     run_s: float
     pause_s: float = 0
     target_started_at_ms: int = 0
+    limit_per_s: float | None = None
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -8,7 +8,7 @@
 return when the peak of the load has passed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -29,6 +29,13 @@
 )
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
+from .target_limits import (
+    DISPATCHER_FRACTION,
+    LOCAL_FRACTION,
+    UNLIMITED,
+    TargetLimit,
+    TargetLimits,
+)
 from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
 from .tracked_target import TrackedTarget
 
@@ -67,6 +74,12 @@
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
         self.pauses: dict[str, TargetPauses] = {}
+        #: Limits that targets name.
+        self.limits = TargetLimits()
+        # Fraction of the limit of an own target that this dispatcher uses.
+        self._limit_fraction = DISPATCHER_FRACTION
+        #: Called with each change of a limit that an answer tells.
+        self.on_limit: Callable[[TargetLimit], None] = _ignore_limit
 
     def queue(self, name: str) -> ServiceQueue:
         """Return the queue of a service.
@@ -118,6 +131,8 @@
                 former.forget_objects()
         queue.recheck_requests_without(targets, now)
         queue.placement = Placement(targets, region, queue.placement.history)
+        for target in targets.values():
+            self._set_rate(target, region, now)
 
     def decide_or_queue(
         self, entry_instance: str, request: PlacementRequest, now: float
@@ -150,6 +165,7 @@
         :param now: monotonic time in seconds.
         :returns: decisions by entry instance.
         """
+        self.learn_limit(report, now)
         if report.pause_s <= 0:
             return self._free_slot(entry_instance, report, now)
         self._record_pause(entry_instance, report, now)
@@ -158,6 +174,79 @@
         decisions = self._free_slot(entry_instance, report, now)
         return [*decisions, *self.decide_waiting(now)]
 
+    def learn_limit(self, report: AttemptReport, now: float) -> None:
+        """Record the limit that an answer names, or the end of one.
+
+        :param report: the attempt report.
+        :param now: monotonic time in seconds.
+        """
+        if report.limit_per_s is None:
+            return
+        limited = report.limit_per_s != UNLIMITED
+        limit = TargetLimit(
+            report.target,
+            report.target_started_at_ms,
+            report.limit_per_s if limited else None,
+        )
+        if self.limits.record_answer(limit, now - report.run_s, now):
+            self._apply_limit(limit, now)
+            self.on_limit(limit)
+
+    def apply_limits(
+        self, limits: Iterable[TargetLimit], now: float
+    ) -> tuple[TargetLimit, ...]:
+        """Apply limits that another instance has passed on.
+
+        :param limits: the limits.
+        :param now: monotonic time in seconds.
+        :returns: the limits that are new.
+        """
+        added = tuple(
+            limit for limit in limits if self.limits.apply(limit, now)
+        )
+        for limit in added:
+            self._apply_limit(limit, now)
+        return added
+
+    def share_limits(self, dispatcher_count: int, now: float) -> None:
+        """Use only a share of the limits, as others decide as well.
+
+        :param dispatcher_count: number of local dispatchers in the region.
+        :param now: monotonic time in seconds.
+        """
+        fraction = LOCAL_FRACTION / dispatcher_count
+        if fraction == self._limit_fraction:
+            return
+        self._limit_fraction = fraction
+        for limit in self.limits.in_force():
+            self._apply_limit(limit, now)
+
+    def restart_rates(self, now: float) -> None:
+        """Forget the time in which another dispatcher has decided.
+
+        :param now: monotonic time in seconds.
+        """
+        for queue in self._services.values():
+            for target in queue.targets.values():
+                target.restart_rate(now)
+
+    def _apply_limit(self, limit: TargetLimit, now: float) -> None:
+        for queue in self._services.values():
+            target = queue.targets.get(limit.target)
+            if target is not None:
+                self._set_rate(target, queue.placement.region, now)
+                queue.recheck_requests_for(target, now)
+
+    def _set_rate(self, target: TrackedTarget, region: str, now: float) -> None:
+        """Let only the dispatcher of its region use a target with a limit."""
+        per_s = self.limits.per_s(target.entry)
+        if per_s != UNLIMITED:
+            is_own = target.region == region
+            per_s *= self._limit_fraction if is_own else 0
+        is_new = target.set_rate(per_s, now)
+        if is_new and self._limit_fraction != DISPATCHER_FRACTION:
+            target.restart_rate(now)
+
     def restore_pauses(
         self,
         entry_instance: str,
@@ -352,6 +441,7 @@
         :param report: the attempt report.
         :param now: monotonic time in seconds.
         """
+        self.learn_limit(report, now)
         queue = self.queue(report.service)
         target = queue.targets.get(report.target)
         if target is None or report.ending is not Ending.answered:
@@ -612,3 +702,7 @@
         target = self.queue(attempt.service).targets.get(attempt.target)
         if target is not None:
             target.end(Ending.withdrawn, attempt.key, 1, now)
+
+
+def _ignore_limit(_limit: TargetLimit) -> None:
+    """Ignore a change of a limit."""
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -9,7 +9,6 @@
 """
 
 import collections
-import itertools
 from collections.abc import Iterator
 
 import msgspec
@@ -253,14 +252,16 @@
                 break
             for target, rank in self._candidates(group, key, times, found):
                 name = target.entry.name
-                if name not in excluded and not pauses.left_s(
-                    target.entry, now
+                if (
+                    name not in excluded
+                    and not target.is_barred
+                    and not pauses.left_s(target.entry, now)
                 ):
                     option = self._option(target, key, rank, times, now)
                     found[name] = option
-        if found or not pauses:
+        if found:
             return list(found.values())
-        # All targets that were looked at are paused or were tried.
+        # All targets that were looked at are paused, barred or were tried.
         others = (
             _first_not_paused(region, excluded, pauses, now)
             for region in groups
@@ -429,12 +430,11 @@
 ) -> TrackedTarget | None:
     """Return the first target of a region that may be sent the request.
 
-    The cost grows with the number of paused targets, not of all.
+    The cost grows with the number of targets that may not, not of all.
     """
-    most_unusable = len(excluded) + len(pauses)
-    for target in itertools.islice(group.targets, most_unusable + 1):
-        tried = target.entry.name in excluded
-        if not tried and not pauses.left_s(target.entry, now):
+    for target in group.targets:
+        barred = target.is_barred or target.entry.name in excluded
+        if not barred and not pauses.left_s(target.entry, now):
             return target
     return None
 
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -155,8 +155,15 @@
         :param target: a target, overloaded or not.
         :param now: monotonic time in seconds.
         """
-        if not target.is_overloaded(now):
-            return
+        if target.is_overloaded(now):
+            self.recheck_requests_for(target, now)
+
+    def recheck_requests_for(self, target: TrackedTarget, now: float) -> None:
+        """Make requests due for placement that wait for a target.
+
+        :param target: the target.
+        :param now: monotonic time in seconds.
+        """
         for waiting in self.waiting:
             if waiting.target is target:
                 waiting.recheck_at = now
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -4,6 +4,7 @@
 
 from .decisions import Ending
 from .overload_detector import OverloadDetector
+from .target_limits import UNLIMITED, RequestRate
 from .targets import TargetEntry
 
 #: Weight of a new observation in moving averages.
@@ -89,6 +90,8 @@
         #: asked several of them for a pause. Panic mode does not ignore it.
         self._overloaded_until = float('-inf')
         self._overload_detector = OverloadDetector()
+        # Holds back requests while the target names a limit.
+        self._request_rate: RequestRate | None = None
         self._next_ejection_s = MIN_EJECTION_S
         self._failure_ejection_until = float('-inf')
         self._failure_fraction = float(0)
@@ -165,7 +168,9 @@
         """
         if self.running >= self.slots or self.pool.is_full():
             return False
-        if self.is_overloaded(now):
+        if self.is_barred:
+            return False
+        if self.is_overloaded(now) or self._limited_for_s(now):
             return False
         if self.is_ejected(now) and not self.panic_mode:
             return False
@@ -180,6 +185,38 @@
         """
         return now < self._overloaded_until
 
+    def set_rate(self, per_s: float, now: float) -> bool:
+        """Set how many requests per second may be sent to the target.
+
+        :param per_s: requests per second; infinite for no limit.
+        :param now: monotonic time in seconds.
+        :returns: whether there was no such bound before.
+        """
+        if per_s == UNLIMITED:
+            self._request_rate = None
+        elif self._request_rate is None:
+            self._request_rate = RequestRate(per_s, now)
+            return True
+        else:
+            self._request_rate.change(per_s, now)
+        return False
+
+    def restart_rate(self, now: float) -> None:
+        """Forget the time in which another dispatcher sent the requests.
+
+        :param now: monotonic time in seconds.
+        """
+        if self._request_rate is not None:
+            self._request_rate.restart(now)
+
+    @property
+    def is_barred(self) -> bool:
+        """Whether only others may send requests, as the target is limited."""
+        return self._request_rate is not None and not self._request_rate.per_s
+
+    def _limited_for_s(self, now: float) -> float:
+        return self._request_rate.wait_s(now) if self._request_rate else 0
+
     def slowdown(self, now: float) -> float:
         """Return by what factor answers are expected to take longer.
 
@@ -200,7 +237,11 @@
         """
         if now < max(self.ejected_until, self._overloaded_until):
             return 0
-        return min(1 / self.slowdown(now), 1)
+        fraction = min(1 / self.slowdown(now), 1)
+        if self._request_rate is None:
+            return fraction
+        busy_slots = self._request_rate.per_s * self.expected_run_s
+        return min(fraction, busy_slots / self.slots)
 
     def start(self, key: str, now: float) -> None:
         """Count a request that is sent to the target.
@@ -212,6 +253,8 @@
         self.pool.running += 1
         self._running_since.append(now)
         self.untried = False
+        if self._request_rate is not None:
+            self._request_rate.start(now)
         if now < self.warmup_until:
             self._warmup_tokens = self._available_warmup_tokens(now) - 1
             self._warmup_tokens_at = now
@@ -225,6 +268,8 @@
         :param run_s: run time of requests, in seconds.
         :param now: monotonic time in seconds.
         """
+        if self.is_barred:
+            return float('inf')
         if self.has_free_slot(now) and not self.queued:
             return 0
         ahead = self.queued + 1
@@ -232,6 +277,9 @@
         if self.panic_mode:
             ejected_s = 0
         ejected_s = max(self._overloaded_until - now, ejected_s)
+        if self._request_rate is not None:
+            queued_s = self.queued / self._request_rate.per_s
+            ejected_s = max(self._limited_for_s(now) + queued_s, ejected_s)
         own_s = run_s * self.slowdown(now) * ahead / self.slots
         if not self.pool.is_full():
             return ejected_s + own_s
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -162,3 +162,26 @@
     """Guards against pauses that are ignored or bounded without a trace."""
     metadata = PlatformWire().read_metadata(status, [(b'retry-after', text)])
     assert metadata.odd_pause == odd_pause
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    (
+        (b'3', 3),
+        (b' 4.9 ', 4.9),
+        (b'0', 0),
+        (b'', float('inf')),
+        (b'-1', float('inf')),
+        (b'nan', float('inf')),
+        (b'1e3', float('inf')),
+        (b'some', float('inf')),
+    ),
+)
+def test_named_limit_is_read(text, limit_per_s):
+    """Guards against limits that are ignored, and against text as a limit."""
+    for status in (200, 503):
+        metadata = PlatformWire().read_metadata(
+            status, [(b'server-limit', text)]
+        )
+        assert metadata.limit_per_s == limit_per_s
+    assert PlatformWire().read_metadata(200, []).limit_per_s == float('inf')
