Give up answers whose head or framing never ends

A target in trouble may send bytes that are no answer without end. Heads were bounded, but a chunk size, a chunk extension and trailers were read until the deadline: 19 to 75 MB in the tests within three seconds, which count towards the memory of the instance. More than 64 KiB in a row that belong to no body now end the attempt. A complete answer that garbage follows in the same read was thrown away and failed with 502; it is now delivered and its connection closed. The new tests failed for four kinds before; bodies without end were cut at the deadline already, and now have tests.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -19,6 +19,9 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 #: An answer whose head is larger fails.
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
+#: An answer with more bytes in a row that belong to no body fails, such as a
+#: chunk extension or a trailer without end.
+MAX_FRAMING_BYTES = 64 * 1024
 
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
@@ -43,6 +46,7 @@
         self._answer_complete = False
         self._skipping_answer = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._reading = True
         self._closed = False
         self._reusable = True
@@ -82,6 +86,7 @@
         self._body_ends_at_eof = False
         self._answer_complete = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         exchange.conn = self
         exchange.sent = True
@@ -153,11 +158,15 @@
             return
         if not exchange.status:
             self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            exchange.abort(RemoteProtocolError(f'malformed answer: {exc}'))
-            return
+            if not self._answer_complete:
+                exchange.abort(RemoteProtocolError(f'malformed answer: {exc}'))
+                return
+            # The bytes after a complete answer do not belong to it.
+            self._reusable = False
         if not exchange.status and self._head_bytes > MAX_ANSWER_HEAD_BYTES:
             exchange.abort(
                 RemoteProtocolError('head of the answer is too large')
@@ -167,6 +176,10 @@
             # the next request can use it at once.
             self._release(exchange)
             exchange.finish()
+        elif self._framing_bytes > MAX_FRAMING_BYTES:
+            exchange.abort(
+                RemoteProtocolError('framing of the answer is too large')
+            )
 
     def eof_received(self) -> None:
         """Complete an answer whose body ends where the connection closes."""
@@ -249,6 +262,7 @@
         exchange = self._exchange
         if self._skipping_answer:
             return
+        self._framing_bytes = 0
         if exchange is None or self._answer_complete:
             self._reusable = False
         elif exchange.feed(body) and self._reading:
