Let targets of the soak name limits

Plans of version 3 have targets that name a limit; a check counts what they get in any 4 s from instances that had passed on such an answer.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -62,6 +62,15 @@
         FaultKind.configure_invalid,
     ),
 )
+#: Time after the first answer with a limit from which on it binds, and after
+#: the first answer to an instance from which on its requests count, in seconds.
+LIMIT_REACTION_S = 4.0
+LIMIT_KNOWN_S = 0.5
+#: Length of the windows in which requests at a limited target are counted, in
+#: seconds, and what it tolerates there: a multiple of the limit and some more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 #: Least fraction of the requests that are served in the fault-free time,
 #: once the instances are connected again.
 MIN_SERVED_FRACTION = 0.9
@@ -87,6 +96,7 @@
         _runs_at_leaving_targets,
         _arrivals_after_notices,
         _arrivals_in_pauses,
+        _arrivals_over_limits,
         _late_answers,
         _requests_cut_by_stops,
         _incomplete_recovery,
@@ -250,6 +260,55 @@
                 )
 
 
+def _arrivals_over_limits(evidence: Evidence) -> Iterator[str]:
+    """Check requests sent to targets that named a limit."""
+    by_target = collections.defaultdict(list)
+    for arrival in evidence.arrivals:
+        by_target[arrival.target].append(arrival)
+    for target, arrivals in by_target.items():
+        limited: list[Arrival] = []
+        for arrival in sorted(arrivals, key=lambda one: one.at):
+            # The limit of a target that names another one begins anew.
+            if limited and limited[-1].limit_per_s != arrival.limit_per_s:
+                yield from _over_limit(target, limited, evidence)
+                limited = []
+            if arrival.limit_per_s:
+                limited.append(arrival)
+        yield from _over_limit(target, limited, evidence)
+
+
+def _over_limit(
+    target: str, limited: list[Arrival], evidence: Evidence
+) -> Iterator[str]:
+    """Check the requests that a target got while it named one limit."""
+    instances = {call.request_id: call.instance for call in evidence.calls}
+    told_at: dict[str, float] = {}
+    counted: collections.deque[float] = collections.deque()
+    for arrival in limited:
+        instance = instances.get(arrival.request_id, '')
+        first_at = told_at.setdefault(instance, arrival.at)
+        is_due = (
+            arrival.at >= limited[0].at + LIMIT_REACTION_S
+            and arrival.at >= first_at + LIMIT_KNOWN_S
+        )
+        began_at = arrival.at - LIMIT_WINDOW_S
+        if not is_due or _disturbed(
+            instance, began_at, arrival.at, CUTS | INTERRUPTIONS, evidence
+        ):
+            continue
+        counted.append(arrival.at)
+        while counted[0] <= began_at:
+            counted.popleft()
+        allowed = LIMIT_FACTOR * arrival.limit_per_s * LIMIT_WINDOW_S
+        if len(counted) > allowed + LIMIT_SLACK:
+            yield (
+                f'{len(counted)} requests reached {target} within '
+                f'{LIMIT_WINDOW_S} s, the last one {arrival.request_id}; it '
+                f'had named a limit of {arrival.limit_per_s} a second'
+            )
+            return
+
+
 def _answer_may_be_lost(refused: Arrival, evidence: Evidence) -> bool:
     """Tell whether a reset of the target's link may have dropped its answer.
 
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -32,12 +32,15 @@
     :param at: when it arrived, in seconds of the monotonic clock.
     :param pause_s: for how long the target asked in its 503 to get no more
         requests, in seconds; 0 if it did not.
+    :param limit_per_s: the limit that its answer named, in requests per
+        second; 0 for none.
     """
 
     request_id: str
     target: str
     at: float
     pause_s: float = 0
+    limit_per_s: float = 0
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -67,6 +67,7 @@
             FaultKind.target_leaves: self._list_leaving,
             FaultKind.target_announces: self._announce_leaving,
             FaultKind.target_pauses: self._pause_target,
+            FaultKind.target_limits: self._limit_target,
             FaultKind.target_reassigned: self._reassign_target,
             FaultKind.links_cut: self._cut_links,
             FaultKind.list_down: self._fail_target_list,
@@ -178,6 +179,13 @@
         await asyncio.sleep(fault.for_s)
         target.pausing = False
 
+    async def _limit_target(self, fault: Fault) -> None:
+        target = self._targets[fault.on]
+        # Limits from 1 to 5 requests per second, by the time of the fault.
+        target.limit_per_s = 1 + round(fault.at_s * 10) % 5
+        await asyncio.sleep(fault.for_s)
+        target.limit_per_s = 0
+
     async def _slow_target(self, fault: Fault) -> None:
         target = self._targets[fault.on]
         target.slow = True
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,10 +22,12 @@
 
 #: Version of the plans that are drawn unless another one is asked for. The
 #: plan of a seed stays the same within a version.
-PLAN_VERSION = 2
+PLAN_VERSION = 3
 #: Factor of the durations of ``target_announces``: the target list has to be
 #: silent for longer than leaving targets may get requests.
 SILENT_LIST_FACTOR = 2.0
+#: Factor of the durations of ``target_limits``: instances have 4 s to react.
+LIMIT_FACTOR = 4.0
 
 
 class FaultKind(enum.StrEnum):
@@ -58,17 +60,21 @@
     target_announces = 'target_announces'
     target_pauses = 'target_pauses'
     target_reassigned = 'target_reassigned'
-
-
-#: Kinds that plans of version 2 draw in addition to those of version 1.
-VERSION_2_KINDS = frozenset(
-    (
-        FaultKind.links_cut,
-        FaultKind.target_announces,
-        FaultKind.target_pauses,
-        FaultKind.target_reassigned,
+    target_limits = 'target_limits'
+
+
+#: Kinds that are not part of version 1, by the first version that draws them.
+KINDS_BY_VERSION = {
+    2: frozenset(
+        (
+            FaultKind.links_cut,
+            FaultKind.target_announces,
+            FaultKind.target_pauses,
+            FaultKind.target_reassigned,
+        ),
     ),
-)
+    3: frozenset((FaultKind.target_limits,)),
+}
 
 #: Kinds that are injected into control instances.
 CONTROL_KINDS = frozenset(
@@ -98,6 +104,7 @@
         FaultKind.target_announces,
         FaultKind.target_pauses,
         FaultKind.target_reassigned,
+        FaultKind.target_limits,
     ),
 )
 
@@ -158,11 +165,7 @@
             **dict.fromkeys(TARGET_KINDS, targets),
             FaultKind.drain: domains,
         }
-        kinds = [
-            kind
-            for kind in FaultKind
-            if version >= PLAN_VERSION or kind not in VERSION_2_KINDS
-        ]
+        kinds = [kind for kind in FaultKind if _first_version(kind) <= version]
         faults: list[Fault] = []
         at_s = STARTUP_S
         last_end_s = length_s - FAULT_FREE_S
@@ -186,8 +189,21 @@
         return cls(seed, length_s, tuple(faults))
 
 
+def _first_version(kind: FaultKind) -> int:
+    return next(
+        (
+            version
+            for version, kinds in KINDS_BY_VERSION.items()
+            if kind in kinds
+        ),
+        1,
+    )
+
+
 def _duration_factor(kind: FaultKind) -> float:
-    return SILENT_LIST_FACTOR if kind is FaultKind.target_announces else 1
+    if kind is FaultKind.target_announces:
+        return SILENT_LIST_FACTOR
+    return LIMIT_FACTOR if kind is FaultKind.target_limits else 1
 
 
 def _respects_wipe_limit(faults: list[Fault], new: Fault) -> bool:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -77,6 +77,8 @@
         self.slow = False
         self.failing = False
         self.pausing = False
+        #: Requests per second that it takes from all instances; 0 for no limit.
+        self.limit_per_s = float(0)
         #: Whether its answers say that it leaves.
         self.announcing = False
         #: Whether the list says that it leaves.
@@ -112,6 +114,7 @@
         self.generation += 1
         self.announcing = False
         self.leaving = False
+        self.limit_per_s = 0
         self.started_at_ms = round(time.time() * 1000)
 
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
@@ -129,7 +132,13 @@
         if self.pausing or overloaded:
             pause_s = requested_pause_s(request_id)
         self._evidence.arrivals.append(
-            Arrival(request_id, self.name, time.monotonic(), pause_s)
+            Arrival(
+                request_id,
+                self.name,
+                time.monotonic(),
+                pause_s,
+                self.limit_per_s,
+            )
         )
         if pause_s:
             await self._send_answer(
@@ -183,6 +192,8 @@
             (b'x-server-stamp', self.name.encode()),
             (b'x-server-load', b'%d,0,%d' % (self._admitted, SLOTS)),
         ]
+        if self.limit_per_s:
+            headers.append((b'server-limit', b'%g' % self.limit_per_s))
         if self.announcing:
             headers.append((b'server-leaving', b'1'))
         if pause_s:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.checks import find_violations
-from soak.evidence import InjectedFault, OrderKind
+from soak.evidence import Arrival, InjectedFault, OrderKind
 from soak.plan import FaultKind
 
 from .builders import (
@@ -171,3 +171,38 @@
     evidence = sound_evidence()
     evidence.exits.append('entry-a ended by itself')
     assert _only_violation(evidence) == 'entry-a ended by itself'
+
+
+def _limited_arrivals(evidence, count, limit_per_s):
+    """Let requests reach a target with a limit, ten in a second."""
+    for number in range(count):
+        request_id = f'limited{number}'
+        at = FAULT_FREE_FROM_S + number / 10
+        evidence.calls.append(
+            call(
+                number,
+                request_id=request_id,
+                once=False,
+                sent_at=at,
+                ended_at=at + 0.1,
+            )
+        )
+        evidence.runs.append(run(number, request_id=request_id, at=at))
+        evidence.arrivals.append(
+            Arrival(request_id, 't1', at, limit_per_s=limit_per_s)
+        )
+
+
+def test_requests_beyond_a_named_limit():
+    """Guards against a target whose limit is broken unseen."""
+    evidence = sound_evidence()
+    _limited_arrivals(evidence, 90, 2)
+    assert 'a limit of 2 a second' in _only_violation(evidence)
+
+
+@pytest.mark.parametrize(('count', 'limit_per_s'), [(38, 2), (90, 8)])
+def test_requests_within_a_named_limit(count, limit_per_s):
+    """Guards against a check that leaves no time to react to a limit."""
+    evidence = sound_evidence()
+    _limited_arrivals(evidence, count, limit_per_s)
+    assert not find_violations(evidence)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -13,8 +13,8 @@
 from soak.plan import (
     CATCH_UP_S,
     FAULT_FREE_S,
+    KINDS_BY_VERSION,
     STARTUP_S,
-    VERSION_2_KINDS,
     FaultKind,
     FaultPlan,
 )
@@ -42,7 +42,8 @@
     plan = Soak(104, 30.0, tmp_path, 1).plan
     digest = hashlib.sha256(msgspec.json.encode(plan)).hexdigest()
     assert digest.startswith('4b6d4f402688dfd8')
-    assert not VERSION_2_KINDS & {fault.kind for fault in plan.faults}
+    later_kinds = frozenset().union(*KINDS_BY_VERSION.values())
+    assert not later_kinds & {fault.kind for fault in plan.faults}
 
 
 def test_list_is_silent_for_longer_than_the_leaving_limit():
