Keep limits of targets over restarts and starts of instances

Found while reading the change again: a target that started anew under its name and named the same limit was taken as known, so its new start had none. An instance without a list forgot all limits, among them those that a new dispatcher had just learned. A report from an instance with an old list could bind a limit to the former start. Three tests; the first two failed before, the third guards the changed lines.

--- a/src/cuminhoist/steering/target_limits.py
+++ b/src/cuminhoist/steering/target_limits.py
@@ -97,11 +97,7 @@
             if known is None or sent_at <= known.named_at:
                 return False
             return self.apply(limit, now)
-        changed = self.apply(limit, now)
-        self._known[limit.target] = _Known(
-            limit.target_started_at_ms, limit.per_s, now
-        )
-        return changed
+        return self.apply(limit, now)
 
     def apply(self, limit: TargetLimit, now: float) -> bool:
         """Apply a change of a limit; return whether it is new.
@@ -110,22 +106,30 @@
         :param now: monotonic time in seconds.
         """
         known = self._known.get(limit.target)
+        if (
+            known is not None
+            and 0 < limit.target_started_at_ms < known.started_at_ms
+        ):
+            # It comes from an instance whose list shows a former start.
+            return False
         if limit.per_s is None:
             return self._known.pop(limit.target, None) is not None
-        if known is not None and known.per_s == limit.per_s:
-            return False
         self._known[limit.target] = _Known(
             limit.target_started_at_ms, limit.per_s, now
         )
-        return True
+        return known is None or (known.started_at_ms, known.per_s) != (
+            limit.target_started_at_ms,
+            limit.per_s,
+        )
 
     def forget_unlisted(self, listed: Iterable[str]) -> None:
         """Drop the limits of targets that are gone.
 
-        :param listed: names of all listed targets.
+        :param listed: names of all listed targets; none if there is no list.
         """
-        if self._known:
-            for name in self._known.keys() - set(listed):
+        names = set(listed)
+        if names:
+            for name in self._known.keys() - names:
                 self._known.pop(name)
 
 
--- a/tests/steering/test_target_limits.py
+++ b/tests/steering/test_target_limits.py
@@ -181,6 +181,35 @@
     assert limits.per_s(target('t0', started_at_ms=5)) == 3
 
 
+def test_restarted_target_names_the_same_limit():
+    """Guards against a limit that counts only for the former start."""
+    dispatcher = _dispatcher()
+    dispatcher.apply_limits([TargetLimit('t0', 5, LIMIT_PER_S)], 0)
+    restarted = target('t0', slots=20, started_at_ms=6)
+    dispatcher.set_targets(
+        SERVICE, {'t0': TrackedTarget(restarted, REGION)}, REGION, 1
+    )
+    told = []
+    dispatcher.on_limit = told.append
+    granted = dispatcher.decide_or_queue('e', request(1), 1)
+    report = attempt_report(
+        granted, target_started_at_ms=6, limit_per_s=LIMIT_PER_S
+    )
+    dispatcher.end_attempt('e', report, 1.1)
+    assert told == [TargetLimit('t0', 6, LIMIT_PER_S)]
+    sent = [n for n in range(400) if _try(dispatcher, n + 2, 1.2 + n / 100)]
+    assert len(sent) <= LIMIT_PER_S * WINDOW_S + 1
+
+
+def test_former_start_changes_nothing():
+    """Guards against an instance with an old list that ends a limit."""
+    limits = TargetLimits()
+    limits.apply(TargetLimit('t0', 6, 3), 0)
+    assert not limits.record_answer(TargetLimit('t0', 5, None), 1, 2)
+    assert not limits.record_answer(TargetLimit('t0', 5, 9), 1, 2)
+    assert limits.in_force() == (TargetLimit('t0', 6, 3),)
+
+
 def test_limit_of_zero_is_asked_for_its_end():
     """Guards against a target that never gets a request again."""
     dispatcher = _dispatcher()
@@ -218,5 +247,8 @@
     """Guards against limits that are kept for as long as a process runs."""
     limits = TargetLimits()
     limits.apply(_limit(), 0)
+    # An instance that has just started has no list yet.
+    limits.forget_unlisted([])
+    assert limits.in_force()
     limits.forget_unlisted(['t1'])
     assert not limits.in_force()
