Log the identity of a request's content when a connection is lost

The line of a request under which a connection to a target was lost now has a fingerprint of method, host, caller, path with query and body. It is computed for such requests only.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from .exceptions import RemoteProtocolError
+from .exceptions import ConnectionLostError, RemoteProtocolError
 from .exchange import Exchange
 
 #: The upload of a request body pauses above this many unsent bytes.
@@ -197,7 +197,7 @@
         self._writable.set()
         if self._exchange is not None:
             self._exchange.finish(
-                RemoteProtocolError(
+                ConnectionLostError(
                     f'connection lost before the end of the answer: {exc}'
                 )
             )
--- a/src/cuminhoist/exceptions.py
+++ b/src/cuminhoist/exceptions.py
@@ -23,6 +23,10 @@
     """A target sent an invalid or incomplete answer."""
 
 
+class ConnectionLostError(RemoteProtocolError):
+    """A connection closed before the end of an answer."""
+
+
 class LocalProtocolError(ProtocolError):
     """A request cannot be sent as it is."""
 
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from ..client_connection import ClientConnection
 from ..exceptions import (
+    ConnectionLostError,
     LocalProtocolError,
     ProtocolError,
     RemoteProtocolError,
@@ -40,6 +41,8 @@
     :param limit_per_s: requests per second that the target takes from all
         instances together; infinite if its answer names no limit, None if no
         answer of it arrived.
+    :param connection_lost: whether the connection closed before the end of
+        the answer.
     """
 
     ending: Ending
@@ -50,6 +53,7 @@
     pause_s: float = 0
     odd_pause: str = ''
     limit_per_s: float | None = None
+    connection_lost: bool = False
 
 
 class AttemptSender:
@@ -116,7 +120,12 @@
             )
         except ProtocolError as exc:
             abort(exchange)
-            return self._outcome_without_answer(exchange, Ending.lost, str(exc))
+            outcome = self._outcome_without_answer(
+                exchange, Ending.lost, str(exc)
+            )
+            return msgspec.structs.replace(
+                outcome, connection_lost=isinstance(exc, ConnectionLostError)
+            )
         except BaseException:
             abort(exchange)
             raise
--- a/src/cuminhoist/gateway/bodies.py
+++ b/src/cuminhoist/gateway/bodies.py
@@ -37,6 +37,11 @@
         """Whether the body can be sent to another target."""
         return not self._streamed
 
+    @property
+    def buffered_start(self) -> bytes:
+        """The first bytes of the body, at most ``RETRY_BUFFER_BYTES``."""
+        return bytes(self._buffer[:RETRY_BUFFER_BYTES])
+
     async def fill_buffer(self, declared_bytes: int = 0) -> None:
         """Read until the buffer is full or the body ends.
 
--- /dev/null
+++ b/src/cuminhoist/gateway/fingerprint.py
@@ -0,0 +1,33 @@
+"""Identifies the content of a request, whichever instance it comes to."""
+
+import hashlib
+
+from .bodies import RequestBody
+from .wire import IncomingRequest
+
+_DIGEST_BYTES = 12
+_LENGTH_BYTES = 8
+
+
+def fingerprint(req: IncomingRequest, body: RequestBody) -> str:
+    """Return the identity of a request's caller, path and body.
+
+    A caller that sends the request again gives it another identifier and may
+    send it to another instance; the fingerprint stays the same. Of a long
+    body, only the buffered part counts.
+
+    :param req: the request.
+    :param body: its body, with the buffer filled.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    parts = (
+        req.method.encode('latin-1'),
+        req.host.encode('latin-1'),
+        req.caller.encode('latin-1'),
+        req.request_target,
+        body.buffered_start,
+    )
+    for part in parts:
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
+        digest.update(part)
+    return digest.hexdigest()
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -33,6 +33,7 @@
 )
 from .attempt import AttemptOutcome, AttemptSender, abort, headers_for_caller
 from .bodies import BodyTooLarge, CallerDisconnected, Receive, RequestBody
+from .fingerprint import fingerprint
 from .placement_client import PlacementClient
 from .refusals import (
     NOT_READY_RETRY_S,
@@ -341,6 +342,8 @@
             )
         if outcome.detail:
             state.trail.append(outcome.detail)
+        if outcome.connection_lost and not state.fingerprint:
+            state.fingerprint = fingerprint(state.req, body)
         state.may_have_run = state.may_have_run or outcome.may_have_run
         return outcome
 
--- a/src/cuminhoist/gateway/request_recorder.py
+++ b/src/cuminhoist/gateway/request_recorder.py
@@ -45,6 +45,7 @@
             route=state.route.name,
             service=state.service,
             object=state.req.key,
+            fingerprint=state.fingerprint,
             left_ms=round((state.req.left_s or 0) * _MS_PER_S),
             round_trip_ms=round(state.round_trip_s * _MS_PER_S),
             config_version=routes.version if routes else 0,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -71,9 +71,11 @@
         #: Targets that were granted but could not be sent the request.
         self.skipped_targets: list[str] = []
         self.may_have_run = False
-        self.sent = False
         self.waited_s = float(0)
         self.trail: list[str] = []
+        #: Identity of its content; empty unless a connection to a target was
+        #: lost or requests are known to end targets.
+        self.fingerprint = ''
         #: Last failed answer that a retry may still replace.
         self.failed_answer: TargetAnswer | None = None
 
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -15,6 +15,7 @@
     """A request of a caller, decoded.
 
     :param request_id: identity that the caller gave to this attempt.
+    :param caller: IP address of the caller; empty if it is unknown.
     :param host: canonical name of the host; empty if it is missing or
         malformed.
     :param path: path without the query, as the caller sent it.
@@ -40,6 +41,7 @@
     has_body: bool
     chunked: bool
     body_bytes: int | None = None
+    caller: str = ''
 
 
 class AnswerMetadata(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -87,6 +87,7 @@
             has_body=chunked or length != b'0',
             chunked=chunked,
             body_bytes=None if chunked else int(length),
+            caller=(scope.get('client') or ('',))[0],
         )
 
     def encode_attempt(
