Add failing replays of requests that end their targets

The soak (poison_request, plans of version 4) sends the same request again and again to any entry instance; each target that runs it ends and starts anew a second later. The emulator's pattern poison-requests does the same with two requests beside harmless ones. Both judge how many tries reach targets 4 s after the third end, and that no harmless request is refused as the cause.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,8 @@
 
 import httpx
 
+from cuminhoist.problems import PROBLEM_TYPE
+
 from .evidence import Call, Evidence
 from .processes import CALLERS_PORT, LOOKUPS_PORT, Instance
 from .upstreams import answer_body
@@ -27,6 +29,8 @@
 OBJECT_COUNT = 40
 #: Fraction of the requests that may run at most once.
 AT_MOST_ONCE_FRACTION = 0.4
+#: Pause between two tries of a request that is sent again and again, seconds.
+REPEAT_INTERVAL_S = 0.1
 HOST = 'data.example'
 _OK = 200
 
@@ -72,6 +76,25 @@
         finally:
             await self._close_connection()
 
+    async def repeat(self, path: str, for_s: float) -> None:
+        """Send the same request again and again, to any entry instance.
+
+        :param path: its path.
+        :param for_s: how long to go on, in seconds.
+        """
+        ends_at = time.monotonic() + for_s
+        while time.monotonic() < ends_at:
+            self._connected_to = self._rng.choice(
+                [
+                    address
+                    for address, name in self._instance_names.items()
+                    if name.startswith('entry')
+                ]
+            )
+            await self._request_on_connection(path, key=0, once=False)
+            await self._close_connection()
+            await asyncio.sleep(REPEAT_INTERVAL_S)
+
     async def _look_up(self) -> None:
         last_at = self._looked_up_at
         if last_at and last_at + LOOKUP_TTL_S > time.monotonic():
@@ -99,6 +122,18 @@
         # look-up no longer names the connected instance.
         if self._client is None:
             self._connected_to = self._rng.choice(self._entry_addresses)
+        once = self._rng.random() < AT_MOST_ONCE_FRACTION
+        key = self._rng.randrange(OBJECT_COUNT)
+        path = f'/publish/{key}' if once else f'/browse/{key}'
+        call = await self._request_on_connection(path, key, once)
+        if not call.status or call.faulty:
+            await self._close_connection()
+            self._looked_up_at = None
+
+    async def _request_on_connection(
+        self, path: str, key: int, once: bool
+    ) -> Call:
+        if self._client is None:
             self._client = httpx.AsyncClient(
                 limits=httpx.Limits(max_connections=1, keepalive_expiry=60),
                 timeout=httpx.Timeout(DEADLINE_S + 1, connect=1),
@@ -106,16 +141,11 @@
                 verify=False,  # noqa: S501
             )
         self._request_count += 1
-        once = self._rng.random() < AT_MOST_ONCE_FRACTION
-        key = self._rng.randrange(OBJECT_COUNT)
-        path = f'/publish/{key}' if once else f'/browse/{key}'
         call = await self._send(
             f'{self._name}-{self._request_count}', path, key, once
         )
         self._evidence.calls.append(call)
-        if not call.status or call.faulty:
-            await self._close_connection()
-            self._looked_up_at = None
+        return call
 
     async def _send(
         self,
@@ -135,6 +165,7 @@
         error = ''
         faulty = ''
         leaving_target = ''
+        refusal = ''
         if self._client is None:
             raise RuntimeError('the caller has no open connection')
         try:
@@ -149,6 +180,7 @@
         else:
             status = answer.status_code
             faulty = _describe_defect(answer, request_id)
+            refusal = _refusal_reason(answer)
             if answer.headers.get('server-leaving') == '1':
                 leaving_target = answer.headers.get('x-server-stamp', '')
         return Call(
@@ -162,6 +194,7 @@
             error=error,
             faulty=faulty,
             leaving_target=leaving_target,
+            refusal=refusal,
         )
 
     async def _close_connection(self) -> None:
@@ -170,6 +203,13 @@
             self._client = None
 
 
+def _refusal_reason(answer: httpx.Response) -> str:
+    """Return why an instance refused a request; empty if it did not."""
+    if answer.headers.get('content-type') != PROBLEM_TYPE:
+        return ''
+    return str(answer.json()['reason'])
+
+
 def _describe_defect(answer: httpx.Response, request_id: str) -> str:
     """Tell what is wrong with a 200 answer; empty if nothing is."""
     if answer.status_code != _OK:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 
 from .evidence import Arrival, Call, Evidence, InjectedFault, OrderKind
 from .plan import FaultKind
+from .poison_checks import poison_sent_on, refused_as_poison
 
 #: Statuses that promise that a request has not run and will not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -97,6 +98,8 @@
         _arrivals_after_notices,
         _arrivals_in_pauses,
         _arrivals_over_limits,
+        poison_sent_on,
+        refused_as_poison,
         _late_answers,
         _requests_cut_by_stops,
         _incomplete_recovery,
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -43,6 +43,19 @@
     limit_per_s: float = 0
 
 
+class Crash(msgspec.Struct, frozen=True):
+    """The end of a target under a request that it ran.
+
+    :param target: identity of the target, with its generation.
+    :param at: when it ended, in seconds of the monotonic clock.
+    """
+
+    request_id: str
+    path: str
+    target: str
+    at: float
+
+
 class Call(msgspec.Struct, frozen=True, kw_only=True):
     """One request of a caller and its outcome.
 
@@ -55,6 +68,7 @@
     :param faulty: what is wrong with the answer; empty if nothing is.
     :param leaving_target: the target that said in the answer that it leaves;
         empty if none did.
+    :param refusal: why the instance refused it; empty if it did not.
     """
 
     request_id: str
@@ -67,6 +81,7 @@
     error: str = ''
     faulty: str = ''
     leaving_target: str = ''
+    refusal: str = ''
 
 
 class OrderKind(enum.StrEnum):
@@ -130,6 +145,7 @@
 
     runs: list[Run] = msgspec.field(default_factory=list)
     arrivals: list[Arrival] = msgspec.field(default_factory=list)
+    crashes: list[Crash] = msgspec.field(default_factory=list)
     calls: list[Call] = msgspec.field(default_factory=list)
     orders: list[Order] = msgspec.field(default_factory=list)
     injected_faults: list[InjectedFault] = msgspec.field(
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 from collections.abc import Awaitable, Callable
 
+from .callers import Caller
 from .evidence import Evidence, InjectedFault
 from .operators import Operator
 from .plan import Fault, FaultKind
 from .processes import OPERATORS_PORT, RESTART_S, Instance
 from .proxy import Mode
-from .upstreams import SERVICES, Target, TargetList
+from .upstreams import POISON_PREFIX, SERVICES, Target, TargetList
 
 #: Longest time between the end of a process and its restart, in seconds.
 MAX_DOWN_S = 1.2
@@ -75,6 +77,7 @@
             FaultKind.configure_race: self._configure_concurrently,
             FaultKind.configure_invalid: self._send_invalid,
             FaultKind.drain: self._drain,
+            FaultKind.poison_request: self._repeat_poison,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -186,6 +189,16 @@
         await asyncio.sleep(fault.for_s)
         target.limit_per_s = 0
 
+    async def _repeat_poison(self, fault: Fault) -> None:
+        name = f'poison-{fault.at_s:.3f}'
+        caller = Caller(
+            name,
+            list(self._instances.values()),
+            self._evidence,
+            random.Random(fault.at_s),  # noqa: S311
+        )
+        await caller.repeat(f'{POISON_PREFIX}-{name}', fault.for_s)
+
     async def _slow_target(self, fault: Fault) -> None:
         target = self._targets[fault.on]
         target.slow = True
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,12 +22,14 @@
 
 #: Version of the plans that are drawn unless another one is asked for. The
 #: plan of a seed stays the same within a version.
-PLAN_VERSION = 3
+PLAN_VERSION = 4
 #: Factor of the durations of ``target_announces``: the target list has to be
 #: silent for longer than leaving targets may get requests.
 SILENT_LIST_FACTOR = 2.0
 #: Factor of the durations of ``target_limits``: instances have 4 s to react.
 LIMIT_FACTOR = 4.0
+#: Factor of the durations of ``poison_request``: instances have 4 s to react.
+POISON_FACTOR = 4.0
 
 
 class FaultKind(enum.StrEnum):
@@ -61,6 +63,7 @@
     target_pauses = 'target_pauses'
     target_reassigned = 'target_reassigned'
     target_limits = 'target_limits'
+    poison_request = 'poison_request'
 
 
 #: Kinds that are not part of version 1, by the first version that draws them.
@@ -74,6 +77,7 @@
         ),
     ),
     3: frozenset((FaultKind.target_limits,)),
+    4: frozenset((FaultKind.poison_request,)),
 }
 
 #: Kinds that are injected into control instances.
@@ -107,6 +111,11 @@
         FaultKind.target_limits,
     ),
 )
+_DURATION_FACTORS = {
+    FaultKind.target_announces: SILENT_LIST_FACTOR,
+    FaultKind.target_limits: LIMIT_FACTOR,
+    FaultKind.poison_request: POISON_FACTOR,
+}
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -201,9 +210,7 @@
 
 
 def _duration_factor(kind: FaultKind) -> float:
-    if kind is FaultKind.target_announces:
-        return SILENT_LIST_FACTOR
-    return LIMIT_FACTOR if kind is FaultKind.target_limits else 1
+    return _DURATION_FACTORS.get(kind, 1)
 
 
 def _respects_wipe_limit(faults: list[Fault], new: Fault) -> bool:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -9,7 +9,7 @@
 
 from cuminhoist.httpserver import HttpServer
 
-from .evidence import Arrival, Evidence, Run
+from .evidence import Arrival, Crash, Evidence, Run
 from .proxy import Mode, Proxy
 
 SERVICES = ('catalogue', 'publisher')
@@ -24,6 +24,10 @@
 #: Shortest and longest pause that a target asks for in a 503, in seconds.
 MIN_PAUSE_S = 0.5
 MAX_PAUSE_S = 3.0
+#: Requests whose path begins with this end the target that runs them.
+POISON_PREFIX = '/browse/poison'
+#: Time until a target that has ended starts again, in seconds.
+CRASHED_S = 1.0
 _MISDIRECTED = 421
 _SERVICE_UNAVAILABLE = 503
 _INTERNAL_SERVER_ERROR = 500
@@ -89,6 +93,7 @@
         self._slots = asyncio.Semaphore(SLOTS)
         self._server = HttpServer.from_app(self._serve, host, 8081)
         self._task: asyncio.Task[None] | None = None
+        self._restart_task: asyncio.Task[None] | None = None
 
     @property
     def name(self) -> str:
@@ -102,9 +107,30 @@
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
         await self.proxy.stop()
         await _close_server(self._server, self._task)
 
+    def crash(self, request_id: str, path: str) -> None:
+        """End under a request, and start anew after ``CRASHED_S``.
+
+        :param request_id: id of the request.
+        :param path: its path.
+        """
+        if self._restart_task is not None and not self._restart_task.done():
+            return
+        self._evidence.crashes.append(
+            Crash(request_id, path, self.name, time.monotonic())
+        )
+        self._restart_task = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await self.proxy.stop()
+        await asyncio.sleep(CRASHED_S)
+        self.replace()
+        await self.proxy.start()
+
     def replace(self, service: str = '') -> None:
         """Begin a new incarnation of the target, with a new identity.
 
@@ -176,6 +202,10 @@
             ),
         )
         await asyncio.sleep(SLOW_WORK_S if self.slow else WORK_S)
+        if scope['path'].startswith(POISON_PREFIX):
+            self.crash(request_id, scope['path'])
+            # The connection is reset before an answer could be sent.
+            await asyncio.sleep(CRASHED_S)
 
     async def _send_answer(
         self,
--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -157,6 +157,22 @@
     per_s: float
 
 
+class PoisonRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that ends each target that begins to run it.
+
+    :param at_s: time of its first try, in seconds.
+    :param for_s: how long it comes again, in seconds.
+    :param every_s: time between two tries, in seconds.
+    :param down_s: time until a target that has ended starts again, in
+        seconds.
+    """
+
+    at_s: float
+    for_s: float
+    every_s: float
+    down_s: float
+
+
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
     """A load pattern to replay.
 
@@ -178,6 +194,7 @@
     leaving: tuple[LeavingTargets, ...] = ()
     overloaded: tuple[Overloaded, ...] = ()
     limiting: tuple[Limiting, ...] = ()
+    poison: tuple[PoisonRequest, ...] = ()
 
 
 def load_pattern(path: pathlib.Path) -> Result[Pattern, FieldError]:
--- a/src/cuminhoist/emulator/report.py
+++ b/src/cuminhoist/emulator/report.py
@@ -38,6 +38,10 @@
         pause that it had asked their region for.
     :param over_limits: requests beyond the tolerated ones that reached a
         target 4 s or later after it had first named a limit.
+    :param poison_sent_on: tries beyond the third that reached targets 4 s or
+        later after three targets had ended under the same request.
+    :param refused_as_poison: harmless requests that were refused as the cause
+        of a crash.
     """
 
     objective_s: float
@@ -45,6 +49,8 @@
     after_notices: int = 0
     in_pauses: int = 0
     over_limits: int = 0
+    poison_sent_on: int = 0
+    refused_as_poison: int = 0
     outcomes: list[Outcome] = msgspec.field(default_factory=list)
 
     def in_time(self, region: str = '') -> float:
--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -26,6 +26,7 @@
 from .disturbances import schedule_disturbances
 from .notices import RegionNotices
 from .patterns import Pattern
+from .poison import RUN_S, PoisonArrivals, schedule_poison
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
 
@@ -54,6 +55,9 @@
     :param asked_at: simulated time of the first request, in seconds.
     :param ends_at: simulated time of its final deadline, in seconds.
     :param excluded: targets that were tried since the last refusal.
+    :param content: identifies the content of the request.
+    :param down_s: time until a target starts again that ends under the
+        request, in seconds; 0 if none does.
     """
 
     region: str
@@ -62,6 +66,8 @@
     ends_at: float
     refusals: int = 0
     excluded: tuple[str, ...] = ()
+    content: str = ''
+    down_s: float = 0
 
 
 class Simulation:
@@ -81,6 +87,7 @@
         self._waiting_callers: dict[int, _WaitingCaller] = {}
         self._retry_tokens = float(0)
         self._notices = RegionNotices(region.name for region in pattern.regions)
+        self._poison = PoisonArrivals()
         self._demand: dict[str, float] = {}
         self.targets = {
             target.entry.name: target for target in self._make_targets()
@@ -119,6 +126,9 @@
             self._rng,
             self._schedule_at,
         )
+        schedule_poison(
+            pattern, self._rng, self._schedule_at, self._send_poison
+        )
         self._update_targets()
         self._tick()
         while self._events:
@@ -131,8 +141,20 @@
         self.report.over_limits = sum(
             target.limited_arrivals.excess for target in self.targets.values()
         )
+        self.report.poison_sent_on = self._poison.excess
         return self.report
 
+    def _send_poison(self, region: str, content: str, down_s: float) -> None:
+        caller = _WaitingCaller(
+            region,
+            content,
+            self.now,
+            self.now + self._pattern.callers.left_s,
+            content=content,
+            down_s=down_s,
+        )
+        self._request_placement(caller)
+
     def _make_targets(self) -> list[EmulatedTarget]:
         return [
             EmulatedTarget(
@@ -168,6 +190,7 @@
             f'o{self._rng.randrange(self._pattern.work.object_count)}',
             self.now,
             self.now + callers.left_s,
+            content=f'content-{next(self._numbers)}',
         )
         self._retry_tokens = min(
             self._retry_tokens + RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS
@@ -221,7 +244,9 @@
     def _send(self, granted: Granted) -> None:
         caller = self._waiting_callers[granted.number]
         target = self.targets[granted.target]
-        job = Job(granted.number, caller.region, caller.key, self.now)
+        job = Job(
+            granted.number, caller.region, caller.key, self.now, caller.down_s
+        )
         delay_s = self._one_way_delay_s(job, target)
         self._schedule_after(delay_s, lambda: self._reach_target(job, target))
 
@@ -244,6 +269,7 @@
         if target.declines():
             self._return_answer(job, target, Ending.declined)
             return
+        self._poison.count_arrival(caller.content, self.now)
         target.limited_arrivals.count(self.now, target.limit_per_s)
         started = target.arrive(job)
         if started is None:
@@ -285,11 +311,25 @@
         )
 
     def _start_run(self, job: Job, target: EmulatedTarget) -> None:
+        if job.down_s:
+            self._schedule_after(RUN_S, lambda: self._crash(job, target))
+            return
         run_s = target.run_s(job.key)
         self._schedule_after(run_s, lambda: self._finish_run(job, target))
 
+    def _crash(self, cause: Job, target: EmulatedTarget) -> None:
+        if not target.runs(cause):
+            return
+        content = self._waiting_callers[cause.number].content
+        self._poison.count_end(content, self.now)
+        for job in target.crash():
+            self._return_answer(job, target, Ending.lost)
+        self._schedule_after(cause.down_s, lambda: target.restart(self.now))
+
     def _finish_run(self, job: Job, target: EmulatedTarget) -> None:
-        next_job = target.finish(job.key)
+        if not target.runs(job):
+            return
+        next_job = target.finish(job)
         if next_job is not None:
             self._start_run(next_job, target)
         self._return_answer(job, target, Ending.answered)
@@ -352,6 +392,8 @@
         *,
         shifted: bool,
     ) -> None:
+        if caller.down_s:
+            return
         in_time = answered_at is not None and answered_at <= caller.ends_at
         took_s = answered_at - caller.asked_at if answered_at else None
         self.report.outcomes.append(
--- a/src/cuminhoist/emulator/targets.py
+++ b/src/cuminhoist/emulator/targets.py
@@ -11,6 +11,7 @@
 from .patterns import Overloaded, Pattern, Work
 
 SERVICE = 'service'
+MS_PER_S = 1000
 #: Time that a region has to react to a pause, in seconds.
 PAUSE_REACTION_S = 0.5
 #: Most requests of a region that a target tolerates in a pause after that.
@@ -30,6 +31,9 @@
     region: str
     key: str
     sent_at: float
+    #: Time until the target starts again that ends under the attempt, in
+    #: seconds; 0 if none does.
+    down_s: float = 0
 
 
 class _Pause(msgspec.Struct):
@@ -84,7 +88,7 @@
         self.unwanted_arrivals = 0
         self._pauses: dict[str, _Pause] = {}
         self._rng = rng
-        self._running = 0
+        self._running: dict[int, Job] = {}
         self._waiting: collections.deque[Job] = collections.deque()
         self._cached: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -109,7 +113,7 @@
                 pause.arrivals += 1
                 self.unwanted_arrivals += pause.arrivals > MAX_ARRIVALS_IN_PAUSE
             return pause.ends_at - now
-        if self._running < self.overload.slots:
+        if len(self._running) < self.overload.slots:
             return 0
         pause_s = self._rng.uniform(
             self.overload.min_pause_s, self.overload.max_pause_s
@@ -124,8 +128,8 @@
         :returns: True if it runs now, False if it is queued, None if it is
             shed.
         """
-        if self._running < self.work.slots:
-            self._running += 1
+        if len(self._running) < self.work.slots:
+            self._running[job.number] = job
             return True
         if len(self._waiting) >= self.work.queue:
             return None
@@ -143,16 +147,44 @@
         run_factor = self._rng.gauss(1, self.work.spread)
         return mean * self.slowdown * max(run_factor, 0.1)
 
-    def finish(self, key: str) -> Job | None:
+    def runs(self, job: Job) -> bool:
+        """Tell whether a request still runs, as the target has not ended.
+
+        :param job: the request.
+        """
+        return job.number in self._running
+
+    def finish(self, job: Job) -> Job | None:
         """End a run and return the queued request that starts next, if any.
 
-        :param key: identity of the object that the ended request used.
+        :param job: the request that ended.
         """
-        self._cached[key] = None
-        self._cached.move_to_end(key)
+        self._cached[job.key] = None
+        self._cached.move_to_end(job.key)
         if len(self._cached) > self.work.kept:
             self._cached.popitem(last=False)
-        if self._waiting:
-            return self._waiting.popleft()
-        self._running -= 1
-        return None
+        self._running.pop(job.number)
+        if not self._waiting:
+            return None
+        following = self._waiting.popleft()
+        self._running[following.number] = following
+        return following
+
+    def crash(self) -> list[Job]:
+        """End at once; return all requests that run or wait."""
+        lost = [*self._running.values(), *self._waiting]
+        self._running.clear()
+        self._waiting.clear()
+        self._cached.clear()
+        self.stopped = True
+        return lost
+
+    def restart(self, now: float) -> None:
+        """Start again after an end.
+
+        :param now: simulated time, in seconds.
+        """
+        self.stopped = False
+        self.entry = msgspec.structs.replace(
+            self.entry, started_at_ms=round(now * MS_PER_S)
+        )
--- a/tests/emulator/test_replay.py
+++ b/tests/emulator/test_replay.py
@@ -49,6 +49,13 @@
     assert _replay('named-limits').over_limits == 0
 
 
+def test_poison_request_goes_from_target_to_target():
+    """Guards against a request that ends targets for ever (BUDGET)."""
+    report = _replay('poison-requests')
+    assert report.poison_sent_on == 0
+    assert report.refused_as_poison == 0
+
+
 def test_small_region_is_served():
     """Guards against late answers in a region with few targets.
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.checks import find_violations
-from soak.evidence import Arrival, InjectedFault, OrderKind
+from soak.evidence import Arrival, Crash, InjectedFault, OrderKind
 from soak.plan import FaultKind
 
 from .builders import (
@@ -19,6 +19,8 @@
     sound_evidence,
 )
 
+POISON_PATH = '/browse/poison-1'
+
 
 def _only_violation(evidence):
     violations = find_violations(evidence)
@@ -206,3 +208,34 @@
     evidence = sound_evidence()
     _limited_arrivals(evidence, count, limit_per_s)
     assert not find_violations(evidence)
+
+
+def _crash(number):
+    return Crash(f'p{number}', POISON_PATH, f't{number}', 1.0 + number)
+
+
+def test_poison_request_is_sent_on():
+    """Guards against requests that go on ending targets unseen."""
+    evidence = sound_evidence()
+    evidence.crashes.extend(_crash(number) for number in range(4))
+    for number in range(4):
+        evidence.calls.append(call(90 + number, path=POISON_PATH, once=False))
+        arrival = Arrival(f'r{90 + number}', 't9', 8.0 + number)
+        evidence.arrivals.append(arrival)
+    assert 'reached targets 4 times' in _only_violation(evidence)
+    evidence.arrivals.pop()
+    assert not find_violations(evidence)
+
+
+def test_harmless_request_is_refused_as_poison():
+    """Guards against a request that is refused for a crash beside it."""
+    evidence = sound_evidence()
+    evidence.calls[3] = changed(
+        evidence.calls[3],
+        path='/browse/3',
+        refusal='poison-request',
+    )
+    evidence.runs[3] = changed(
+        evidence.runs[3], path='/browse/3', service='catalogue'
+    )
+    assert 'cause of a crash' in _only_violation(evidence)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,8 +15,9 @@
 #: Seed, length of the traffic in seconds and version of the plan of the soaks
 #: always played. The plan of seed 425 has leaving notices, pauses, cut links,
 #: ends of all control instances and reassigned addresses; in that of seed 1007
-#: a target names a limit for ten seconds.
-SHORT_SOAKS = ((425, 24.0, 2), (1007, 24.0, 3))
+#: a target names a limit for ten seconds; in that of seed 2511 two requests
+#: end each target that runs them.
+SHORT_SOAKS = ((425, 24.0, 2), (1007, 24.0, 3), (2511, 24.0, 4))
 FAILED_SEEDS = pathlib.Path(__file__).with_name('seeds.txt')
 
 
