--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -19,6 +19,7 @@
 from ..steering.demand import DemandMeter
 from ..steering.dispatcher import Dispatcher
 from ..steering.leaving_targets import LeavingTarget
+from ..steering.poison_requests import PoisonRequests, TargetEnd
 from ..steering.slot_lending import DispatchContext, make_tracked_targets
 from ..steering.target_limits import UNLIMITED, TargetLimit
 from ..steering.targets import TargetEntry
@@ -88,6 +89,9 @@
         self._retry_tokens = float(0)
         self._notices = RegionNotices(region.name for region in pattern.regions)
         self._poison = PoisonArrivals()
+        self._poison_requests = {
+            region.name: PoisonRequests() for region in pattern.regions
+        }
         self._demand: dict[str, float] = {}
         self.targets = {
             target.entry.name: target for target in self._make_targets()
@@ -201,6 +205,9 @@
         )
 
     def _request_placement(self, caller: _WaitingCaller) -> None:
+        if self._poison_requests[caller.region].is_poison(caller.content):
+            self.report.refused_as_poison += not caller.down_s
+            return
         number = next(self._numbers)
         self._waiting_callers[number] = caller
         self._meters[caller.region].count_request(SERVICE)
@@ -288,6 +295,20 @@
                 delay_s, partial(self._apply_notice, name, notice)
             )
 
+    def _spread_end(self, caller: _WaitingCaller, end: TargetEnd) -> None:
+        """Tell all regions that a target ended under a request."""
+        for name, known in self._poison_requests.items():
+            delay_s = self._pattern.region_s if name != caller.region else 0
+            self._schedule_after(delay_s, partial(self._record_end, known, end))
+
+    def _record_end(self, known: PoisonRequests, end: TargetEnd) -> None:
+        known.record((end,), self.now)
+
+    def _refute(self, caller: _WaitingCaller) -> None:
+        own = self._poison_requests[caller.region]
+        for end in own.refute(caller.content, self.now):
+            self._spread_end(caller, end)
+
     def _spread_limit(self, region: str, limit: TargetLimit) -> None:
         """Tell the other dispatchers of the limit of a target."""
         for name, dispatcher in self.dispatchers.items():
@@ -367,7 +388,15 @@
         self._schedule_after(
             DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
         )
+        if report.ending is Ending.lost:
+            self._spread_end(
+                caller,
+                TargetEnd(
+                    caller.content, report.target, target.entry.started_at_ms
+                ),
+            )
         if report.ending is Ending.answered:
+            self._refute(caller)
             shifted = target.region != job.region
             self._record_outcome(
                 caller, self.now + CALLER_RTT_S / 2, shifted=shifted
--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -32,6 +32,7 @@
 from .instance_config import Address, InstanceConfig
 from .leaving_broadcast import LeavingBroadcast
 from .limit_broadcast import LimitBroadcast
+from .link import Link
 from .link_meter import PrometheusMeter
 from .list_broadcast import ListBroadcast
 from .lookups import nearest_entries
@@ -40,11 +41,13 @@
     Hello,
     LeavingNotice,
     LimitsNotice,
+    PoisonNotice,
     ReadinessNotice,
     TargetChanges,
     TargetList,
 )
 from .peer import Peer
+from .poison_broadcast import PoisonBroadcast
 from .region_dispatch import RegionDispatch
 from .target_feed import TargetFeed, TargetSource
 
@@ -146,7 +149,8 @@
         self._limit_broadcast = LimitBroadcast(
             self.links, self.dispatch.dispatcher, self.metrics
         )
-        self._entry_updates.send_limits = self._limit_broadcast.send_in_force
+        self._poison_broadcast = PoisonBroadcast(self.links, self.metrics, now)
+        self._entry_updates.send_notices = self._send_notices
         self._dispatch_update = UpdateLimiter(self._update_dispatch, now)
         self._learned_at = float('-inf')
         self._started = False
@@ -360,7 +364,12 @@
             peer.link.send(Learned(state=state))
         peer.link.send(self.links.fleet.all_linked())
         self._leaving_broadcast.send_in_force(peer.link)
-        self._limit_broadcast.send_in_force(peer.link)
+        self._send_notices(peer.link)
+
+    def _send_notices(self, link: Link) -> None:
+        """Send what an instance must know of targets and requests."""
+        self._limit_broadcast.send_in_force(link)
+        self._poison_broadcast.send_in_force(link)
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
         if isinstance(msg, LeavingNotice):
@@ -368,6 +377,8 @@
                 self._dispatch_update.request()
         elif isinstance(msg, LimitsNotice):
             self._limit_broadcast.handle_notice(peer, msg, self._now())
+        elif isinstance(msg, PoisonNotice):
+            self._poison_broadcast.handle_notice(peer, msg)
         elif peer.hello.control:
             self._on_control_message(peer, msg)
         else:
--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -63,6 +63,12 @@
             ('source',),
             registry=self.registry,
         )
+        self.target_ends = Counter(
+            'cuminhoist_target_ends',
+            'Ends of targets under requests, by kind of the sending instance.',
+            ('source',),
+            registry=self.registry,
+        )
         self.changed_region = Gauge(
             'cuminhoist_changed_region_ratio',
             'Fraction of the requests of this region that changed the region '
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -41,6 +41,7 @@
     Hello,
     LeavingNotice,
     LimitsNotice,
+    PoisonNotice,
     Roster,
     TargetList,
     View,
@@ -123,6 +124,9 @@
         self.links.leaving_notice = self.feed.leaving_notice
         local = self.placement_client.local_dispatcher
         self.links.limits = local.limits.in_force
+        crash_detector = self.request_proxy.crash_detector
+        self.links.target_ends = crash_detector.poison_requests.in_force
+        crash_detector.on_ends = self.links.report_target_ends
         self._target_update = UpdateLimiter(self._update_targets, now)
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
@@ -235,6 +239,10 @@
             self.placement_client.local_dispatcher.apply_limits(
                 msg.limits, self._now()
             )
+        elif isinstance(msg, PoisonNotice):
+            self.request_proxy.crash_detector.poison_requests.record(
+                msg.ends, self._now()
+            )
 
     def _on_declared_state(self, state: DeclaredState) -> None:
         previous = self._declared
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -17,6 +17,7 @@
 from ..logging_setup import logger
 from ..rendezvous import ranked
 from ..steering.decisions import AttemptReport, PlacementRequest
+from ..steering.poison_requests import TargetEnd
 from ..steering.target_limits import TargetLimit
 from ..steering.target_pauses import TargetPause
 from .instance_config import Address, InstanceConfig
@@ -32,6 +33,7 @@
     LimitsNotice,
     PausesNotice,
     PlacementRequestNotice,
+    PoisonNotice,
     ReadinessNotice,
     RunningNotice,
     TargetChanges,
@@ -95,6 +97,7 @@
         self.running_attempts: Callable[[], tuple[AttemptReport, ...]] = tuple
         self.unexpired_pauses: Callable[[], tuple[TargetPause, ...]] = tuple
         self.leaving_notice: Callable[[], LeavingNotice] = _no_notice
+        self.target_ends: Callable[[], tuple[TargetEnd, ...]] = tuple
         self.limits: Callable[[], tuple[TargetLimit, ...]] = tuple
         self._config = config
         self._hello = hello
@@ -245,6 +248,17 @@
         """
         self._send_to_dispatcher(notice)
 
+    def report_target_ends(self, ends: tuple[TargetEnd, ...]) -> None:
+        """Report targets that ended under requests.
+
+        All linked control instances get them, as one of them may be lost
+        before it has passed them on.
+
+        :param ends: the ends of targets.
+        """
+        for control in self._controls.values():
+            control.link.send(PoisonNotice(ends=ends))
+
     def withdraw(self, number: int, service: str) -> None:
         """Withdraw a placement request.
 
@@ -304,6 +318,9 @@
             # The new link starts without a subscription.
             self._source = ''
         self._send_readiness_to(control)
+        ends = self.target_ends()
+        if ends:
+            link.send(PoisonNotice(ends=ends))
         self._choose_source()
 
     def _send_readiness_to(
--- a/src/cuminhoist/fleet/entry_updates.py
+++ b/src/cuminhoist/fleet/entry_updates.py
@@ -59,8 +59,8 @@
         self._sent_controls: tuple[ControlEndpoint, ...] = ()
         self._summary: FleetSummary | None = None
         self._heartbeat_count = 0
-        #: Sends the limits of targets on the link of a new subscriber.
-        self.send_limits: Callable[[Link], None] = _send_nothing
+        #: Sends notices in force on the link of a new subscriber.
+        self.send_notices: Callable[[Link], None] = _send_nothing
 
     def handle_notice(
         self,
@@ -88,7 +88,7 @@
         leaving = self._feed.leaving_notice()
         if leaving.targets:
             peer.link.send(leaving)
-        self.send_limits(peer.link)
+        self.send_notices(peer.link)
         peer.link.send(
             Roster(
                 entries=tuple(self._sent_roster.values()),
@@ -136,4 +136,4 @@
 
 
 def _send_nothing(_link: Link) -> None:
-    """Send no limits: none are known."""
+    """Send no notices: none are in force."""
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -18,6 +18,7 @@
 )
 from ..steering.demand import Demand
 from ..steering.leaving_targets import LeavingTarget
+from ..steering.poison_requests import TargetEnd
 from ..steering.target_limits import TargetLimit
 from ..steering.target_pauses import TargetPause
 from ..steering.targets import TargetEntry
@@ -219,6 +220,18 @@
     limits: tuple[TargetLimit, ...]
 
 
+@register_message
+class PoisonNotice(Message, frozen=True):
+    """Targets that ended under requests that they ran.
+
+    An entry instance sends its own to all linked control instances, and all
+    that it knows on a new link. Control instances pass new ones on to each
+    other and to their subscribers, and send all on a new link or subscription.
+    """
+
+    ends: tuple[TargetEnd, ...]
+
+
 @register_message
 class FleetSummary(Message, frozen=True):
     """Message of a control instance to its subscribers, every 3 s.
--- /dev/null
+++ b/src/cuminhoist/gateway/crash_detector.py
@@ -0,0 +1,134 @@
+"""Finds out whether a target has ended under the requests that it ran.
+
+A connection that breaks says little: the answer or the connection may have
+been lost, or this instance may be cut off. A target has ended if it accepts no
+new connection while another target does.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from ..logging_setup import logger
+from ..steering.poison_requests import PoisonRequests, TargetEnd
+from ..steering.targets import TargetEntry
+from .bodies import RequestBody
+from .fingerprint import fingerprint
+from .request_state import RequestState, RoutingState
+from .target_connections import TargetConnections, pool_key
+
+#: Other targets that are tried before this instance counts as cut off.
+MAX_OTHER_TARGETS = 3
+
+_log = logger('targets')
+
+
+class CrashDetector:
+    """Records the requests that ran at targets that have ended.
+
+    :param connections: opens connections to targets.
+    :param routing_state: has the targets that may be tried.
+    :param now: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        connections: TargetConnections,
+        routing_state: RoutingState,
+        now: Callable[[], float],
+    ) -> None:
+        #: Called with the ends that are new or refuted.
+        self.on_ends: Callable[[tuple[TargetEnd, ...]], None] = _ignore_ends
+        self._connections = connections
+        self._routing_state = routing_state
+        self.poison_requests = PoisonRequests()
+        self._now = now
+        # Requests that were lost at a target since its check began.
+        self._lost_requests: dict[str, set[str]] = {}
+        self._checks: set[asyncio.Task[None]] = set()
+
+    def is_poison(self, state: RequestState, body: RequestBody) -> bool:
+        """Tell whether too many targets have ended under a request.
+
+        :param state: the request.
+        :param body: its body.
+        """
+        if not self.poison_requests:
+            return False
+        state.fingerprint = state.fingerprint or fingerprint(state.req, body)
+        return self.poison_requests.is_poison(state.fingerprint)
+
+    def connection_lost(
+        self, state: RequestState, body: RequestBody, target: TargetEntry
+    ) -> None:
+        """Check whether a target has ended, as a connection to it broke.
+
+        :param state: the request that was sent on the connection.
+        :param body: its body.
+        :param target: the target.
+        """
+        state.fingerprint = state.fingerprint or fingerprint(state.req, body)
+        lost = self._lost_requests.get(pool_key(target))
+        if lost is not None:
+            lost.add(state.fingerprint)
+            return
+        self._lost_requests[pool_key(target)] = {state.fingerprint}
+        check = asyncio.create_task(self._check(target))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    def answered(self, state: RequestState) -> None:
+        """Record that a request was answered, so that it ends no targets.
+
+        :param state: the request.
+        """
+        for lost in self._lost_requests.values():
+            lost.discard(state.fingerprint)
+        refuted = self.poison_requests.refute(state.fingerprint, self._now())
+        if refuted:
+            self.on_ends(refuted)
+
+    async def _check(self, target: TargetEntry) -> None:
+        try:
+            has_ended = not await self._connections.can_connect(
+                target
+            ) and await self._reaches_any(self._others(target))
+        finally:
+            lost = self._lost_requests.pop(pool_key(target))
+        if not has_ended:
+            return
+        ends = self.poison_requests.record(
+            [
+                TargetEnd(request, target.name, target.started_at_ms)
+                for request in sorted(lost)
+            ],
+            self._now(),
+        )
+        counts = {
+            end.fingerprint: self.poison_requests.ended_targets(end.fingerprint)
+            for end in ends
+        }
+        _log.bind(target=target.name, requests=counts).warning(
+            'target ended under requests'
+        )
+        if ends:
+            self.on_ends(ends)
+
+    def _others(self, target: TargetEntry) -> list[TargetEntry]:
+        others = [
+            entry
+            for entry in self._routing_state.targets.values()
+            if entry.name != target.name
+        ]
+        count = min(MAX_OTHER_TARGETS, len(others))
+        return random.sample(others, count)
+
+    async def _reaches_any(self, targets: Iterable[TargetEntry]) -> bool:
+        for target in targets:
+            if await self._connections.can_connect(target):
+                return True
+        return False
+
+
+def _ignore_ends(_ends: tuple[TargetEnd, ...]) -> None:
+    """Ignore ends of targets."""
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -15,6 +15,20 @@
 DECLINED_RETRY_S = 0.01
 
 
+def refusal_of_poison(state: RequestState) -> Refusal:
+    """Return the refusal of a request that ends the targets that run it.
+
+    :param state: the request.
+    """
+    return Refusal(
+        ran=Ran.unknown if state.may_have_run else Ran.not_run,
+        reason=(
+            Reason.target_lost if state.may_have_run else Reason.poison_request
+        ),
+        detail='Several targets ended while they ran this request.',
+    )
+
+
 def refusal_without_target(state: RequestState, refused: Refused) -> Refusal:
     """Return the refusal of a request that gets no target, or no other one.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -33,11 +33,12 @@
 )
 from .attempt import AttemptOutcome, AttemptSender, abort, headers_for_caller
 from .bodies import BodyTooLarge, CallerDisconnected, Receive, RequestBody
-from .fingerprint import fingerprint
+from .crash_detector import CrashDetector
 from .placement_client import PlacementClient
 from .refusals import (
     NOT_READY_RETRY_S,
     refusal_after_attempt,
+    refusal_of_poison,
     refusal_without_target,
 )
 from .request_metrics import RequestMetrics
@@ -89,6 +90,9 @@
         self.on_target_leaving: Callable[[LeavingTarget, str], None] = (
             _ignore_leaving
         )
+        self.crash_detector = CrashDetector(
+            connections, self.routing_state, now
+        )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
@@ -254,6 +258,10 @@
         send: Send,
     ) -> str:
         while True:
+            if self.crash_detector.is_poison(state, body):
+                refusal = refusal_of_poison(state)
+                await send_refusal(refusal, send)
+                return f'refused-{refusal.reason}'
             req = self._placement_request(state)
             decision, decider = await self._placement_client.request_placement(
                 req
@@ -342,8 +350,8 @@
             )
         if outcome.detail:
             state.trail.append(outcome.detail)
-        if outcome.connection_lost and not state.fingerprint:
-            state.fingerprint = fingerprint(state.req, body)
+        if outcome.connection_lost:
+            self.crash_detector.connection_lost(state, body, target)
         state.may_have_run = state.may_have_run or outcome.may_have_run
         return outcome
 
@@ -434,6 +442,7 @@
             scope['state']['abort']()
             state.trail.append(f'answer cut: {exc!r}')
             return 'cut'
+        self.crash_detector.answered(state)
         return f'answered-{answer.status}'
 
     def _placement_request(self, state: RequestState) -> PlacementRequest:
--- a/src/cuminhoist/gateway/target_connections.py
+++ b/src/cuminhoist/gateway/target_connections.py
@@ -78,22 +78,34 @@
             conn.abort()
         return await self._connect(target, min(CONNECT_TIMEOUT_S, left_s))
 
+    async def can_connect(self, target: TargetEntry) -> bool:
+        """Tell whether a target accepts a new connection, and keep it.
+
+        :param target: the target.
+        """
+        connected = await self._connect(target, CONNECT_TIMEOUT_S)
+        if connected.conn is None:
+            return False
+        self._pools.setdefault(pool_key(target), _Pool())
+        self._keep(target, connected.conn)
+        return True
+
     def release(self, target: TargetEntry, exchange: Exchange) -> None:
         """Return the connection of a finished request to its pool.
 
-        Closes it if the pool is full; ignores a connection that can't be
-        reused.
-
         :param target: the target.
         :param exchange: the exchange of the request.
         """
-        conn = exchange.conn
+        if isinstance(exchange.conn, ClientConnection):
+            self._keep(target, exchange.conn)
+
+    def _keep(self, target: TargetEntry, conn: ClientConnection) -> None:
+        """Add a connection to its pool, or close it if the pool is full."""
         pool = self._pools.get(pool_key(target))
-        if (
-            not isinstance(conn, ClientConnection)
-            or not conn.usable
-            or pool is None
-        ):
+        if pool is None:
+            conn.abort()
+            return
+        if not conn.usable:
             return
         if len(pool.idle) >= 2 * target.slots:
             conn.abort()
--- a/src/cuminhoist/types.py
+++ b/src/cuminhoist/types.py
@@ -56,6 +56,7 @@
     target_refused = 'target-refused'
     target_lost = 'target-lost'
     target_timeout = 'target-timeout'
+    poison_request = 'poison-request'
     cancelled = 'cancelled'
     body_too_large = 'body-too-large'
     head_too_large = 'head-too-large'
