Count ends of targets also for a request that comes from several callers

By inference, not shown by a run: each address was counted for itself.

Ends now count for the path and body of a request as well, once targets have ended under those of two callers and as long as no caller gets an answer. A single caller's request still condemns nobody else's.

--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -19,7 +19,11 @@
 from ..steering.demand import DemandMeter
 from ..steering.dispatcher import Dispatcher
 from ..steering.leaving_targets import LeavingTarget
-from ..steering.poison_requests import PoisonRequests, TargetEnd
+from ..steering.poison_requests import (
+    Fingerprint,
+    PoisonRequests,
+    TargetEnd,
+)
 from ..steering.slot_lending import DispatchContext, make_tracked_targets
 from ..steering.target_limits import UNLIMITED, TargetLimit
 from ..steering.targets import TargetEntry
@@ -70,6 +74,11 @@
     content: str = ''
     down_s: float = 0
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Identity of the request; each caller has its own region."""
+        return Fingerprint(self.content, f'{self.content}/{self.region}')
+
 
 class Simulation:
     """Runs real dispatchers with emulated targets and callers.
@@ -205,7 +214,7 @@
         )
 
     def _request_placement(self, caller: _WaitingCaller) -> None:
-        if self._poison_requests[caller.region].is_poison(caller.content):
+        if self._poison_requests[caller.region].is_poison(caller.fingerprint):
             self.report.refused_as_poison += not caller.down_s
             return
         number = next(self._numbers)
@@ -306,7 +315,7 @@
 
     def _refute(self, caller: _WaitingCaller) -> None:
         own = self._poison_requests[caller.region]
-        for end in own.refute(caller.content, self.now):
+        for end in own.refute(caller.fingerprint, self.now):
             self._spread_end(caller, end)
 
     def _spread_limit(self, region: str, limit: TargetLimit) -> None:
@@ -392,7 +401,9 @@
             self._spread_end(
                 caller,
                 TargetEnd(
-                    caller.content, report.target, target.entry.started_at_ms
+                    caller.fingerprint,
+                    report.target,
+                    target.entry.started_at_ms,
                 ),
             )
         if report.ending is Ending.answered:
--- a/src/cuminhoist/gateway/crash_detector.py
+++ b/src/cuminhoist/gateway/crash_detector.py
@@ -10,7 +10,11 @@
 from collections.abc import Callable, Iterable
 
 from ..logging_setup import logger
-from ..steering.poison_requests import PoisonRequests, TargetEnd
+from ..steering.poison_requests import (
+    Fingerprint,
+    PoisonRequests,
+    TargetEnd,
+)
 from ..steering.targets import TargetEntry
 from .bodies import RequestBody
 from .fingerprint import fingerprint
@@ -44,7 +48,7 @@
         self.poison_requests = PoisonRequests()
         self._now = now
         # Requests that were lost at a target since its check began.
-        self._lost_requests: dict[str, set[str]] = {}
+        self._lost_requests: dict[str, set[Fingerprint]] = {}
         self._checks: set[asyncio.Task[None]] = set()
 
     def is_poison(self, state: RequestState, body: RequestBody) -> bool:
@@ -82,6 +86,8 @@
 
         :param state: the request.
         """
+        if state.fingerprint is None:
+            return
         for lost in self._lost_requests.values():
             lost.discard(state.fingerprint)
         refuted = self.poison_requests.refute(state.fingerprint, self._now())
@@ -100,7 +106,7 @@
         ends = self.poison_requests.record(
             [
                 TargetEnd(request, target.name, target.started_at_ms)
-                for request in sorted(lost)
+                for request in lost
             ],
             self._now(),
         )
--- a/src/cuminhoist/gateway/fingerprint.py
+++ b/src/cuminhoist/gateway/fingerprint.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from ..steering.poison_requests import Fingerprint
 from .bodies import RequestBody
 from .wire import IncomingRequest
 
@@ -9,7 +10,7 @@
 _LENGTH_BYTES = 8
 
 
-def fingerprint(req: IncomingRequest, body: RequestBody) -> str:
+def fingerprint(req: IncomingRequest, body: RequestBody) -> Fingerprint:
     """Return the identity of a request's caller, path and body.
 
     A caller that sends the request again gives it another identifier and may
@@ -20,14 +21,14 @@
     :param body: its body, with the buffer filled.
     """
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    parts = (
+    for part in (
         req.method.encode('latin-1'),
         req.host.encode('latin-1'),
-        req.caller.encode('latin-1'),
         req.request_target,
         body.buffered_start,
-    )
-    for part in parts:
+    ):
         digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
         digest.update(part)
-    return digest.hexdigest()
+    content = digest.hexdigest()
+    digest.update(req.caller.encode('latin-1'))
+    return Fingerprint(content, digest.hexdigest())
--- a/src/cuminhoist/gateway/request_recorder.py
+++ b/src/cuminhoist/gateway/request_recorder.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from ..problems import Refusal
 from .request_metrics import RequestMetrics, log_request
 from .request_state import RequestState, RoutingState
@@ -45,7 +47,11 @@
             route=state.route.name,
             service=state.service,
             object=state.req.key,
-            fingerprint=state.fingerprint,
+            fingerprint=(
+                msgspec.structs.astuple(state.fingerprint)
+                if state.fingerprint
+                else ()
+            ),
             left_ms=round((state.req.left_s or 0) * _MS_PER_S),
             round_trip_ms=round(state.round_trip_s * _MS_PER_S),
             config_version=routes.version if routes else 0,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..listener_limits import ListenerLimits
+from ..steering.poison_requests import Fingerprint
 from ..steering.targets import TargetEntry
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
@@ -73,9 +74,9 @@
         self.may_have_run = False
         self.waited_s = float(0)
         self.trail: list[str] = []
-        #: Identity of its content; empty unless a connection to a target was
+        #: Identity of its content; None unless a connection to a target was
         #: lost or requests are known to end targets.
-        self.fingerprint = ''
+        self.fingerprint: Fingerprint | None = None
         #: Last failed answer that a retry may still replace.
         self.failed_answer: TargetAnswer | None = None
 
--- a/tests/fleet/test_poison_broadcast.py
+++ b/tests/fleet/test_poison_broadcast.py
@@ -7,12 +7,13 @@
 from cuminhoist.fleet.control_metrics import ControlMetrics
 from cuminhoist.fleet.messages import PoisonNotice
 from cuminhoist.fleet.poison_broadcast import PoisonBroadcast
-from cuminhoist.steering.poison_requests import TargetEnd
+from cuminhoist.steering.poison_requests import Fingerprint, TargetEnd
 
 from .builders import add_peer, control_links, hello
 
-NOTICE = PoisonNotice(ends=(TargetEnd('p', 'a', 1),))
-REFUTED = PoisonNotice(ends=(TargetEnd('p', 'a', 1, refuted=True),))
+REQUEST = Fingerprint('p', 'p/c')
+NOTICE = PoisonNotice(ends=(TargetEnd(REQUEST, 'a', 1),))
+REFUTED = PoisonNotice(ends=(TargetEnd(REQUEST, 'a', 1, refuted=True),))
 
 
 class _Fleet:
--- a/tests/gateway/test_fingerprint.py
+++ b/tests/gateway/test_fingerprint.py
@@ -69,4 +69,7 @@
 )
 async def test_other_requests_differ(changes):
     """Guards against a harmless request that is taken for another one."""
-    assert await _fingerprint() != await _fingerprint(**changes)
+    changed = await _fingerprint(**changes)
+    original = await _fingerprint()
+    assert changed.caller != original.caller
+    assert (changed.content == original.content) == ('caller' in changes)
--- a/tests/steering/test_poison_requests.py
+++ b/tests/steering/test_poison_requests.py
@@ -13,13 +13,19 @@
 from cuminhoist.steering.poison_requests import (
     MAX_REQUESTS,
     REMEMBERED_S,
+    Fingerprint,
     PoisonRequests,
     TargetEnd,
 )
 
 
-def _ends(fingerprint, *targets):
-    return [TargetEnd(fingerprint, target, 1) for target in targets]
+def _request(content, caller='c'):
+    return Fingerprint(content, f'{content}/{caller}')
+
+
+def _ends(content, *targets, caller='c'):
+    request = _request(content, caller)
+    return [TargetEnd(request, target, 1) for target in targets]
 
 
 def _known(*groups):
@@ -32,17 +38,19 @@
 def test_third_ended_target_makes_a_request_poison():
     """Guards against a request that goes on from target to target."""
     known = _known(_ends('p', 'a', 'b'))
-    assert not known.is_poison('p')
+    assert not known.is_poison(_request('p'))
     known.record(_ends('p', 'b'), 1)
-    assert not known.is_poison('p')
+    assert not known.is_poison(_request('p'))
     known.record(_ends('p', 'c'), 1)
-    assert known.is_poison('p')
+    assert known.is_poison(_request('p'))
 
 
 def test_new_start_of_a_target_counts_again():
     """Guards against few targets that a request ends for ever."""
-    known = _known([TargetEnd('p', 'a', start) for start in (1, 2, 3)])
-    assert known.is_poison('p')
+    known = _known(
+        [TargetEnd(_request('p'), 'a', start) for start in (1, 2, 3)]
+    )
+    assert known.is_poison(_request('p'))
 
 
 def test_harmless_request_beside_three_crashes_is_not_the_cause():
@@ -53,33 +61,57 @@
         _ends('p3', 'c', 'h', 'i'),
         _ends('harmless', 'a', 'b', 'c'),
     )
-    assert not known.is_poison('harmless')
+    assert not known.is_poison(_request('harmless'))
     # Their ends at a, b and c are shared, so one more decides.
     for number, other in enumerate(('p1', 'p2', 'p3')):
         known.record(_ends(other, f'more-{number}'), 1)
-        assert known.is_poison(other)
-    assert not known.is_poison('harmless')
+        assert known.is_poison(_request(other))
+    assert not known.is_poison(_request('harmless'))
 
 
 def test_requests_beside_each_other_at_all_crashes_stay_undecided():
     """Guards against the wrong one of two that always ran together."""
     known = _known(_ends('p', 'a', 'b', 'c'), _ends('q', 'a', 'b', 'c'))
-    assert not known.is_poison('p')
-    assert not known.is_poison('q')
-    known.refute('q', 1)
-    assert known.is_poison('p')
-    assert not known.is_poison('q')
+    assert not known.is_poison(_request('p'))
+    assert not known.is_poison(_request('q'))
+    known.refute(_request('q'), 1)
+    assert known.is_poison(_request('p'))
+    assert not known.is_poison(_request('q'))
 
 
 def test_answered_request_is_not_the_cause():
     """Guards against ends that an answer has refuted and a merge restores."""
     known = _known(_ends('p', 'a', 'b'))
-    refuted = known.refute('p', 1)
+    refuted = known.refute(_request('p'), 1)
     assert [end.refuted for end in refuted] == [True, True]
     known.record(_ends('p', 'a', 'b', 'c', 'd'), 2)
-    assert not known.is_poison('p')
+    assert not known.is_poison(_request('p'))
     known.record(_ends('p', 'e'), 3)
-    assert known.is_poison('p')
+    assert known.is_poison(_request('p'))
+
+
+def test_poison_of_several_callers_counts_together():
+    """Guards against a request that each of its callers sends to all targets.
+
+    An answer to one of them shows that the content is not the cause.
+    """
+    known = _known(
+        _ends('p', 'a', caller='c'),
+        _ends('p', 'b', caller='d'),
+        _ends('p', 'c', caller='e'),
+    )
+    assert known.is_poison(_request('p', 'f'))
+    known.refute(_request('p', 'g'), 1)
+    assert not known.is_poison(_request('p', 'f'))
+
+
+def test_poison_of_one_caller_does_not_condemn_the_others():
+    """Guards against callers who pay for another one's request."""
+    known = _known(_ends('p', 'a', 'b', 'c'))
+    assert known.is_poison(_request('p'))
+    assert not known.is_poison(_request('p', 'other'))
+    known.refute(_request('p', 'other'), 1)
+    assert known.is_poison(_request('p'))
 
 
 def test_instances_out_of_touch_agree_once_they_meet():
@@ -87,17 +119,17 @@
     parts = [PoisonRequests() for _ in range(3)]
     for part, target in zip(parts, 'abc', strict=True):
         part.record(_ends('p', target), 0)
-        assert not part.is_poison('p')
+        assert not part.is_poison(_request('p'))
     for part, other in itertools.permutations(parts, 2):
         part.record(other.in_force(), 1)
-    assert all(part.is_poison('p') for part in parts)
+    assert all(part.is_poison(_request('p')) for part in parts)
 
 
 @given(st.lists(st.tuples(*map(st.sampled_from, ('pqr', 'abcd', (0, 1))))))
 def test_order_of_notices_does_not_matter(drawn):
     """Guards against instances that judge the same ends differently."""
     ends = [
-        TargetEnd(request, target, 1, refuted=bool(refuted))
+        TargetEnd(_request(request), target, 1, refuted=bool(refuted))
         for request, target, refuted in drawn
     ]
     shuffled = [*ends, *ends]
@@ -110,9 +142,9 @@
     """Guards against memory that grows with each target that ends."""
     known = _known(_ends('p', 'a', 'b', 'c'))
     known.record(_ends('q', 'd'), REMEMBERED_S + 1)
-    assert not known.is_poison('p')
+    assert not known.is_poison(_request('p'))
     for number in range(MAX_REQUESTS + 10):
         known.record(_ends(f'r{number}', 'e'), REMEMBERED_S + 2)
     known.record((), REMEMBERED_S + 2)
     assert len(known.in_force()) == MAX_REQUESTS
-    assert known.is_poison('q') is False
+    assert known.is_poison(_request('q')) is False
