--- a/src/cuminhoist/gateway/crash_detector.py
+++ b/src/cuminhoist/gateway/crash_detector.py
@@ -111,8 +111,8 @@
             self._now(),
         )
         counts = {
-            end.fingerprint: self.poison_requests.ended_targets(end.fingerprint)
-            for end in ends
+            request.caller: self.poison_requests.ended_targets(request)
+            for request in lost
         }
         _log.bind(target=target.name, requests=counts).warning(
             'target ended under requests'
--- a/tests/gateway/test_poison_requests.py
+++ b/tests/gateway/test_poison_requests.py
@@ -35,8 +35,11 @@
     """Guards against a request that ends all targets (BUDGET)."""
     targets = [CrashingTarget() for _ in range(6)]
     async with gateway(*targets) as harness:
+        told = []
+        harness.proxy.crash_detector.on_ends = told.extend
         await harness.request(path=POISON, request_id='id1')
         await _ended_targets(harness, 2)
+        await eventually(lambda: len(told) == 2)
         await harness.request(path=POISON, request_id='id2')
         await _ended_targets(harness, 3)
         sent = sum(len(target.heads) for target in targets)
