Let only successes and caller errors refute that a request ends targets

A busy target answers 504 to a request that waited until its deadline and never ran; that made all ends under the request forgotten (BUDGET, found by reading).

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -62,6 +62,7 @@
         }
         self._looked_up_at: float | None = None
         self._connected_to = ''
+        self._source_host = '0.0.0.0'  # noqa: S104
         self._client: httpx.AsyncClient | None = None
         self._request_count = 0
 
@@ -79,6 +80,8 @@
     async def repeat(self, path: str, for_s: float) -> None:
         """Send the same request again and again, to any entry instance.
 
+        Each try comes from another address.
+
         :param path: its path.
         :param for_s: how long to go on, in seconds.
         """
@@ -91,6 +94,7 @@
                     if name.startswith('entry')
                 ]
             )
+            self._source_host = f'127.0.1.{self._rng.randrange(1, 100)}'
             await self._request_on_connection(path, key=0, once=False)
             await self._close_connection()
             await asyncio.sleep(REPEAT_INTERVAL_S)
@@ -135,10 +139,12 @@
     ) -> Call:
         if self._client is None:
             self._client = httpx.AsyncClient(
-                limits=httpx.Limits(max_connections=1, keepalive_expiry=60),
+                transport=httpx.AsyncHTTPTransport(
+                    limits=httpx.Limits(max_connections=1, keepalive_expiry=60),
+                    local_address=self._source_host,
+                    verify=False,  # noqa: S501
+                ),
                 timeout=httpx.Timeout(DEADLINE_S + 1, connect=1),
-                trust_env=False,
-                verify=False,  # noqa: S501
             )
         self._request_count += 1
         call = await self._send(
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -54,6 +54,7 @@
 #: Time reserved for the final answer to reach the caller, in seconds.
 ANSWER_MARGIN_S = 0.02
 MS_PER_S = 1000
+_MIN_SERVER_ERROR = 500
 #: Statuses by which a caller learns that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -442,7 +443,9 @@
             scope['state']['abort']()
             state.trail.append(f'answer cut: {exc!r}')
             return 'cut'
-        self.crash_detector.answered(state)
+        if answer.status < _MIN_SERVER_ERROR:
+            # A target that is busy answers 504 to a request that never ran.
+            self.crash_detector.answered(state)
         return f'answered-{answer.status}'
 
     def _placement_request(self, state: RequestState) -> PlacementRequest:
--- a/tests/gateway/test_poison_requests.py
+++ b/tests/gateway/test_poison_requests.py
@@ -75,3 +75,26 @@
         await harness.request()
         await asyncio.sleep(0.1)
         assert not harness.proxy.crash_detector.poison_requests.in_force()
+
+
+async def test_failure_that_a_target_answers_refutes_nothing():
+    """Guards against ends that a busy target's 504 makes forgotten."""
+    statuses = iter(('', '504 Gateway Timeout'))
+
+    def script(head):
+        status = next(statuses, '200 OK')
+        if not status:
+            crashing.stop()
+            return b''
+        return answer(head, status=status)
+
+    crashing = ScriptedTarget(script)
+    others = [ScriptedTarget(script) for _ in range(2)]
+    async with gateway(crashing, *others, max_targets=1) as harness:
+        await harness.request()
+        await _ended_targets(harness, 1)
+        known = harness.proxy.crash_detector.poison_requests
+        await harness.request(request_id='id2')
+        assert [end.refuted for end in known.in_force()] == [False]
+        await harness.request(request_id='id3')
+        assert [end.refuted for end in known.in_force()] == [True]
