--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterator
 
+from .cut_checks import callers_of_cut_instances
 from .evidence import Arrival, Call, Evidence, InjectedFault, OrderKind
 from .plan import FaultKind
 from .poison_checks import poison_sent_on, refused_as_poison
@@ -100,6 +101,7 @@
         _arrivals_over_limits,
         poison_sent_on,
         refused_as_poison,
+        callers_of_cut_instances,
         _late_answers,
         _requests_cut_by_stops,
         _incomplete_recovery,
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -12,7 +12,7 @@
 from .operators import Operator
 from .plan import Fault, FaultKind
 from .processes import OPERATORS_PORT, RESTART_S, Instance
-from .proxy import Mode
+from .proxy import CutForm, Mode
 from .upstreams import POISON_PREFIX, SERVICES, Target, TargetList
 
 #: Longest time between the end of a process and its restart, in seconds.
@@ -29,6 +29,12 @@
     FaultKind.target_silent: Mode.silent,
 }
 
+_CUT_FORMS = {
+    FaultKind.targets_cut_hang: CutForm.hang,
+    FaultKind.targets_cut_reset: CutForm.reset,
+    FaultKind.targets_cut_live_on: CutForm.live_on,
+}
+
 
 class Injector:
     """Injects faults into processes, links, targets and the configuration.
@@ -55,6 +61,7 @@
         self._evidence = evidence
         self._actions: dict[FaultKind, _Action] = {
             **dict.fromkeys(_LINK_MODES, self._disturb_link),
+            **dict.fromkeys(_CUT_FORMS, self._cut_from_targets),
             FaultKind.kill: self._kill,
             FaultKind.wipe: self._kill,
             FaultKind.torn_write: self._kill,
@@ -199,6 +206,18 @@
         )
         await caller.repeat(f'{POISON_PREFIX}-{name}', fault.for_s)
 
+    async def _cut_from_targets(self, fault: Fault) -> None:
+        host = self._instances[fault.on].host
+        form = _CUT_FORMS[fault.kind]
+        for target in self._targets.values():
+            target.proxy.cut(host, form)
+            # Without an end, the open connections would last for the cut.
+            target.closing = form is CutForm.live_on
+        await asyncio.sleep(fault.for_s)
+        for target in self._targets.values():
+            target.proxy.join(host)
+            target.closing = False
+
     async def _slow_target(self, fault: Fault) -> None:
         target = self._targets[fault.on]
         target.slow = True
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,7 +22,7 @@
 
 #: Version of the plans that are drawn unless another one is asked for. The
 #: plan of a seed stays the same within a version.
-PLAN_VERSION = 4
+PLAN_VERSION = 5
 #: Factor of the durations of ``target_announces``: the target list has to be
 #: silent for longer than leaving targets may get requests.
 SILENT_LIST_FACTOR = 2.0
@@ -30,6 +30,8 @@
 LIMIT_FACTOR = 4.0
 #: Factor of the durations of ``poison_request``: instances have 4 s to react.
 POISON_FACTOR = 4.0
+#: Factor of the durations of ``TARGET_CUTS``: instances have 4 s to react.
+CUT_FACTOR = 3.0
 
 
 class FaultKind(enum.StrEnum):
@@ -64,8 +66,21 @@
     target_reassigned = 'target_reassigned'
     target_limits = 'target_limits'
     poison_request = 'poison_request'
+    targets_cut_hang = 'targets_cut_hang'
+    targets_cut_reset = 'targets_cut_reset'
+    targets_cut_live_on = 'targets_cut_live_on'
 
 
+#: Kinds that cut an entry instance, the only one of its domain, off from all
+#: targets.
+TARGET_CUTS = frozenset(
+    (
+        FaultKind.targets_cut_hang,
+        FaultKind.targets_cut_reset,
+        FaultKind.targets_cut_live_on,
+    ),
+)
+
 #: Kinds that are not part of version 1, by the first version that draws them.
 KINDS_BY_VERSION = {
     2: frozenset(
@@ -78,6 +93,7 @@
     ),
     3: frozenset((FaultKind.target_limits,)),
     4: frozenset((FaultKind.poison_request,)),
+    5: TARGET_CUTS,
 }
 
 #: Kinds that are injected into control instances.
@@ -115,6 +131,7 @@
     FaultKind.target_announces: SILENT_LIST_FACTOR,
     FaultKind.target_limits: LIMIT_FACTOR,
     FaultKind.poison_request: POISON_FACTOR,
+    **dict.fromkeys(TARGET_CUTS, CUT_FACTOR),
 }
 
 
@@ -172,6 +189,7 @@
             **dict.fromkeys(CONTROL_KINDS, controls),
             **dict.fromkeys(PROCESS_KINDS, controls + entries),
             **dict.fromkeys(TARGET_KINDS, targets),
+            **dict.fromkeys(TARGET_CUTS, entries),
             FaultKind.drain: domains,
         }
         kinds = [kind for kind in FaultKind if _first_version(kind) <= version]
--- a/soak/poison_checks.py
+++ b/soak/poison_checks.py
@@ -4,23 +4,15 @@
 from collections.abc import Iterator
 
 from .evidence import Crash, Evidence
-from .plan import CONTROL_KINDS, PROCESS_KINDS, FaultKind
+from .separations import REACTION_S, out_of_touch
 from .upstreams import POISON_PREFIX
 
 #: Targets that may end under a request before it must not be sent on.
 MAX_CRASHES = 3
-#: Time after the last of these ends until all instances know it, in seconds.
-REACTION_S = 4.0
 #: Requests with the same content that may reach targets after that time.
 MAX_LATE_ARRIVALS = 3
 #: Reason with which an instance refuses such a request.
 REFUSAL = 'poison-request'
-#: Kinds of faults that take instances out of touch with each other.
-SEPARATIONS = (
-    CONTROL_KINDS
-    | PROCESS_KINDS
-    | {FaultKind.kill_controls, FaultKind.links_cut}
-)
 
 
 def poison_sent_on(evidence: Evidence) -> Iterator[str]:
@@ -39,7 +31,7 @@
             if arrival.at > known_at
             and arrival.request_id in calls
             and calls[arrival.request_id].path == path
-            and not _separated(
+            and not out_of_touch(
                 calls[arrival.request_id].instance, arrival.at, evidence
             )
         ]
@@ -67,14 +59,3 @@
     for crash in evidence.crashes:
         by_path[crash.path].append(crash)
     return by_path
-
-
-def _separated(instance: str, at: float, evidence: Evidence) -> bool:
-    """Tell whether a fault may have kept an instance out of touch."""
-    return any(
-        fault.kind in SEPARATIONS
-        and (fault.on in {'', instance} or fault.on.startswith('control'))
-        and fault.began < at
-        and fault.ended > at - REACTION_S
-        for fault in evidence.injected_faults
-    )
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -116,6 +116,7 @@
             'listen': listen,
             'internal_ports': [PEERS_PORT, METRICS_PORT],
             'peers_listen': f'{self.host}:{PEERS_LISTEN_PORT}',
+            'targets_source': self.host,
             'seeds': seeds,
             'bootstrap': bootstrap,
             'data_dir': str(self.disk) if self.is_control else None,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -25,11 +25,24 @@
     silent = 'silent'
 
 
+class CutForm(enum.StrEnum):
+    """What happens to the connections of a client that is cut off.
+
+    New connections are reset in each form. Open ones hang, are reset as well,
+    or live on.
+    """
+
+    hang = 'hang'
+    reset = 'reset'
+    live_on = 'live_on'
+
+
 class _ConnectionPair:
     """A connection of a client and the proxy's connection to the server."""
 
     def __init__(self, *writers: asyncio.StreamWriter) -> None:
         self.writers = writers
+        self.client_host = writers[0].get_extra_info('peername')[0]
         self.dropping = False
 
     def abort(self) -> None:
@@ -52,6 +65,7 @@
         self.port = port
         self._server_port = server_port
         self._pairs: set[_ConnectionPair] = set()
+        self._cut_hosts: set[str] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -85,12 +99,33 @@
             for pair in self._pairs:
                 pair.dropping = True
 
+    def cut(self, client_host: str, form: CutForm) -> None:
+        """Cut a client off from the server.
+
+        :param client_host: IP address of the client.
+        :param form: what happens to its open connections.
+        """
+        self._cut_hosts.add(client_host)
+        for pair in tuple(self._pairs):
+            if pair.client_host == client_host and form is CutForm.reset:
+                pair.abort()
+            elif pair.client_host == client_host and form is CutForm.hang:
+                pair.dropping = True
+
+    def join(self, client_host: str) -> None:
+        """Let a client that was cut off connect again.
+
+        :param client_host: IP address of the client.
+        """
+        self._cut_hosts.discard(client_host)
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if self.mode is Mode.refuse:
+        client_host = writer.get_extra_info('peername')[0]
+        if self.mode is Mode.refuse or client_host in self._cut_hosts:
             writer.transport.abort()
             return
         try:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -81,6 +81,8 @@
         self.slow = False
         self.failing = False
         self.pausing = False
+        #: Whether it closes each connection after the answer.
+        self.closing = False
         #: Requests per second that it takes from all instances; 0 for no limit.
         self.limit_per_s = float(0)
         #: Whether its answers say that it leaves.
@@ -226,6 +228,8 @@
             headers.append((b'server-limit', b'%g' % self.limit_per_s))
         if self.announcing:
             headers.append((b'server-leaving', b'1'))
+        if self.closing:
+            headers.append((b'connection', b'close'))
         if pause_s:
             headers.append((b'x-not-executed', b'1'))
             headers.append((b'retry-after', b'%.2f' % pause_s))
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -103,6 +103,7 @@
         self._target_connections = TargetConnections(
             now,
             LinkPacer(config.link_bytes_per_s, now),
+            config.target_source_host,
         )
         self.request_proxy = RequestProxy(
             wire,
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -63,6 +63,8 @@
         instances together.
     :param limits: limits that the deployment sets.
     :param link_bytes_per_s: bandwidth of its network link, in bytes a second.
+    :param target_source_host: IP address from which connections to targets
+        are opened; empty to let the system choose.
     """
 
     name: str
@@ -83,6 +85,7 @@
     limits: DeploymentLimits = DeploymentLimits()
     link_bytes_per_s: float = float('inf')
     peer_listen_address: Address | None = None
+    target_source_host: str = ''
 
     @property
     def is_control(self) -> bool:
--- a/src/cuminhoist/gateway/target_connections.py
+++ b/src/cuminhoist/gateway/target_connections.py
@@ -53,10 +53,18 @@
 
     :param now: returns monotonic time in seconds.
     :param pacer: paces answers on the link of this instance.
+    :param source_host: IP address from which connections are opened; empty to
+        let the system choose.
     """
 
-    def __init__(self, now: Callable[[], float], pacer: LinkPacer) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        pacer: LinkPacer,
+        source_host: str = '',
+    ) -> None:
         self.pacer = pacer
+        self._source_host = source_host
         self._now = now
         self._pools: dict[str, _Pool] = {}
 
@@ -158,6 +166,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._source_host:
+            sock.bind((self._source_host, 0))
         window_bytes = self.pacer.window_bytes
         if window_bytes:
             # TCP agrees on window scaling while the connection is opened, so
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -59,6 +59,9 @@
     #: address, such as that of a proxy in a test. The platform does not
     #: set it.
     peers_listen: str = ''
+    #: Address from which connections to targets are opened, such as in a test
+    #: that cuts one instance off. The platform does not set it.
+    targets_source: str = ''
     #: Addresses of the operators' interface; the internal port differs.
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
@@ -98,6 +101,7 @@
         regions=boot.zones,
         peer_address=Address(boot.ip, first_port),
         peer_listen_address=_optional_address(boot.peers_listen),
+        target_source_host=boot.targets_source,
         # All machines of a deployment use the same internal ports.
         seeds=tuple(
             Address(_parse_address(seed).host, first_port)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -239,3 +239,18 @@
         evidence.runs[3], path='/browse/3', service='catalogue'
     )
     assert 'cause of a crash' in _only_violation(evidence)
+
+
+def test_callers_of_a_cut_instance_are_not_served():
+    """Guards against an instance without targets that refuses its callers."""
+    evidence = sound_evidence()
+    cut = InjectedFault(FaultKind.targets_cut_reset, 'entry-a', 0, 60)
+    evidence.injected_faults.append(cut)
+    for number in range(12):
+        evidence.calls[number] = changed(evidence.calls[number], status=502)
+    for number in range(12, 40):
+        evidence.calls[number] = changed(
+            evidence.calls[number], instance='entry-b'
+        )
+    violations = find_violations(evidence)
+    assert any('0 of 12 requests were served' in line for line in violations)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,8 +16,16 @@
 #: always played. The plan of seed 425 has leaving notices, pauses, cut links,
 #: ends of all control instances and reassigned addresses; in that of seed 1007
 #: a target names a limit for ten seconds; in that of seed 2511 two requests
-#: end each target that runs them.
-SHORT_SOAKS = ((425, 24.0, 2), (1007, 24.0, 3), (2511, 24.0, 4))
+#: end each target that runs them. In those of version 5 an entry instance, the
+#: only one of its domain, is cut off from all targets, in each form.
+SHORT_SOAKS = (
+    (425, 24.0, 2),
+    (1007, 24.0, 3),
+    (2511, 24.0, 4),
+    (5529, 24.0, 5),
+    (5964, 24.0, 5),
+    (4173, 24.0, 5),
+)
 FAILED_SEEDS = pathlib.Path(__file__).with_name('seeds.txt')
 
 
