Eject no target for others because one entry instance is cut off

Cause: one failed connection of one instance ejects a target at its dispatcher, for all instances; nothing told the fault of a target from that of the path to it. Now a failed or lost connection, and a timeout without any answer, are reported as failures only once one of several targets of different domains accepts a new connection; otherwise the attempt counts as withdrawn. Connections that are reset right after they were opened are not accepted ones. The check for ended targets uses the same answer.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -212,11 +212,11 @@
         for target in self._targets.values():
             target.proxy.cut(host, form)
             # Without an end, the open connections would last for the cut.
-            target.closing = form is CutForm.live_on
+            target.set_closing(closing=form is CutForm.live_on)
         await asyncio.sleep(fault.for_s)
         for target in self._targets.values():
             target.proxy.join(host)
-            target.closing = False
+            target.set_closing(closing=False)
 
     async def _slow_target(self, fault: Fault) -> None:
         target = self._targets[fault.on]
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -81,8 +81,6 @@
         self.slow = False
         self.failing = False
         self.pausing = False
-        #: Whether it closes each connection after the answer.
-        self.closing = False
         #: Requests per second that it takes from all instances; 0 for no limit.
         self.limit_per_s = float(0)
         #: Whether its answers say that it leaves.
@@ -92,6 +90,7 @@
         self.listed = True
         self._evidence = evidence
         self._admitted = 0
+        self._closes_connections = False
         self._slots = asyncio.Semaphore(SLOTS)
         self._server = HttpServer.from_app(self._serve, host, 8081)
         self._task: asyncio.Task[None] | None = None
@@ -114,6 +113,13 @@
         await self.proxy.stop()
         await _close_server(self._server, self._task)
 
+    def set_closing(self, *, closing: bool) -> None:
+        """Close each connection after its answer, or keep them again.
+
+        :param closing: whether to close them.
+        """
+        self._closes_connections = closing
+
     def crash(self, request_id: str, path: str) -> None:
         """End under a request, and start anew after ``CRASHED_S``.
 
@@ -228,7 +234,7 @@
             headers.append((b'server-limit', b'%g' % self.limit_per_s))
         if self.announcing:
             headers.append((b'server-leaving', b'1'))
-        if self.closing:
+        if self._closes_connections:
             headers.append((b'connection', b'close'))
         if pause_s:
             headers.append((b'x-not-executed', b'1'))
--- a/src/cuminhoist/gateway/crash_detector.py
+++ b/src/cuminhoist/gateway/crash_detector.py
@@ -6,8 +6,7 @@
 """
 
 import asyncio
-import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ..logging_setup import logger
 from ..steering.poison_requests import (
@@ -18,12 +17,10 @@
 from ..steering.targets import TargetEntry
 from .bodies import RequestBody
 from .fingerprint import fingerprint
+from .reachability import TargetReachability
 from .request_state import RequestState, RoutingState
 from .target_connections import TargetConnections, pool_key
 
-#: Other targets that are tried before this instance counts as cut off.
-MAX_OTHER_TARGETS = 3
-
 _log = logger('targets')
 
 
@@ -44,7 +41,8 @@
         #: Called with the ends that are new or refuted.
         self.on_ends: Callable[[tuple[TargetEnd, ...]], None] = _ignore_ends
         self._connections = connections
-        self._routing_state = routing_state
+        #: Tells whether other targets accept connections.
+        self.reachability = TargetReachability(connections, routing_state, now)
         self.poison_requests = PoisonRequests()
         self._now = now
         # Requests that were lost at a target since its check began.
@@ -96,9 +94,10 @@
 
     async def _check(self, target: TargetEntry) -> None:
         try:
-            has_ended = not await self._connections.can_connect(
-                target
-            ) and await self._reaches_any(self._others(target))
+            has_ended = (
+                not await self._connections.can_connect(target)
+                and await self.reachability.reaches_targets()
+            )
         finally:
             lost = self._lost_requests.pop(pool_key(target))
         if not has_ended:
@@ -120,21 +119,6 @@
         if ends:
             self.on_ends(ends)
 
-    def _others(self, target: TargetEntry) -> list[TargetEntry]:
-        others = [
-            entry
-            for entry in self._routing_state.targets.values()
-            if entry.name != target.name
-        ]
-        count = min(MAX_OTHER_TARGETS, len(others))
-        return random.sample(others, count)
-
-    async def _reaches_any(self, targets: Iterable[TargetEntry]) -> bool:
-        for target in targets:
-            if await self._connections.can_connect(target):
-                return True
-        return False
-
 
 def _ignore_ends(_ends: tuple[TargetEnd, ...]) -> None:
     """Ignore ends of targets."""
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -24,6 +24,7 @@
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
 from ..types import Ran, Reason
+from . import refusals
 from .answers import (
     Send,
     TargetAnswer,
@@ -34,13 +35,8 @@
 from .attempt import AttemptOutcome, AttemptSender, abort, headers_for_caller
 from .bodies import BodyTooLarge, CallerDisconnected, Receive, RequestBody
 from .crash_detector import CrashDetector
+from .failure_reports import FailureReports
 from .placement_client import PlacementClient
-from .refusals import (
-    NOT_READY_RETRY_S,
-    refusal_after_attempt,
-    refusal_of_poison,
-    refusal_without_target,
-)
 from .request_metrics import RequestMetrics
 from .request_recorder import RequestRecorder
 from .request_state import RequestState, RoutingState
@@ -94,12 +90,17 @@
         self.crash_detector = CrashDetector(
             connections, self.routing_state, now
         )
+        #: Whether this instance reaches any target.
+        self.reachability = self.crash_detector.reachability
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
+        self._failure_reports = FailureReports(
+            self.reachability, placement_client
+        )
         self._pause_log = TargetPauseLog(metrics, now)
         self._splitter = Splitter(random.Random())  # noqa: S311
         self._retries = RetryPolicy(
@@ -207,7 +208,9 @@
                 else Reason.no_state
             )
             return not_run_refusal(
-                reason, 'Retry at another entry instance.', NOT_READY_RETRY_S
+                reason,
+                'Retry at another entry instance.',
+                refusals.NOT_READY_RETRY_S,
             ), None
         if not req.host:
             return not_run_refusal(
@@ -225,7 +228,7 @@
         return not_run_refusal(
             Reason.no_state,
             'The routes of this entry instance may be outdated.',
-            NOT_READY_RETRY_S,
+            refusals.NOT_READY_RETRY_S,
         )
 
     def _set_deadlines(
@@ -260,7 +263,7 @@
     ) -> str:
         while True:
             if self.crash_detector.is_poison(state, body):
-                refusal = refusal_of_poison(state)
+                refusal = refusals.refusal_of_poison(state)
                 await send_refusal(refusal, send)
                 return f'refused-{refusal.reason}'
             req = self._placement_request(state)
@@ -325,12 +328,13 @@
         self._placement_client.running_attempts[decision.number] = report
         outcome = AttemptOutcome(Ending.withdrawn)
         try:
-            outcome = await self._attempt_sender.send(
-                state.req,
-                body,
-                target,
-                state.ends_at - started_at,
-            )
+            with self.reachability.watching():
+                outcome = await self._attempt_sender.send(
+                    state.req,
+                    body,
+                    target,
+                    state.ends_at - started_at,
+                )
             if outcome.target_leaving:
                 # The report below frees the slot, so the target is taken out
                 # before it.
@@ -384,19 +388,18 @@
         target_started_at_ms: int = 0,
     ) -> None:
         self._metrics.attempts.labels(state.service, outcome.ending).inc()
-        self._placement_client.report_attempt_end(
-            AttemptReport(
-                decision.number,
-                decision.target,
-                state.service,
-                state.object_key,
-                outcome.ending,
-                run_s,
-                pause_s=outcome.pause_s,
-                target_started_at_ms=target_started_at_ms,
-                limit_per_s=outcome.limit_per_s,
-            ),
+        report = AttemptReport(
+            decision.number,
+            decision.target,
+            state.service,
+            state.object_key,
+            outcome.ending,
+            run_s,
+            pause_s=outcome.pause_s,
+            target_started_at_ms=target_started_at_ms,
+            limit_per_s=outcome.limit_per_s,
         )
+        self._failure_reports.send(report, outcome)
 
     async def _answer_without_target(
         self, state: RequestState, refused: Refused, send: Send
@@ -406,7 +409,7 @@
             headers = headers_for_caller(self._wire, failed)
             await send_answer(failed, headers, send, self._pacer)
             return f'answered-{failed.status}'
-        refusal = refusal_without_target(state, refused)
+        refusal = refusals.refusal_without_target(state, refused)
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
 
@@ -419,7 +422,7 @@
         paused_s = self._placement_client.time_to_unpaused_s(
             state.service, state.route.allowed_regions
         )
-        refusal = refusal_after_attempt(state, outcome, paused_s)
+        refusal = refusals.refusal_after_attempt(state, outcome, paused_s)
         await send_refusal(refusal, send)
         return f'failed-{refusal.reason}'
 
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -285,19 +285,37 @@
 
     :param proxy: the proxy, with routes and targets.
     """
-    server = HttpServer.from_app(proxy, '127.0.0.1', 0)
-    proxy.routing_state.apply_limits = server.apply_limits
+    async with listening(proxy) as server:
+        proxy.routing_state.apply_limits = server.apply_limits
+        yield GatewayHarness(proxy, server, _port(server))
+
+
+@contextlib.asynccontextmanager
+async def listening(app) -> AsyncIterator[HttpServer]:
+    """Run a listener for an application.
+
+    :param app: the application.
+    """
+    server = HttpServer.from_app(app, '127.0.0.1', 0)
     serving = asyncio.create_task(server.serve())
     while not server.started:
         await asyncio.sleep(0.01)
-    port = server.servers[0].sockets[0].getsockname()[1]
     try:
-        yield GatewayHarness(proxy, server, port)
+        yield server
     finally:
         server.drain_timeout_s = 0
         server.should_exit = True
         await serving
 
 
+def address_of(server: HttpServer) -> Address:
+    """Return the address that a listener listens on."""
+    return Address('127.0.0.1', _port(server))
+
+
+def _port(server: HttpServer) -> int:
+    return server.servers[0].sockets[0].getsockname()[1]
+
+
 def _length(head: bytes) -> int:
     return int(header(head, 'content-length') or 0)
