Pass requests on through another instance while no target is reached

Cause: there was one way to a target, from the instance that the caller asked. An instance that finds itself cut off now sends each request to another entry instance, of its own region first and only in regions that the route allows, on the internal port. That instance places it as one of its own, passes on whom it comes from, and never relays it again.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -33,7 +33,7 @@
 from .fleet_view import apply_changes
 from .instance_config import Address, InstanceConfig
 from .link_meter import PrometheusMeter
-from .lookups import nearest_entries
+from .lookups import nearest_entries, relay_peers
 from .messages import (
     DecisionNotice,
     EntryEndpoint,
@@ -125,6 +125,9 @@
         self.links.leaving_notice = self.feed.leaving_notice
         local = self.placement_client.local_dispatcher
         self.links.limits = local.limits.in_force
+        self.request_proxy.relay.find_peers = lambda regions: relay_peers(
+            self._roster.values(), config, regions
+        )
         crash_detector = self.request_proxy.crash_detector
         self.links.target_ends = crash_detector.poison_requests.in_force
         crash_detector.on_ends = self.links.report_target_ends
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -29,6 +29,28 @@
     )
 
 
+def refusal_of_cut_instance(
+    state: RequestState, outcome: AttemptOutcome | None
+) -> Refusal:
+    """Return the refusal of a request that no entry instance could serve.
+
+    :param state: the request.
+    :param outcome: outcome at the last entry instance that was tried, if any.
+    """
+    if state.may_have_run:
+        return Refusal(
+            ran=Ran.unknown,
+            reason=Reason.target_lost,
+            detail='The attempt failed and no other instance can take over.',
+        )
+    asked_s = outcome.pause_s if outcome else 0
+    return not_run_refusal(
+        Reason.no_target,
+        'This entry instance reaches no target.',
+        asked_s or NOT_READY_RETRY_S,
+    )
+
+
 def refusal_without_target(state: RequestState, refused: Refused) -> Refusal:
     """Return the refusal of a request that gets no target, or no other one.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -37,6 +37,7 @@
 from .crash_detector import CrashDetector
 from .failure_reports import FailureReports
 from .placement_client import PlacementClient
+from .relay import Relay
 from .request_metrics import RequestMetrics
 from .request_recorder import RequestRecorder
 from .request_state import RequestState, RoutingState
@@ -92,6 +93,7 @@
         )
         #: Whether this instance reaches any target.
         self.reachability = self.crash_detector.reachability
+        self.relay = Relay(wire, TargetConnections(now, connections.pacer), now)
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
@@ -262,10 +264,11 @@
         send: Send,
     ) -> str:
         while True:
-            if self.crash_detector.is_poison(state, body):
-                refusal = refusals.refusal_of_poison(state)
-                await send_refusal(refusal, send)
-                return f'refused-{refusal.reason}'
+            outcome_here = await self._serve_without_target(
+                state, body, scope, send
+            )
+            if outcome_here:
+                return outcome_here
             req = self._placement_request(state)
             decision, decider = await self._placement_client.request_placement(
                 req
@@ -287,12 +290,56 @@
             )
             if self._retries.may_retry(state, body, outcome):
                 continue
+            if await self._needs_relay(state, outcome):
+                return await self._pass_on(state, body, scope, send)
             if outcome.answer is None or _promises_not_run(state, outcome):
                 return await self._answer_failed_attempt(state, outcome, send)
             return await self._pass_answer_on(
                 state, outcome.answer, scope, send
             )
 
+    async def _serve_without_target(
+        self, state: RequestState, body: RequestBody, scope: Any, send: Send
+    ) -> str:
+        """Refuse or relay a request that this instance must send to no target.
+
+        :returns: how it ended; empty if it may be sent to a target.
+        """
+        if self.crash_detector.is_poison(state, body):
+            refusal = refusals.refusal_of_poison(state)
+            await send_refusal(refusal, send)
+            return f'refused-{refusal.reason}'
+        if self.reachability.is_cut:
+            return await self._pass_on(state, body, scope, send)
+        return ''
+
+    async def _needs_relay(
+        self, state: RequestState, outcome: AttemptOutcome
+    ) -> bool:
+        """Tell whether a request failed as this instance reaches no target."""
+        repeats = state.route.repeat is RepeatPolicy.idempotent
+        return (
+            outcome.answer is None
+            and (repeats or not state.may_have_run)
+            and outcome.ending in {Ending.unreachable, Ending.lost}
+            and not await self.reachability.reaches_targets()
+        )
+
+    async def _pass_on(
+        self, state: RequestState, body: RequestBody, scope: Any, send: Send
+    ) -> str:
+        """Have another entry instance serve a request, unless that did."""
+        outcome = None
+        if not scope['state'].get('relayed', False):
+            outcome = await self.relay.send(state, body)
+        if outcome is not None and outcome.answer is not None:
+            return await self._pass_answer_on(
+                state, outcome.answer, scope, send
+            )
+        refusal = refusals.refusal_of_cut_instance(state, outcome)
+        await send_refusal(refusal, send)
+        return f'refused-{refusal.reason}'
+
     def _is_paused(
         self, state: RequestState, target: TargetEntry, decider: str
     ) -> bool:
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -16,6 +16,7 @@
 from ..fleet.entry_instance import EntryInstance
 from ..fleet.instance_config import Address, InstanceConfig
 from ..fleet.target_feed import TargetSource
+from ..gateway.relay import relay_app
 from ..httpserver import HttpServer
 from ..json_logs import configure_json_logs
 from ..listener_limits import UNCONFIGURED_LIMITS
@@ -149,9 +150,13 @@
             PlatformWire(),
             time.monotonic,
         )
-        server = self._start_server(cfg.request_address, entry.request_proxy)
+        server = self._start_request_server(
+            cfg.request_address, entry.request_proxy
+        )
+        self._start_request_server(
+            cfg.peer_address, relay_app(entry.request_proxy)
+        )
         if server is not None:
-            server.apply_limits(UNCONFIGURED_LIMITS)
             entry.request_proxy.routing_state.apply_limits = server.apply_limits
             server.report_refusals(entry.metrics.count_refusal)
         self._start_server(
@@ -189,6 +194,14 @@
                 return
             await asyncio.sleep(_DRAIN_POLL_S)
 
+    def _start_request_server(
+        self, address: Address | None, app: Any
+    ) -> HttpServer | None:
+        server = self._start_server(address, app)
+        if server is not None:
+            server.apply_limits(UNCONFIGURED_LIMITS)
+        return server
+
     def _start_server(
         self, address: Address | None, app: Any
     ) -> HttpServer | None:
--- a/tests/gateway/test_cut_from_targets.py
+++ b/tests/gateway/test_cut_from_targets.py
@@ -12,9 +12,22 @@
 import pytest
 
 from cuminhoist.fleet.instance_config import Address
+from cuminhoist.gateway.relay import relay_app
+from cuminhoist.gateway.routes import RepeatPolicy
+from cuminhoist.steering.targets import TargetEntry, TargetState
 from tests.waiting import eventually
 
-from .builders import ScriptedTarget, answer, gateway
+from .builders import (
+    GatewayHarness,
+    ScriptedTarget,
+    address_of,
+    answer,
+    gateway,
+    header,
+    listening,
+)
+
+ONCE = RepeatPolicy.once
 
 
 class HangingTarget(ScriptedTarget):
@@ -57,6 +70,107 @@
     return ScriptedTarget(answer)
 
 
+@contextlib.asynccontextmanager
+async def _relayed_to(cut: GatewayHarness, other: GatewayHarness):
+    """Let a cut instance pass its requests on to another one."""
+    async with listening(relay_app(other.proxy)) as relay:
+        peer = TargetEntry(
+            name='other',
+            service='',
+            address=address_of(relay),
+            domain='y',
+            slots=8,
+            state=TargetState.ready,
+        )
+        cut.proxy.relay.find_peers = lambda _regions: [peer]
+        yield
+
+
+@pytest.mark.parametrize(
+    'make_target', [HangingTarget, RefusingTarget, ResettingTarget]
+)
+@pytest.mark.parametrize('repeat', list(RepeatPolicy))
+async def test_callers_of_a_cut_instance_were_refused(make_target, repeat):
+    """Guards against a cut instance that fails its callers (RECOVER)."""
+    whole = _target()
+    targets = [make_target(lambda head: None) for _ in range(4)]
+    async with (
+        gateway(*targets, repeat=repeat) as cut,
+        gateway(whole, repeat=repeat) as other,
+        _relayed_to(cut, other),
+    ):
+        await cut.request(request_id='first')
+        await eventually(lambda: cut.proxy.reachability.is_cut)
+        for number in range(5):
+            received = await cut.request(
+                'POST', body=b'content', request_id=f'id{number}'
+            )
+            assert received.startswith(b'HTTP/1.1 200')
+            assert received.endswith(b'whole')
+    heads = [header(head, 'x-request-id') for head in whole.heads]
+    assert heads[-5:] == [f'id{number}' for number in range(5)]
+    assert b'x-cuminhoist' not in b''.join(whole.heads)
+    assert whole.bodies[-5:] == [b'content'] * 5
+
+
+async def test_request_that_may_have_run_is_not_passed_on():
+    """Guards against a one-time request that runs twice through a relay."""
+    whole = _target()
+    targets = []
+
+    def cut_off(_head):
+        for target in targets:
+            target.stop()
+        return b''
+
+    targets.extend(ScriptedTarget(cut_off) for _ in range(2))
+    async with (
+        gateway(*targets, repeat=ONCE) as cut,
+        gateway(whole, repeat=ONCE) as other,
+        _relayed_to(cut, other),
+    ):
+        received = await cut.request('POST', body=b'once')
+        assert received.startswith(b'HTTP/1.1 502')
+    assert not whole.heads
+
+
+async def test_request_is_passed_on_once():
+    """Guards against requests that cut instances send to each other."""
+    async with (
+        gateway(RefusingTarget(answer)) as first,
+        gateway(RefusingTarget(answer)) as second,
+        _relayed_to(first, second),
+        _relayed_to(second, first),
+    ):
+        received = await first.request()
+        assert received.startswith(b'HTTP/1.1 503')
+        assert b'not-run' in received
+
+
+async def test_caller_of_a_relayed_request_is_kept():
+    """Guards against callers of one relay that are taken for one caller."""
+    callers = []
+
+    async def serve(scope, receive, send):
+        callers.append(scope['client'][0])
+        await send({'type': 'http.response.start', 'status': 204})
+        await send({'type': 'http.response.body', 'body': b''})
+
+    headers = [
+        (b'x-cuminhoist-relayed-for', b'10.9.9.9'),
+        (b'host', b'shop.example'),
+        (b'x-cuminhoist-relayed-for', b'10.0.0.1'),
+    ]
+    scope = {'headers': headers, 'client': ('10.0.0.2', 1), 'state': {}}
+
+    async def ignore(_event):
+        pass
+
+    await relay_app(serve)(scope, None, ignore)
+    assert callers == ['10.0.0.1']
+    assert scope['headers'] == headers[:2]
+
+
 @pytest.mark.parametrize('make_target', [HangingTarget, RefusingTarget])
 async def test_cut_instance_ejected_targets_for_all(make_target):
     """Guards against targets that one cut instance takes from the others."""
