Treat a socket that cannot be opened as a failed connection

Found by reading: with no free descriptors the check whether any target accepts a connection ended with an error, was not repeated while silent, and an instance that was cut off would have stayed so. The added test fails with OSError on the former code.

--- a/src/cuminhoist/gateway/target_connections.py
+++ b/src/cuminhoist/gateway/target_connections.py
@@ -159,8 +159,8 @@
         loop = asyncio.get_running_loop()
         conn = ClientConnection(_ignore_close)
         with contextlib.ExitStack() as cleanup:
-            sock = cleanup.enter_context(self._open_socket())
             try:
+                sock = cleanup.enter_context(self._open_socket())
                 async with asyncio.timeout(timeout_s):
                     await loop.sock_connect(sock, address)
                     await loop.create_connection(lambda: conn, sock=sock)
--- a/tests/gateway/test_cut_from_targets.py
+++ b/tests/gateway/test_cut_from_targets.py
@@ -12,8 +12,10 @@
 import pytest
 
 from cuminhoist.fleet.instance_config import Address
+from cuminhoist.gateway.pacing import LinkPacer
 from cuminhoist.gateway.relay import relay_app
 from cuminhoist.gateway.routes import RepeatPolicy
+from cuminhoist.gateway.target_connections import TargetConnections
 from cuminhoist.steering.targets import TargetEntry, TargetState
 from tests.waiting import eventually
 
@@ -212,3 +214,21 @@
         received = await harness.request(request_id='id2')
         assert received.startswith(b'HTTP/1.1 200')
         restarted.close()
+
+
+async def test_socket_that_cannot_be_opened_is_an_outcome():
+    """Guards against a check that ends with an error and is never repeated."""
+    connections = TargetConnections(
+        asyncio.get_running_loop().time,
+        LinkPacer(float('inf'), asyncio.get_running_loop().time),
+        source_host='192.0.2.1',
+    )
+    target = TargetEntry(
+        name='t',
+        service='svc',
+        address=Address('127.0.0.1', 1),
+        domain='z',
+        slots=1,
+        state=TargetState.ready,
+    )
+    assert not await connections.can_connect(target)
