--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -264,11 +264,11 @@
         send: Send,
     ) -> str:
         while True:
-            outcome_here = await self._serve_without_target(
+            ended_as = await self._serve_without_target(
                 state, body, scope, send
             )
-            if outcome_here:
-                return outcome_here
+            if ended_as:
+                return ended_as
             req = self._placement_request(state)
             decision, decider = await self._placement_client.request_placement(
                 req
@@ -328,7 +328,10 @@
     async def _pass_on(
         self, state: RequestState, body: RequestBody, scope: Any, send: Send
     ) -> str:
-        """Have another entry instance serve a request, unless that did."""
+        """Have another entry instance serve a request.
+
+        A request that another one has passed on here is refused instead.
+        """
         outcome = None
         if not scope['state'].get('relayed', False):
             outcome = await self.relay.send(state, body)
