Ask up to sixteen targets before an instance counts as cut off

An entry instance took itself for cut off although targets accepted its connections, and then counted no ended targets.

Cause: it asked four targets at random. Listed targets that have just ended refuse as a cut does, so with four of six ended all asked ones refused at times.

Change: one target is asked, then up to fifteen more, five at a time, so that a check takes at most the same second as before.

test_ended_targets_were_taken_for_a_cut failed before at the first calls.

--- a/src/cuminhoist/gateway/reachability.py
+++ b/src/cuminhoist/gateway/reachability.py
@@ -16,9 +16,11 @@
 from .request_state import RoutingState
 from .target_connections import TargetConnections
 
+#: Targets that are tried at the same time once a first one has refused.
+BATCH_SIZE = 5
 #: Targets that must all refuse a connection before the instance counts as cut
 #: off.
-MAX_CHECKED_TARGETS = 4
+MAX_CHECKED_TARGETS = 1 + 3 * BATCH_SIZE
 #: Time between two checks while the instance is cut off, in seconds.
 CHECK_INTERVAL_S = 0.5
 #: Time without any answer after which an attempt raises a suspicion, seconds.
@@ -80,11 +82,16 @@
 
     async def _try_targets(self) -> bool:
         targets = _one_of_each_domain(self._routing_state.targets.values())
-        reached = not targets
-        for target in targets:
-            reached = await self._connections.can_connect(target)
+        reached = not targets or await self._connections.can_connect(targets[0])
+        for first in range(1, len(targets), BATCH_SIZE):
             if reached:
                 break
+            batch = targets[first : first + BATCH_SIZE]
+            reached = any(
+                await asyncio.gather(
+                    *(self._connections.can_connect(each) for each in batch)
+                )
+            )
         self._check = None
         if reached == self.is_cut:
             self.is_cut = not reached
