Play cuts between entry instances and targets in the emulator

Callers of entry instances that are cut off from all targets were played by the soak and the gateway's tests only; the emulator knew regions, not entry instances.

Change: a region of a pattern has several entry instances, and a cut takes some or all of them off all targets, with connections that hang, are reset, or work on while new ones are refused. Checks use the batches of the gateway; failures that a cut instance sees are withdrawn and its requests passed on. A report compares first tries at cut instances with those at the others.

--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -1,5 +1,6 @@
 """Load patterns: regions, targets, callers and injected faults."""
 
+import enum
 import pathlib
 
 import msgspec
@@ -15,12 +16,14 @@
     :param targets: number of targets in the region.
     :param per_s: mean requests per second of its callers.
     :param phase: phase of the load wave, as a fraction of its period.
+    :param entries: number of entry instances in the region.
     """
 
     name: str
     targets: int
     per_s: float
     phase: float = 0
+    entries: int = 1
 
 
 class Work(msgspec.Struct, frozen=True, kw_only=True):
@@ -173,6 +176,33 @@
     down_s: float
 
 
+class CutConnections(enum.StrEnum):
+    """What a cut does to connections between an entry instance and targets."""
+
+    #: Open and new ones get no answer.
+    hang = 'hang'
+    #: Open and new ones are reset.
+    reset = 'reset'
+    #: Open ones work on, new ones are refused.
+    refuse_new = 'refuse-new'
+
+
+class Cut(msgspec.Struct, frozen=True, kw_only=True):
+    """A period in which entry instances of a region reach no target.
+
+    :param at_s: start of the period, in seconds.
+    :param for_s: length of the period, in seconds.
+    :param region: name of the region.
+    :param entries: number of its entry instances that are cut off.
+    """
+
+    at_s: float
+    for_s: float
+    region: str
+    entries: int
+    connections: CutConnections
+
+
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
     """A load pattern to replay.
 
@@ -195,6 +225,7 @@
     overloaded: tuple[Overloaded, ...] = ()
     limiting: tuple[Limiting, ...] = ()
     poison: tuple[PoisonRequest, ...] = ()
+    cuts: tuple[Cut, ...] = ()
 
 
 def load_pattern(path: pathlib.Path) -> Result[Pattern, FieldError]:
--- a/src/cuminhoist/emulator/report.py
+++ b/src/cuminhoist/emulator/report.py
@@ -6,6 +6,10 @@
 
 #: Length of the windows over which fractions are compared, in seconds.
 WINDOW_S = 2.0
+#: First tries at cut entry instances that may fail: a number, and a fraction
+#: of all of them.
+MIN_TOLERATED_FAILURES = 10
+TOLERATED_FAILURES = 0.02
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -16,6 +20,8 @@
     :param took_s: time until the answer, in seconds; None without an answer.
     :param moved: whether another region served the request.
     :param refusals: number of refusals that the caller got.
+    :param at_cut: whether the entry instance that was asked first had been cut
+        off from all targets for a while; None if no instance had.
     """
 
     region: str
@@ -23,6 +29,7 @@
     took_s: float | None
     moved: bool
     refusals: int
+    at_cut: bool | None = None
 
 
 class Report(msgspec.Struct):
@@ -79,6 +86,29 @@
         )
         return unanswered / max(len(self.outcomes), 1)
 
+    def failed_at_cut(self) -> int:
+        """Return the first tries that failed at cut entry instances.
+
+        :returns: 0 if no more than tolerated failed, or two thirds as many
+            were served as at the other instances.
+        """
+        at_cut = self._first_tries(at_cut=True)
+        elsewhere = self._first_tries(at_cut=False)
+        failed = at_cut.count(False)
+        few = failed <= MIN_TOLERATED_FAILURES + (
+            len(at_cut) * TOLERATED_FAILURES
+        )
+        served = at_cut.count(True) * len(elsewhere)
+        similar = 3 * served >= 2 * elsewhere.count(True) * len(at_cut)
+        return 0 if few or similar else failed
+
+    def _first_tries(self, *, at_cut: bool) -> list[bool]:
+        return [
+            outcome.took_s is not None and not outcome.refusals
+            for outcome in self.outcomes
+            if outcome.at_cut is at_cut
+        ]
+
     def worst_region(self) -> float:
         """Return the lowest fraction in time of any region."""
         regions = {outcome.region for outcome in self.outcomes}
--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..gateway.reachability import SILENCE_S
 from ..steering.decisions import (
     AttemptReport,
     Decision,
@@ -29,8 +30,10 @@
 from ..steering.targets import TargetEntry
 from .bound import arrival_rate, max_in_time_fraction
 from .disturbances import schedule_disturbances
+from .entries import TARGET_RTT_S, EntryInstances
+from .entry import EmulatedEntry
 from .notices import RegionNotices
-from .patterns import Pattern
+from .patterns import CutConnections, Pattern
 from .poison import RUN_S, PoisonArrivals, schedule_poison
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
@@ -52,20 +55,29 @@
 #: saved. A retry costs one token.
 RETRY_TOKENS_PER_REQUEST = 0.12
 MAX_RETRY_TOKENS = 8.0
+#: Endings that may be the fault of the path to the target.
+_LOST_CONNECTION = frozenset((Ending.lost, Ending.unreachable))
+_FAILURES = _LOST_CONNECTION | {Ending.timeout}
 
 
 class _WaitingCaller(msgspec.Struct):
     """A caller that waits for an answer.
 
+    :param entry: entry instance that places the request.
     :param asked_at: simulated time of the first request, in seconds.
     :param ends_at: simulated time of its final deadline, in seconds.
     :param excluded: targets that were tried since the last refusal.
     :param content: identifies the content of the request.
     :param down_s: time until a target starts again that ends under the
         request, in seconds; 0 if none does.
+    :param at_cut: whether the instance that was asked first had been cut off
+        for a while; None if no instance had.
+    :param peers: instances that may place the request for a cut one; None if
+        it has not been passed on.
     """
 
     region: str
+    entry: EmulatedEntry
     key: str
     asked_at: float
     ends_at: float
@@ -73,6 +85,8 @@
     excluded: tuple[str, ...] = ()
     content: str = ''
     down_s: float = 0
+    at_cut: bool | None = None
+    peers: list[EmulatedEntry] | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -105,6 +119,9 @@
         self.targets = {
             target.entry.name: target for target in self._make_targets()
         }
+        self._entries = EntryInstances(
+            pattern, seed, self._schedule_after, self._listed_targets
+        )
         self.dispatchers = {
             region.name: Dispatcher(SHIFT_LIMIT_FRACTION)
             for region in pattern.regions
@@ -160,6 +177,7 @@
     def _send_poison(self, region: str, content: str, down_s: float) -> None:
         caller = _WaitingCaller(
             region,
+            self._entries.choose(region),
             content,
             self.now,
             self.now + self._pattern.callers.left_s,
@@ -198,12 +216,15 @@
     def _handle_arrival(self, region: str) -> None:
         self._schedule_arrival(region)
         callers = self._pattern.callers
+        entry = self._entries.choose(region)
         caller = _WaitingCaller(
             region,
+            entry,
             f'o{self._rng.randrange(self._pattern.work.object_count)}',
             self.now,
             self.now + callers.left_s,
             content=f'content-{next(self._numbers)}',
+            at_cut=self._entries.was_asked_in_cut(entry, self.now),
         )
         self._retry_tokens = min(
             self._retry_tokens + RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS
@@ -214,12 +235,16 @@
         )
 
     def _request_placement(self, caller: _WaitingCaller) -> None:
-        if self._poison_requests[caller.region].is_poison(caller.fingerprint):
+        region = caller.entry.region
+        if self._poison_requests[region].is_poison(caller.fingerprint):
             self.report.refused_as_poison += not caller.down_s
             return
+        if caller.entry.is_cut:
+            self._pass_on(caller)
+            return
         number = next(self._numbers)
         self._waiting_callers[number] = caller
-        self._meters[caller.region].count_request(SERVICE)
+        self._meters[region].count_request(SERVICE)
         objective_s = self._pattern.callers.objective_s
         request = PlacementRequest(
             number=number,
@@ -232,11 +257,25 @@
             left_s=caller.ends_at - self.now,
             excluded=caller.excluded,
         )
-        dispatcher = self.dispatchers[caller.region]
-        decision = dispatcher.decide_or_queue(caller.region, request, self.now)
+        decision = self.dispatchers[region].decide_or_queue(
+            caller.entry.name, request, self.now
+        )
         if decision is not None:
             self._handle_decision(decision)
 
+    def _pass_on(self, caller: _WaitingCaller) -> None:
+        """Have another entry instance place the request of a cut one."""
+        if caller.peers is None:
+            caller.peers = self._entries.peers(caller.entry)
+        if not caller.peers:
+            self._handle_refusal(caller, 0.01)
+            return
+        peer = caller.peers.pop(0)
+        remote = peer.region != caller.entry.region
+        caller.entry = peer
+        delay_s = self._pattern.region_s if remote else TARGET_RTT_S
+        self._schedule_after(delay_s, lambda: self._request_placement(caller))
+
     def _handle_decision(self, decision: Decision) -> None:
         if isinstance(decision, Granted):
             delay_s = DISPATCHER_RTT_S / 2
@@ -254,6 +293,8 @@
             self._record_outcome(caller, None, shifted=False)
             return
         caller.excluded = ()
+        caller.entry = self._entries.choose(caller.region)
+        caller.peers = None
         delay_s = min(retry_after_s, left_s / 3) + 2 * CALLER_RTT_S
         self._schedule_after(delay_s, lambda: self._request_placement(caller))
 
@@ -261,11 +302,28 @@
         caller = self._waiting_callers[granted.number]
         target = self.targets[granted.target]
         job = Job(
-            granted.number, caller.region, caller.key, self.now, caller.down_s
+            granted.number, caller.entry, caller.key, self.now, caller.down_s
         )
+        reused = caller.entry.has_connection(target.entry)
+        if caller.entry.cut is not None:
+            self._schedule_after(SILENCE_S, partial(self._check_silence, job))
+            if not reused:
+                self._fail_to_connect(job, target)
+                return
         delay_s = self._one_way_delay_s(job, target)
         self._schedule_after(delay_s, lambda: self._reach_target(job, target))
 
+    def _check_silence(self, job: Job) -> None:
+        if job.number in self._waiting_callers:
+            self._entries.check_if_silent(job.entry, self.now)
+
+    def _fail_to_connect(self, job: Job, target: EmulatedTarget) -> None:
+        report = self._attempt_report(job, target, Ending.unreachable)
+        self._schedule_after(
+            self._entries.time_to_fail_s(job.entry),
+            lambda: self._handle_answer(job, target, report),
+        )
+
     def _one_way_delay_s(self, job: Job, target: EmulatedTarget) -> float:
         remote = target.region != job.region
         return self._pattern.region_s if remote else DISPATCHER_RTT_S / 4
@@ -304,19 +362,19 @@
                 delay_s, partial(self._apply_notice, name, notice)
             )
 
-    def _spread_end(self, caller: _WaitingCaller, end: TargetEnd) -> None:
+    def _spread_end(self, region: str, end: TargetEnd) -> None:
         """Tell all regions that a target ended under a request."""
         for name, known in self._poison_requests.items():
-            delay_s = self._pattern.region_s if name != caller.region else 0
+            delay_s = self._pattern.region_s if name != region else 0
             self._schedule_after(delay_s, partial(self._record_end, known, end))
 
     def _record_end(self, known: PoisonRequests, end: TargetEnd) -> None:
         known.record((end,), self.now)
 
     def _refute(self, caller: _WaitingCaller) -> None:
-        own = self._poison_requests[caller.region]
+        own = self._poison_requests[caller.entry.region]
         for end in own.refute(caller.fingerprint, self.now):
-            self._spread_end(caller, end)
+            self._spread_end(caller.entry.region, end)
 
     def _spread_limit(self, region: str, limit: TargetLimit) -> None:
         """Tell the other dispatchers of the limit of a target."""
@@ -335,10 +393,11 @@
         if self._notices.add(region, notice, listed, self.now):
             self._update_region_targets(region)
 
+    def _listed_targets(self) -> list[EmulatedTarget]:
+        return [target for target in self.targets.values() if target.listed]
+
     def _listed_entries(self) -> tuple[TargetEntry, ...]:
-        return tuple(
-            target.entry for target in self.targets.values() if target.listed
-        )
+        return tuple(target.entry for target in self._listed_targets())
 
     def _start_run(self, job: Job, target: EmulatedTarget) -> None:
         if job.down_s:
@@ -372,7 +431,31 @@
         pause_s: float = 0,
     ) -> None:
         delay_s = self._one_way_delay_s(job, target)
-        report = AttemptReport(
+        cut = job.entry.cut
+        if cut is not None and cut.connections is CutConnections.hang:
+            ending = Ending.timeout
+            ends_at = self._waiting_callers[job.number].ends_at
+            delay_s = max(ends_at - self.now, 0)
+        elif cut is not None and cut.connections is CutConnections.reset:
+            ending = Ending.lost
+        report = self._attempt_report(job, target, ending, pause_s, delay_s)
+        if target.leaving and not target.stopped:
+            self._schedule_after(
+                delay_s, lambda: self._spread_notice(job.region, target.entry)
+            )
+        self._schedule_after(
+            delay_s, lambda: self._handle_answer(job, target, report)
+        )
+
+    def _attempt_report(
+        self,
+        job: Job,
+        target: EmulatedTarget,
+        ending: Ending,
+        pause_s: float = 0,
+        delay_s: float = 0,
+    ) -> AttemptReport:
+        return AttemptReport(
             job.number,
             target.entry.name,
             SERVICE,
@@ -382,33 +465,23 @@
             pause_s=pause_s,
             limit_per_s=target.limit_per_s or UNLIMITED,
         )
-        if target.leaving and not target.stopped:
-            self._schedule_after(
-                delay_s, lambda: self._spread_notice(job.region, target.entry)
-            )
-        self._schedule_after(
-            delay_s, lambda: self._handle_answer(job, target, report)
-        )
 
     def _handle_answer(
         self, job: Job, target: EmulatedTarget, report: AttemptReport
     ) -> None:
         caller = self._waiting_callers.pop(job.number)
-        self._schedule_after(
-            DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
-        )
-        if report.ending is Ending.lost:
-            self._spread_end(
-                caller,
-                TargetEnd(
-                    caller.fingerprint,
-                    report.target,
-                    target.entry.started_at_ms,
-                ),
+        entry = job.entry
+        if report.ending in _FAILURES:
+            self._entries.check(
+                entry, partial(self._judge_failure, caller, job, target, report)
             )
+        else:
+            entry.answered_at = self.now
+            entry.release(target.entry)
+            self._send_report(job, report)
         if report.ending is Ending.answered:
             self._refute(caller)
-            shifted = target.region != job.region
+            shifted = target.region != caller.region
             self._record_outcome(
                 caller, self.now + CALLER_RTT_S / 2, shifted=shifted
             )
@@ -417,12 +490,54 @@
         if len(caller.excluded) < MAX_ATTEMPTS and self._retry_tokens >= 1:
             self._retry_tokens -= 1
             self._request_placement(caller)
+        elif report.ending in _LOST_CONNECTION:
+            self._entries.check(entry, partial(self._end_failed, caller))
         else:
             self._handle_refusal(caller, 0.01)
 
+    def _judge_failure(
+        self,
+        caller: _WaitingCaller,
+        job: Job,
+        target: EmulatedTarget,
+        report: AttemptReport,
+        reached: bool,  # noqa: FBT001
+    ) -> None:
+        """Report a failure unless the instance reaches no target at all."""
+        if not reached:
+            report = msgspec.structs.replace(report, ending=Ending.withdrawn)
+        self._send_report(job, report)
+        if report.ending is Ending.lost and target.stopped:
+            self._spread_end(
+                job.region,
+                TargetEnd(
+                    caller.fingerprint,
+                    report.target,
+                    target.entry.started_at_ms,
+                ),
+            )
+
+    def _end_failed(
+        self,
+        caller: _WaitingCaller,
+        reached: bool,  # noqa: FBT001
+    ) -> None:
+        """Refuse a request whose attempts failed, or pass it on."""
+        if reached:
+            self._handle_refusal(caller, 0.01)
+        else:
+            self._pass_on(caller)
+
+    def _send_report(self, job: Job, report: AttemptReport) -> None:
+        self._schedule_after(
+            DISPATCHER_RTT_S / 2, lambda: self._handle_report(job, report)
+        )
+
     def _handle_report(self, job: Job, report: AttemptReport) -> None:
         dispatcher = self.dispatchers[job.region]
-        for _, decision in dispatcher.end_attempt(job.region, report, self.now):
+        for _, decision in dispatcher.end_attempt(
+            job.entry.name, report, self.now
+        ):
             self._handle_decision(decision)
 
     def _record_outcome(
@@ -443,6 +558,7 @@
                 took_s if in_time else None,
                 shifted,
                 caller.refusals,
+                caller.at_cut,
             ),
         )
 
--- a/src/cuminhoist/emulator/targets.py
+++ b/src/cuminhoist/emulator/targets.py
@@ -7,6 +7,7 @@
 
 from ..fleet.instance_config import Address
 from ..steering.targets import TargetEntry, TargetState
+from .entry import EmulatedEntry
 from .limits import LimitedArrivals
 from .patterns import Overloaded, Pattern, Work
 
@@ -22,19 +23,24 @@
     """One attempt at a target.
 
     :param number: number of the placement request.
-    :param region: region whose dispatcher granted it.
+    :param entry: entry instance that sends it.
     :param key: identity of the object that the request uses.
     :param sent_at: simulated time of sending, in seconds.
     """
 
     number: int
-    region: str
+    entry: EmulatedEntry
     key: str
     sent_at: float
     #: Time until the target starts again that ends under the attempt, in
     #: seconds; 0 if none does.
     down_s: float = 0
 
+    @property
+    def region(self) -> str:
+        """Region whose dispatcher granted it."""
+        return self.entry.region
+
 
 class _Pause(msgspec.Struct):
     """A time for which a target wants no requests of a region.
--- a/src/cuminhoist/gateway/reachability.py
+++ b/src/cuminhoist/gateway/reachability.py
@@ -47,6 +47,7 @@
         self._connections = connections
         self._routing_state = routing_state
         self._now = now
+        self._rng = random.Random()  # noqa: S311
         self._answered_at = float('-inf')
         self._check: asyncio.Task[bool] | None = None
         self._watch: asyncio.Task[None] | None = None
@@ -81,17 +82,16 @@
             self._check = asyncio.create_task(self._try_targets())
 
     async def _try_targets(self) -> bool:
-        targets = _one_of_each_domain(self._routing_state.targets.values())
-        reached = not targets or await self._connections.can_connect(targets[0])
-        for first in range(1, len(targets), BATCH_SIZE):
-            if reached:
-                break
-            batch = targets[first : first + BATCH_SIZE]
+        targets = self._routing_state.targets.values()
+        reached = not targets
+        for batch in check_batches(targets, self._rng):
             reached = any(
                 await asyncio.gather(
                     *(self._connections.can_connect(each) for each in batch)
                 )
             )
+            if reached:
+                break
         self._check = None
         if reached == self.is_cut:
             self.is_cut = not reached
@@ -109,11 +109,24 @@
         self._watch = None
 
 
-def _one_of_each_domain(targets: Iterable[TargetEntry]) -> list[TargetEntry]:
-    """Return some targets at random, of different domains where possible."""
+def check_batches(
+    targets: Iterable[TargetEntry], rng: random.Random
+) -> list[list[TargetEntry]]:
+    """Return some random targets in the batches in which they are tried.
+
+    They are of different domains where possible.
+
+    :param targets: the targets that may be tried.
+    :param rng: chooses among them.
+    """
     shuffled = list(targets)
-    random.shuffle(shuffled)
+    rng.shuffle(shuffled)
     by_domain = {target.domain: target for target in shuffled}
     first = list(by_domain.values())
     others = [target for target in shuffled if target not in first]
-    return [*first, *others][:MAX_CHECKED_TARGETS]
+    checked = [*first, *others][:MAX_CHECKED_TARGETS]
+    rest = [
+        checked[start : start + BATCH_SIZE]
+        for start in range(1, len(checked), BATCH_SIZE)
+    ]
+    return [checked[:1], *rest] if checked else []
--- a/tests/emulator/test_replay.py
+++ b/tests/emulator/test_replay.py
@@ -56,6 +56,17 @@
     assert report.refused_as_poison == 0
 
 
+def test_callers_of_cut_instances_are_served():
+    """Guards against first tries that fail at cut instances (RECOVER)."""
+    report = _replay('cut-instances')
+    assert {outcome.at_cut for outcome in report.outcomes} == {
+        None,
+        False,
+        True,
+    }
+    assert report.failed_at_cut() == 0
+
+
 def test_small_region_is_served():
     """Guards against late answers in a region with few targets.
 
