Accept white space around chunk extensions

Callers whose chunk extensions have white space around them, which HTTP allows, had their connections closed without an answer.

Cause: the parser refuses that white space, and none of its leniencies permits it next to a name.

Change: the listener finds the ends of bodies itself and removes the extensions of chunk headers that follow the grammar. Other headers reach the parser as they are, which refuses them as before.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -18,6 +18,7 @@
 from .listener_limits import ListenerLimits
 from .logging_setup import logger
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
+from .request_body_framing import find_framing
 from .request_head import find_head_fault
 from .request_target import split_target
 from .types import Ran, Reason
@@ -45,6 +46,7 @@
         #: Bytes that the parser is reading.
         self._received = b''
         self._head = HeadCounter()
+        self._body = find_framing([])
         #: Why the head that was parsed last is refused.
         self._head_refusal: Refusal | None = None
         self._half_closed = False
@@ -74,7 +76,7 @@
         :param data: the bytes.
         """
         while data and not self._half_closed:
-            piece, data = self._head.cut(data)
+            piece, data = self._cut(data)
             # The base class stops the timer.
             self._received = piece
             super().data_received(piece)
@@ -94,8 +96,7 @@
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
-        self._head.begin()
-        self._waits_since = self.loop.time()
+        self._begin_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header of the head (callback of the parser).
@@ -113,6 +114,7 @@
         """Hand the request to the application (callback of the parser)."""
         self._check_head()
         self._head.end_head()
+        self._body = find_framing(self.headers)
         # The base class reads targets in origin form only.
         authority, target = split_target(self.url)
         self.url = target
@@ -251,6 +253,19 @@
     def _limits(self) -> ListenerLimits:
         return getattr(self.server_state, 'limits', ListenerLimits())
 
+    def _cut(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return bytes for the parser, of one request, and the others."""
+        if not self._head.expected:
+            piece, data = self._body.cut(data)
+            self._head.cut(piece)
+            return piece, data
+        return self._head.cut(data)
+
+    def _begin_head(self) -> None:
+        if not self._head.begun:
+            self._head.begin()
+            self._waits_since = self.loop.time()
+
     def _start_waiting(self) -> None:
         self._waits_since = self.loop.time()
         self._start_timer()
