Pass on requests with methods that the parser does not know

Callers got a 400 for a method that is a proper token but not on the list of the HTTP parser.

Cause: the parser reads methods from a fixed list and ends with an error.

Change: the listener replaces such a method before the parser reads it and restores it for the application.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -20,6 +20,7 @@
 from .problems import PROBLEM_TYPE, Refusal, encode_problem
 from .request_body_framing import find_framing
 from .request_head import find_head_fault
+from .request_method import MethodReader
 from .request_target import split_target
 from .types import Ran, Reason
 
@@ -46,6 +47,7 @@
         #: Bytes that the parser is reading.
         self._received = b''
         self._head = HeadCounter()
+        self._method = MethodReader()
         self._body = find_framing([])
         #: Why the head that was parsed last is refused.
         self._head_refusal: Refusal | None = None
@@ -96,6 +98,7 @@
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
+        self._method.begin()
         self._begin_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -129,6 +132,8 @@
             'round_trip_s': round_trip_s(self.transport),
         }
         super().on_headers_complete()
+        if self._method.replaced:
+            self.scope['method'] = self._method.replaced.decode()
         self.cycle.transport = cast(asyncio.Transport, _CycleTransport(self))
         if getattr(self.server_state, 'draining', False):
             self.cycle.keep_alive = False
@@ -137,6 +142,7 @@
         """Expect the next request (callback of the parser)."""
         super().on_message_complete()
         self._head.end_message()
+        self._method.end_message()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the application that the caller has disconnected.
@@ -259,7 +265,11 @@
             piece, data = self._body.cut(data)
             self._head.cut(piece)
             return piece, data
-        return self._head.cut(data)
+        piece, data = self._head.cut(data)
+        piece = self._method.read(piece)
+        if self._method.holds_bytes:
+            self._begin_head()
+        return piece, data
 
     def _begin_head(self) -> None:
         if not self._head.begun:
