End a transport's tasks when they are cancelled

Cause: pynng can ignore the cancellation of an operation. Requests of clients allowed for that; the serving side awaited its operations directly, and only stop() closed the contexts that end them.

Change: both sides run an operation in a task of its own, whose error is a value, and close the context when they end. Contexts of the listener are made before their tasks, so that a stop right after the start closes them too.

--- a/src/cuminhoist/transport.py
+++ b/src/cuminhoist/transport.py
@@ -8,6 +8,8 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TypeVar
 
 import pynng
 from returns.result import Failure, Result, Success
@@ -26,6 +28,8 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
 
+_Received = TypeVar('_Received')
+
 _log = logger('transport')
 
 
@@ -110,14 +114,16 @@
         )
         self._listener = pynng.Rep0(listen=address)
         for _ in range(SERVER_CONTEXTS):
-            self._serve_tasks.append(asyncio.create_task(self._serve()))
+            context = self._listener.new_context()
+            self._open_contexts.append(context)
+            self._serve_tasks.append(asyncio.create_task(self._serve(context)))
 
     async def stop(self) -> None:
         """Stop serving and close all sockets."""
         # Contexts are closed before their socket: one that is closed later
         # raises an error when it is freed.
-        for context in self._open_contexts:
-            context.close()
+        for context in tuple(self._open_contexts):
+            self._close(context)
         if self._listener is not None:
             self._listener.close()
         for handler_task in self._handler_tasks:
@@ -150,16 +156,16 @@
         return self._read_reply(peer, frame)
 
     async def _exchange(self, peer: str, frame: bytes) -> bytes:
-        # pynng can ignore the cancellation of an operation, which would leave
-        # the task waiting for ever. The operation therefore runs in a task
-        # that is never cancelled, and closing the context ends it.
         context = self._client_socket(peer).new_context()
         self._open_contexts.append(context)
-        exchange_task = asyncio.create_task(_send_and_receive(context, frame))
-        exchange_task.add_done_callback(_retrieve_exception)
         try:
-            return await asyncio.shield(exchange_task)
+            await _shield(partial(context.asend, frame))
+            return await _shield(context.arecv)
         finally:
+            self._close(context)
+
+    def _close(self, context: pynng.Context) -> None:
+        if context in self._open_contexts:
             self._open_contexts.remove(context)
             context.close()
 
@@ -191,19 +197,21 @@
             self._client_sockets[peer] = sock
         return sock
 
-    async def _serve(self) -> None:
-        if self._listener is None:
-            return
-        context = self._listener.new_context()
-        self._open_contexts.append(context)
+    async def _serve(self, context: pynng.Context) -> None:
+        try:
+            await self._serve_context(context)
+        finally:
+            self._close(context)
+
+    async def _serve_context(self, context: pynng.Context) -> None:
         with contextlib.suppress(pynng.Closed, asyncio.CancelledError):
             while True:
-                frame = await context.arecv()
+                frame = await _shield(context.arecv)
                 handler_task = asyncio.create_task(self._reply_to(frame))
                 self._handler_tasks.add(handler_task)
                 handler_task.add_done_callback(self._handler_tasks.discard)
                 reply = self._codec.encode(await handler_task)
-                await context.asend(reply)
+                await _shield(partial(context.asend, reply))
 
     async def _reply_to(self, frame: bytes) -> Message:
         decoded = self._codec.decode(frame)
@@ -219,12 +227,23 @@
             return ErrorReply(reason='internal error')
 
 
-async def _send_and_receive(context: pynng.Context, frame: bytes) -> bytes:
-    await context.asend(frame)
-    reply: bytes = await context.arecv()
-    return reply
+async def _shield(operation: Callable[[], Awaitable[_Received]]) -> _Received:
+    """Wait for an operation of a context.
 
-
-def _retrieve_exception(task: asyncio.Task[bytes]) -> None:
-    if not task.cancelled():
-        task.exception()
+    pynng can ignore the cancellation of an operation, which would leave the
+    task waiting for ever. The operation therefore runs in a task of its own,
+    and closing the context ends it.
+    """
+    outcome = await asyncio.shield(asyncio.create_task(_outcome(operation)))
+    if isinstance(outcome, Failure):
+        raise outcome.failure()
+    return outcome.unwrap()
+
+
+async def _outcome(
+    operation: Callable[[], Awaitable[_Received]],
+) -> Result[_Received, pynng.NNGException]:
+    try:
+        return Success(await operation())
+    except pynng.NNGException as exc:
+        return Failure(exc)
