Close the demo's deployment when a phase fails, and name the error

Cause: the deployment and the caller were closed only after the last phase, and the traffic of a failed phase went on.

Change: both are closed in any case, a failed action ends the traffic of its phase, and the error names the change.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -80,18 +80,25 @@
 
     async def run(self) -> None:
         """Run the phases in order, then close the caller."""
+        try:
+            await self._run_phases()
+        finally:
+            await self._caller.close()
+
+    async def _run_phases(self) -> None:
         await self._phase('baseline', asyncio.sleep(0))
         await self._phase('change of the plans', self._change_plans())
         await self._phase('drain of an upstream', self._drain_upstream())
         await self._phase('crash of an instance', self._crash())
         await self._phase('planned stop of an instance', self._planned_stop())
-        await self._caller.close()
 
     async def _phase(
         self, title: str, action: Coroutine[None, None, None]
     ) -> None:
         self._console.print(f'{title} ...')
-        await asyncio.gather(self.traffic.run(PHASE_S), action)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.traffic.run(PHASE_S))
+            group.create_task(action)
 
     async def _change_plans(self) -> None:
         plans = self._local.plans
@@ -191,10 +198,12 @@
             deployment.DeploymentConfig.from_example(name),
             pathlib.Path(folder),
         )
-        await local.start()
-        demo = Demo(local, rate_per_s, seed)
-        await demo.run()
-        await local.stop()
+        try:
+            await local.start()
+            demo = Demo(local, rate_per_s, seed)
+            await demo.run()
+        finally:
+            await local.stop()
     run_record = RunRecord.from_run(demo.traffic.outcomes, local.upstreams)
     _print_table(demo)
     endings = [outcome.result for outcome in run_record.outcomes]
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -174,9 +174,17 @@
 
         :param change: the change.
         """
-        async with httpx.AsyncClient(trust_env=False) as http:
-            async with asyncio.timeout(CHANGE_TIMEOUT_S):
+        try:
+            async with (
+                httpx.AsyncClient(trust_env=False) as http,
+                asyncio.timeout(CHANGE_TIMEOUT_S),
+            ):
                 return await self._apply(http, change)
+        except TimeoutError as exc:
+            raise TimeoutError(
+                f'The change {change.change_id} was not decided within '
+                f'{CHANGE_TIMEOUT_S:g} s.'
+            ) from exc
 
     async def wait_in_force(self, version: int, timeout_s: float) -> list[str]:
         """Wait until a version is in force on all instances.
