--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -216,17 +216,9 @@
             for control in self.topology.control_instances():
                 if control.name not in self.nodes:
                     continue
-                with contextlib.suppress(httpx.TransportError):
-                    reply = await http.post(
-                        f'{address_of(control)}/v1/control/changes',
-                        content=msgspec.json.encode(change),
-                        headers={'content-type': 'application/json'},
-                    )
-                    if reply.status_code != httpx.codes.SERVICE_UNAVAILABLE:
-                        return msgspec.json.decode(
-                            reply.content,
-                            type=ChangeOutcome,
-                        )
+                outcome = await _send_change(http, control, change)
+                if outcome is not None:
+                    return outcome
             await asyncio.sleep(POLL_S)
 
     async def _wait_ready(self) -> None:
@@ -259,3 +251,20 @@
     :param instance: the instance.
     """
     return f'http://{instance.host}:{instance.http_port}'
+
+
+async def _send_change(
+    http: httpx.AsyncClient, control: Instance, change: Change
+) -> ChangeOutcome | None:
+    """Return the outcome of a change; None if it may be undecided."""
+    try:
+        reply = await http.post(
+            f'{address_of(control)}/v1/control/changes',
+            content=msgspec.json.encode(change),
+            headers={'content-type': 'application/json'},
+        )
+    except httpx.TransportError:
+        return None
+    if reply.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+        return None
+    return msgspec.json.decode(reply.content, type=ChangeOutcome)
