Decode workspaces, priorities and the speed of targets

Configurations may list workspaces with keys, priorities, allowances and regions; until now these fields were dropped. Load headers with a fourth figure were dropped as a whole, so that a declined request counted as shed.

Nothing uses workspaces and priorities yet.

tests/platform, tests/steering and tests/gateway/test_request_proxy.py pass.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -14,6 +14,7 @@
 )
 from ..exchange import Exchange, Headers
 from ..steering.decisions import Ending
+from ..steering.target_load import TargetLoad
 from ..steering.targets import TargetEntry
 from .answers import TargetAnswer, read_answer_start
 from .bodies import RequestBody
@@ -43,6 +44,7 @@
         answer of it arrived.
     :param connection_lost: whether the connection closed before the end of
         the answer.
+    :param load: load of the target; None if its answer does not tell.
     """
 
     ending: Ending
@@ -54,6 +56,7 @@
     odd_pause: str = ''
     limit_per_s: float | None = None
     connection_lost: bool = False
+    load: TargetLoad | None = None
 
 
 class AttemptSender:
@@ -162,7 +165,8 @@
         if metadata.not_run:
             if not answer.body_complete or metadata.misdirected:
                 abort(answer.exchange)
-            ending = Ending.declined if metadata.has_free_slots else Ending.shed
+            has_free_slots = metadata.load and metadata.load.has_free_slots
+            ending = Ending.declined if has_free_slots else Ending.shed
             return AttemptOutcome(
                 Ending.misdirected if metadata.misdirected else ending,
                 may_have_run=False,
@@ -173,6 +177,7 @@
                 limit_per_s=(
                     None if metadata.misdirected else metadata.limit_per_s
                 ),
+                load=None if metadata.misdirected else metadata.load,
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
         if not failed and not metadata.stamped:
@@ -192,6 +197,7 @@
             pause_s=metadata.pause_s,
             odd_pause=metadata.odd_pause,
             limit_per_s=metadata.limit_per_s,
+            load=metadata.load,
         )
 
     def _release_connection(
--- a/src/cuminhoist/gateway/relay.py
+++ b/src/cuminhoist/gateway/relay.py
@@ -53,6 +53,14 @@
         """
         return self._wire.decode_request(scope)
 
+    def identify(self, req: IncomingRequest, workspace: str) -> IncomingRequest:
+        """Return a request without its key, as one of a workspace.
+
+        :param req: the request.
+        :param workspace: name of the workspace; empty for none.
+        """
+        return self._wire.identify(req, workspace)
+
     def encode_attempt(
         self, req: IncomingRequest, left_s: float, target_name: str
     ) -> RequestHead:
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -448,6 +448,7 @@
             pause_s=outcome.pause_s,
             target_started_at_ms=target_started_at_ms,
             limit_per_s=outcome.limit_per_s,
+            load=outcome.load,
         )
         self._failure_reports.send(report, outcome)
 
@@ -511,6 +512,8 @@
             left_s=state.ends_at - now,
             allowed_regions=state.route.allowed_regions,
             excluded=(*state.tried_targets, *state.skipped_targets),
+            priority=state.priority,
+            workspace=state.req.workspace,
         )
 
 
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -10,6 +10,7 @@
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
 from .wire import IncomingRequest
+from .workspaces import Workspace
 
 
 def _ignore_limits(_limits: ListenerLimits) -> None:
@@ -54,11 +55,17 @@
     :param req: the decoded request.
     :param route: its route.
     :param service: the service that was chosen for it.
+    :param workspace: the workspace of the caller; None for none.
     """
 
     def __init__(
-        self, req: IncomingRequest, route: Route, service: str
+        self,
+        req: IncomingRequest,
+        route: Route,
+        service: str,
+        workspace: Workspace | None = None,
     ) -> None:
+        self._workspace = workspace
         self.req = req
         self.route = route
         self.service = service
@@ -80,6 +87,17 @@
         #: Last failed answer that a retry may still replace.
         self.failed_answer: TargetAnswer | None = None
 
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 for the most urgent.
+
+        That of the workspace goes before that of the route.
+        """
+        workspace = self._workspace
+        if workspace is None or workspace.priority is None:
+            return self.route.priority
+        return workspace.priority
+
     @property
     def object_key(self) -> str:
         """Identity of the object in the caches of targets; empty without one.
--- a/src/cuminhoist/gateway/routes.py
+++ b/src/cuminhoist/gateway/routes.py
@@ -7,6 +7,7 @@
 
 from ..listener_limits import ListenerLimits
 from .hosts import canonical_path
+from .workspaces import WorkspaceTable
 
 
 class RepeatPolicy(enum.StrEnum):
@@ -36,6 +37,8 @@
     :param objective_s: deadline by which an answer earns all, in seconds.
     :param max_targets: most targets that one request may be sent to.
     :param allowed_regions: regions that may serve it; empty for all.
+    :param priority: rank of its requests, 0 for the most urgent.
+    :param allows_anonymous: whether callers need no key.
     """
 
     name: str
@@ -46,6 +49,8 @@
     objective_s: float
     max_targets: int = 1
     allowed_regions: frozenset[str] = frozenset()
+    priority: int = 0
+    allows_anonymous: bool = False
 
 
 class ServiceSettings(msgspec.Struct, frozen=True):
@@ -77,12 +82,14 @@
     :param hosts: routes by canonical host name, the longest prefix first.
     :param services: settings of each service, by name.
     :param limits: limits on the requests of callers.
+    :param workspaces: the workspaces; None if callers need no key.
     """
 
     version: int
     hosts: Mapping[str, tuple[Route, ...]]
     services: Mapping[str, ServiceSettings]
     limits: CallerLimits = CallerLimits()
+    workspaces: WorkspaceTable | None = None
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None.
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..exchange import Headers, RequestHead
+from ..steering.target_load import TargetLoad
 
 
 class IncomingRequest(msgspec.Struct, frozen=True):
@@ -28,6 +29,9 @@
     :param body_bytes: declared length of the body, in bytes; None if it is
         framed as chunks.
     :param chunked: whether the body is framed as chunks.
+    :param api_key: key of the caller's workspace; empty for none.
+    :param workspace: name of the workspace once it is known; the target gets
+        it instead of the key.
     """
 
     request_id: str
@@ -42,6 +46,8 @@
     chunked: bool
     body_bytes: int | None = None
     caller: str = ''
+    api_key: str = ''
+    workspace: str = ''
 
 
 class AnswerMetadata(msgspec.Struct, frozen=True):
@@ -50,8 +56,7 @@
     :param not_run: whether the target states that it did not run the
         request.
     :param misdirected: whether another target has the address now.
-    :param has_free_slots: whether the target has free slots; None if the
-        answer does not tell.
+    :param load: load of the target; None if the answer does not tell.
     :param closes_connection: whether the target closes the connection.
     :param target_leaving: whether the target is about to stop and must not
         get new requests.
@@ -68,7 +73,7 @@
 
     not_run: bool = False
     misdirected: bool = False
-    has_free_slots: bool | None = None
+    load: TargetLoad | None = None
     closes_connection: bool = False
     target_leaving: bool = False
     pause_s: float = 0
@@ -88,6 +93,14 @@
         :param scope: the scope.
         """
 
+    @abc.abstractmethod
+    def identify(self, req: IncomingRequest, workspace: str) -> IncomingRequest:
+        """Return a request without its key, as one of a workspace.
+
+        :param req: the request.
+        :param workspace: name of the workspace; empty for none.
+        """
+
     @abc.abstractmethod
     def encode_attempt(
         self,
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -19,6 +19,7 @@
     ServiceSettings,
     WeightedService,
 )
+from ..gateway.workspaces import Workspace, WorkspaceTable
 from ..listener_limits import ListenerLimits
 
 _MS = 1000
@@ -68,6 +69,9 @@
     traffic_split: tuple[_Split, ...] = ()
     max_attempts: int = 1
     allowed_regions: tuple[str, ...] | None = ()
+    #: 0 is the most urgent.
+    priority: int = 0
+    allow_anonymous: bool = False
 
 
 class _Host(msgspec.Struct, frozen=True):
@@ -75,11 +79,23 @@
     paths: tuple[_Path, ...]
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    """A workspace; a rate that is missing or 0 is no limit."""
+
+    name: _Name
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+    allowed_regions: tuple[str, ...] | None = ()
+
+
 class _Configuration(msgspec.Struct, frozen=True):
     version: str
     services: tuple[_Service, ...]
     hosts: tuple[_Host, ...]
     limits: _Limits | None = None
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 def decode_routes(body: bytes) -> Result[RouteTable, str]:
@@ -118,6 +134,27 @@
         hosts=hosts,
         services=services,
         limits=_caller_limits(wire.limits or _Limits()),
+        workspaces=_workspaces(wire.tenants),
+    )
+
+
+def _workspaces(
+    wire: tuple[_Tenant, ...] | None,
+) -> WorkspaceTable | None:
+    if wire is None:
+        return None
+    return WorkspaceTable.from_keys(
+        (_workspace(entry), entry.api_keys) for entry in wire
+    )
+
+
+def _workspace(wire: _Tenant) -> Workspace:
+    return Workspace(
+        name=wire.name,
+        priority=wire.priority,
+        rate_per_s=_positive_or(wire.rate_per_s, math.inf),
+        burst=max(wire.burst or 0, 0),
+        allowed_regions=frozenset(wire.allowed_regions or ()),
     )
 
 
@@ -174,6 +211,8 @@
         objective_s=_objective_ms(wire) / _MS,
         max_targets=max(wire.max_attempts, 1),
         allowed_regions=frozenset(wire.allowed_regions or ()),
+        priority=wire.priority,
+        allows_anonymous=wire.allow_anonymous,
     )
 
 
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -4,9 +4,12 @@
 import re
 from typing import Any
 
+import msgspec
+
 from ..exchange import Headers, RequestHead
 from ..gateway.hosts import canonical_host, is_host
 from ..gateway.wire import AnswerMetadata, IncomingRequest, WireFormat
+from ..steering.target_load import TargetLoad
 
 _REQUEST_ID = b'x-request-id'
 _DEADLINE = b'x-deadline-ms'
@@ -15,7 +18,8 @@
 _OBJECT_COOKIE = 'X-Affinity-Key'
 _NOT_RUN = b'x-not-executed'
 #: Counts of running requests, waiting requests and slots of the target,
-#: separated by commas.
+#: separated by commas. Some targets add how long work takes at this moment, in
+#: percent of the usual time.
 _LOAD = b'x-server-load'
 #: Sent by the application of a target; other parts of it send answers without.
 _STAMP = b'x-server-stamp'
@@ -27,6 +31,12 @@
 #: all instances together.
 _LIMIT = b'server-limit'
 
+#: Key of the caller's workspace, after the word Bearer.
+_AUTHORIZATION = b'authorization'
+_BEARER = 'bearer'
+#: Name of the workspace, for the target.
+_WORKSPACE = b'x-tenant'
+
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 #: Longest pause that a target may ask for, in seconds; the list of targets
@@ -35,7 +45,12 @@
 _DECIMAL = re.compile(rb'\d+(\.\d*)?')
 #: Longest part of a header that is kept for a log line, in bytes.
 _LOGGED_TEXT_BYTES = 40
+#: Encoding of text in headers.
+_ENCODING = 'latin-1'
 _MS = 1000
+_PERCENT = 100
+#: Counts in the load of a target; a percentage may follow.
+_LOAD_COUNTS = 3
 
 #: Hop-by-hop headers; they are not passed on.
 _CONNECTION_HEADERS = frozenset(
@@ -68,19 +83,19 @@
             others = [header for header in headers if header[0] != b'host']
             headers = [(b'host', authority), *others]
         headers_by_name = dict(headers)
-        host = headers_by_name.get(b'host', b'').decode('latin-1')
+        host = headers_by_name.get(b'host', b'').decode(_ENCODING)
         chunked = (
             b'chunked' in headers_by_name.get(b'transfer-encoding', b'').lower()
         )
         length = headers_by_name.get(b'content-length', b'0')
         return IncomingRequest(
-            request_id=headers_by_name.get(_REQUEST_ID, b'').decode('latin-1'),
+            request_id=headers_by_name.get(_REQUEST_ID, b'').decode(_ENCODING),
             method=scope['method'],
             host=canonical_host(host) if is_host(host) else '',
-            path=request_target.partition(b'?')[0].decode('latin-1'),
+            path=request_target.partition(b'?')[0].decode(_ENCODING),
             request_target=request_target,
             key=_object_key(
-                headers_by_name.get(b'cookie', b'').decode('latin-1')
+                headers_by_name.get(b'cookie', b'').decode(_ENCODING)
             ),
             left_s=_deadline_s(headers_by_name.get(_DEADLINE)),
             headers=_forwarded_headers(headers, chunked),
@@ -88,6 +103,22 @@
             chunked=chunked,
             body_bytes=None if chunked else int(length),
             caller=(scope.get('client') or ('',))[0],
+            api_key=_api_key(headers),
+        )
+
+    def identify(self, req: IncomingRequest, workspace: str) -> IncomingRequest:
+        """Return a request without its key, as one of a workspace.
+
+        :param req: the request.
+        :param workspace: name of the workspace; empty for none.
+        """
+        headers = [
+            header
+            for header in req.headers
+            if header[0] not in {_AUTHORIZATION, _WORKSPACE}
+        ]
+        return msgspec.structs.replace(
+            req, headers=headers, api_key='', workspace=workspace
         )
 
     def encode_attempt(
@@ -103,14 +134,15 @@
         :param target_name: identity of the target that must answer.
         """
         left_ms = max(int(left_s * _MS), 1)
+        headers = [
+            *req.headers,
+            (_DEADLINE, b'%d' % left_ms),
+            (_EXPECTED_TARGET, target_name.encode(_ENCODING)),
+        ]
+        if req.workspace:
+            headers.append((_WORKSPACE, req.workspace.encode()))
         return RequestHead(
-            req.method.encode('latin-1'),
-            req.request_target,
-            [
-                *req.headers,
-                (_DEADLINE, b'%d' % left_ms),
-                (_EXPECTED_TARGET, target_name.encode('latin-1')),
-            ],
+            req.method.encode(_ENCODING), req.request_target, headers
         )
 
     def echoed_header(self, req: IncomingRequest) -> tuple[bytes, bytes] | None:
@@ -120,7 +152,7 @@
         """
         if not req.request_id:
             return None
-        return _REQUEST_ID, req.request_id.encode('latin-1')
+        return _REQUEST_ID, req.request_id.encode(_ENCODING)
 
     def read_metadata(self, status: int, headers: Headers) -> AnswerMetadata:
         """Return what the headers of an answer tell about the target.
@@ -134,7 +166,7 @@
         return AnswerMetadata(
             not_run=misdirected or _NOT_RUN in headers_by_name,
             misdirected=misdirected,
-            has_free_slots=_has_free_slots(headers_by_name.get(_LOAD, b'')),
+            load=_target_load(headers_by_name.get(_LOAD, b'')),
             closes_connection=(
                 b'close' in headers_by_name.get(b'connection', b'').lower()
             ),
@@ -194,13 +226,25 @@
     return left_ms / _MS if math.isfinite(left_ms) else None
 
 
-def _has_free_slots(load: bytes) -> bool | None:
-    parts = load.split(b',')
+def _api_key(headers: Headers) -> str:
+    """Return the key; empty if there is none or more than one."""
+    found = [text for name, text in headers if name == _AUTHORIZATION]
+    if len(found) != 1:
+        return ''
+    scheme, _, api_key = found[0].decode(_ENCODING).strip().partition(' ')
+    return api_key.strip() if scheme.lower() == _BEARER else ''
+
+
+def _target_load(text: bytes) -> TargetLoad | None:
+    parts = text.split(b',')
+    if len(parts) not in {_LOAD_COUNTS, _LOAD_COUNTS + 1}:
+        return None
     try:
-        running, waiting, slots = (int(part) for part in parts)
+        running, waiting, slots, *percent = (int(part) for part in parts)
     except ValueError:
         return None
-    return not waiting and running < slots
+    slowdown = percent[0] / _PERCENT if percent and percent[0] > 0 else None
+    return TargetLoad(running, waiting, slots, slowdown)
 
 
 def _pause(
--- a/src/cuminhoist/problems.py
+++ b/src/cuminhoist/problems.py
@@ -9,6 +9,7 @@
 _STATUS_BY_REASON = {
     Reason.bad_request: 400,
     Reason.key_required: 400,
+    Reason.unknown_key: 401,
     Reason.unknown_caller: 403,
     Reason.kind_not_allowed: 403,
     Reason.unknown_service: 404,
--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .target_load import TargetLoad
+
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True):
     """A placement request: one client request that needs a target.
@@ -15,6 +17,8 @@
     :param left_s: time until the final deadline, in seconds.
     :param allowed_regions: regions that may serve it; empty for all.
     :param excluded: names of targets that were already tried.
+    :param priority: rank of the request, 0 for the most urgent.
+    :param workspace: name of its workspace; empty for none.
     """
 
     number: int
@@ -27,6 +31,8 @@
         default=frozenset(),
     )
     excluded: tuple[str, ...] = ()
+    priority: int = 0
+    workspace: str = ''
 
 
 class Granted(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -50,6 +56,7 @@
 
     no_target = 'no-target'
     overload = 'overload'
+    over_allowance = 'over-allowance'
 
 
 class Refused(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -101,6 +108,7 @@
     :param limit_per_s: requests per second that the target takes from all
         instances together; infinite if its answer names no limit, None if no
         answer of it arrived.
+    :param load: load of the target; None if its answer does not tell.
     """
 
     number: int
@@ -112,3 +120,4 @@
     pause_s: float = 0
     target_started_at_ms: int = 0
     limit_per_s: float | None = None
+    load: TargetLoad | None = None
--- a/src/cuminhoist/types.py
+++ b/src/cuminhoist/types.py
@@ -36,6 +36,7 @@
 
     bad_request = 'bad-request'
     unknown_caller = 'unknown-caller'
+    unknown_key = 'unknown-key'
     unknown_service = 'unknown-service'
     kind_not_allowed = 'kind-not-allowed'
     rate_exceeded = 'rate-exceeded'
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
+from cuminhoist.gateway.workspaces import Workspace
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.configuration import decode_routes
 
@@ -142,3 +143,40 @@
     content['hosts'][0]['hostname'] = 'tāmaki.example'
     table = _decode(content).unwrap()
     assert table.find('xn--tmaki-fwa.example', '/a/b') is not None
+
+
+def test_workspaces_are_decoded():
+    """Guards against requests without the limits of their workspace."""
+    wire = _wire(allow_anonymous=True)
+    wire['tenants'] = [
+        {
+            'name': 'first',
+            'api_keys': ['k1', 'k2'],
+            'priority': 1,
+            'rate_per_s': 466,
+            'burst': 20,
+            'allowed_regions': ['north'],
+        },
+        {'name': 'second', 'api_keys': ['k3'], 'rate_per_s': 0},
+    ]
+    routes = _decode(wire).unwrap()
+    assert routes.find('shop.example', '/a/').allows_anonymous
+    assert routes.find('shop.example', '/a/').priority == 2
+    assert routes.workspaces.find('k2') == Workspace(
+        'first', 1, 466, 20, frozenset(('north',))
+    )
+    assert routes.workspaces.find('k3') == Workspace('second')
+    assert routes.workspaces.find('k4') is None
+    assert _decode(_wire()).unwrap().workspaces is None
+
+
+def test_workspaces_that_share_a_key_are_invalid():
+    """Guards against a caller that counts as either of two workspaces."""
+    wire = _wire()
+    wire['tenants'] = [
+        {'name': 'first', 'api_keys': ['k']},
+        {'name': 'second', 'api_keys': ['k']},
+    ]
+    fault = _decode(wire).failure()
+    assert "'first'" in fault
+    assert "'second'" in fault
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cuminhoist.platform.requests import MAX_PAUSE_S, PlatformWire
+from cuminhoist.steering.target_load import TargetLoad
 
 
 def _scope(*headers, target=b'/a/b'):
@@ -75,12 +76,12 @@
         [(b'x-not-executed', b'1'), (b'x-server-load', b'3,9,3')],
     )
     assert shed.not_run
-    assert shed.has_free_slots is False
+    assert shed.load.has_free_slots is False
     declined = wire.read_metadata(
         503,
         [(b'x-not-executed', b'1'), (b'x-server-load', b'1,0,3')],
     )
-    assert declined.has_free_slots is True
+    assert declined.load.has_free_slots is True
     assert wire.read_metadata(421, []).misdirected
     ran = wire.read_metadata(503, [(b'keep-alive', b'timeout=5')])
     assert not ran.not_run
@@ -185,3 +186,31 @@
         )
         assert metadata.limit_per_s == limit_per_s
     assert PlatformWire().read_metadata(200, []).limit_per_s == float('inf')
+
+
+def test_load_with_a_speed():
+    """Guards against dropping the load of targets that tell their speed."""
+    metadata = PlatformWire().read_metadata(
+        200, [(b'x-server-load', b'3,1,9,250')]
+    )
+    assert metadata.load == TargetLoad(3, 1, 9, 2.5)
+    assert PlatformWire().read_metadata(200, []).load is None
+    odd = PlatformWire().read_metadata(200, [(b'x-server-load', b'3,1,9,x')])
+    assert odd.load is None
+
+
+def test_key_is_replaced_by_the_workspace():
+    """Guards against a target that sees the key or a forged workspace."""
+    wire = PlatformWire()
+    req = wire.decode_request(
+        _scope(
+            (b'authorization', b'Bearer secret'),
+            (b'x-tenant', b'other'),
+            (b'x-tenant', b'another'),
+        )
+    )
+    assert req.api_key == 'secret'
+    head = wire.encode_attempt(wire.identify(req, 'own'), 0.5, 'i-1')
+    workspaces = [text for name, text in head.headers if name == b'x-tenant']
+    assert workspaces == [b'own']
+    assert b'authorization' not in dict(head.headers)
