Split limits, pauses and the choice of targets out of the dispatcher

LimitEnforcer applies the limits that targets name, TargetSelector finds the targets within the limit on shifts, PausesByInstance holds the pauses. No behaviour changes.

--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -128,7 +128,7 @@
             for region in pattern.regions
         }
         for name, dispatcher in self.dispatchers.items():
-            dispatcher.on_limit = partial(self._spread_limit, name)
+            dispatcher.limits.on_limit = partial(self._spread_limit, name)
         self._meters = {
             region.name: DemandMeter(region.name, 0)
             for region in pattern.regions
@@ -387,7 +387,7 @@
                 )
 
     def _apply_limit(self, dispatcher: Dispatcher, limit: TargetLimit) -> None:
-        dispatcher.apply_limits((limit,), self.now)
+        dispatcher.limits.apply((limit,), self.now)
 
     def _apply_notice(self, region: str, notice: LeavingTarget) -> None:
         listed = self._listed_entries()
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -240,7 +240,7 @@
         if isinstance(msg, LeavingNotice):
             self._apply_leaving(msg, source='control')
         elif isinstance(msg, LimitsNotice):
-            self.placement_client.local_dispatcher.apply_limits(
+            self.placement_client.local_dispatcher.limits.apply(
                 msg.limits, self._now()
             )
         elif isinstance(msg, PoisonNotice):
@@ -335,7 +335,7 @@
             },
         )
         local = self.placement_client.local_dispatcher
-        local.share_limits(self._region_entry_count, self._now())
+        local.limits.share(self._region_entry_count, self._now())
         local.limits.forget_unlisted(entry.name for entry in self.feed.listed)
         usable = usable_entries(self.feed.entries, drained)
         self.request_proxy.routing_state.targets = {
--- a/src/cuminhoist/fleet/limit_broadcast.py
+++ b/src/cuminhoist/fleet/limit_broadcast.py
@@ -34,7 +34,7 @@
         self._links = links
         self._dispatcher = dispatcher
         self._metrics = metrics
-        dispatcher.on_limit = self._on_learned
+        dispatcher.limits.on_limit = self._on_learned
 
     def handle_notice(self, peer: Peer, msg: LimitsNotice, now: float) -> None:
         """Apply a notice and pass on what is new.
@@ -46,7 +46,7 @@
         :param msg: the notice.
         :param now: monotonic time in seconds.
         """
-        added = self._dispatcher.apply_limits(msg.limits, now)
+        added = self._dispatcher.limits.apply(msg.limits, now)
         if added:
             source = 'control' if peer.hello.control else 'entry'
             self._pass_on(added, source)
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -234,7 +234,7 @@
         now = self._now()
         if self._decided_remotely:
             self._decided_remotely = False
-            self.local_dispatcher.restart_rates(now)
+            self.local_dispatcher.limits.restart_rates(now)
         decision = self.local_dispatcher.decide_or_queue('', req, now)
         if decision is None:
             fut = self._add_pending(req.number)
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -8,7 +8,7 @@
 return when the peak of the load has passed.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -21,6 +21,7 @@
     RefusalReason,
     Refused,
 )
+from .limit_enforcer import LimitEnforcer
 from .placement import Option, Placement
 from .queues import (
     RunningAttempt,
@@ -29,20 +30,10 @@
 )
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
-from .target_limits import (
-    DISPATCHER_FRACTION,
-    LOCAL_FRACTION,
-    UNLIMITED,
-    TargetLimit,
-    TargetLimits,
-)
-from .target_pauses import NO_PAUSES, TargetPause, TargetPauses
+from .target_pauses import PausesByInstance, TargetPause, TargetPauses
+from .target_selector import TargetSelector
 from .tracked_target import TrackedTarget
 
-#: With a larger fraction of a region's own slots lost, over all services, the
-#: limit on shifts is raised. Up to it, the other targets of the region take
-#: over. A lost failure domain is at least a quarter of most regions.
-MAX_LOST_FRACTION = 0.25
 #: Margin that an estimate must keep to the objective, as a fraction of the
 #: estimate. Run times vary by about 15%, so answers that are estimated closer
 #: to the objective are late too often.
@@ -69,17 +60,16 @@
     """
 
     def __init__(self, shift_limit: float = 1) -> None:
-        self.shift_limiter = RegionShiftLimiter(shift_limit)
         self._services: dict[str, ServiceQueue] = {}
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
-        self.pauses: dict[str, TargetPauses] = {}
+        self.pauses = PausesByInstance()
         #: Limits that targets name.
-        self.limits = TargetLimits()
-        # Fraction of the limit of an own target that this dispatcher uses.
-        self._limit_fraction = DISPATCHER_FRACTION
-        #: Called with each change of a limit that an answer tells.
-        self.on_limit: Callable[[TargetLimit], None] = _ignore_limit
+        self.limits = LimitEnforcer(self._services)
+        self.shift_limiter = RegionShiftLimiter(shift_limit)
+        self._selector = TargetSelector(
+            self._services, self.shift_limiter, self.pauses
+        )
 
     def queue(self, name: str) -> ServiceQueue:
         """Return the queue of a service.
@@ -125,14 +115,14 @@
             for name in removed
             if queue.targets[name].region == region
         )
-        self._record_loss(removed_slots, now)
+        self._selector.record_loss(removed_slots, now)
         for name, former in queue.targets.items():
             if targets.get(name) is not former:
                 former.forget_objects()
         queue.recheck_requests_without(targets, now)
         queue.placement = Placement(targets, region, queue.placement.history)
         for target in targets.values():
-            self._set_rate(target, region, now)
+            self.limits.set_rate(target, region, now)
 
     def decide_or_queue(
         self, entry_instance: str, request: PlacementRequest, now: float
@@ -165,7 +155,7 @@
         :param now: monotonic time in seconds.
         :returns: decisions by entry instance.
         """
-        self.learn_limit(report, now)
+        self.limits.learn(report, now)
         if report.pause_s <= 0:
             return self._free_slot(entry_instance, report, now)
         self._record_pause(entry_instance, report, now)
@@ -174,79 +164,6 @@
         decisions = self._free_slot(entry_instance, report, now)
         return [*decisions, *self.decide_waiting(now)]
 
-    def learn_limit(self, report: AttemptReport, now: float) -> None:
-        """Record the limit that an answer names, or the end of one.
-
-        :param report: the attempt report.
-        :param now: monotonic time in seconds.
-        """
-        if report.limit_per_s is None:
-            return
-        limited = report.limit_per_s != UNLIMITED
-        limit = TargetLimit(
-            report.target,
-            report.target_started_at_ms,
-            report.limit_per_s if limited else None,
-        )
-        if self.limits.record_answer(limit, now - report.run_s, now):
-            self._apply_limit(limit, now)
-            self.on_limit(limit)
-
-    def apply_limits(
-        self, limits: Iterable[TargetLimit], now: float
-    ) -> tuple[TargetLimit, ...]:
-        """Apply limits that another instance has passed on.
-
-        :param limits: the limits.
-        :param now: monotonic time in seconds.
-        :returns: the limits that are new.
-        """
-        added = tuple(
-            limit for limit in limits if self.limits.apply(limit, now)
-        )
-        for limit in added:
-            self._apply_limit(limit, now)
-        return added
-
-    def share_limits(self, dispatcher_count: int, now: float) -> None:
-        """Use only a share of the limits, as others decide as well.
-
-        :param dispatcher_count: number of local dispatchers in the region.
-        :param now: monotonic time in seconds.
-        """
-        fraction = LOCAL_FRACTION / dispatcher_count
-        if fraction == self._limit_fraction:
-            return
-        self._limit_fraction = fraction
-        for limit in self.limits.in_force():
-            self._apply_limit(limit, now)
-
-    def restart_rates(self, now: float) -> None:
-        """Forget the time in which another dispatcher has decided.
-
-        :param now: monotonic time in seconds.
-        """
-        for queue in self._services.values():
-            for target in queue.targets.values():
-                target.restart_rate(now)
-
-    def _apply_limit(self, limit: TargetLimit, now: float) -> None:
-        for queue in self._services.values():
-            target = queue.targets.get(limit.target)
-            if target is not None:
-                self._set_rate(target, queue.placement.region, now)
-                queue.recheck_requests_for(target, now)
-
-    def _set_rate(self, target: TrackedTarget, region: str, now: float) -> None:
-        """Let only the dispatcher of its region use a target with a limit."""
-        per_s = self.limits.per_s(target.entry)
-        if per_s != UNLIMITED:
-            is_own = target.region == region
-            per_s *= self._limit_fraction if is_own else 0
-        is_new = target.set_rate(per_s, now)
-        if is_new and self._limit_fraction != DISPATCHER_FRACTION:
-            target.restart_rate(now)
-
     def restore_pauses(
         self,
         entry_instance: str,
@@ -280,7 +197,7 @@
         :returns: seconds; 0 if one of its targets does not pause.
         """
         queue = self.queue(service)
-        pauses = self._pauses_of(entry_instance)
+        pauses = self.pauses.of(entry_instance)
         if queue.placement.has_unpaused(allowed_regions, pauses, now):
             return 0
         left_s = pauses.shortest_left_s(queue.targets, allowed_regions, now)
@@ -441,7 +358,7 @@
         :param report: the attempt report.
         :param now: monotonic time in seconds.
         """
-        self.learn_limit(report, now)
+        self.limits.learn(report, now)
         queue = self.queue(report.service)
         target = queue.targets.get(report.target)
         if target is None or report.ending is not Ending.answered:
@@ -457,17 +374,8 @@
         waiting: WaitingRequest,
         now: float,
     ) -> Decision | None:
-        request = waiting.request
         waiting.leave_target_queue()
-        options = queue.placement.options(
-            request.key,
-            queue.run_times,
-            now,
-            request.allowed_regions,
-            request.excluded,
-            self._pauses_of(waiting.entry_instance),
-        )
-        options = self._options_within_shift_limit(queue, waiting, options, now)
+        options = self._selector.options(queue, waiting, now)
         if not options:
             return self._refuse_without_option(queue, waiting, now)
         best = min(options, key=lambda option: option.total_s)
@@ -481,107 +389,6 @@
             return None
         return self._decide_late(queue, waiting, options, now)
 
-    def _options_within_shift_limit(
-        self,
-        queue: ServiceQueue,
-        waiting: WaitingRequest,
-        options: list[Option],
-        now: float,
-    ) -> list[Option]:
-        """Drop options in regions whose share may not grow now."""
-        home = queue.placement.region
-        self._record_disturbed(now)
-        regions = {option.target.region for option in options}
-        allowed = {
-            region
-            for region in regions
-            if self.shift_limiter.allows(now, region, home)
-        }
-        if home in regions - allowed:
-            own = [option for option in options if option.target.region == home]
-            return self._remote_options(queue, waiting, own, now) or own
-        if home not in regions and not self._paused_in_region(
-            queue, waiting, home, now
-        ):
-            return options
-        return [option for option in options if option.target.region in allowed]
-
-    def _remote_options(
-        self,
-        queue: ServiceQueue,
-        waiting: WaitingRequest,
-        own: list[Option],
-        now: float,
-    ) -> list[Option]:
-        """Return options for a request that may not return to its region yet.
-
-        A request returns all the same if it would have to wait elsewhere, or
-        would lose its objective or more than the round trip there.
-        """
-        home = queue.placement.region
-        may_run = waiting.request.allowed_regions
-        regions = frozenset(
-            region
-            for region in queue.placement.other_regions()
-            if (not may_run or region in may_run)
-            and self.shift_limiter.allows(now, region, home)
-        )
-        if not regions:
-            return []
-        options = queue.placement.options(
-            waiting.request.key,
-            queue.run_times,
-            now,
-            regions,
-            waiting.request.excluded,
-            self._pauses_of(waiting.entry_instance),
-        )
-        objective_s = waiting.objective_ends_at - now
-        own_s = min(option.total_s for option in own)
-        return [
-            option
-            for option in options
-            if not option.wait_s
-            and option.total_s
-            <= max(objective_s, own_s + option.target.extra_rtt_s)
-        ]
-
-    def _record_disturbed(self, now: float) -> None:
-        self._record_loss(
-            sum(
-                queue.placement.disturbed_own_slots
-                for queue in self._services.values()
-            ),
-            now,
-        )
-
-    def _record_loss(self, lost_slots: int, now: float) -> None:
-        """Raise the limit on shifts if much of the region is lost."""
-        lost_fraction = lost_slots / max(self._own_slots(), 1)
-        if lost_fraction > MAX_LOST_FRACTION:
-            self.shift_limiter.record_loss(now, lost_fraction)
-
-    def _own_slots(self) -> int:
-        """Return the slots of the region's own targets, over all services."""
-        return sum(
-            queue.placement.own_slots for queue in self._services.values()
-        )
-
-    def _paused_in_region(
-        self,
-        queue: ServiceQueue,
-        waiting: WaitingRequest,
-        region: str,
-        now: float,
-    ) -> bool:
-        """Tell whether paused targets of a region could serve a request."""
-        allowed = waiting.request.allowed_regions
-        if allowed and region not in allowed:
-            return False
-        return self._pauses_of(waiting.entry_instance).shortest_left_s(
-            queue.targets, frozenset((region,)), now
-        ) < float('inf')
-
     def _decide_late(
         self,
         queue: ServiceQueue,
@@ -673,13 +480,10 @@
         now: float,
     ) -> float:
         """Return the time until the first paused target may be used again."""
-        return self._pauses_of(waiting.entry_instance).shortest_left_s(
+        return self.pauses.of(waiting.entry_instance).shortest_left_s(
             queue.targets, waiting.request.allowed_regions, now
         )
 
-    def _pauses_of(self, entry_instance: str) -> TargetPauses:
-        return self.pauses.get(entry_instance, NO_PAUSES)
-
     def _refuse_without_option(
         self, queue: ServiceQueue, waiting: WaitingRequest, now: float
     ) -> Refused:
@@ -702,7 +506,3 @@
         target = self.queue(attempt.service).targets.get(attempt.target)
         if target is not None:
             target.end(Ending.withdrawn, attempt.key, 1, now)
-
-
-def _ignore_limit(_limit: TargetLimit) -> None:
-    """Ignore a change of a limit."""
--- a/src/cuminhoist/steering/target_pauses.py
+++ b/src/cuminhoist/steering/target_pauses.py
@@ -128,3 +128,14 @@
 def _is_restart(former_start_ms: int, start_ms: int) -> bool:
     """Tell whether a start is a later one; unknown starts are the same."""
     return 0 < former_start_ms < start_ms
+
+
+class PausesByInstance(dict[str, TargetPauses]):
+    """Pauses that targets asked for, by entry instance."""
+
+    def of(self, entry_instance: str) -> TargetPauses:
+        """Return the pauses of an entry instance.
+
+        :param entry_instance: the entry instance.
+        """
+        return self.get(entry_instance, NO_PAUSES)
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -28,9 +28,11 @@
     return TargetEntry(**{**values, **changes})
 
 
-def make_dispatcher(count: int = 2, slots: int = 1) -> Dispatcher:
+def make_dispatcher(
+    count: int = 2, slots: int = 1, shift_limit: float = 1
+) -> Dispatcher:
     """Return a dispatcher with targets ``t0``, ``t1`` and so on."""
-    dispatcher = Dispatcher()
+    dispatcher = Dispatcher(shift_limit)
     targets = {
         name: TrackedTarget(target(name, slots=slots), REGION)
         for name in (f't{number}' for number in range(count))
--- a/tests/steering/test_pauses_in_dispatcher.py
+++ b/tests/steering/test_pauses_in_dispatcher.py
@@ -7,7 +7,6 @@
 import pytest
 
 from cuminhoist.steering.decisions import Ending, Granted, Refused
-from cuminhoist.steering.region_shift_limiter import RegionShiftLimiter
 from cuminhoist.steering.tracked_target import TrackedTarget
 
 from .builders import (
@@ -268,11 +267,10 @@
 
 def test_pauses_do_not_break_the_limit_on_shifts():
     """Guards against a region that moves away while its targets pause."""
-    dispatcher = make_dispatcher(count=1)
+    dispatcher = make_dispatcher(count=1, shift_limit=0)
     known = dispatcher.queue(SERVICE).targets
     remote = TrackedTarget(target('t1', slots=1), 'north')
     dispatcher.set_targets(SERVICE, {**known, 't1': remote}, REGION)
-    dispatcher.shift_limiter = RegionShiftLimiter(0)
     for number in range(50):
         now = 0.1 * number
         granted = _place(dispatcher, number, now)
--- a/tests/steering/test_target_limits.py
+++ b/tests/steering/test_target_limits.py
@@ -70,7 +70,7 @@
 def test_dispatcher_keeps_a_named_limit(per_s):
     """Guards against requests beyond the limit, saved up ones included."""
     dispatcher = _dispatcher()
-    dispatcher.apply_limits([_limit(per_s)], 0)
+    dispatcher.limits.apply([_limit(per_s)], 0)
     sent = []
     for number in range(3000):
         # No requests for a while, so that some could be saved up.
@@ -95,7 +95,7 @@
 def test_requests_use_other_targets_beside_a_limited_one():
     """Guards against requests that wait for a target with a limit."""
     dispatcher = _dispatcher(others=1)
-    dispatcher.apply_limits([_limit()], 0)
+    dispatcher.limits.apply([_limit()], 0)
     targets = collections.Counter()
     for number in range(400):
         now = number / 100
@@ -122,7 +122,7 @@
     """Guards against a limit that counts anew with each dispatcher."""
     former, successor = _dispatcher(), _dispatcher()
     for dispatcher in (former, successor):
-        dispatcher.apply_limits([_limit()], 0)
+        dispatcher.limits.apply([_limit()], 0)
     sent = []
     for number in range(2400):
         now = number / 100
@@ -144,15 +144,15 @@
     random.seed(30)
     local = [_dispatcher() for _ in range(30)]
     for each in (dispatcher, *local):
-        each.apply_limits([_limit()], 0)
+        each.limits.apply([_limit()], 0)
     for each in local:
-        each.share_limits(len(local), 0)
+        each.limits.share(len(local), 0)
     sent = []
     for number in range(3000):
         now = number / 100
         if now == 10:
             for each in local:
-                each.restart_rates(now)
+                each.limits.restart_rates(now)
         if _try(dispatcher, number, now):
             sent.append(now)
         if now >= 10:
@@ -184,13 +184,13 @@
 def test_restarted_target_names_the_same_limit():
     """Guards against a limit that counts only for the former start."""
     dispatcher = _dispatcher()
-    dispatcher.apply_limits([TargetLimit('t0', 5, LIMIT_PER_S)], 0)
+    dispatcher.limits.apply([TargetLimit('t0', 5, LIMIT_PER_S)], 0)
     restarted = target('t0', slots=20, started_at_ms=6)
     dispatcher.set_targets(
         SERVICE, {'t0': TrackedTarget(restarted, REGION)}, REGION, 1
     )
     told = []
-    dispatcher.on_limit = told.append
+    dispatcher.limits.on_limit = told.append
     granted = dispatcher.decide_or_queue('e', request(1), 1)
     report = attempt_report(
         granted, target_started_at_ms=6, limit_per_s=LIMIT_PER_S
@@ -213,7 +213,7 @@
 def test_limit_of_zero_is_asked_for_its_end():
     """Guards against a target that never gets a request again."""
     dispatcher = _dispatcher()
-    dispatcher.apply_limits([_limit(0)], 0)
+    dispatcher.limits.apply([_limit(0)], 0)
     sent = [now for now in range(100) if _try_limited(dispatcher, now, now, 0)]
     assert 0 < len(sent) <= 100 * MIN_RATE_PER_S
 
@@ -221,7 +221,7 @@
 def test_limit_outlives_a_new_list():
     """Guards against a limit that is lost when targets are assigned anew."""
     dispatcher = _dispatcher()
-    dispatcher.apply_limits([_limit()], 0)
+    dispatcher.limits.apply([_limit()], 0)
     dispatcher.set_targets(SERVICE, {}, REGION, 1)
     dispatcher.set_targets(
         SERVICE,
@@ -236,7 +236,7 @@
 def test_failed_attempt_without_an_answer_tells_nothing_of_a_limit():
     """Guards against a lost connection that ends a limit."""
     dispatcher = _dispatcher()
-    dispatcher.apply_limits([_limit()], 0)
+    dispatcher.limits.apply([_limit()], 0)
     granted = Granted(1, 't0')
     report = attempt_report(granted, ending=Ending.lost)
     dispatcher.end_attempt('e', report, 5)
