Find the workspace of each request by its key

An unknown or missing key is answered 401 only by an instance that knows its configuration to be the newest, and 503 by others. Targets get the name of the workspace instead of the key. Finding the route, the workspace and the deadlines of a request moves out of the request proxy.

--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -12,6 +12,10 @@
 from ..types import Ran, Reason
 from .pacing import LinkPacer
 
+_UNAUTHORIZED_STATUS = 401
+#: RFC 9110, section 11.6.1: a 401 names the scheme that is accepted.
+_CHALLENGE = (b'www-authenticate', b'Bearer')
+
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
 
@@ -128,6 +132,8 @@
     if refusal.retry_after_ms:
         seconds = refusal.retry_after_ms / 1000
         headers.append((b'retry-after', f'{seconds:.2f}'.encode()))
+    if refusal.status == _UNAUTHORIZED_STATUS:
+        headers.append(_CHALLENGE)
     if close_connection:
         headers.append((b'connection', b'close'))
     await send(
--- /dev/null
+++ b/src/cuminhoist/gateway/request_acceptance.py
@@ -0,0 +1,121 @@
+"""Accepts requests: finds their route, workspace, service and deadlines."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from ..problems import Refusal
+from ..steering.caller_elapsed import CallerElapsedEstimator
+from ..types import Reason
+from . import refusals
+from .answers import not_run_refusal
+from .authentication import Authenticator
+from .request_state import RequestState, RoutingState
+from .routes import Route
+from .splits import Splitter
+from .wire import IncomingRequest
+
+#: Time reserved for the final answer to reach the caller, in seconds.
+ANSWER_MARGIN_S = 0.02
+
+
+class RequestAcceptance:
+    """Decides which requests of callers an entry instance takes on.
+
+    :param routing_state: has the routes in force.
+    :param authenticator: finds the workspaces of requests.
+    :param now: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        routing_state: RoutingState,
+        authenticator: Authenticator,
+        now: Callable[[], float],
+    ) -> None:
+        self._routing_state = routing_state
+        self._authenticator = authenticator
+        self._now = now
+        self._splitter = Splitter(random.Random())  # noqa: S311
+        self._elapsed_estimators: dict[str, CallerElapsedEstimator] = {}
+
+    def accept(
+        self, req: IncomingRequest, scope: Any
+    ) -> Result[RequestState, Refusal]:
+        """Return the state of a request, or why it is refused.
+
+        :param req: a request that has just arrived.
+        :param scope: its ASGI scope.
+        """
+        found = self._find_route(req)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        route = found.unwrap()
+        state = RequestState(req, route, self._splitter.choose(route))
+        refusal = self._authenticator.authenticate(
+            state, relayed=scope['state'].get('relayed', False)
+        )
+        if refusal is not None:
+            return Failure(refusal)
+        self._set_deadlines(state, scope['state'].get('round_trip_s', 0))
+        return Success(state)
+
+    def _find_route(self, req: IncomingRequest) -> Result[Route, Refusal]:
+        routes = self._routing_state.routes
+        if routes is None or self._routing_state.refuses_requests:
+            reason = (
+                Reason.draining
+                if self._routing_state.refuses_requests
+                else Reason.no_state
+            )
+            return Failure(
+                not_run_refusal(
+                    reason,
+                    'Retry at another entry instance.',
+                    refusals.NOT_READY_RETRY_S,
+                )
+            )
+        if not req.host:
+            return Failure(
+                not_run_refusal(
+                    Reason.bad_request,
+                    'The host header is missing or malformed.',
+                )
+            )
+        route = routes.find(req.host, req.path)
+        return Success(route) if route else Failure(self._unknown_route())
+
+    def _unknown_route(self) -> Refusal:
+        if self._routing_state.routes_confirmed:
+            return not_run_refusal(
+                Reason.unknown_service, 'No route for this host and path.'
+            )
+        # A caller does not try again after a 404, and a newer configuration
+        # may have the route.
+        return not_run_refusal(
+            Reason.no_state,
+            'The routes of this entry instance may be outdated.',
+            refusals.NOT_READY_RETRY_S,
+        )
+
+    def _set_deadlines(self, state: RequestState, round_trip_s: float) -> None:
+        route = state.route
+        left_s = (
+            route.timeout_s if state.req.left_s is None else state.req.left_s
+        )
+        # The objective counts from the caller's first request; this one may
+        # be a retry of the caller.
+        estimator = self._elapsed_estimators.setdefault(
+            route.name, CallerElapsedEstimator()
+        )
+        elapsed_s = estimator.elapsed_s(left_s)
+        state.arrived_at = self._now()
+        state.round_trip_s = round_trip_s
+        state.ends_at = (
+            state.arrived_at + min(left_s, route.timeout_s) - ANSWER_MARGIN_S
+        )
+        state.objective_ends_at = (
+            state.arrived_at + route.objective_s - elapsed_s - round_trip_s
+        )
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -5,15 +5,15 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Any
 
+from returns.result import Success
+
 from ..exceptions import LocalProtocolError
 from ..exchange import Headers
 from ..logging_setup import logger
 from ..problems import Refusal
-from ..steering.caller_elapsed import CallerElapsedEstimator
 from ..steering.decisions import (
     AttemptReport,
     Ending,
@@ -28,28 +28,26 @@
 from .answers import (
     Send,
     TargetAnswer,
-    not_run_refusal,
     send_answer,
     send_refusal,
 )
 from .attempt import AttemptOutcome, AttemptSender, abort, headers_for_caller
+from .authentication import Authenticator
 from .bodies import BodyTooLarge, CallerDisconnected, Receive, RequestBody
 from .crash_detector import CrashDetector
 from .failure_reports import FailureReports
 from .placement_client import PlacementClient
 from .relay import Relay
+from .request_acceptance import RequestAcceptance
 from .request_metrics import RequestMetrics
 from .request_recorder import RequestRecorder
 from .request_state import RequestState, RoutingState
 from .retry_policy import MIN_ATTEMPT_S, RetryPolicy
-from .routes import RepeatPolicy, Route
-from .splits import Splitter
+from .routes import RepeatPolicy
 from .target_connections import TargetConnections
 from .target_pause_log import TargetPauseLog
-from .wire import IncomingRequest, WireFormat
+from .wire import WireFormat
 
-#: Time reserved for the final answer to reach the caller, in seconds.
-ANSWER_MARGIN_S = 0.02
 MS_PER_S = 1000
 _MIN_SERVER_ERROR = 500
 #: Statuses by which a caller learns that its request has not run.
@@ -94,6 +92,7 @@
         #: Whether this instance reaches any target.
         self.reachability = self.crash_detector.reachability
         self.relay = Relay(wire, TargetConnections(now, connections.pacer), now)
+        self._authenticator = Authenticator(wire, self.routing_state)
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
@@ -104,12 +103,13 @@
             self.reachability, placement_client
         )
         self._pause_log = TargetPauseLog(metrics, now)
-        self._splitter = Splitter(random.Random())  # noqa: S311
         self._retries = RetryPolicy(
             self.routing_state, now, retry_ratio, min_retry_budget
         )
         self._recorder = RequestRecorder(metrics, self.routing_state, now)
-        self._elapsed_estimators: dict[str, CallerElapsedEstimator] = {}
+        self._acceptance = RequestAcceptance(
+            self.routing_state, self._authenticator, now
+        )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one request of a caller.
@@ -139,11 +139,10 @@
             scope['state']['abort']()
 
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
-        arrived_at = self._now()
         req = self._wire.decode_request(scope)
-        refusal, route = self._find_route(req)
-        if refusal is not None or route is None:
-            refusal = refusal or self._refuse_unknown_route()
+        accepted = self._acceptance.accept(req, scope)
+        if not isinstance(accepted, Success):
+            refusal = accepted.failure()
             self._recorder.record_refusal(req, refusal)
             await send_refusal(
                 refusal,
@@ -154,10 +153,8 @@
                 ),
             )
             return
-        state = RequestState(req, route, self._splitter.choose(route))
-        self._set_deadlines(
-            state, arrived_at, scope['state'].get('round_trip_s', 0)
-        )
+        state = accepted.unwrap()
+        self._retries.count_request(state.service)
         body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
@@ -199,63 +196,6 @@
         await send_refusal(refusal, send, close_connection=True)
         return f'refused-{refusal.reason}'
 
-    def _find_route(
-        self, req: IncomingRequest
-    ) -> tuple[Refusal | None, Route | None]:
-        routes = self.routing_state.routes
-        if routes is None or self.routing_state.refuses_requests:
-            reason = (
-                Reason.draining
-                if self.routing_state.refuses_requests
-                else Reason.no_state
-            )
-            return not_run_refusal(
-                reason,
-                'Retry at another entry instance.',
-                refusals.NOT_READY_RETRY_S,
-            ), None
-        if not req.host:
-            return not_run_refusal(
-                Reason.bad_request, 'The host header is missing or malformed.'
-            ), None
-        return None, routes.find(req.host, req.path)
-
-    def _refuse_unknown_route(self) -> Refusal:
-        if self.routing_state.routes_confirmed:
-            return not_run_refusal(
-                Reason.unknown_service, 'No route for this host and path.'
-            )
-        # A caller does not try again after a 404, and a newer configuration
-        # may have the route.
-        return not_run_refusal(
-            Reason.no_state,
-            'The routes of this entry instance may be outdated.',
-            refusals.NOT_READY_RETRY_S,
-        )
-
-    def _set_deadlines(
-        self, state: RequestState, arrived_at: float, round_trip_s: float
-    ) -> None:
-        route = state.route
-        left_s = (
-            route.timeout_s if state.req.left_s is None else state.req.left_s
-        )
-        # The objective counts from the caller's first request; this one may
-        # be a retry of the caller.
-        estimator = self._elapsed_estimators.setdefault(
-            route.name, CallerElapsedEstimator()
-        )
-        elapsed_s = estimator.elapsed_s(left_s)
-        state.arrived_at = arrived_at
-        state.round_trip_s = round_trip_s
-        state.ends_at = (
-            arrived_at + min(left_s, route.timeout_s) - ANSWER_MARGIN_S
-        )
-        state.objective_ends_at = (
-            arrived_at + route.objective_s - elapsed_s - round_trip_s
-        )
-        self._retries.count_request(state.service)
-
     async def _place_and_send(
         self,
         state: RequestState,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -10,7 +10,7 @@
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
 from .wire import IncomingRequest
-from .workspaces import Workspace
+from .workspaces import Identity, Workspace
 
 
 def _ignore_limits(_limits: ListenerLimits) -> None:
@@ -65,10 +65,10 @@
         service: str,
         workspace: Workspace | None = None,
     ) -> None:
-        self._workspace = workspace
         self.req = req
         self.route = route
         self.service = service
+        self._identity = Identity(workspace=workspace)
         # Monotonic times in seconds.
         self.arrived_at = float(0)
         self.ends_at = float(0)
@@ -87,13 +87,32 @@
         #: Last failed answer that a retry may still replace.
         self.failed_answer: TargetAnswer | None = None
 
+    @property
+    def workspace(self) -> Workspace | None:
+        """Workspace of the caller; None for none."""
+        return self._identity.workspace
+
+    @property
+    def identity(self) -> Identity:
+        """How the workspace was found."""
+        return self._identity
+
+    def identify(self, req: IncomingRequest, identity: Identity) -> None:
+        """Set the workspace of the request.
+
+        :param req: the request, without its key.
+        :param identity: how the workspace was found.
+        """
+        self.req = req
+        self._identity = identity
+
     @property
     def priority(self) -> int:
         """Rank of the request, 0 for the most urgent.
 
         That of the workspace goes before that of the route.
         """
-        workspace = self._workspace
+        workspace = self.workspace
         if workspace is None or workspace.priority is None:
             return self.route.priority
         return workspace.priority
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -12,6 +12,11 @@
 from ..steering.target_load import TargetLoad
 
 
+#: Field of the state of an ASGI scope with the workspace of a relayed request,
+#: as the relaying entry instance found it; empty for none.
+RELAYED_WORKSPACE = 'relayed_workspace'
+
+
 class IncomingRequest(msgspec.Struct, frozen=True):
     """A request of a caller, decoded.
 
@@ -31,7 +36,8 @@
     :param chunked: whether the body is framed as chunks.
     :param api_key: key of the caller's workspace; empty for none.
     :param workspace: name of the workspace once it is known; the target gets
-        it instead of the key.
+        it instead of the key. Known from the start if another entry instance
+        has relayed the request.
     """
 
     request_id: str
--- a/src/cuminhoist/gateway/workspaces.py
+++ b/src/cuminhoist/gateway/workspaces.py
@@ -62,7 +62,7 @@
             by_name[workspace.name] = workspace
             for api_key in api_keys:
                 other = names_by_digest.setdefault(
-                    _digest(api_key), workspace.name
+                    key_digest(api_key), workspace.name
                 )
                 if other != workspace.name:
                     raise ValueError(
@@ -76,11 +76,58 @@
 
         :param api_key: the key that a caller sent.
         """
-        name = self._names_by_digest.get(_digest(api_key))
+        return self.find_digest(key_digest(api_key))
+
+    def find_digest(self, digest: bytes) -> Workspace | None:
+        """Return the workspace of a key, or None.
+
+        :param digest: digest of the key.
+        """
+        name = self._names_by_digest.get(digest)
         return None if name is None else self.by_name[name]
 
 
-def _digest(api_key: str) -> bytes:
+class Credential(msgspec.Struct, frozen=True):
+    """What a request brings to name its workspace, without the key.
+
+    :param digest: digest of the caller's key; empty without a key.
+    :param relayed_as: name of the workspace that another entry instance has
+        found before it relayed the request; empty for none.
+    :param relayed: whether another entry instance has relayed the request.
+    """
+
+    digest: bytes = b''
+    relayed_as: str = ''
+    relayed: bool = False
+
+    def find_in(self, table: WorkspaceTable) -> Workspace | None:
+        """Return the workspace that it names, or None.
+
+        :param table: the workspaces in force.
+        """
+        if self.relayed_as:
+            return table.by_name.get(self.relayed_as)
+        return table.find_digest(self.digest) if self.digest else None
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """The workspace of a request by one version of the workspaces.
+
+    :param credential: what the request brought.
+    :param table: the workspaces in force then; None if there were none.
+    :param workspace: the workspace; None for an anonymous caller.
+    """
+
+    credential: Credential = Credential()
+    table: WorkspaceTable | None = None
+    workspace: Workspace | None = None
+
+
+def key_digest(api_key: str) -> bytes:
+    """Return the digest of a key.
+
+    :param api_key: the key.
+    """
     return hashlib.blake2b(
         api_key.encode('utf-8', 'surrogateescape'), digest_size=16
     ).digest()
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -8,7 +8,12 @@
 
 from ..exchange import Headers, RequestHead
 from ..gateway.hosts import canonical_host, is_host
-from ..gateway.wire import AnswerMetadata, IncomingRequest, WireFormat
+from ..gateway.wire import (
+    RELAYED_WORKSPACE,
+    AnswerMetadata,
+    IncomingRequest,
+    WireFormat,
+)
 from ..steering.target_load import TargetLoad
 
 _REQUEST_ID = b'x-request-id'
@@ -33,7 +38,7 @@
 
 #: Key of the caller's workspace, after the word Bearer.
 _AUTHORIZATION = b'authorization'
-_BEARER = 'bearer'
+_BEARER = b'bearer'
 #: Name of the workspace, for the target.
 _WORKSPACE = b'x-tenant'
 
@@ -104,6 +109,7 @@
             body_bytes=None if chunked else int(length),
             caller=(scope.get('client') or ('',))[0],
             api_key=_api_key(headers),
+            workspace=scope['state'].get(RELAYED_WORKSPACE, ''),
         )
 
     def identify(self, req: IncomingRequest, workspace: str) -> IncomingRequest:
@@ -231,8 +237,10 @@
     found = [text for name, text in headers if name == _AUTHORIZATION]
     if len(found) != 1:
         return ''
-    scheme, _, api_key = found[0].decode(_ENCODING).strip().partition(' ')
-    return api_key.strip() if scheme.lower() == _BEARER else ''
+    scheme, _, api_key = found[0].strip().partition(b' ')
+    if scheme.lower() != _BEARER:
+        return ''
+    return api_key.strip().decode('utf-8', 'surrogateescape')
 
 
 def _target_load(text: bytes) -> TargetLoad | None:
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -23,6 +23,7 @@
     WeightedService,
 )
 from cuminhoist.gateway.target_connections import TargetConnections
+from cuminhoist.gateway.workspaces import Workspace, WorkspaceTable
 from cuminhoist.httpserver import HttpServer
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.requests import PlatformWire
@@ -133,6 +134,17 @@
     return ''
 
 
+def header_values(head: bytes, name: str) -> list[str]:
+    """Return the texts of all headers with a name."""
+    lines = [line.partition(': ') for line in head.decode().split('\r\n')]
+    return [text for key, _, text in lines if key.lower() == name]
+
+
+def bearer(api_key: str) -> tuple[str, ...]:
+    """Return the lines of the head of a request with a key."""
+    return (f'Authorization: Bearer {api_key}',)
+
+
 def route(**changes) -> Route:
     """Return a route to the service.
 
@@ -203,12 +215,17 @@
         deadline_ms: int = 1000,
         request_id: str = 'id1',
         cookie: str = '',
+        fields: tuple[str, ...] = (),
     ) -> bytes:
-        """Send a request on a new connection and return all bytes received."""
+        """Send a request on a new connection and return all bytes received.
+
+        :param fields: further lines of the head.
+        """
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
-        cookies = f'Cookie: {cookie}\r\n' if cookie else ''
+        cookies = (f'Cookie: {cookie}',) if cookie else ()
+        further = ''.join(f'{line}\r\n' for line in (*cookies, *fields))
         writer.write(
-            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{cookies}'
+            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{further}'
             f'X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
             f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'.encode()
             + body,
@@ -219,6 +236,40 @@
         writer.close()
         return received
 
+    @contextlib.asynccontextmanager
+    async def connection(self) -> AsyncIterator[Callable]:
+        """Open a connection; the result sends requests on it in turn."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+
+        async def send(*fields: str) -> bytes:
+            further = ''.join(f'{line}\r\n' for line in fields)
+            writer.write(
+                f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n{further}'
+                'X-Request-Id: id1\r\n\r\n'.encode()
+            )
+            head = await reader.readuntil(b'\r\n\r\n')
+            return head + await reader.readexactly(_length(head))
+
+        yield send
+        writer.close()
+
+    def set_workspaces(
+        self, *entries: tuple[Workspace, tuple[str, ...]]
+    ) -> None:
+        """Put a newer configuration with workspaces in force.
+
+        :param entries: each workspace with its keys.
+        """
+        routing_state = self.proxy.routing_state
+        routes = routing_state.routes
+        routing_state.replace_routes(
+            msgspec.structs.replace(
+                routes,
+                version=routes.version + 1,
+                workspaces=WorkspaceTable.from_keys(entries),
+            )
+        )
+
     async def send_and_disconnect(self, target: ScriptedTarget) -> None:
         """Send a request and close the connection once a target has it."""
         _, writer = await asyncio.open_connection('127.0.0.1', self.port)
