Serve a workspace only in its regions, also through a relay

The regions of the route and of the workspace both bind. A request whose route and workspace share no region is refused at once. A relayed request carries the name of the workspace instead of the key; the other instance trusts the name only where the relaying instance has written it.

--- a/src/cuminhoist/gateway/authentication.py
+++ b/src/cuminhoist/gateway/authentication.py
@@ -86,7 +86,9 @@
         workspace: Workspace | None,
         route: Route,
     ) -> Refusal | None:
-        if workspace is not None or route.allows_anonymous:
+        if workspace is not None:
+            return _refuse_without_region(workspace, route)
+        if route.allows_anonymous:
             return None
         if self._routing_state.routes_confirmed and not credential.relayed:
             return not_run_refusal(
@@ -99,3 +101,16 @@
             'The keys of this entry instance may be outdated.',
             NOT_READY_RETRY_S,
         )
+
+
+def _refuse_without_region(
+    workspace: Workspace, route: Route
+) -> Refusal | None:
+    """Return the refusal if no region may serve a workspace's request."""
+    homes, by_route = workspace.allowed_regions, route.allowed_regions
+    if not homes or not by_route or homes & by_route:
+        return None
+    # There is no time after which a retry would succeed.
+    return not_run_refusal(
+        Reason.no_target, 'Route and workspace share no region.'
+    )
--- a/src/cuminhoist/gateway/relay.py
+++ b/src/cuminhoist/gateway/relay.py
@@ -18,10 +18,18 @@
 from .request_state import RequestState
 from .retry_policy import MIN_ATTEMPT_S
 from .target_connections import TargetConnections
-from .wire import AnswerMetadata, IncomingRequest, WireFormat
+from .wire import (
+    RELAYED_WORKSPACE,
+    AnswerMetadata,
+    IncomingRequest,
+    WireFormat,
+)
 
 #: Address of the caller of a relayed request.
 CALLER_HEADER = b'x-cuminhoist-relayed-for'
+#: Workspace of a relayed request, in front of the address of its caller;
+#: missing without one. The key itself stays at the relaying instance.
+WORKSPACE_HEADER = b'x-cuminhoist-relayed-workspace'
 #: Entry instances that one request is offered to.
 MAX_PEERS = 3
 #: Time for which an entry instance that did not serve a request is tried after
@@ -64,15 +72,18 @@
     def encode_attempt(
         self, req: IncomingRequest, left_s: float, target_name: str
     ) -> RequestHead:
-        """Return the head of a relayed request, with its caller.
+        """Return the head of a relayed request, with caller and workspace.
 
         :param req: the request.
         :param left_s: time left for it, in seconds.
         :param target_name: name of the entry instance.
         """
         head = self._wire.encode_attempt(req, left_s, target_name)
-        caller = (CALLER_HEADER, req.caller.encode('latin-1'))
-        return msgspec.structs.replace(head, headers=[*head.headers, caller])
+        headers = list(head.headers)
+        if req.workspace:
+            headers.append((WORKSPACE_HEADER, req.workspace.encode()))
+        headers.append((CALLER_HEADER, req.caller.encode('latin-1')))
+        return msgspec.structs.replace(head, headers=headers)
 
     def echoed_header(self, req: IncomingRequest) -> None:
         """Expect no header: a refusal of the instance repeats none.
@@ -130,7 +141,7 @@
         :param body: its body.
         """
         outcome: AttemptOutcome | None = None
-        for peer in self._peers(state.route.allowed_regions):
+        for peer in self._peers(state.allowed_regions):
             left_s = state.ends_at - self._now()
             if left_s < MIN_ATTEMPT_S or not body.can_resend:
                 break
@@ -159,6 +170,7 @@
 
     async def answer(scope: Any, receive: Receive, send: Send) -> None:
         headers = list(scope['headers'])
+        workspace = ''
         # The relaying instance has added the last one; others are the
         # caller's own.
         for index in reversed(range(len(headers))):
@@ -166,13 +178,30 @@
             if name == CALLER_HEADER:
                 headers.pop(index)
                 scope['client'] = (caller.decode('latin-1'), 0)
+                workspace = _pop_workspace(headers, index - 1)
                 break
         scope['headers'] = headers
         scope['state']['relayed'] = True
+        scope['state'][RELAYED_WORKSPACE] = workspace
         await serve(scope, receive, send)
 
     return answer
 
 
+def _pop_workspace(headers: Headers, index: int) -> str:
+    """Return the workspace of a relayed request; empty for none.
+
+    Only the header directly in front of the caller's address is the relaying
+    instance's own. A caller can't place one there, as each instance adds its
+    headers behind all of the caller's.
+
+    :param headers: headers of the request; the workspace is removed.
+    :param index: where the workspace is, if there is one.
+    """
+    if index < 0 or headers[index][0] != WORKSPACE_HEADER:
+        return ''
+    return headers.pop(index)[1].decode('utf-8', 'surrogateescape')
+
+
 def _no_peers(_allowed_regions: frozenset[str]) -> list[TargetEntry]:
     return []
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -411,7 +411,7 @@
         send: Send,
     ) -> str:
         paused_s = self._placement_client.time_to_unpaused_s(
-            state.service, state.route.allowed_regions
+            state.service, state.allowed_regions
         )
         refusal = refusals.refusal_after_attempt(state, outcome, paused_s)
         await send_refusal(refusal, send)
@@ -450,7 +450,7 @@
             key=state.object_key,
             objective_left_s=state.objective_ends_at - now,
             left_s=state.ends_at - now,
-            allowed_regions=state.route.allowed_regions,
+            allowed_regions=state.allowed_regions,
             excluded=(*state.tried_targets, *state.skipped_targets),
             priority=state.priority,
             workspace=state.req.workspace,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -117,6 +117,19 @@
             return self.route.priority
         return workspace.priority
 
+    @property
+    def allowed_regions(self) -> frozenset[str]:
+        """Regions that may serve the request; empty for all.
+
+        Those of the route and those of the workspace both bind. A request
+        whose route and workspace share no region is refused on arrival.
+        """
+        by_route = self.route.allowed_regions
+        homes = self.workspace.allowed_regions if self.workspace else None
+        if not homes or not by_route:
+            return homes or by_route
+        return by_route & homes
+
     @property
     def object_key(self) -> str:
         """Identity of the object in the caches of targets; empty without one.
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -13,6 +13,7 @@
     DispatcherClient,
     PlacementClient,
 )
+from cuminhoist.gateway.relay import relay_app
 from cuminhoist.gateway.request_metrics import RequestMetrics
 from cuminhoist.gateway.request_proxy import RequestProxy
 from cuminhoist.gateway.routes import (
@@ -341,6 +342,36 @@
         yield GatewayHarness(proxy, server, _port(server))
 
 
+@contextlib.asynccontextmanager
+async def relayed_to(
+    cut: GatewayHarness, other: GatewayHarness
+) -> AsyncIterator[list[frozenset[str]]]:
+    """Let a cut instance pass its requests on to another one.
+
+    The result has the regions for which the cut one has looked for others.
+
+    :param cut: the instance that relays.
+    :param other: the one that serves.
+    """
+    asked: list[frozenset[str]] = []
+    async with listening(relay_app(other.proxy)) as relay:
+        peer = TargetEntry(
+            name='other',
+            service='',
+            address=address_of(relay),
+            domain='y',
+            slots=8,
+            state=TargetState.ready,
+        )
+
+        def find_peers(regions):
+            asked.append(regions)
+            return [peer]
+
+        cut.proxy.relay.find_peers = find_peers
+        yield asked
+
+
 @contextlib.asynccontextmanager
 async def listening(app) -> AsyncIterator[HttpServer]:
     """Run a listener for an application.
--- a/tests/gateway/test_cut_from_targets.py
+++ b/tests/gateway/test_cut_from_targets.py
@@ -20,13 +20,11 @@
 from tests.waiting import eventually
 
 from .builders import (
-    GatewayHarness,
     ScriptedTarget,
-    address_of,
     answer,
     gateway,
     header,
-    listening,
+    relayed_to,
 )
 
 ONCE = RepeatPolicy.once
@@ -72,22 +70,6 @@
     return ScriptedTarget(answer)
 
 
-@contextlib.asynccontextmanager
-async def _relayed_to(cut: GatewayHarness, other: GatewayHarness):
-    """Let a cut instance pass its requests on to another one."""
-    async with listening(relay_app(other.proxy)) as relay:
-        peer = TargetEntry(
-            name='other',
-            service='',
-            address=address_of(relay),
-            domain='y',
-            slots=8,
-            state=TargetState.ready,
-        )
-        cut.proxy.relay.find_peers = lambda _regions: [peer]
-        yield
-
-
 @pytest.mark.parametrize(
     'make_target', [HangingTarget, RefusingTarget, ResettingTarget]
 )
@@ -99,7 +81,7 @@
     async with (
         gateway(*targets, repeat=repeat) as cut,
         gateway(whole, repeat=repeat) as other,
-        _relayed_to(cut, other),
+        relayed_to(cut, other),
     ):
         await cut.request(request_id='first')
         await eventually(lambda: cut.proxy.reachability.is_cut)
@@ -129,7 +111,7 @@
     async with (
         gateway(*targets, repeat=ONCE) as cut,
         gateway(whole, repeat=ONCE) as other,
-        _relayed_to(cut, other),
+        relayed_to(cut, other),
     ):
         received = await cut.request('POST', body=b'once')
         assert received.startswith(b'HTTP/1.1 502')
@@ -141,8 +123,8 @@
     async with (
         gateway(RefusingTarget(answer)) as first,
         gateway(RefusingTarget(answer)) as second,
-        _relayed_to(first, second),
-        _relayed_to(second, first),
+        relayed_to(first, second),
+        relayed_to(second, first),
     ):
         received = await first.request()
         assert received.startswith(b'HTTP/1.1 503')
