Authenticate a waiting request again when a newer configuration comes

A request whose key was removed is not sent to a target, a second target or another entry instance, and gives back the slot that it was granted. A request that may have run is answered 502 or with the failed answer of its target, as 401 would hide that.

--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -51,6 +51,21 @@
     )
 
 
+def refusal_of_caller(state: RequestState, refusal: Refusal) -> Refusal:
+    """Return the refusal of a request that was authenticated again.
+
+    :param state: the request.
+    :param refusal: why its caller is not served any more.
+    """
+    if not state.may_have_run:
+        return refusal
+    return Refusal(
+        ran=Ran.unknown,
+        reason=Reason.target_lost,
+        detail='The attempt failed and the caller is not served any more.',
+    )
+
+
 def refusal_without_target(state: RequestState, refused: Refused) -> Refusal:
     """Return the refusal of a request that gets no target, or no other one.
 
--- a/src/cuminhoist/gateway/relay.py
+++ b/src/cuminhoist/gateway/relay.py
@@ -14,6 +14,7 @@
 from ..steering.targets import TargetEntry
 from .answers import Send
 from .attempt import AttemptOutcome, AttemptSender
+from .authentication import Authenticator
 from .bodies import Receive, RequestBody
 from .request_state import RequestState
 from .retry_policy import MIN_ATTEMPT_S
@@ -118,6 +119,7 @@
 
     :param wire: format of requests and answers of targets.
     :param connections: connections to entry instances.
+    :param authenticator: authenticates requests again between attempts.
     :param now: returns monotonic time in seconds.
     """
 
@@ -125,10 +127,12 @@
         self,
         wire: WireFormat,
         connections: TargetConnections,
+        authenticator: Authenticator,
         now: Callable[[], float],
     ) -> None:
         self.find_peers: FindPeers = _no_peers
         self._sender = AttemptSender(RelayWire(wire), connections)
+        self._authenticator = authenticator
         self._now = now
         self._avoided_until: dict[str, float] = {}
 
@@ -145,6 +149,8 @@
             left_s = state.ends_at - self._now()
             if left_s < MIN_ATTEMPT_S or not body.can_resend:
                 break
+            if self._authenticator.confirm(state) is not None:
+                break
             outcome = await self._sender.send(state.req, body, peer, left_s)
             state.may_have_run = state.may_have_run or outcome.may_have_run
             state.trail.append(
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -91,8 +91,13 @@
         )
         #: Whether this instance reaches any target.
         self.reachability = self.crash_detector.reachability
-        self.relay = Relay(wire, TargetConnections(now, connections.pacer), now)
         self._authenticator = Authenticator(wire, self.routing_state)
+        self.relay = Relay(
+            wire,
+            TargetConnections(now, connections.pacer),
+            self._authenticator,
+            now,
+        )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
         self._pacer = connections.pacer
@@ -216,10 +221,15 @@
             if isinstance(decision, Refused):
                 wait = f'wait {decision.wait_s * MS_PER_S:.0f}ms'
                 state.trail.append(f'{decider}: {decision.reason}, {wait}')
-                return await self._answer_without_target(state, decision, send)
+                refusal = refusals.refusal_without_target(state, decision)
+                return await self._answer_without_target(state, refusal, send)
             target = self.routing_state.targets.get(decision.target)
             state.waited_s += decision.waited_s
-            if target is None or self._is_paused(state, target, decider):
+            if (
+                target is None
+                or not self._may_be_sent(state, decision)
+                or self._is_paused(state, target, decider)
+            ):
                 self._report_attempt(
                     state, decision, AttemptOutcome(Ending.withdrawn), 0
                 )
@@ -245,6 +255,13 @@
 
         :returns: how it ended; empty if it may be sent to a target.
         """
+        unauthenticated = self._authenticator.confirm(state)
+        if unauthenticated is not None:
+            return await self._answer_without_target(
+                state,
+                refusals.refusal_of_caller(state, unauthenticated),
+                send,
+            )
         if self.crash_detector.is_poison(state, body):
             refusal = refusals.refusal_of_poison(state)
             await send_refusal(refusal, send)
@@ -273,16 +290,31 @@
         A request that another one has passed on here is refused instead.
         """
         outcome = None
-        if not scope['state'].get('relayed', False):
+        refusal = self._authenticator.confirm(state)
+        if refusal is None and not scope['state'].get('relayed', False):
             outcome = await self.relay.send(state, body)
         if outcome is not None and outcome.answer is not None:
             return await self._pass_answer_on(
                 state, outcome.answer, scope, send
             )
-        refusal = refusals.refusal_of_cut_instance(state, outcome)
+        if refusal is None:
+            refusal = refusals.refusal_of_cut_instance(state, outcome)
+        else:
+            refusal = refusals.refusal_of_caller(state, refusal)
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
 
+    def _may_be_sent(self, state: RequestState, decision: Granted) -> bool:
+        """Tell whether a granted target may still get a request.
+
+        A newer configuration may have removed the key of the caller, or moved
+        its workspace to other regions, while the request waited.
+        """
+        if self._authenticator.confirm(state) is not None:
+            return False
+        regions = state.allowed_regions
+        return not regions or decision.region in regions
+
     def _is_paused(
         self, state: RequestState, target: TargetEntry, decider: str
     ) -> bool:
@@ -393,14 +425,13 @@
         self._failure_reports.send(report, outcome)
 
     async def _answer_without_target(
-        self, state: RequestState, refused: Refused, send: Send
+        self, state: RequestState, refusal: Refusal, send: Send
     ) -> str:
         failed = state.failed_answer
         if failed is not None and failed.body_complete:
             headers = headers_for_caller(self._wire, failed)
             await send_answer(failed, headers, send, self._pacer)
             return f'answered-{failed.status}'
-        refusal = refusals.refusal_without_target(state, refused)
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
 
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -28,7 +28,12 @@
 from cuminhoist.httpserver import HttpServer
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.requests import PlatformWire
-from cuminhoist.steering.decisions import Decision, PlacementRequest
+from cuminhoist.steering.decisions import (
+    AttemptReport,
+    Decision,
+    Granted,
+    PlacementRequest,
+)
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.slot_lending import (
     DispatchContext,
@@ -59,6 +64,30 @@
         raise AssertionError('no dispatcher')
 
 
+class HeldDispatcher(DispatcherClient):
+    """A dispatcher that decides when a test tells it to."""
+
+    def __init__(self) -> None:
+        self.requests: list[PlacementRequest] = []
+        self.reports: list[AttemptReport] = []
+
+    def is_available(self) -> bool:
+        return True
+
+    def send_request(self, req) -> None:
+        self.requests.append(req)
+
+    def report_attempt_end(self, report) -> None:
+        self.reports.append(report)
+
+    def withdraw(self, number, service) -> None:
+        """Ignore that a request does not wait any more."""
+
+    def grant(self, target: str = 't0') -> Granted:
+        """Return a grant of a target to the last request."""
+        return Granted(self.requests[-1].number, target, region='r')
+
+
 class ScriptedTarget:
     """Answers each request with the bytes that a script returns.
 
@@ -238,20 +267,10 @@
         return received
 
     @contextlib.asynccontextmanager
-    async def connection(self) -> AsyncIterator[Callable]:
-        """Open a connection; the result sends requests on it in turn."""
+    async def connection(self) -> AsyncIterator['CallerStream']:
+        """Open a connection on which requests are sent in turn."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
-
-        async def send(*fields: str) -> bytes:
-            further = ''.join(f'{line}\r\n' for line in fields)
-            writer.write(
-                f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n{further}'
-                'X-Request-Id: id1\r\n\r\n'.encode()
-            )
-            head = await reader.readuntil(b'\r\n\r\n')
-            return head + await reader.readexactly(_length(head))
-
-        yield send
+        yield CallerStream(reader, writer)
         writer.close()
 
     def set_workspaces(
@@ -282,14 +301,43 @@
         writer.transport.abort()
 
 
+class CallerStream:
+    """A connection of a caller."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    def write(self, content: bytes) -> None:
+        """Send bytes, such as the body of a request."""
+        self._writer.write(content)
+
+    async def send(self, *fields: str, path: str = '/a/x') -> bytes:
+        """Send the head of a request and return the answer.
+
+        :param fields: further lines of the head.
+        """
+        further = ''.join(f'{line}\r\n' for line in fields)
+        self.write(
+            f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{further}'
+            'X-Request-Id: id1\r\n\r\n'.encode()
+        )
+        head = await self._reader.readuntil(b'\r\n\r\n')
+        return head + await self._reader.readexactly(_length(head))
+
+
 @contextlib.asynccontextmanager
 async def gateway(
     *targets: ScriptedTarget,
+    remote: DispatcherClient | None = None,
     **changes,
 ) -> AsyncIterator[GatewayHarness]:
     """Run a gateway in front of targets.
 
     :param targets: the targets, named t0, t1 and so on.
+    :param remote: the dispatcher of the region; None for none.
     :param changes: fields of the route that differ from the defaults.
     """
     entries = [
@@ -314,7 +362,7 @@
             time.monotonic,
             LinkPacer(float('inf'), time.monotonic),
         ),
-        PlacementClient(NoDispatcher(), local, time.monotonic),
+        PlacementClient(remote or NoDispatcher(), local, time.monotonic),
         RequestMetrics(),
         time.monotonic,
         retry_ratio=10,
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -124,12 +124,16 @@
 async def test_removed_key_stops_working_on_an_open_connection():
     """Guards against a connection that keeps the identity of its start."""
     target = ScriptedTarget(answer)
-    async with gateway(target) as harness, harness.connection() as send:
+    async with gateway(target) as harness, harness.connection() as caller:
         harness.set_workspaces(OWN)
-        assert (await send(*bearer('secret'))).startswith(b'HTTP/1.1 200')
+        assert (await caller.send(*bearer('secret'))).startswith(
+            b'HTTP/1.1 200'
+        )
         harness.set_workspaces((Workspace('own'), ('spare',)))
-        assert (await send(*bearer('secret'))).startswith(b'HTTP/1.1 401')
-        assert (await send(*bearer('spare'))).startswith(b'HTTP/1.1 200')
+        assert (await caller.send(*bearer('secret'))).startswith(
+            b'HTTP/1.1 401'
+        )
+        assert (await caller.send(*bearer('spare'))).startswith(b'HTTP/1.1 200')
     assert len(target.heads) == 2
 
 
