Serve no keys without contact to a quorum where the settings ask for it

bounds.fail_closed and bounds.revoke_ms were ignored. Contact means a view of a control instance that reaches a quorum and has no newer state: one without a quorum does not learn of removed keys. A view that tells of a newer state now counts at once for final refusals and not only at the next check.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -114,6 +114,7 @@
             config.limits.retry_budget_ratio,
             config.limits.min_retry_budget,
         )
+        self.request_proxy.routing_state.trusts_keys = self._trusts_keys
         self.request_proxy.on_target_leaving = self._on_target_leaving
         self.feed = TargetFeed(
             source,
@@ -202,6 +203,18 @@
         index = -1 if self._declared is None else self._declared.index
         return Progress(index, self.feed.read_at)
 
+    def _trusts_keys(self) -> bool:
+        """Tell whether keys are served.
+
+        A removed key could be served without end by an instance that is cut
+        off from the control instances.
+        """
+        limits = self._config.limits
+        if not limits.refuses_unconfirmed_keys:
+            return True
+        silence_s = self._now() - self.links.newest_confirmed_at()
+        return silence_s <= limits.key_trust_s
+
     def _on_roster(self, msg: Roster) -> None:
         if msg.complete:
             self._roster = {}
@@ -273,7 +286,13 @@
         self._update_targets()
 
     def _on_view(self, view: View) -> None:
-        self.request_proxy.routing_state.entry_count = max(view.entries, 1)
+        routing = self.request_proxy.routing_state
+        routing.entry_count = max(view.entries, 1)
+        # Between two checks, a refusal for a missing route or key could be
+        # final although this view tells of a newer state.
+        routing.routes_confirmed = self.links.is_newest(
+            self._progress().state_index
+        )
         self._region_entry_count = max(view.region_entries, 1)
 
     def _on_target_list(self, feed: TargetFeed) -> None:
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -112,6 +112,7 @@
         self._source = ''
         self._source_chooser = SubscriptionChooser(config.name, config.domain)
         self._targets = ListCopy()
+        self._newest_confirmed_at = float('-inf')
 
     def replace_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seeds after a reload of the settings.
@@ -172,6 +173,16 @@
             view.index <= index for view in views
         )
 
+    def newest_confirmed_at(self) -> float:
+        """Return when the declared state was last known to be the newest.
+
+        That is when the last view of a control instance came that reached a
+        quorum and had no newer state.
+
+        :returns: monotonic time in seconds; minus infinity for never.
+        """
+        return self._newest_confirmed_at
+
     def link_opened(self, link: Link) -> None:
         """Send this instance's hello on a new link.
 
@@ -194,6 +205,8 @@
         if isinstance(msg, View):
             control.view = msg
             control.view_at = self._now()
+            if msg.confirmed and msg.index <= self.progress().state_index:
+                self._newest_confirmed_at = control.view_at
             self._choose_dispatcher()
         if isinstance(msg, FleetSummary):
             self._known_controls = {
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -28,6 +28,10 @@
         shift to another region within two seconds.
     :param drain_s: time after which an instance that knows that a target is
         about to stop must send it no new requests, in seconds.
+    :param refuses_unconfirmed_keys: whether an entry instance serves no key
+        while it can't learn that keys were removed.
+    :param key_trust_s: time for which such an instance serves keys without
+        contact to a quorum of the control instances, in seconds.
     """
 
     retry_budget_ratio: float = 0.1
@@ -37,6 +41,8 @@
     lookup_ttl_s: float = 5
     max_shift_fraction: float = 0.15
     drain_s: float = 3
+    refuses_unconfirmed_keys: bool = False
+    key_trust_s: float = 5
 
 
 class InstanceConfig(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/gateway/authentication.py
+++ b/src/cuminhoist/gateway/authentication.py
@@ -53,8 +53,10 @@
         :returns: the refusal if it must not be served any more.
         """
         routes = self._routing_state.routes
-        if routes is None or routes.workspaces is state.identity.table:
+        if routes is None:
             return None
+        if routes.workspaces is state.identity.table:
+            return self._refuse_untrusted(state.identity)
         # Whether the route needs a key may have changed too.
         route = routes.find(state.req.host, state.req.path)
         return self._identify(
@@ -78,7 +80,21 @@
         if table is not None or name:
             req = self._wire.identify(req, name)
         state.identify(req, Identity(credential, table, workspace))
-        return None
+        return self._refuse_untrusted(state.identity)
+
+    def _refuse_untrusted(self, identity: Identity) -> Refusal | None:
+        """Return the refusal of a key that may have been removed."""
+        if (
+            identity.table is None
+            or identity.credential.is_empty
+            or self._routing_state.trusts_keys()
+        ):
+            return None
+        return not_run_refusal(
+            Reason.no_state,
+            'This entry instance cannot tell whether the key still holds.',
+            NOT_READY_RETRY_S,
+        )
 
     def _refusal(
         self,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -13,6 +13,10 @@
 from .workspaces import Identity, Workspace
 
 
+def _always() -> bool:
+    return True
+
+
 def _ignore_limits(_limits: ListenerLimits) -> None:
     """Ignore limits: there is no listener for callers."""
 
@@ -29,6 +33,7 @@
         instance stops.
     :param routes_confirmed: whether the routes are known to be the newest
         ones.
+    :param trusts_keys: tells whether the keys in force may be relied on.
     :param apply_limits: applies the limits of new routes to the listener.
     """
 
@@ -38,6 +43,7 @@
     entry_count: int = 1
     refuses_requests: bool = False
     routes_confirmed: bool = True
+    trusts_keys: Callable[[], bool] = _always
     apply_limits: Callable[[ListenerLimits], None] = _ignore_limits
 
     def replace_routes(self, routes: RouteTable) -> None:
--- a/src/cuminhoist/gateway/workspaces.py
+++ b/src/cuminhoist/gateway/workspaces.py
@@ -100,6 +100,11 @@
     relayed_as: str = ''
     relayed: bool = False
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the request names no workspace."""
+        return not self.digest and not self.relayed_as
+
     def find_in(self, table: WorkspaceTable) -> Workspace | None:
         """Return the workspace that it names, or None.
 
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -42,6 +42,8 @@
     ttl_max_s: float = 5
     shift_most: float = 0.15
     drain_ms: float = 3000
+    fail_closed: bool = False
+    revoke_ms: float = 5000
 
 
 class _Boot(msgspec.Struct, frozen=True):
@@ -131,6 +133,8 @@
         lookup_ttl_s=wire.ttl_max_s,
         max_shift_fraction=wire.shift_most,
         drain_s=wire.drain_ms / _MS,
+        refuses_unconfirmed_keys=wire.fail_closed,
+        key_trust_s=wire.revoke_ms / _MS,
     )
 
 
--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -14,7 +14,7 @@
 from cuminhoist.fleet import entry_instance
 from cuminhoist.fleet.entry_instance import EntryInstance
 from cuminhoist.fleet.instance_config import Address, DeploymentLimits
-from cuminhoist.fleet.messages import LeavingNotice, TargetList
+from cuminhoist.fleet.messages import LeavingNotice, TargetList, View
 from cuminhoist.fleet.target_feed import STALE_LIST_S
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.platform.configuration import decode_routes
@@ -24,7 +24,7 @@
 from cuminhoist.steering.leaving_targets import LeavingTarget
 from tests.steering.builders import request, target
 
-from .builders import SOUTH_A, instance_config
+from .builders import SOUTH_A, RecordingLink, hello, instance_config
 
 pytestmark = pytest.mark.looptime
 
@@ -34,13 +34,16 @@
 )
 
 
-def _entry_instance():
-    """Return an entry instance with two targets and no link."""
+def _entry_instance(**limits):
+    """Return an entry instance with two targets and no link.
+
+    :param limits: limits of the deployment that differ from the defaults.
+    """
     config = msgspec.structs.replace(
         instance_config('e0'),
         operator_address=None,
         request_address=Address('e0', 80),
-        limits=DeploymentLimits(drain_s=4),
+        limits=DeploymentLimits(drain_s=4, **limits),
     )
     clock = asyncio.get_running_loop().time
     entry = EntryInstance(config, None, None, PlatformWire(), clock)
@@ -186,3 +189,48 @@
     for index, max_header_bytes in ((1, 1000), (2, 2000)):
         entry._on_declared_state(_state(index, max_header_bytes))
     assert applied == [ListenerLimits(1000), ListenerLimits(2000)]
+
+
+def _view(index):
+    return View(
+        index=index, confirmed=True, dispatcher='', entries=1, region_entries=1
+    )
+
+
+def _linked(entry):
+    """Link an entry instance to a control instance and return the link."""
+    link = RecordingLink()
+    entry.links.on_message = entry._on_message
+    entry.links.progress = entry._progress
+    entry.links.message_received(link, hello('c1', control=True))
+    return link
+
+
+@pytest.mark.parametrize('refuses', [True, False])
+async def test_keys_are_trusted_as_long_as_the_settings_say(refuses):
+    """Guards against a removed key that a cut instance serves without end.
+
+    Without the setting, such an instance serves on.
+    """
+    entry = _entry_instance(refuses_unconfirmed_keys=refuses, key_trust_s=3)
+    routing = entry.request_proxy.routing_state
+    assert routing.trusts_keys() is not refuses
+    link = _linked(entry)
+    entry.links.message_received(link, _view(-1))
+    await asyncio.sleep(2.9)
+    assert routing.trusts_keys()
+    await asyncio.sleep(0.2)
+    assert routing.trusts_keys() is not refuses
+    entry.links.message_received(link, _view(-1))
+    assert routing.trusts_keys()
+
+
+async def test_view_of_a_newer_state_counts_at_once():
+    """Guards against a final refusal in the time between two checks."""
+    entry = _entry_instance()
+    link = _linked(entry)
+    routing = entry.request_proxy.routing_state
+    entry.links.message_received(link, _view(-1))
+    assert routing.routes_confirmed
+    entry.links.message_received(link, _view(0))
+    assert not routing.routes_confirmed
--- a/tests/fleet/test_entry_links.py
+++ b/tests/fleet/test_entry_links.py
@@ -23,6 +23,7 @@
     TargetList,
     View,
 )
+from cuminhoist.fleet.subscription import Progress
 from cuminhoist.steering.leaving_targets import LeavingTarget
 from tests.steering.builders import target
 
@@ -130,6 +131,24 @@
     assert not links.is_newest(2)
 
 
+async def test_only_a_quorum_without_newer_state_confirms_the_own_one():
+    """Guards against trust in keys that a newer state has removed.
+
+    A control instance without a quorum can't know of the removal.
+    """
+    links = _entry_links()
+    links.progress = lambda: Progress(1)
+    link = _link(links, 'c1')
+    assert links.newest_confirmed_at() == float('-inf')
+    await asyncio.sleep(1)
+    _send_view(links, link)
+    await asyncio.sleep(1)
+    _send_view(links, link, confirmed=False)
+    _send_view(links, link, index=2)
+    links.link_closed(link)
+    assert links.newest_confirmed_at() == pytest.approx(1)
+
+
 async def test_new_dispatcher_learns_notices_in_force():
     """Guards against a new dispatcher that grants slots of a leaving target."""
     links = _entry_links()
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -145,6 +145,31 @@
     assert received.startswith(b'HTTP/1.1 404')
 
 
+@pytest.mark.parametrize('anonymous', [True, False])
+async def test_untrusted_keys_are_not_served(anonymous):
+    """Guards against serving removed keys at an instance that is cut off."""
+    target = ScriptedTarget(answer)
+    async with gateway(target, allows_anonymous=anonymous) as harness:
+        harness.set_workspaces(OWN)
+        harness.proxy.routing_state.routes_confirmed = False
+        harness.proxy.routing_state.trusts_keys = lambda: False
+        received = await harness.request(fields=bearer('secret'))
+        assert received.startswith(b'HTTP/1.1 503')
+        assert b'retry-after: ' in received
+        assert b'"ran":"not-run"' in received
+        assert not target.heads
+        received = await harness.request()
+        assert received.startswith(b'HTTP/1.1 200') is anonymous
+
+
+async def test_trust_in_keys_matters_only_with_workspaces():
+    """Guards against refusals in deployments whose callers need no keys."""
+    async with gateway(ScriptedTarget(answer)) as harness:
+        harness.proxy.routing_state.trusts_keys = lambda: False
+        received = await harness.request(fields=bearer('secret'))
+    assert received.startswith(b'HTTP/1.1 200')
+
+
 def test_keys_may_hold_any_text():
     """Guards against a key that is in no ASCII, or that is empty."""
     table = WorkspaceTable.from_keys([(Workspace('own'), ('clé', '\udcff'))])
--- a/tests/gateway/test_authentication_again.py
+++ b/tests/gateway/test_authentication_again.py
@@ -139,6 +139,19 @@
     assert not second.heads
 
 
+async def test_key_that_is_trusted_no_more_is_not_sent():
+    """Guards against a key that waited until its instance lost contact."""
+    target, dispatcher = ScriptedTarget(answer), HeldDispatcher()
+    async with gateway(target, remote=dispatcher) as harness:
+        harness.set_workspaces(OWN)
+        async with _waiting_request(harness, dispatcher) as caller:
+            harness.proxy.routing_state.trusts_keys = lambda: False
+            _grant(harness, dispatcher)
+            received = await caller
+    assert received.startswith(b'HTTP/1.1 503')
+    assert not target.heads
+
+
 async def test_first_workspaces_bind_a_request_that_waits():
     """Guards against a key at a target once the keys are the deployment's."""
     target, dispatcher = ScriptedTarget(answer), HeldDispatcher()
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -73,3 +73,17 @@
     assert load_settings(path).unwrap().link_bytes_per_s == 418750
     path.write_text(json.dumps(SETTINGS))
     assert load_settings(path).unwrap().link_bytes_per_s == float('inf')
+
+
+def test_trust_in_keys_is_read_in_seconds(tmp_path):
+    """Guards against serving removed keys for longer than is allowed."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(SETTINGS))
+    limits = load_settings(path).unwrap().limits
+    assert not limits.refuses_unconfirmed_keys
+    assert limits.key_trust_s == 5
+    bounds = {'bounds': {'fail_closed': True, 'revoke_ms': 1500}}
+    path.write_text(json.dumps({**SETTINGS, **bounds}))
+    limits = load_settings(path).unwrap().limits
+    assert limits.refuses_unconfirmed_keys
+    assert limits.key_trust_s == 1.5
