Keep requests in the failure domain of their entry instance where links are scarce

Half of the answers of a deployment with slow links crossed between the failure domains of a region, as each object had one order of targets for the whole region. A request now goes to a target of its entry instance's domain while its answer is in time there, if the caches of the domain can hold all objects. Entry instances also return to a source of updates in their domain.

Active where the platform's settings name the contract on scarce links.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -98,7 +98,10 @@
             meter,
         )
         self.placement_client = PlacementClient(
-            self.links, Dispatcher(config.limits.max_shift_fraction), now
+            self.links,
+            Dispatcher(config.limits.max_shift_fraction),
+            now,
+            config.domain if config.limits.prefers_own_domain else '',
         )
         self._target_connections = TargetConnections(
             now,
--- a/src/cuminhoist/fleet/entry_links.py
+++ b/src/cuminhoist/fleet/entry_links.py
@@ -110,7 +110,11 @@
         self._dispatcher: _LinkedControl | None = None
         self._quorum_reachable = False
         self._source = ''
-        self._source_chooser = SubscriptionChooser(config.name, config.domain)
+        self._source_chooser = SubscriptionChooser(
+            config.name,
+            config.domain,
+            returns_home=config.limits.prefers_own_domain,
+        )
         self._targets = ListCopy()
 
     def replace_seeds(self, seeds: tuple[Address, ...]) -> None:
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -28,6 +28,8 @@
         shift to another region within two seconds.
     :param drain_s: time after which an instance that knows that a target is
         about to stop must send it no new requests, in seconds.
+    :param prefers_own_domain: whether a request stays in the failure domain of
+        its entry instance while its answer is in time there.
     """
 
     retry_budget_ratio: float = 0.1
@@ -37,6 +39,7 @@
     lookup_ttl_s: float = 5
     max_shift_fraction: float = 0.15
     drain_s: float = 3
+    prefers_own_domain: bool = False
 
 
 class InstanceConfig(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/fleet/subscription.py
+++ b/src/cuminhoist/fleet/subscription.py
@@ -58,11 +58,16 @@
 
     :param name: name of the entry instance.
     :param domain: its failure domain.
+    :param returns_home: whether to return to a source of its own failure
+        domain once there is one; otherwise the first source stays.
     """
 
-    def __init__(self, name: str, domain: str) -> None:
+    def __init__(
+        self, name: str, domain: str, *, returns_home: bool = False
+    ) -> None:
         self._name = name
         self._domain = domain
+        self._returns_home = returns_home
         self._behind_since: float | None = None
         self._chosen_at = float('-inf')
 
@@ -90,7 +95,8 @@
             self._behind_since = now
         present = by_name.get(current)
         if present is not None and not self._must_change(present, ahead, now):
-            return current
+            home = self._home_source(present, by_name.values(), now)
+            return home.name if home else current
         candidates = [
             source
             for source in ahead or by_name.values()
@@ -102,6 +108,27 @@
         self._behind_since = None
         return max(candidates, key=self._preference).name
 
+    def _home_source(
+        self, present: Source, sources: Iterable[Source], now: float
+    ) -> Source | None:
+        """Return a source of the own failure domain to change to, if any."""
+        if not self._returns_home or present.domain == self._domain:
+            return None
+        if now - self._chosen_at < MIN_STAY_S:
+            return None
+        for source in sources:
+            is_current = (
+                source.is_fresh
+                and source.confirmed
+                and source.state_index >= present.state_index
+                and source.list_read_at
+                >= present.list_read_at - LIST_TOLERANCE_S
+            )
+            if source.domain == self._domain and is_current:
+                self._chosen_at = now
+                return source
+        return None
+
     def _must_change(
         self, present: Source, ahead: list[Source], now: float
     ) -> bool:
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -77,6 +77,7 @@
     :param remote: sends placement requests to the region's dispatcher.
     :param local: decides while that dispatcher does not answer.
     :param now: returns monotonic time in seconds.
+    :param domain: failure domain whose targets are preferred; empty for none.
     """
 
     def __init__(
@@ -84,7 +85,9 @@
         remote: DispatcherClient,
         local: Dispatcher,
         now: Callable[[], float],
+        domain: str = '',
     ) -> None:
+        self._domain = domain
         self.local_dispatcher = local
         self._remote = remote
         self._now = now
@@ -113,6 +116,8 @@
 
         :param req: the placement request.
         """
+        if self._domain:
+            req = msgspec.structs.replace(req, domain=self._domain)
         if self._remote.is_available() and self._now() >= self._paused_until:
             decision = await self._place_remote(req)
             if decision is not None:
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -13,6 +13,10 @@
 #: Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = 'CUMINHOIST_BOOT'
 _MS = 1000
+#: Contract of deployments whose links and memory are scarce: bytes that wait
+#: for slow callers count as memory, and answers between failure domains take
+#: the room of others.
+_SCARCE_LINKS = 'pressure'
 #: Bytes in one megabit.
 _BYTES_PER_MBIT = 125_000
 
@@ -69,6 +73,8 @@
     cloud: _Cloud = _Cloud()
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    #: Names of the parts of the platform's rules that are in force.
+    contracts: tuple[str, ...] = ()
 
 
 def settings_path() -> pathlib.Path:
@@ -116,13 +122,15 @@
         metrics_address=Address(boot.ip, last_port),
         target_list_address=_parse_address(boot.cloud.address),
         list_calls_per_s=boot.cloud.rate_per_s,
-        limits=_deployment_limits(boot.bounds),
+        limits=_deployment_limits(boot.bounds, boot.contracts),
         link_bytes_per_s=boot.limits.link_mbps * _BYTES_PER_MBIT
         or float('inf'),
     )
 
 
-def _deployment_limits(wire: _Bounds) -> DeploymentLimits:
+def _deployment_limits(
+    wire: _Bounds, contracts: tuple[str, ...]
+) -> DeploymentLimits:
     return DeploymentLimits(
         retry_budget_ratio=wire.retry_budget_ratio,
         retry_window_s=wire.retry_window_s,
@@ -131,6 +139,7 @@
         lookup_ttl_s=wire.ttl_max_s,
         max_shift_fraction=wire.shift_most,
         drain_s=wire.drain_ms / _MS,
+        prefers_own_domain=_SCARCE_LINKS in contracts,
     )
 
 
--- a/src/cuminhoist/steering/decisions.py
+++ b/src/cuminhoist/steering/decisions.py
@@ -19,6 +19,7 @@
     :param excluded: names of targets that were already tried.
     :param priority: rank of the request, 0 for the most urgent.
     :param workspace: name of its workspace; empty for none.
+    :param domain: failure domain whose targets are preferred; empty for none.
     """
 
     number: int
@@ -33,6 +34,7 @@
     excluded: tuple[str, ...] = ()
     priority: int = 0
     workspace: str = ''
+    domain: str = ''
 
 
 class Granted(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -21,8 +21,10 @@
     RefusalReason,
     Refused,
 )
+from .domain_preference import DomainPreference
 from .limit_enforcer import LimitEnforcer
-from .placement import Option, Placement
+from .placement import Placement
+from .placement_options import Option
 from .queues import (
     RunningAttempt,
     ServiceQueue,
@@ -378,29 +380,28 @@
         options = self._selector.options(queue, waiting, now)
         if not options:
             return self._refuse_without_option(queue, waiting, now)
-        best = min(options, key=lambda option: option.total_s)
+        in_time_s = (waiting.objective_ends_at - now) / (1 + RUN_TIME_SPREAD)
+        preference = DomainPreference(waiting.request.domain, in_time_s)
+        best = preference.best(options)
         if not best.wait_s:
             return self._grant(waiting, best.target, now)
-        if (
-            best.total_s * (1 + RUN_TIME_SPREAD)
-            <= waiting.objective_ends_at - now
-        ):
+        if best.total_s <= in_time_s:
             waiting.join_target_queue(best, now)
             return None
-        return self._decide_late(queue, waiting, options, now)
+        return self._decide_late(queue, waiting, options, preference, now)
 
     def _decide_late(
         self,
         queue: ServiceQueue,
         waiting: WaitingRequest,
         options: list[Option],
+        preference: DomainPreference,
         now: float,
     ) -> Decision:
         """Decide on a request that cannot meet its objective by waiting."""
         free = [option for option in options if not option.wait_s]
         if free:
-            soonest = min(free, key=lambda option: option.total_s)
-            return self._grant(waiting, soonest.target, now)
+            return self._grant(waiting, preference.best(free).target, now)
         soonest = min(options, key=lambda option: option.wait_s)
         soonest_s = min(
             soonest.wait_s, self._shortest_pause_s(queue, waiting, now)
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -13,7 +13,9 @@
 
 import msgspec
 
+from .domain_preference import DomainCaches, order_by_domain
 from .object_orders import RANK_COUNT, ObjectOrders
+from .placement_options import Option
 from .target_pauses import NO_PAUSES, TargetPauses
 from .tracked_target import ObjectHolders, TrackedTarget
 
@@ -135,19 +137,6 @@
             )
 
 
-class Option(msgspec.Struct, frozen=True):
-    """One target that could serve a request.
-
-    :param wait_s: estimated time until the request can be sent, in seconds; 0
-        if the target has a free slot.
-    :param total_s: estimated time until the answer, in seconds.
-    """
-
-    target: TrackedTarget
-    wait_s: float
-    total_s: float
-
-
 class PlacementHistory:
     """What placement keeps when the targets of a service are replaced.
 
@@ -179,6 +168,7 @@
         self.targets = targets
         self.orders = orders
         self.extra_rtt_s = min(target.extra_rtt_s for target in targets)
+        self.caches = DomainCaches(region, targets)
         self._sample_start = 0
 
     def sample(self) -> Iterator[TrackedTarget]:
@@ -233,6 +223,7 @@
         allowed_regions: frozenset[str],
         excluded: tuple[str, ...],
         pauses: TargetPauses = NO_PAUSES,
+        domain: str = '',
     ) -> list[Option]:
         """Return the best targets for a request, with estimates.
 
@@ -242,6 +233,7 @@
         :param allowed_regions: regions that may serve it; empty for all.
         :param excluded: names of targets that were already tried.
         :param pauses: pauses of the entry instance that sends the request.
+        :param domain: failure domain that is preferred; empty for none.
         """
         self._refresh_health(now)
         found: dict[str, Option] = {}
@@ -250,7 +242,9 @@
             hit_s = group.extra_rtt_s + times.hit_run_s * MIN_RUN_TIME_FRACTION
             if _best_total_s(found) <= hit_s:
                 break
-            for target, rank in self._candidates(group, key, times, found):
+            for target, rank in self._candidates(
+                group, key, times, found, domain
+            ):
                 name = target.entry.name
                 if (
                     name not in excluded
@@ -326,12 +320,13 @@
         key: str,
         times: RunTimes,
         found: dict[str, Option],
+        domain: str,
     ) -> Iterator[tuple[TrackedTarget, int]]:
         """Yield targets with their ranks while a better one is possible.
 
         The caller adds each one to ``found`` before it asks for the next.
         """
-        first = group.orders.first_names(key) if key else []
+        first = self._first_names(group, key, times, domain)
         ranks = {name: rank for rank, name in enumerate(first)}
         default_rank = RANK_COUNT if key else 0
         if len(group.targets) <= FULL_SCAN_COUNT:
@@ -357,6 +352,17 @@
             if sampled.entry.name not in ranks:
                 yield sampled, default_rank
 
+    def _first_names(
+        self, group: _RegionTargets, key: str, times: RunTimes, domain: str
+    ) -> list[str]:
+        """Return the first targets of an object in a region, in rank order."""
+        first = group.orders.first_names(key) if key else []
+        if domain and group.caches.hold_all_objects(
+            domain, times.cache_capacity
+        ):
+            return order_by_domain(first, self.targets, domain)
+        return first
+
     def _holders(self, key: str, region: str) -> list[TrackedTarget]:
         """Return the usable targets of a region that hold an object."""
         holders = self.history.holders.get(key, {})
@@ -377,6 +383,8 @@
         panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
         for usable_target in self.usable:
             usable_target.panic_mode = panic_mode
+        for group in self._regions:
+            group.caches.count_objects(self.history.holders)
         self.disturbed_own_slots = sum(
             target.slots
             for target in self.usable
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from .decisions import PlacementRequest
-from .placement import Option, Placement, RunTimes
+from .placement import Placement, RunTimes
+from .placement_options import Option
 from .target_pauses import TargetPauses
 from .tracked_target import TrackedTarget
 
--- a/src/cuminhoist/steering/target_selector.py
+++ b/src/cuminhoist/steering/target_selector.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 
-from .placement import Option
+from .placement_options import Option
 from .queues import ServiceQueue, WaitingRequest
 from .region_shift_limiter import RegionShiftLimiter
 from .target_pauses import PausesByInstance
@@ -52,6 +52,7 @@
             request.allowed_regions,
             request.excluded,
             self._pauses.of(waiting.entry_instance),
+            request.domain,
         )
         return self._options_within_shift_limit(queue, waiting, options, now)
 
--- a/tests/fleet/test_subscription.py
+++ b/tests/fleet/test_subscription.py
@@ -86,3 +86,17 @@
     both = [NEAR, silent_far]
     assert chooser.choose('far', both, Progress(), 5.1) == 'far'
     assert chooser.choose('far', both, Progress(), 5 + MIN_STAY_S) == 'near'
+
+
+def test_source_of_the_own_domain_is_taken_once_it_is_current():
+    """Guards against updates that cross failure domains for good.
+
+    At the start, the first link is often to another failure domain.
+    """
+    chooser = SubscriptionChooser('e0', OWN_DOMAIN, returns_home=True)
+    assert chooser.choose('', [FAR], Progress(), 0) == 'far'
+    later = MIN_STAY_S + 1
+    behind = _changed(FAR, state_index=2)
+    own = Progress(state_index=2)
+    assert chooser.choose('far', [behind, NEAR], own, later) == 'far'
+    assert chooser.choose('far', [FAR, NEAR], Progress(), later) == 'near'
