--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -381,7 +381,9 @@
         if not options:
             return self._refuse_without_option(queue, waiting, now)
         in_time_s = (waiting.objective_ends_at - now) / (1 + RUN_TIME_SPREAD)
-        preference = DomainPreference(waiting.request.domain, in_time_s)
+        preference = queue.placement.preference(
+            waiting.request.domain, queue.run_times, in_time_s
+        )
         best = preference.best(options)
         if not best.wait_s:
             return self._grant(waiting, best.target, now)
--- a/src/cuminhoist/steering/object_orders.py
+++ b/src/cuminhoist/steering/object_orders.py
@@ -44,6 +44,11 @@
         self._names = frozenset(names)
         self._orders: dict[str, _Order] = {}
 
+    @property
+    def object_count(self) -> int:
+        """Number of objects that have an order."""
+        return len(self._orders)
+
     def replace_names(self, names: Collection[str]) -> None:
         """Replace the targets; orders are adapted when they are next used.
 
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -13,7 +13,11 @@
 
 import msgspec
 
-from .domain_preference import DomainCaches, order_by_domain
+from .domain_preference import (
+    DomainCapacity,
+    DomainPreference,
+    order_by_domain,
+)
 from .object_orders import RANK_COUNT, ObjectOrders
 from .placement_options import Option
 from .target_pauses import NO_PAUSES, TargetPauses
@@ -168,7 +172,7 @@
         self.targets = targets
         self.orders = orders
         self.extra_rtt_s = min(target.extra_rtt_s for target in targets)
-        self.caches = DomainCaches(region, targets)
+        self.domains = DomainCapacity(targets)
         self._sample_start = 0
 
     def sample(self) -> Iterator[TrackedTarget]:
@@ -206,6 +210,8 @@
         ]
         self._regions = self._group_by_region()
         self._health_at = float('-inf')
+        # Whether any request prefers a failure domain.
+        self._tracks_domains = False
         #: Slots of the region's own targets, and those of them at disturbed
         #: targets at the last call of ``options``.
         self.own_slots = sum(
@@ -235,6 +241,7 @@
         :param pauses: pauses of the entry instance that sends the request.
         :param domain: failure domain that is preferred; empty for none.
         """
+        self._tracks_domains = self._tracks_domains or bool(domain)
         self._refresh_health(now)
         found: dict[str, Option] = {}
         groups = self._allowed_groups(allowed_regions)
@@ -266,6 +273,28 @@
             if other is not None
         ]
 
+    def preference(
+        self, domain: str, times: RunTimes, in_time_s: float
+    ) -> DomainPreference:
+        """Return how to choose among the options of a request.
+
+        :param domain: failure domain that is preferred; empty for none.
+        :param times: run times of the service.
+        :param in_time_s: longest estimated time of an answer that is in time,
+            in seconds.
+        """
+        own = next(
+            (group for group in self._regions if group.region == self.region),
+            None,
+        )
+        if own is None or not own.domains.holds_all_objects(
+            domain, times.cache_capacity
+        ):
+            return DomainPreference('', has_room=False, in_time_s=in_time_s)
+        return DomainPreference(
+            domain, has_room=own.domains.has_room(domain), in_time_s=in_time_s
+        )
+
     def other_regions(self) -> list[str]:
         """Return the other regions that have usable targets."""
         return [
@@ -357,7 +386,7 @@
     ) -> list[str]:
         """Return the first targets of an object in a region, in rank order."""
         first = group.orders.first_names(key) if key else []
-        if domain and group.caches.hold_all_objects(
+        if domain and group.domains.holds_all_objects(
             domain, times.cache_capacity
         ):
             return order_by_domain(first, self.targets, domain)
@@ -383,8 +412,9 @@
         panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
         for usable_target in self.usable:
             usable_target.panic_mode = panic_mode
-        for group in self._regions:
-            group.caches.count_objects(self.history.holders)
+        if self._tracks_domains:
+            for group in self._regions:
+                group.domains.refresh(group.orders.object_count)
         self.disturbed_own_slots = sum(
             target.slots
             for target in self.usable
