--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -32,6 +32,8 @@
         while it can't learn that keys were removed.
     :param key_trust_s: time for which such an instance serves keys without
         contact to a quorum of the control instances, in seconds.
+    :param prefers_own_domain: whether a request stays in the failure domain of
+        its entry instance while its answer is in time there.
     """
 
     retry_budget_ratio: float = 0.1
@@ -43,6 +45,7 @@
     drain_s: float = 3
     refuses_unconfirmed_keys: bool = False
     key_trust_s: float = 5
+    prefers_own_domain: bool = False
 
 
 class InstanceConfig(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -13,7 +13,13 @@
 
 import msgspec
 
+from .domain_preference import (
+    DomainCapacity,
+    DomainPreference,
+    order_by_domain,
+)
 from .object_orders import RANK_COUNT, ObjectOrders
+from .placement_options import Option
 from .target_pauses import NO_PAUSES, TargetPauses
 from .tracked_target import ObjectHolders, TrackedTarget
 
@@ -135,19 +141,6 @@
             )
 
 
-class Option(msgspec.Struct, frozen=True):
-    """One target that could serve a request.
-
-    :param wait_s: estimated time until the request can be sent, in seconds; 0
-        if the target has a free slot.
-    :param total_s: estimated time until the answer, in seconds.
-    """
-
-    target: TrackedTarget
-    wait_s: float
-    total_s: float
-
-
 class PlacementHistory:
     """What placement keeps when the targets of a service are replaced.
 
@@ -179,6 +172,7 @@
         self.targets = targets
         self.orders = orders
         self.extra_rtt_s = min(target.extra_rtt_s for target in targets)
+        self.domains = DomainCapacity(targets)
         self._sample_start = 0
 
     def sample(self) -> Iterator[TrackedTarget]:
@@ -216,6 +210,8 @@
         ]
         self._regions = self._group_by_region()
         self._health_at = float('-inf')
+        # Whether any request prefers a failure domain.
+        self._tracks_domains = False
         #: Slots of the region's own targets, and those of them at disturbed
         #: targets at the last call of ``options``.
         self.own_slots = sum(
@@ -233,6 +229,7 @@
         allowed_regions: frozenset[str],
         excluded: tuple[str, ...],
         pauses: TargetPauses = NO_PAUSES,
+        domain: str = '',
     ) -> list[Option]:
         """Return the best targets for a request, with estimates.
 
@@ -242,7 +239,9 @@
         :param allowed_regions: regions that may serve it; empty for all.
         :param excluded: names of targets that were already tried.
         :param pauses: pauses of the entry instance that sends the request.
+        :param domain: failure domain that is preferred; empty for none.
         """
+        self._tracks_domains = self._tracks_domains or bool(domain)
         self._refresh_health(now)
         found: dict[str, Option] = {}
         groups = self._allowed_groups(allowed_regions)
@@ -250,7 +249,9 @@
             hit_s = group.extra_rtt_s + times.hit_run_s * MIN_RUN_TIME_FRACTION
             if _best_total_s(found) <= hit_s:
                 break
-            for target, rank in self._candidates(group, key, times, found):
+            for target, rank in self._candidates(
+                group, key, times, found, domain
+            ):
                 name = target.entry.name
                 if (
                     name not in excluded
@@ -272,6 +273,28 @@
             if other is not None
         ]
 
+    def preference(
+        self, domain: str, times: RunTimes, in_time_s: float
+    ) -> DomainPreference:
+        """Return how to choose among the options of a request.
+
+        :param domain: failure domain that is preferred; empty for none.
+        :param times: run times of the service.
+        :param in_time_s: longest estimated time of an answer that is in time,
+            in seconds.
+        """
+        own = next(
+            (group for group in self._regions if group.region == self.region),
+            None,
+        )
+        if own is None or not own.domains.holds_all_objects(
+            domain, times.cache_capacity
+        ):
+            return DomainPreference('', has_room=False, in_time_s=in_time_s)
+        return DomainPreference(
+            domain, has_room=own.domains.has_room(domain), in_time_s=in_time_s
+        )
+
     def other_regions(self) -> list[str]:
         """Return the other regions that have usable targets."""
         return [
@@ -326,12 +349,13 @@
         key: str,
         times: RunTimes,
         found: dict[str, Option],
+        domain: str,
     ) -> Iterator[tuple[TrackedTarget, int]]:
         """Yield targets with their ranks while a better one is possible.
 
         The caller adds each one to ``found`` before it asks for the next.
         """
-        first = group.orders.first_names(key) if key else []
+        first = self._first_names(group, key, times, domain)
         ranks = {name: rank for rank, name in enumerate(first)}
         default_rank = RANK_COUNT if key else 0
         if len(group.targets) <= FULL_SCAN_COUNT:
@@ -357,6 +381,17 @@
             if sampled.entry.name not in ranks:
                 yield sampled, default_rank
 
+    def _first_names(
+        self, group: _RegionTargets, key: str, times: RunTimes, domain: str
+    ) -> list[str]:
+        """Return the first targets of an object in a region, in rank order."""
+        first = group.orders.first_names(key) if key else []
+        if domain and group.domains.holds_all_objects(
+            domain, times.cache_capacity
+        ):
+            return order_by_domain(first, self.targets, domain)
+        return first
+
     def _holders(self, key: str, region: str) -> list[TrackedTarget]:
         """Return the usable targets of a region that hold an object."""
         holders = self.history.holders.get(key, {})
@@ -377,6 +412,9 @@
         panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
         for usable_target in self.usable:
             usable_target.panic_mode = panic_mode
+        if self._tracks_domains:
+            for group in self._regions:
+                group.domains.refresh(group.orders.object_count)
         self.disturbed_own_slots = sum(
             target.slots
             for target in self.usable
