Charge the requests of workspaces with a limit

A workspace that sends several times its rate took the slots of all others. A dispatcher now keeps a token bucket for each workspace with a limit, charges the first placement of each request and returns the token if no target gets it. A dispatcher that starts has no burst. No limits are configured yet.

tests/steering/test_allowances.py and test_dispatcher.py pass.

--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from .allowances import Allowances
 from .decisions import (
     AttemptReport,
     Decision,
@@ -66,6 +67,8 @@
         self.pauses = PausesByInstance()
         #: Limits that targets name.
         self.limits = LimitEnforcer(self._services)
+        #: What workspaces may still send.
+        self.allowances = Allowances()
         self.shift_limiter = RegionShiftLimiter(shift_limit)
         self._selector = TargetSelector(
             self._services, self.shift_limiter, self.pauses
@@ -134,12 +137,17 @@
         :param now: monotonic time in seconds.
         :returns: the decision; None if the request waits.
         """
+        refused = self.allowances.charge(request, now)
+        if refused is not None:
+            return refused
         queue = self.queue(request.service)
         queue.init_run_times(request.objective_left_s)
         waiting = WaitingRequest(entry_instance, request, now)
         decision = self._decide(queue, waiting, now)
         if decision is None:
             queue.waiting.append(waiting)
+        elif isinstance(decision, Refused):
+            self.allowances.refund_unplaced(request, now)
         return decision
 
     def end_attempt(
@@ -266,6 +274,7 @@
                 waiting.entry_instance == entry_instance
                 and waiting.request.number == number
             ):
+                self.allowances.refund_unplaced(waiting.request, now)
                 waiting.leave_target_queue()
                 queue.waiting.remove(waiting)
         # The withdrawal may have been sent before the grant arrived.
@@ -311,6 +320,8 @@
                 if now < waiting.recheck_at:
                     continue
                 decision = self._decide(queue, waiting, now)
+                if isinstance(decision, Refused):
+                    self.allowances.refund_unplaced(waiting.request, now)
                 if decision is not None:
                     queue.waiting.remove(waiting)
                     decisions.append((waiting.entry_instance, decision))
