Exchange the shares of allowances between dispatchers

Control instances send each other requests for shares and transfers when they arise, and all transfers on a new link, so that each can replace the dispatcher of its region. A replacement counts its share as 0 until an instance of its region, or of each other one, has told what was given away. Entry instances learn their region's shares and decide by their part while they have no dispatcher; the dispatcher leaves out the parts of those that are not linked.

A random test found a cut instance that kept a part of a share which its dispatcher had given away: the part is now kept apart for as long as the instance may use it.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -25,6 +25,7 @@
 )
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
+from .allowance_broadcast import AllowanceBroadcast
 from .background import BackgroundTasks, UpdateLimiter
 from .control_links import HEARTBEAT_INTERVAL_S, ControlLinks
 from .control_metrics import ControlMetrics
@@ -35,7 +36,6 @@
 from .link import Link
 from .link_meter import PrometheusMeter
 from .list_broadcast import ListBroadcast
-from .lookups import nearest_entries
 from .messages import (
     FleetSummary,
     Hello,
@@ -112,19 +112,15 @@
         )
         self._background = BackgroundTasks()
         self._reports = meter.run_reports
-        self.links = ControlLinks(
-            config,
-            Hello(
-                name=config.name,
-                incarnation=self.incarnation,
-                address=config.peer_address,
-                domain=config.domain,
-                region=config.region,
-                control=True,
-            ),
-            now,
-            meter,
+        hello = Hello(
+            name=config.name,
+            incarnation=self.incarnation,
+            address=config.peer_address,
+            domain=config.domain,
+            region=config.region,
+            control=True,
         )
+        self.links = ControlLinks(config, hello, now, meter)
         self.replica = self._open_replica()
         self.feed = TargetFeed(
             source,
@@ -139,6 +135,7 @@
             now,
             config.limits.max_shift_fraction,
             self.metrics,
+            config.limits.allowance_bounds,
         )
         self._demand = self.dispatch.measure()
         self._entry_updates = EntryUpdates(self.links, self.feed, now)
@@ -150,6 +147,13 @@
             self.links, self.dispatch.dispatcher, self.metrics
         )
         self._poison_broadcast = PoisonBroadcast(self.links, self.metrics, now)
+        self._allowance_broadcast = AllowanceBroadcast(
+            self.links,
+            hello,
+            self.dispatch,
+            self.metrics,
+            config.limits.allowance_bounds,
+        )
         self._entry_updates.send_notices = self._send_notices
         self._dispatch_update = UpdateLimiter(self._update_dispatch, now)
         self._learned_at = float('-inf')
@@ -263,7 +267,7 @@
         :param region: region of the caller.
         :param domain: failure domain of the caller.
         """
-        return nearest_entries(self.links.fleet.entries(), region, domain)
+        return self.links.fleet.nearest_entries(region, domain)
 
     def _open_replica(self) -> RegisterReplica:
         config = self._config
@@ -332,6 +336,9 @@
             decoded = self._decode(state.body)
             if isinstance(decoded, Success):
                 self._routes = decoded.unwrap()
+                self._allowance_broadcast.replace_routes(
+                    self._routes, self._now()
+                )
         self.links.add_addresses(
             {voter.address for voter in state.all_voters()},
         )
@@ -370,6 +377,7 @@
         """Send what an instance must know of targets and requests."""
         self._limit_broadcast.send_in_force(link)
         self._poison_broadcast.send_in_force(link)
+        self._allowance_broadcast.send_in_force(link)
 
     def _on_message(self, peer: Peer, msg: Message) -> None:
         if isinstance(msg, LeavingNotice):
@@ -393,6 +401,8 @@
             target_list = peer.targets.apply(msg, self._now())
             if target_list is not None:
                 self.feed.apply_list(target_list)
+        else:
+            self._allowance_broadcast.handle_message(peer, msg, self._now())
 
     def _on_entry_message(self, peer: Peer, msg: Message) -> None:
         if isinstance(msg, ReadinessNotice):
@@ -432,13 +442,14 @@
         changes = self.links.fleet.changes()
         if changes is not None:
             self.links.broadcast(changes)
+        heartbeat = self.links.build_heartbeat(
+            self._state_index(),
+            self.replica.name,
+            self._demand,
+            confirmed=self.confirmed,
+        )
         self.links.broadcast(
-            self.links.build_heartbeat(
-                self._state_index(),
-                self.replica.name,
-                self._demand,
-                confirmed=self.confirmed,
-            )
+            self._allowance_broadcast.heartbeat(heartbeat, self._now())
         )
         self._send_views()
         self._resend_state()
--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -75,6 +75,18 @@
             'in which they run from one window of 2 s to the next.',
             registry=self.registry,
         )
+        self.allowance_requests = Counter(
+            'cuminhoist_allowance_requests',
+            'Requests of workspaces with a limit, by outcome.',
+            ('workspace', 'outcome'),
+            registry=self.registry,
+        )
+        self.allowance_share = Gauge(
+            'cuminhoist_allowance_share_ratio',
+            'Share of this region in the allowances of the busiest workspaces.',
+            ('workspace',),
+            registry=self.registry,
+        )
         self.state_gauge = Gauge(
             'cuminhoist_belief',
             'Versions, ages and sizes of the state that decisions use.',
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -24,17 +24,18 @@
 from ..register.messages import Learned
 from ..steering.assignment import assign_targets
 from ..steering.demand import Demand
-from ..steering.dispatcher import Dispatcher
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, usable_entries
 from .background import BackgroundTasks, UpdateLimiter
 from .control_instance import DecodeConfiguration
+from .entry_allowances import EntryAllowances
 from .entry_links import EntryLinks
 from .fleet_view import apply_changes
 from .instance_config import Address, InstanceConfig
 from .link_meter import PrometheusMeter
 from .lookups import nearest_entries, relay_peers
 from .messages import (
+    AllowanceShares,
     DecisionNotice,
     EntryEndpoint,
     FleetSummary,
@@ -97,8 +98,8 @@
             now,
             meter,
         )
-        self.placement_client = PlacementClient(
-            self.links, Dispatcher(config.limits.max_shift_fraction), now
+        self.placement_client = PlacementClient.from_shift_limit(
+            self.links, config.limits.max_shift_fraction, now
         )
         self._target_connections = TargetConnections(
             now,
@@ -125,6 +126,7 @@
         self.links.leaving_notice = self.feed.leaving_notice
         local = self.placement_client.local_dispatcher
         self.links.limits = local.limits.in_force
+        self._allowances = EntryAllowances.from_config(config, local.allowances)
         self.request_proxy.relay.find_peers = lambda regions: relay_peers(
             self._roster.values(), config, regions
         )
@@ -233,6 +235,8 @@
             self._round_trips_s = msg.round_trips_s
         elif isinstance(msg, Roster):
             self._on_roster(msg)
+        elif isinstance(msg, AllowanceShares):
+            self._allowances.local.apply_shares(msg.shares, self._now())
         else:
             self._on_target_notice(msg)
 
@@ -258,9 +262,9 @@
         ):
             decoded = self._decode(state.body)
             if isinstance(decoded, Success):
-                self.request_proxy.routing_state.replace_routes(
-                    decoded.unwrap()
-                )
+                routes = decoded.unwrap()
+                self.request_proxy.routing_state.replace_routes(routes)
+                self._allowances.replace_routes(routes, self._now())
             else:
                 _log.bind(reason=decoded.failure()).error(
                     'configuration in the declared state is invalid'
@@ -355,6 +359,7 @@
             self.request_proxy.routing_state.routes_confirmed = (
                 self.links.is_newest(self._progress().state_index)
             )
+            self._allowances.keep(self.links.view(), self._now())
             if self.ready != self.links.ready:
                 self.links.ready = self.ready
                 self.links.send_readiness()
--- a/src/cuminhoist/fleet/fleet_view.py
+++ b/src/cuminhoist/fleet/fleet_view.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable, Iterable
 
+from .instance_config import Address
+from .lookups import nearest_entries
 from .messages import (
     ControlEndpoint,
     EntryEndpoint,
@@ -85,6 +87,14 @@
             self._entries_at = now
         return self._entries
 
+    def nearest_entries(self, region: str, domain: str) -> list[Address]:
+        """Return the entry instances that a caller may connect to.
+
+        :param region: region of the caller.
+        :param domain: failure domain of the caller.
+        """
+        return nearest_entries(self.entries(), region, domain)
+
     def view(
         self,
         region: str,
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..steering.allowance_sizes import AllowanceBounds
+
 
 class Address(msgspec.Struct, frozen=True, order=True):
     """An IP address and a port."""
@@ -28,6 +30,8 @@
         shift to another region within two seconds.
     :param drain_s: time after which an instance that knows that a target is
         about to stop must send it no new requests, in seconds.
+    :param allowance_bounds: tolerated excess over the allowances of
+        workspaces.
     """
 
     retry_budget_ratio: float = 0.1
@@ -37,6 +41,7 @@
     lookup_ttl_s: float = 5
     max_shift_fraction: float = 0.15
     drain_s: float = 3
+    allowance_bounds: AllowanceBounds = AllowanceBounds()
 
 
 class InstanceConfig(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/fleet/messages.py
+++ b/src/cuminhoist/fleet/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..codec import Message, register_message
+from ..steering.allowance_shares import ShareRequest, ShareTransfer
 from ..steering.decisions import (
     AttemptReport,
     Granted,
@@ -18,6 +19,7 @@
 )
 from ..steering.demand import Demand
 from ..steering.leaving_targets import LeavingTarget
+from ..steering.local_allowances import RegionShares
 from ..steering.poison_requests import TargetEnd
 from ..steering.target_limits import TargetLimit
 from ..steering.target_pauses import TargetPause
@@ -103,6 +105,8 @@
     :param demand: demand of its region.
     :param leaving: whether it is about to stop.
     :param confirmed: whether it reaches a quorum of the voters.
+    :param knows_shares: whether it knows all transfers of its region's shares
+        of allowances; those that it knows were sent before.
     """
 
     frame_name: ClassVar[str] = 'Beat'
@@ -113,6 +117,7 @@
     voter: str
     demand: tuple[Demand, ...]
     leaving: bool
+    knows_shares: bool = False
 
 
 @register_message
@@ -220,6 +225,29 @@
     limits: tuple[TargetLimit, ...]
 
 
+@register_message
+class AllowanceNotice(Message, frozen=True):
+    """Shares of allowances that regions have given, or ask for.
+
+    Control instances send it to all others, and all transfers that they know
+    on a new link.
+    """
+
+    transfers: tuple[ShareTransfer, ...] = ()
+    requests: tuple[ShareRequest, ...] = ()
+
+
+@register_message
+class AllowanceShares(Message, frozen=True):
+    """Shares of the receiver's region in the allowances of workspaces.
+
+    Control instances send their subscribers changes, and all shares on a new
+    subscription.
+    """
+
+    shares: RegionShares
+
+
 @register_message
 class PoisonNotice(Message, frozen=True):
     """Targets that ended under requests that they ran.
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -6,10 +6,13 @@
 from ..codec import Message
 from ..gateway.routes import RouteTable
 from ..logging_setup import logger
+from ..steering.allowance_shares import ShareRequest
+from ..steering.allowance_sizes import AllowanceBounds, AllowanceSizes
 from ..steering.assignment import assign_targets
 from ..steering.decisions import Decision, PlacementRequest
 from ..steering.demand import Demand, DemandMeter
 from ..steering.dispatcher import Dispatcher
+from ..steering.region_allowances import RegionAllowances
 from ..steering.region_shares import (
     RegionCounts,
     changed_fraction,
@@ -46,6 +49,7 @@
     :param shift_limit: largest fraction of the requests that may shift to
         another region within two seconds.
     :param metrics: metrics of the decisions.
+    :param bounds: tolerated excess over allowances.
     """
 
     def __init__(
@@ -55,9 +59,20 @@
         now: Callable[[], float],
         shift_limit: float,
         metrics: ControlMetrics,
+        bounds: AllowanceBounds = AllowanceBounds(),
     ) -> None:
         self._metrics = metrics
         self.dispatcher = Dispatcher(shift_limit)
+        all_regions = {region, *regions.values()}
+        #: Shares of this region in the allowances of workspaces.
+        self.allowances = RegionAllowances(
+            region,
+            all_regions,
+            AllowanceSizes(len(all_regions), bounds),
+            self.dispatcher.allowances,
+        )
+        #: Called with a request for a larger share of an allowance.
+        self.on_share_request: Callable[[ShareRequest], None] = _ignore_request
         self._region = region
         self._regions = regions
         self._now = now
@@ -215,6 +230,9 @@
         self._metrics.decision_time.observe(self._now() - started_at)
         outcome = type(decision).__name__ if decision else 'Waiting'
         self._metrics.decisions.labels(request.service, outcome.lower()).inc()
+        share_request = self.allowances.request(request.workspace, started_at)
+        if share_request is not None:
+            self.on_share_request(share_request)
         if decision is None:
             self._schedule_tick()
         else:
@@ -238,5 +256,9 @@
             self._schedule_tick()
 
 
+def _ignore_request(_request: ShareRequest) -> None:
+    """Ask for nothing: there is no link to another region."""
+
+
 def _rounded_shares(counts: RegionCounts) -> dict[str, float]:
     return {region: round(share, 2) for region, share in shares(counts).items()}
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from typing import Self
 
 import msgspec
 
@@ -102,6 +103,22 @@
         self._queueing_s: dict[int, float] = {}
         self._min_round_trip_s = float('inf')
 
+    @classmethod
+    def from_shift_limit(
+        cls,
+        remote: DispatcherClient,
+        shift_limit: float,
+        now: Callable[[], float],
+    ) -> Self:
+        """Return a client with a local dispatcher that knows no targets yet.
+
+        :param remote: sends placement requests to the region's dispatcher.
+        :param shift_limit: largest fraction of the requests that may shift to
+            another region within two seconds.
+        :param now: returns monotonic time in seconds.
+        """
+        return cls(remote, Dispatcher(shift_limit), now)
+
     def next_number(self) -> int:
         """Return a number that identifies a new placement request."""
         return next(self._numbers)
@@ -221,7 +238,7 @@
             self._record_round_trip(req.number, max(round_trip_s, 0))
             # The limit on shifts holds over the decisions of both dispatchers.
             self.local_dispatcher.count_remote_grant(req, decision, now)
-            self._decided_remotely = True
+        self._decided_remotely = self._decided_remotely or decision is not None
         return decision
 
     def _record_round_trip(self, number: int, round_trip_s: float) -> None:
@@ -235,6 +252,7 @@
         if self._decided_remotely:
             self._decided_remotely = False
             self.local_dispatcher.limits.restart_rates(now)
+            self.local_dispatcher.allowances.restart(now)
         decision = self.local_dispatcher.decide_or_queue('', req, now)
         if decision is None:
             fut = self._add_pending(req.number)
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import FieldError
 from ..fleet.instance_config import Address, DeploymentLimits, InstanceConfig
+from ..steering.allowance_sizes import AllowanceBounds
 
 #: Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = 'CUMINHOIST_BOOT'
@@ -42,6 +43,9 @@
     ttl_max_s: float = 5
     shift_most: float = 0.15
     drain_ms: float = 3000
+    quota_window_s: float = 5
+    quota_over: float = 0.1
+    quota_slack: float = 20
 
 
 class _Boot(msgspec.Struct, frozen=True):
@@ -131,6 +135,9 @@
         lookup_ttl_s=wire.ttl_max_s,
         max_shift_fraction=wire.shift_most,
         drain_s=wire.drain_ms / _MS,
+        allowance_bounds=AllowanceBounds(
+            wire.quota_window_s, wire.quota_over, wire.quota_slack
+        ),
     )
 
 
--- a/src/cuminhoist/steering/allowance_sizes.py
+++ b/src/cuminhoist/steering/allowance_sizes.py
@@ -92,27 +92,19 @@
     region_count: int
     bounds: AllowanceBounds = AllowanceBounds()
 
-    def dispatcher_size(
-        self, allowance: Allowance, share: float, linked_fraction: float
-    ) -> BucketSize:
+    def dispatcher_size(self, allowance: Allowance, share: float) -> BucketSize:
         """Return the size of a bucket of a region's dispatcher.
 
         :param allowance: allowance of the workspace.
-        :param share: share of the region, from 0 to 1.
-        :param linked_fraction: fraction of the region's entry instances that
-            are linked to the dispatcher; the others may decide themselves.
+        :param share: share that the dispatcher decides on, from 0 to 1.
         """
         bounds = self.bounds
         depth = bounds.depth(allowance) / self.region_count
         region_rate = bounds.over * _REGION_RATE / self.region_count
-        rate_per_s = allowance.rate_per_s * (
-            share * linked_fraction + region_rate
-        )
-        burst = allowance.burst * share * linked_fraction
         smoothing_s = _DEPTH * depth / max(allowance.rate_per_s, 1)
         return BucketSize(
-            rate_per_s,
-            capacity=burst + _DEPTH * depth,
+            allowance.rate_per_s * (share + region_rate),
+            capacity=allowance.burst * share + _DEPTH * depth,
             start=_DISPATCHER_START * depth,
             smoothing_s=min(
                 max(smoothing_s, _MIN_SMOOTHING_S), _MAX_SMOOTHING_S
--- a/src/cuminhoist/steering/local_allowances.py
+++ b/src/cuminhoist/steering/local_allowances.py
@@ -12,7 +12,7 @@
 from .allowance_shares import WHOLE
 from .allowance_sizes import Allowance, AllowanceSizes
 from .allowances import Allowances
-from .recent_max import RecentMax
+from .recent import RecentMax
 
 #: Buckets restart if the checks stop for this long, in seconds, as the
 #: process did not run then. The checks are made ten times a second.
--- a/src/cuminhoist/steering/region_allowances.py
+++ b/src/cuminhoist/steering/region_allowances.py
@@ -5,6 +5,7 @@
 any region: a share follows them within a round trip.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -17,7 +18,7 @@
     parts_to_give,
 )
 from .allowance_sizes import Allowance, AllowanceSizes
-from .allowances import Allowances, Bucket
+from .allowances import Allowances, Bucket, BucketSize
 
 #: A region asks for a larger share as soon as its bucket is filled below this
 #: fraction: the rest lasts until the answer of another region arrives.
@@ -72,6 +73,8 @@
         self._buckets = buckets
         self._limits: Mapping[str, Allowance] = {}
         self._linked_fraction = float(1)
+        # Parts of entry instances that are not linked, by workspace.
+        self._unlinked_parts: dict[str, int] = {}
         self._asked: dict[str, _Asked] = {}
         # Regions of which an instance has told all transfers that it knows.
         self._heard = {region}
@@ -95,6 +98,19 @@
             return 0
         return self.ledger.parts(workspace, self._region) / WHOLE
 
+    def own_parts(self, workspace: str) -> int:
+        """Return what the dispatcher may decide on or give away, in parts.
+
+        Entry instances that are not linked decide on the rest of the share.
+
+        :param workspace: name of the workspace.
+        """
+        if not self._knows_transfers:
+            return 0
+        parts = self.ledger.parts(workspace, self._region)
+        unlinked = self._unlinked_parts.get(workspace, 0)
+        return max(parts - unlinked, 0)
+
     def apply_limits(
         self,
         limits: Mapping[str, Allowance],
@@ -111,7 +127,7 @@
         if limits == self._limits and linked_fraction == self._linked_fraction:
             return
         self._limits = limits
-        self._linked_fraction = linked_fraction
+        self._keep_unlinked_parts(linked_fraction)
         self._resize_all(now)
 
     def keep(self, now: float, *, decides: bool) -> None:
@@ -184,9 +200,11 @@
             asked = self._asked.setdefault(workspace, _Asked())
         if now < asked.due_at:
             return None
-        asked.due_at = now + asked.interval_s
-        asked.interval_s = min(2 * asked.interval_s, MAX_REQUEST_INTERVAL_S)
-        return self._build_request(workspace, bucket, now)
+        request = self._build_request(workspace, bucket, now)
+        if request is not None:
+            asked.due_at = now + asked.interval_s
+            asked.interval_s = min(2 * asked.interval_s, MAX_REQUEST_INTERVAL_S)
+        return request
 
     def answer(self, request: ShareRequest, now: float) -> ShareTransfer | None:
         """Give another region what it needs more than this one.
@@ -202,7 +220,7 @@
             or request.region not in self.ledger.regions - {self._region}
         ):
             return None
-        own = self.ledger.parts(request.workspace, self._region)
+        own = self.own_parts(request.workspace)
         parts = parts_to_give(request, own, bucket.demand_per_s(now))
         if parts < MIN_CHANGE * WHOLE:
             return None
@@ -233,20 +251,42 @@
             workspace, self._region, round(demand_per_s, 2), share, wanted
         )
 
+    def _keep_unlinked_parts(self, linked_fraction: float) -> None:
+        """Leave out the parts of entry instances that are not linked.
+
+        An instance that is cut off keeps the part that it had, also when the
+        share of the region changes later.
+        """
+        unlinked = 1 - linked_fraction
+        former = 1 - self._linked_fraction
+        # Of those that were not linked before, these are left.
+        left = min(unlinked / former, 1) if former > 0 else 0
+        self._linked_fraction = linked_fraction
+        self._unlinked_parts = {
+            workspace: max(
+                math.ceil(self._unlinked_parts.get(workspace, 0) * left),
+                math.ceil(
+                    self.ledger.parts(workspace, self._region) * unlinked
+                ),
+            )
+            for workspace in (self._limits if unlinked else ())
+        }
+
+    def _size(self, workspace: str, allowance: Allowance) -> BucketSize:
+        return self._sizes.dispatcher_size(
+            allowance, self.own_parts(workspace) / WHOLE
+        )
+
     def _resize(self, workspace: str, now: float) -> None:
         allowance = self._limits.get(workspace)
         if allowance is not None:
-            size = self._sizes.dispatcher_size(
-                allowance, self.share(workspace), self._linked_fraction
-            )
+            size = self._size(workspace, allowance)
             self._buckets.set_size(workspace, size, now)
 
     def _resize_all(self, now: float) -> None:
         self._buckets.set_sizes(
             {
-                workspace: self._sizes.dispatcher_size(
-                    allowance, self.share(workspace), self._linked_fraction
-                )
+                workspace: self._size(workspace, allowance)
                 for workspace, allowance in self._limits.items()
             },
             now,
--- a/tests/steering/allowance_world.py
+++ b/tests/steering/allowance_world.py
@@ -13,7 +13,7 @@
 )
 from cuminhoist.steering.allowances import Allowances
 from cuminhoist.steering.local_allowances import LocalAllowances, RegionShares
-from cuminhoist.steering.recent_max import RecentMax
+from cuminhoist.steering.recent import RecentNames
 from cuminhoist.steering.region_allowances import RegionAllowances
 
 ACME = 'acme'
@@ -41,7 +41,7 @@
     def __init__(self, name, entry_count):
         self.name = name
         self.entries = [Entry(number) for number in range(entry_count)]
-        self.counts = RecentMax(BOUNDS.absent_s)
+        self.names = RecentNames(BOUNDS.absent_s)
         self.start_dispatcher()
 
     def start_dispatcher(self):
@@ -87,10 +87,14 @@
                     self._send(source, receiver, 'hear_all')
 
     def restart_dispatcher(self, name):
-        """Replace the dispatcher of a region by a cold one."""
+        """Replace the dispatcher of a region by a cold one.
+
+        Its links open after a round trip, when what the former dispatcher
+        sent has arrived.
+        """
         self.regions[name].start_dispatcher()
         self._tick_region(self.regions[name])
-        self.sync(name)
+        self.at(self.now + 2 * DELAY_S, self.sync, name)
 
     def partition(self, name):
         """Cut a region off from the others."""
@@ -169,8 +173,12 @@
 
     def _tick_region(self, region):
         linked = sum(entry.linked for entry in region.entries)
-        in_contact = sum(entry.in_contact for entry in region.entries)
-        total = region.counts.record(in_contact, self.now)
+        in_contact = {
+            number
+            for number, entry in enumerate(region.entries)
+            if entry.in_contact
+        }
+        total = region.names.record(in_contact, self.now)
         region.allowances.keep(self.now, decides=True)
         region.allowances.apply_limits(
             {ACME: self.limit}, linked / max(total, 1), self.now
--- a/tests/steering/test_allowances_of_regions.py
+++ b/tests/steering/test_allowances_of_regions.py
@@ -257,7 +257,7 @@
     window_s = BOUNDS.window_s
     total = float(0)
     for share in (0.5, 0.3, 0.2):
-        size = SIZES.dispatcher_size(allowance, share, 1)
+        size = SIZES.dispatcher_size(allowance, share)
         total += size.capacity + size.start + size.rate_per_s * window_s
         entry = SIZES.entry_size(allowance, share, 25, cut_off=True)
         total += 25 * (entry.start + entry.rate_per_s * window_s)
