--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -63,6 +63,12 @@
             reason=Reason.target_lost,
             detail='The attempt failed and there is no other target.',
         )
+    if refused.reason is RefusalReason.over_allowance:
+        return not_run_refusal(
+            Reason.rate_exceeded,
+            'The workspace is over its allowance.',
+            refused.retry_after_s,
+        )
     if refused.reason is RefusalReason.overload:
         return not_run_refusal(
             Reason.queue_full,
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -10,6 +10,7 @@
 
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.platform.boot import load_settings
+from cuminhoist.steering.allowance_sizes import AllowanceBounds
 
 SETTINGS = {
     'node': 'core-a-1',
@@ -28,6 +29,9 @@
         'grace_s': 6,
         'retry_slack': 56,
         'drain_ms': 2500,
+        'quota_window_s': 4,
+        'quota_over': 0.2,
+        'quota_slack': 30,
         'unknown': 1,
     },
     'later': {'field': 1},
@@ -46,6 +50,7 @@
     assert cfg.request_address is None
     assert cfg.limits.min_retry_budget == 56
     assert cfg.limits.drain_s == 2.5
+    assert cfg.limits.allowance_bounds == AllowanceBounds(4, 0.2, 30)
 
 
 def test_unreadable_settings_are_a_value(tmp_path):
