Make no tokens while a dispatcher is frozen

A dispatcher that was frozen for a second had a full bucket afterwards, while its entry instances had decided themselves. The buckets now leave out any time in which the process did not run. A share that two dispatchers of a region have both given lowers the others, so that the sum is kept; only a dispatcher with a quorum gives.

The two tests of an entry instance's part now make the checks ten times a second, as the instance does; with two a second it counts as frozen.

--- a/src/cuminhoist/fleet/allowance_broadcast.py
+++ b/src/cuminhoist/fleet/allowance_broadcast.py
@@ -18,7 +18,7 @@
 from ..steering.recent import RecentNames
 from .allowance_limits import allowances_of
 from .allowance_report import AllowanceReport
-from .control_links import ControlLinks
+from .control_links import HEARTBEAT_INTERVAL_S, ControlLinks
 from .control_metrics import ControlMetrics
 from .fleet_view import dispatcher_of
 from .link import Link
@@ -64,7 +64,7 @@
         self._linked_fraction = float(1)
         self._entry_names = RecentNames(bounds.absent_s)
         self._changed: set[str] = set()
-        self._decides = False
+        self._has_quorum = False
         dispatch.on_share_request = self._ask
 
     def replace_routes(self, routes: RouteTable, now: float) -> None:
@@ -85,16 +85,13 @@
         :param heartbeat: the heartbeat to send.
         :param now: monotonic time in seconds.
         """
-        region = self._hello.region
-        controls = self._links.fleet.controls()
-        chosen = dispatcher_of(region, controls) == self._hello.name
-        # Without a quorum another one may have taken the place.
-        self._decides = chosen and heartbeat.confirmed
-        self._allowances.keep(now, decides=chosen)
+        self._has_quorum = heartbeat.confirmed
+        is_dispatcher = self._is_dispatcher()
+        self._allowances.keep(now, HEARTBEAT_INTERVAL_S, decides=is_dispatcher)
         self._count_entries(now, confirmed=heartbeat.confirmed)
         self._allowances.apply_limits(self._limits, self._linked_fraction, now)
         self._send_changes()
-        if chosen:
+        if is_dispatcher:
             self._report.record(now)
         return msgspec.structs.replace(
             heartbeat, knows_shares=self._allowances.knows_transfers
@@ -133,7 +130,9 @@
         """Apply transfers; answer requests as the region's dispatcher."""
         self._allowances.apply(msg.transfers, now)
         self._changed.update(transfer.workspace for transfer in msg.transfers)
-        requests = msg.requests if self._decides else ()
+        # Without a quorum another instance may have become the dispatcher.
+        gives = self._has_quorum and self._is_dispatcher()
+        requests = msg.requests if gives else ()
         answers = [
             self._allowances.answer(request, now) for request in requests
         ]
@@ -142,6 +141,10 @@
             self._changed.update(transfer.workspace for transfer in given)
             self._links.broadcast(AllowanceNotice(transfers=given))
 
+    def _is_dispatcher(self) -> bool:
+        controls = self._links.fleet.controls()
+        return dispatcher_of(self._hello.region, controls) == self._hello.name
+
     def _ask(self, request: ShareRequest) -> None:
         self._links.broadcast(AllowanceNotice(requests=(request,)))
 
--- a/src/cuminhoist/steering/allowance_shares.py
+++ b/src/cuminhoist/steering/allowance_shares.py
@@ -62,16 +62,23 @@
     def parts(self, workspace: str, region: str) -> int:
         """Return the share of a region, in parts of ``WHOLE``.
 
+        Two instances that both take themselves for the dispatcher of a region
+        may give more than its share. All other shares then count less, so
+        that the sum is kept.
+
         :param workspace: name of the workspace.
         :param region: name of the region.
         """
-        parts = WHOLE // len(self.regions)
-        for (source, receiver), given in self._transfers(workspace).items():
-            if receiver == region:
-                parts += given
-            elif source == region:
-                parts -= given
-        return max(parts, 0)
+        equal = WHOLE // len(self.regions)
+        transfers = self._transfers(workspace)
+        if not transfers:
+            return equal
+        parts = dict.fromkeys(self.regions, equal)
+        for (source, receiver), given in transfers.items():
+            parts[source] -= given
+            parts[receiver] += given
+        positive = sum(max(one, 0) for one in parts.values())
+        return max(parts[region], 0) * WHOLE // max(positive, WHOLE)
 
     def give(
         self, workspace: str, source: str, receiver: str, parts: int
--- a/src/cuminhoist/steering/allowances.py
+++ b/src/cuminhoist/steering/allowances.py
@@ -20,6 +20,14 @@
 #: seconds. Requests are useful for about a second, so that a later token is
 #: worth nothing to the caller.
 MAX_RETRY_AFTER_S = 2.0
+#: Least time that a caller is told, in seconds; ``Retry-After`` has hundredths,
+#: and a caller that is told 0 returns at once.
+MIN_RETRY_AFTER_S = 0.01
+#: Intervals without a call of ``keep`` after which a process counts as frozen.
+#: Entry instances decide themselves then, so that its buckets do not fill.
+FROZEN_INTERVALS = 1.5
+#: Intervals after which another dispatcher may have taken its place.
+REPLACED_INTERVALS = 3.2
 #: Tolerance in tokens: rounding errors of sums of floats must not refuse a
 #: request.
 ROUNDING_TOLERANCE = 1e-6
@@ -134,6 +142,15 @@
         self.size = size
         self._tokens = min(tokens, size.capacity)
 
+    def leave_out(self, start: float, end: float) -> None:
+        """Make no tokens for a time in which others decided.
+
+        :param start: its start, in monotonic seconds.
+        :param end: its end, in monotonic seconds.
+        """
+        self.tokens(start)
+        self._updated_at = end
+
     def restart(self, tokens: float, now: float) -> None:
         """Forget the tokens of a time in which others may have decided.
 
@@ -160,7 +177,7 @@
             promised_s = 0
         promised_s = max(promised_s, soonest_s)
         self._promised_at = now + promised_s + 1 / rate_per_s
-        return promised_s + jitter / rate_per_s
+        return max(promised_s + jitter / rate_per_s, MIN_RETRY_AFTER_S)
 
 
 class Allowances:
@@ -174,8 +191,9 @@
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()  # noqa: S311
         self._buckets: dict[str, Bucket] = {}
-        # Until when the buckets count as current, in monotonic seconds.
-        self._valid_until = float('inf')
+        # When the process was last known to run, in monotonic seconds.
+        self._kept_at = float(0)
+        self._keep_interval_s = float('inf')
 
     def __iter__(self) -> Iterator[tuple[str, Bucket]]:
         """Yield each limited workspace with its bucket."""
@@ -184,6 +202,8 @@
     def find(self, workspace: str) -> Bucket | None:
         """Return the bucket of a workspace; None without a limit.
 
+        Its tokens count only after ``check_gap``.
+
         :param workspace: name of the workspace.
         """
         return self._buckets.get(workspace)
@@ -199,8 +219,7 @@
         bucket = self._buckets.get(workspace)
         if bucket is None:
             return None
-        if now > self._valid_until:
-            self.restart(now)
+        self.check_gap(now)
         return bucket.admit(now, self._rng.random())
 
     def refund(self, workspace: str, now: float) -> None:
@@ -247,6 +266,7 @@
         :param size: its size.
         :param now: monotonic time in seconds.
         """
+        self.check_gap(now)
         bucket = self._buckets.get(workspace)
         if bucket is None:
             self._buckets[workspace] = Bucket(size, self._start(size), now)
@@ -266,24 +286,34 @@
     def restart(self, now: float) -> None:
         """Start to decide in place of another dispatcher.
 
-        Also after a time in which this process did not run, since others may
-        have decided instead.
-
         :param now: monotonic time in seconds.
         """
-        self._valid_until = max(self._valid_until, now)
         for bucket in self._buckets.values():
             bucket.restart(self._start(bucket.size), now)
 
-    def keep_until(self, valid_until: float, now: float) -> None:
-        """Keep the buckets, which restart if this is not called in time.
+    def keep(self, now: float, interval_s: float) -> None:
+        """Record that this process runs.
 
-        :param valid_until: monotonic time in seconds.
         :param now: monotonic time in seconds.
+        :param interval_s: time until the next call, in seconds.
         """
-        if now > self._valid_until:
+        self.check_gap(now)
+        self._kept_at = now
+        self._keep_interval_s = interval_s
+
+    def check_gap(self, now: float) -> None:
+        """Leave out a time in which this process did not run.
+
+        :param now: monotonic time in seconds.
+        """
+        intervals = (now - self._kept_at) / self._keep_interval_s
+        if intervals <= FROZEN_INTERVALS:
+            return
+        for bucket in self._buckets.values():
+            bucket.leave_out(self._kept_at, now)
+        if intervals > REPLACED_INTERVALS:
             self.restart(now)
-        self._valid_until = valid_until
+        self._kept_at = now
 
     def _start(self, size: BucketSize) -> float:
         whole = math.floor(size.start)
--- a/src/cuminhoist/steering/local_allowances.py
+++ b/src/cuminhoist/steering/local_allowances.py
@@ -14,9 +14,9 @@
 from .allowances import Allowances
 from .recent import RecentMax
 
-#: Buckets restart if the checks stop for this long, in seconds, as the
-#: process did not run then. The checks are made ten times a second.
-VALID_S = 1.0
+#: Longest usual time between two checks, in seconds. They are made ten times
+#: a second, and later where the processor is short.
+CHECK_INTERVAL_S = 0.25
 
 
 class RegionShares(msgspec.Struct, frozen=True, array_like=True):
@@ -79,7 +79,7 @@
             has told this number of late. Without contact the dispatcher
             leaves out the part of this instance only for some time.
         """
-        self._buckets.keep_until(now + VALID_S, now)
+        self._buckets.keep(now, CHECK_INTERVAL_S)
         if in_contact:
             self._in_contact_at = now
         silence_s = now - self._in_contact_at
--- a/src/cuminhoist/steering/region_allowances.py
+++ b/src/cuminhoist/steering/region_allowances.py
@@ -35,9 +35,6 @@
 #: The interval doubles up to this one while nothing is given, in seconds: a
 #: workspace over its limit everywhere causes two messages a second.
 MAX_REQUEST_INTERVAL_S = 0.5
-#: Buckets restart if heartbeats stop for this long, in seconds. Others may
-#: have decided in the meantime; two heartbeats may be late.
-VALID_S = 1.6
 
 
 class _Asked(msgspec.Struct):
@@ -130,14 +127,15 @@
         self._keep_unlinked_parts(linked_fraction)
         self._resize_all(now)
 
-    def keep(self, now: float, *, decides: bool) -> None:
+    def keep(self, now: float, interval_s: float, *, decides: bool) -> None:
         """Record that this process runs.
 
         :param now: monotonic time in seconds.
+        :param interval_s: time until the next call, in seconds.
         :param decides: whether it is the dispatcher of its region. Others
             start without what they could have saved up.
         """
-        self._buckets.keep_until(now + VALID_S, now)
+        self._buckets.keep(now, interval_s)
         if not decides:
             self._buckets.restart(now)
 
@@ -213,6 +211,7 @@
         :param now: monotonic time in seconds.
         :returns: the transfer to send; None if nothing is given.
         """
+        self._buckets.check_gap(now)
         bucket = self._buckets.find(request.workspace)
         if (
             bucket is None
--- a/tests/fleet/test_allowance_broadcast.py
+++ b/tests/fleet/test_allowance_broadcast.py
@@ -13,7 +13,6 @@
 
 from cuminhoist.fleet.allowance_broadcast import MAX_SHARES
 from cuminhoist.fleet.control_instance import ControlInstance
-from cuminhoist.fleet.control_links import HEARTBEAT_INTERVAL_S
 from cuminhoist.fleet.entry_instance import EntryInstance
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.fleet.messages import (
@@ -174,7 +173,7 @@
     """Guards against a share that stays where nobody uses it."""
     control = _Control(tmp_path, _routes())
     control.hear_north()
-    control.instance._allowance_broadcast._decides = True
+    control.instance._allowance_broadcast._has_quorum = True
     asked = ShareRequest(ACME, 'north', 9, WHOLE // 2, WHOLE)
     control.instance._on_message(
         control.north, AllowanceNotice(requests=(asked,))
@@ -190,7 +189,7 @@
     control.hear_north()
     control.send_heartbeat()
     asked = ShareRequest(ACME, 'north', 9, WHOLE // 2, WHOLE)
-    control.instance._allowance_broadcast._decides = False
+    control.instance._allowance_broadcast._has_quorum = False
     control.instance._on_message(
         control.north, AllowanceNotice(requests=(asked,))
     )
@@ -333,9 +332,8 @@
     entry._on_message(
         AllowanceShares(shares=RegionShares({ACME: WHOLE}, WHOLE // 2))
     )
-    entry._allowances.keep(_view(), asyncio.get_running_loop().time())
-    for _ in range(10):
-        await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+    for _ in range(50):
+        await asyncio.sleep(0.1)
         entry._allowances.keep(_view(), asyncio.get_running_loop().time())
     admitted = await _place(entry, 150)
     # Half of the region's burst, and some of the tolerated excess.
@@ -348,8 +346,8 @@
     entry._on_message(
         AllowanceShares(shares=RegionShares({ACME: WHOLE}, WHOLE // 2))
     )
-    for _ in range(20):
+    for _ in range(100):
         entry._allowances.keep(None, asyncio.get_running_loop().time())
-        await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        await asyncio.sleep(0.1)
     entry._allowances.keep(None, asyncio.get_running_loop().time())
     assert await _place(entry, 150) < 10
--- a/tests/steering/allowance_world.py
+++ b/tests/steering/allowance_world.py
@@ -42,6 +42,7 @@
         self.name = name
         self.entries = [Entry(number) for number in range(entry_count)]
         self.names = RecentNames(BOUNDS.absent_s)
+        self.frozen = False
         self.start_dispatcher()
 
     def start_dispatcher(self):
@@ -153,6 +154,10 @@
             self.at(arrives, self._receive, source, receiver, kind, content)
 
     def _receive(self, source, receiver, kind, content):
+        if self.regions[receiver].frozen:
+            again = self.now + DELAY_S
+            self.at(again, self._receive, source, receiver, kind, content)
+            return
         allowances = self.regions[receiver].allowances
         if kind == 'hear_all':
             allowances.hear_all(source, content, self.now, knows_transfers=True)
@@ -166,7 +171,8 @@
 
     def _tick(self):
         for region in self.regions.values():
-            self._tick_region(region)
+            if not region.frozen:
+                self._tick_region(region)
             for entry in region.entries:
                 self._tick_entry(region, entry)
         self.at(self.now + 0.1, self._tick)
@@ -179,7 +185,7 @@
             if entry.in_contact
         }
         total = region.names.record(in_contact, self.now)
-        region.allowances.keep(self.now, decides=True)
+        region.allowances.keep(self.now, 0.1, decides=True)
         region.allowances.apply_limits(
             {ACME: self.limit}, linked / max(total, 1), self.now
         )
--- a/tests/steering/test_allowances.py
+++ b/tests/steering/test_allowances.py
@@ -112,10 +112,20 @@
 def test_tokens_saved_while_frozen_are_dropped():
     """Guards against a full burst from a dispatcher that was replaced."""
     allowances = _allowances(capacity=100)
-    allowances.keep_until(1.6, 0.0)
+    allowances.keep(0.0, 0.5)
     assert _admitted(allowances, [30.0] * 50) == 0
 
 
+def test_bucket_does_not_fill_while_frozen():
+    """Guards against tokens for a time in which entry instances decided
+    themselves, as the dispatcher did not answer."""
+    allowances = _allowances(capacity=100)
+    allowances.keep(0.0, 0.5)
+    allowances.keep(0.5, 0.5)
+    assert _admitted(allowances, [1.5] * 50) == 5
+    assert _admitted(allowances, [1.9] * 50) == 4
+
+
 def test_repeated_starts_get_their_tokens_once():
     """Guards against tokens from an instance that changes its dispatcher
     with each request."""
--- a/tests/steering/test_allowances_of_regions.py
+++ b/tests/steering/test_allowances_of_regions.py
@@ -4,13 +4,18 @@
 no refusal of a workspace within its limit, wherever its callers are.
 """
 
+import functools
 import random
 
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from cuminhoist.steering.allowance_shares import WHOLE
+from cuminhoist.steering.allowance_shares import (
+    WHOLE,
+    ShareLedger,
+    ShareTransfer,
+)
 from cuminhoist.steering.allowance_sizes import Allowance
 from tests.steering.allowance_world import (
     ACME,
@@ -146,6 +151,24 @@
     world.at(18.5, world.restart_dispatcher, 'north')
 
 
+def _stall(world, region, *, is_frozen):
+    """Freeze a dispatcher or let it go on; those in contact use it again."""
+    region.frozen = is_frozen
+    for entry in region.entries:
+        entry.linked = entry.in_contact and not is_frozen
+    if is_frozen:
+        resume = functools.partial(_stall, world, region, is_frozen=False)
+        world.at(world.now + 1.4, resume)
+
+
+def _freeze_dispatchers(world):
+    for start, name in ((17, 'north'), (19, 'south'), (25, 'north')):
+        region = world.regions[name]
+        world.at(
+            start, functools.partial(_stall, is_frozen=True), world, region
+        )
+
+
 def _join(world):
     for when in (16, 16.5, 17, 20):
         for region in world.regions.values():
@@ -161,6 +184,7 @@
         _cut_off_entries,
         _freeze_entries,
         _lose_dispatcher,
+        _freeze_dispatchers,
         _join,
     ],
 )
@@ -200,7 +224,9 @@
 _events = st.lists(
     st.tuples(
         st.floats(FILLED_S, 30),
-        st.sampled_from(['cut', 'heal', 'restart', 'lose', 'join', 'freeze']),
+        st.sampled_from(
+            ['cut', 'heal', 'restart', 'lose', 'join', 'freeze', 'stall']
+        ),
         st.sampled_from(REGIONS),
     ),
     max_size=12,
@@ -215,6 +241,8 @@
         world.heal()
     elif kind == 'restart':
         world.restart_dispatcher(name)
+    elif kind == 'stall':
+        _stall(world, region, is_frozen=True)
     elif kind == 'join':
         region.entries.append(Entry(9))
     elif kind == 'lose':
@@ -265,6 +293,17 @@
     assert total <= limit * (1 + BOUNDS.over) + BOUNDS.slack + 1e-6
 
 
+def test_share_that_is_given_twice_lowers_the_others():
+    """Guards against an excess that stays after two dispatchers of a region
+    have each given its whole share."""
+    ledger = ShareLedger(REGIONS)
+    for receiver in ('south', 'west'):
+        ledger.apply(ShareTransfer(ACME, 'north', receiver, WHOLE // 3))
+    parts = {name: ledger.parts(ACME, name) for name in REGIONS}
+    assert parts['north'] == 0
+    assert parts['south'] == parts['west'] == WHOLE // 2
+
+
 def test_ledger_ignores_unknown_regions():
     """Guards against shares that a misconfigured instance invents."""
     world = World(100, 100)
