--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..steering.allowance_sizes import AllowanceBounds
+
 
 class Address(msgspec.Struct, frozen=True, order=True):
     """An IP address and a port."""
@@ -34,6 +36,8 @@
         contact to a quorum of the control instances, in seconds.
     :param prefers_own_domain: whether a request stays in the failure domain of
         its entry instance while its answer is in time there.
+    :param allowance_bounds: tolerated excess over the allowances of
+        workspaces.
     """
 
     retry_budget_ratio: float = 0.1
@@ -46,6 +50,7 @@
     refuses_unconfirmed_keys: bool = False
     key_trust_s: float = 5
     prefers_own_domain: bool = False
+    allowance_bounds: AllowanceBounds = AllowanceBounds()
 
 
 class InstanceConfig(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import FieldError
 from ..fleet.instance_config import Address, DeploymentLimits, InstanceConfig
+from ..steering.allowance_sizes import AllowanceBounds
 
 #: Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = 'CUMINHOIST_BOOT'
@@ -48,6 +49,9 @@
     drain_ms: float = 3000
     fail_closed: bool = False
     revoke_ms: float = 5000
+    quota_window_s: float = 5
+    quota_over: float = 0.1
+    quota_slack: float = 20
 
 
 class _Boot(msgspec.Struct, frozen=True):
@@ -144,6 +148,9 @@
         refuses_unconfirmed_keys=wire.fail_closed,
         key_trust_s=wire.revoke_ms / _MS,
         prefers_own_domain=_SCARCE_LINKS in contracts,
+        allowance_bounds=AllowanceBounds(
+            wire.quota_window_s, wire.quota_over, wire.quota_slack
+        ),
     )
 
 
