Run pipelined idempotent requests concurrently and answer them in order

The application tells the listener whether a request may overlap with others of its connection; one that runs at most once waits for the answers before it, and those behind it wait for it. An answer that waits for its turn is read into memory within bounds, so that the target is free. After an answer that ends the connection, nothing behind it starts, and what runs is cancelled. The log line of a request says how long it and its answer waited.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -5,41 +5,46 @@
 """
 
 import asyncio
-import http
 import math
 import sys
-from typing import Any, cast
+from typing import Any
 
 import httptools
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from .caller_round_trip import round_trip_s
 from .head_counter import HeadCounter
 from .listener_limits import ListenerLimits
-from .logging_setup import logger
-from .problems import PROBLEM_TYPE, Refusal, encode_problem
+from .listener_refusals import (
+    encode_refusal,
+    head_timed_out,
+    head_too_large,
+    malformed,
+    record_refusal,
+)
+from .pipelined_connection import PipelinedConnection
+from .pipelined_request import PipelinedRequest
+from .problems import Refusal
 from .request_body_framing import find_framing
 from .request_head import find_head_fault
 from .request_method import MethodReader
 from .request_target import split_target
-from .types import Ran, Reason
+from .skipped_body import BodyReceiver
 
 MAX_HEADERS = 100
-#: Time for a caller to read an answer that was sent before the request body
-#: had been read.
-CLOSE_DELAY_S = 2.0
+#: No further request is read while the bodies of unanswered ones have more
+#: bytes; one read from the socket brings at most as many.
+MAX_BODIES_AHEAD_BYTES = 256 * 1024
 
 #: Idle connections stay open this long after the limit, because a request
 #: that was sent within the limit may still be on its way.
 IDLE_MARGIN_S = 1.0
 
-#: Bytes of a malformed request's target and header names that are logged.
-_LOGGED_BYTES = 200
 
-_log = logger('listener')
-
-
-class CallerConnection(HttpToolsProtocol):
+class CallerConnection(PipelinedConnection):
     """A caller's connection with size limits, disconnect notice and drain."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
@@ -51,11 +56,9 @@
         self._body = find_framing([])
         #: Why the head that was parsed last is refused.
         self._head_refusal: Refusal | None = None
-        self._half_closed = False
         #: Loop time since which no request runs or since which a head has
         #: been arriving.
         self._waits_since = self.loop.time()
-        self._disconnected: asyncio.Future[None] = self.loop.create_future()
 
     @property
     def busy(self) -> bool:
@@ -73,28 +76,46 @@
         self._start_waiting()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes of a request.
+        """Parse received bytes of requests.
 
         :param data: the bytes.
         """
-        while data and not self._half_closed:
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            self._parse(data)
+        self._update_reading()
+
+    def _parse(self, data: bytes) -> None:
+        while data and not self._reading_ended:
+            if self._head.expected and not self._takes_requests:
+                self._reading_ended = True
+                break
+            if self._between_requests and self._has_read_ahead:
+                self._unparsed = data
+                break
             piece, data = self._cut(data)
             # The base class stops the timer.
             self._received = piece
-            super().data_received(piece)
+            HttpToolsProtocol.data_received(self, piece)
             self._received = b''
             if self.transport.is_closing():
                 return
-            if self._head.begun:
-                if self._head.size > self._limits.max_head_bytes:
-                    self._refuse(self._head_too_large())
-            elif self._head.expected:
-                self._head.reset()
+            self._count_head()
+        if data and self._reading_ended:
+            self._has_dropped = True
         if self._head.begun:
             self._start_timer()
         else:
             self._start_waiting()
 
+    def _count_head(self) -> None:
+        if self._head.begun:
+            if self._head.size > self._limits.max_head_bytes:
+                self._refuse(head_too_large(self._limits))
+        elif self._head.expected:
+            self._head.reset()
+
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
@@ -121,22 +142,33 @@
         # The base class reads targets in origin form only.
         authority, target = split_target(self.url)
         self.url = target
+        req = PipelinedRequest(self.loop, self._pipeline.declare, self._memory)
         # The application reaches this connection through the ASGI scope.
         self.scope['state'] = {
-            'caller_disconnected': self._disconnected,
-            'abort': self.abort,
-            'omit_date_header': self._omit_date,
+            'caller_disconnected': req.withdrawn,
+            'pipelined_request': req,
+            'abort': lambda: self._abort_answer(req),
+            'omit_date_header': lambda: _omit_date(req.cycle),
             'header_bytes': len(self.url) + _size_bytes(self.headers),
             'authority': authority,
             'request_target': target,
             'round_trip_s': round_trip_s(self.transport),
         }
-        super().on_headers_complete()
+        self._start_cycle(req)
         if self._method.replaced:
             self.scope['method'] = self._method.replaced.decode()
-        self.cycle.transport = cast(asyncio.Transport, _CycleTransport(self))
         if getattr(self.server_state, 'draining', False):
             self.cycle.keep_alive = False
+        self._pipeline.add(req)
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of a request body on (callback of the parser).
+
+        :param body: the bytes.
+        """
+        super().on_body(body)
+        if self._request is not None:
+            self._request.body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Expect the next request (callback of the parser)."""
@@ -144,35 +176,12 @@
         self._head.end_message()
         self._method.end_message()
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Notify the application that the caller has disconnected.
-
-        :param exc: the error, if there was one.
-        """
-        super().connection_lost(exc)
-        self._unset_keepalive_if_required()
-        if not self._disconnected.done():
-            self._disconnected.set_result(None)
-
-    def on_response_complete(self) -> None:
-        """Wait for the next request (callback of the request cycle)."""
-        super().on_response_complete()
-        if not self.transport.is_closing():
-            self._start_waiting()
-
     def timeout_keep_alive_handler(self) -> None:
         """Refuse a slow head or close an idle connection (timer callback)."""
         if not self._head.begun:
             super().timeout_keep_alive_handler()
             return
-        limit_s = self._limits.head_timeout_s
-        self._refuse(
-            Refusal(
-                ran=Ran.not_run,
-                reason=Reason.head_timeout,
-                detail=f'The head of the request took over {limit_s:g} s.',
-            )
-        )
+        self._refuse(head_timed_out(self._limits))
 
     def apply_limits(self) -> None:
         """Apply changed limits to the time that has begun.
@@ -190,70 +199,63 @@
 
         :param msg: detail of the refusal for the caller.
         """
-        self._refuse(self._head_refusal or _malformed(msg))
+        self._refuse(self._head_refusal or malformed(msg))
 
     def _refuse(self, refusal: Refusal) -> None:
         """Refuse a request that is not passed on, and close the connection.
 
         :param refusal: the refusal; the request has not run.
         """
-        if self._half_closed or self.transport.is_closing():
-            return
-        self._record_refusal(refusal)
-        if self._running and self.cycle.more_body:
-            # The fault is in the body of a request that may be passed on.
-            self.abort()
+        if self._reading_ended or self.transport.is_closing():
             return
-        if self._running:
-            # The answers to the requests before it are sent; then the
-            # connection is closed.
-            self._half_closed = True
-            self.cycle.keep_alive = False
-            return
-        body = encode_problem(refusal)
-        status = http.HTTPStatus(refusal.status)
-        head = (
-            f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-            f'content-type: {PROBLEM_TYPE}\r\n'
-            f'content-length: {len(body)}\r\n'
-            'x-cuminhoist-refusal: 1\r\n'
-            'connection: close\r\n\r\n'
+        record_refusal(
+            refusal,
+            parser_fault=self._head_refusal is None,
+            target=getattr(self, 'url', b''),
+            headers=self.headers or [],
+            on_refusal=getattr(self.server_state, 'on_refusal', None),
         )
-        self.transport.write(head.encode() + body)
-        self._half_close()
-
-    def close_after_answer(self) -> None:
-        """Close the connection so that the caller still reads the answer.
-
-        Closing a socket with unread request bytes resets the connection, and
-        a reset can discard the answer before the caller has read it. In this
-        case only the sending side is closed at first.
-        """
-        if self.cycle.more_body:
+        last = self._pipeline.last
+        if last is None:
+            self.transport.write(encode_refusal(refusal))
             self._half_close()
+        elif last.cycle.more_body:
+            # The fault is in the body of a request that may be passed on.
+            self._abort_answer(last)
         else:
-            self.transport.close()
+            self._stop_reading()
+            self._end_with(last)
 
     def start_drain(self) -> None:
-        """Send ``connection: close`` with an answer that has not started."""
-        cycle = self.cycle
-        if cycle is not None and not cycle.response_started:
-            cycle.keep_alive = False
+        """Send ``connection: close`` with the last answer of what was read.
+
+        If that answer has started, it is the next one.
+        """
+        last = self._pipeline.last
+        if last is not None and not last.cycle.response_started:
+            last.cycle.keep_alive = False
+            self._drop_unparsed()
 
     def shutdown(self) -> None:
         """Close the connection if it is idle."""
         if not self.busy:
             self.transport.close()
 
-    def abort(self) -> None:
-        """Close the connection at once, even within an answer."""
-        if self.transport is not None:
-            self.transport.abort()
+    @property
+    def _takes_requests(self) -> bool:
+        # A connection that closes after the last answer takes no others.
+        return self.cycle is None or self.cycle.keep_alive
 
     @property
-    def _running(self) -> bool:
-        # A pipelined request waits while this cycle is not complete.
-        return self.cycle is not None and not self.cycle.response_complete
+    def _between_requests(self) -> bool:
+        return self._head.expected and not self._head.begun
+
+    @property
+    def _has_read_ahead(self) -> bool:
+        return (
+            len(self._pipeline) >= self._limits.max_unanswered
+            or self._pipeline.body_bytes > MAX_BODIES_AHEAD_BYTES
+        )
 
     @property
     def _limits(self) -> ListenerLimits:
@@ -303,7 +305,7 @@
         # counted for the request before it; its parsed parts are counted.
         size = max(self._head.size, len(self.url) + _size_bytes(self.headers))
         if size > self._limits.max_head_bytes:
-            self._head_refusal = self._head_too_large()
+            self._head_refusal = head_too_large(self._limits)
         else:
             fault = find_head_fault(
                 self.parser.get_method(),
@@ -311,49 +313,10 @@
                 self.url,
                 self.headers,
             )
-            self._head_refusal = _malformed(fault) if fault else None
+            self._head_refusal = malformed(fault) if fault else None
         if self._head_refusal is not None:
             raise ValueError(self._head_refusal.detail)
 
-    def _head_too_large(self) -> Refusal:
-        limit = self._limits.max_head_bytes
-        return Refusal(
-            ran=Ran.not_run,
-            reason=Reason.head_too_large,
-            detail=f'The head of the request exceeds {limit} bytes.',
-        )
-
-    def _record_refusal(self, refusal: Refusal) -> None:
-        # The base class calls from the handler of the parser's error and
-        # passes on a fixed message only.
-        exc = sys.exception()
-        if exc is not None:
-            # An error of a parser callback is the context of a general one.
-            exc = exc.__context__ or exc
-        names = b' '.join(name for name, _ in self.headers or ())
-        _log.bind(
-            refused=refusal.reason,
-            reason=(
-                repr(exc)
-                if exc is not None and self._head_refusal is None
-                else refusal.detail
-            ),
-            target=getattr(self, 'url', b'')[:_LOGGED_BYTES].decode('latin-1'),
-            header_names=names[:_LOGGED_BYTES].decode('latin-1'),
-        ).warning('malformed request refused')
-        on_refusal = getattr(self.server_state, 'on_refusal', None)
-        if on_refusal is not None:
-            on_refusal(refusal.reason)
-
-    def _half_close(self) -> None:
-        self._half_closed = True
-        self.pipeline.clear()
-        self.transport.write_eof()
-        self.loop.call_later(CLOSE_DELAY_S, self.abort)
-
-    def _omit_date(self) -> None:
-        self.cycle.default_headers = []
-
     def _unsupported_upgrade_warning(self) -> None:
         # After an upgrade request, the parser treats all further bytes as
         # another protocol, so the connection can carry no other request.
@@ -363,49 +326,14 @@
         if framing and isinstance(exc, httptools.HttpParserUpgrade):
             # The parser skips the body too; another one reads it.
             self.cycle.more_body = True
-            self.parser = httptools.HttpRequestParser(_BodyReceiver(self))
+            self.parser = httptools.HttpRequestParser(BodyReceiver(self))
             self.parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n' % framing)
             self._head.end_head()
             self.data_received(self._received[exc.args[0] :])
 
 
-class _BodyReceiver:
-    """Passes the body of one request on, but no head and nothing after it."""
-
-    def __init__(self, conn: CallerConnection) -> None:
-        self._conn = conn
-        self._complete = False
-
-    def on_body(self, body: bytes) -> None:
-        """Pass a part of the body on (callback of the parser).
-
-        :param body: the bytes.
-        """
-        if not self._complete:
-            self._conn.on_body(body)
-
-    def on_message_complete(self) -> None:
-        """Note the end of the body (callback of the parser)."""
-        if not self._complete:
-            self._complete = True
-            self._conn.on_message_complete()
-
-
-class _CycleTransport:
-    """Transport of a request cycle; replaces its close of the connection."""
-
-    def __init__(self, conn: CallerConnection) -> None:
-        self._conn = conn
-        self.write = conn.transport.write
-        self.is_closing = conn.transport.is_closing
-
-    def close(self) -> None:
-        """Close the connection after the answer."""
-        self._conn.close_after_answer()
-
-
-def _malformed(detail: str) -> Refusal:
-    return Refusal(ran=Ran.not_run, reason=Reason.bad_request, detail=detail)
+def _omit_date(cycle: RequestResponseCycle) -> None:
+    cycle.default_headers = []
 
 
 def _size_bytes(headers: list[tuple[bytes, bytes]]) -> int:
--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from typing import Any
 
 import msgspec
@@ -76,6 +76,7 @@
 async def send_answer(
     answer: TargetAnswer,
     headers: Headers,
+    chunks: AsyncIterator[bytes],
     send: Send,
     pacer: LinkPacer,
 ) -> None:
@@ -86,6 +87,7 @@
 
     :param answer: the start of the answer.
     :param headers: the headers that the caller gets.
+    :param chunks: the whole body.
     :param send: sends to the caller.
     :param pacer: paces large answers on a slow link.
     """
@@ -96,16 +98,18 @@
             'headers': headers,
         },
     )
-    chunk = answer.body
-    complete = answer.body_complete
-    while True:
+    async for chunk in chunks:
         async for piece in pacer.pieces(chunk):
             await _send_body(send, piece, more=True)
-        if complete:
-            await _send_body(send, b'', more=False)
-            return
-        chunk = await answer.exchange.read()
-        complete = not chunk
+    await _send_body(send, b'', more=False)
+
+
+async def buffered_body(answer: TargetAnswer) -> AsyncIterator[bytes]:
+    """Yield the body of an answer that is complete.
+
+    :param answer: the answer.
+    """
+    yield answer.body
 
 
 async def send_refusal(
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from ..exceptions import LocalProtocolError
-from ..exchange import Headers
 from ..logging_setup import logger
 from ..problems import Refusal
 from ..steering.caller_elapsed import CallerElapsedEstimator
@@ -25,14 +24,14 @@
 from ..steering.targets import TargetEntry
 from ..types import Ran, Reason
 from . import refusals
+from .answer_sender import AnswerSender
 from .answers import (
     Send,
     TargetAnswer,
     not_run_refusal,
-    send_answer,
     send_refusal,
 )
-from .attempt import AttemptOutcome, AttemptSender, abort, headers_for_caller
+from .attempt import AttemptOutcome, AttemptSender, abort
 from .bodies import BodyTooLarge, CallerDisconnected, Receive, RequestBody
 from .crash_detector import CrashDetector
 from .failure_reports import FailureReports
@@ -41,7 +40,7 @@
 from .request_metrics import RequestMetrics
 from .request_recorder import RequestRecorder
 from .request_state import RequestState, RoutingState
-from .retry_policy import MIN_ATTEMPT_S, RetryPolicy
+from .retry_policy import RetryPolicy
 from .routes import RepeatPolicy, Route
 from .splits import Splitter
 from .target_connections import TargetConnections
@@ -96,7 +95,7 @@
         self.relay = Relay(wire, TargetConnections(now, connections.pacer), now)
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
-        self._pacer = connections.pacer
+        self._answer_sender = AnswerSender(wire, connections.pacer, now)
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
@@ -140,10 +139,12 @@
 
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         arrived_at = self._now()
+        pipelined = scope['state']['pipelined_request']
         req = self._wire.decode_request(scope)
         refusal, route = self._find_route(req)
         if refusal is not None or route is None:
             refusal = refusal or self._refuse_unknown_route()
+            pipelined.declare(overlaps=True)
             self._recorder.record_refusal(req, refusal)
             await send_refusal(
                 refusal,
@@ -161,6 +162,9 @@
         body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
+            overlaps = route.repeat is RepeatPolicy.idempotent
+            if not await pipelined.wait_to_start(overlaps=overlaps):
+                raise CallerDisconnected
             if req.has_body:
                 await body.fill_buffer(req.body_bytes or 0)
             outcome = await self._place_and_send(state, body, scope, send)
@@ -171,7 +175,7 @@
         except BodyTooLarge:
             outcome = await self._refuse_body(body, send)
         finally:
-            self._recorder.record_request(state, outcome)
+            self._recorder.record_request(state, outcome, pipelined)
 
     def _body_limit(self) -> int:
         routes = self.routing_state.routes
@@ -457,8 +461,7 @@
     ) -> str:
         failed = state.failed_answer
         if failed is not None and failed.body_complete:
-            headers = headers_for_caller(self._wire, failed)
-            await send_answer(failed, headers, send, self._pacer)
+            await self._answer_sender.send_buffered(failed, send)
             return f'answered-{failed.status}'
         refusal = refusals.refusal_without_target(state, refused)
         await send_refusal(refusal, send)
@@ -484,18 +487,7 @@
         scope: Any,
         send: Send,
     ) -> str:
-        headers: Headers = headers_for_caller(self._wire, answer)
-        try:
-            async with asyncio.timeout(
-                max(state.ends_at - self._now(), MIN_ATTEMPT_S),
-            ):
-                await send_answer(answer, headers, send, self._pacer)
-        except (Exception, asyncio.CancelledError) as exc:
-            # The connection is reset, so that the caller does not mistake a
-            # truncated answer for a complete one.
-            abort(answer.exchange)
-            scope['state']['abort']()
-            state.trail.append(f'answer cut: {exc!r}')
+        if not await self._answer_sender.pass_on(state, answer, scope, send):
             return 'cut'
         if answer.status < _MIN_SERVER_ERROR:
             # A target that is busy answers 504 to a request that never ran.
--- a/src/cuminhoist/gateway/request_recorder.py
+++ b/src/cuminhoist/gateway/request_recorder.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..pipelined_request import PipelinedRequest
 from ..problems import Refusal
 from .request_metrics import RequestMetrics, log_request
 from .request_state import RequestState, RoutingState
@@ -31,11 +32,17 @@
         self._routing_state = routing_state
         self._now = now
 
-    def record_request(self, state: RequestState, outcome: str) -> None:
+    def record_request(
+        self,
+        state: RequestState,
+        outcome: str,
+        pipelined: PipelinedRequest,
+    ) -> None:
         """Count and log a request that had a route.
 
         :param state: the request.
         :param outcome: how it ended.
+        :param pipelined: how long it waited for requests of its connection.
         """
         took_s = self._now() - state.arrived_at
         self._metrics.requests.labels(state.service, outcome).inc()
@@ -57,6 +64,8 @@
             config_version=routes.version if routes else 0,
             list_age_ms=self._list_age_ms(),
             waited_ms=round(state.waited_s * _MS_PER_S),
+            start_wait_ms=round(pipelined.start_wait_s * _MS_PER_S),
+            turn_wait_ms=round(pipelined.turn_wait_s * _MS_PER_S),
             trail=state.trail,
             outcome=outcome,
             took_ms=round(took_s * _MS_PER_S),
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -12,6 +12,7 @@
 import uvicorn
 
 from .caller_connection import CallerConnection
+from .caller_memory import CallerMemory, MemoryLimits
 from .listener_limits import ListenerLimits
 from .types import Reason
 
@@ -41,6 +42,9 @@
         host: str = '',
         port: int = 0,
         drain_timeout_s: float = DRAIN_TIMEOUT_S,
+        *,
+        overlaps_requests: bool = False,
+        memory: CallerMemory | None = None,
     ) -> 'HttpServer':
         """Build a server for an ASGI application.
 
@@ -50,6 +54,11 @@
         :param drain_timeout_s: limit for running requests to finish in a
             stop, in seconds; at least the longest deadline, so that no
             request is cut.
+        :param overlaps_requests: whether the application gets the pipelined
+            requests of a connection at once, and decides itself which of them
+            run concurrently (:class:`~.pipelined_request.PipelinedRequest`).
+        :param memory: counts what the process holds for callers; None for a
+            count of its own.
         """
         server = cls(
             uvicorn.Config(
@@ -67,6 +76,12 @@
             ),
         )
         server.drain_timeout_s = drain_timeout_s
+        server.server_state.memory = (  # type: ignore[attr-defined]
+            memory or CallerMemory(MemoryLimits())
+        )
+        server.server_state.overlaps_requests = (  # type: ignore[attr-defined]
+            overlaps_requests
+        )
         return server
 
     def report_refusals(self, on_refusal: Callable[[Reason], None]) -> None:
--- a/src/cuminhoist/listener_limits.py
+++ b/src/cuminhoist/listener_limits.py
@@ -14,11 +14,15 @@
         head, in seconds.
     :param idle_timeout_s: time for which a connection without a request
         stays open, in seconds.
+    :param max_unanswered: requests of one connection that are read before
+        the first of them is answered; each may hold a body and the start of
+        an answer in memory.
     """
 
     max_head_bytes: int = 32 * 1024
     head_timeout_s: float = math.inf
     idle_timeout_s: float = 30
+    max_unanswered: int = 16
 
 
 #: Limits while no configuration tells them. A caller gets a refusal that it
--- /dev/null
+++ b/src/cuminhoist/pipelined_connection.py
@@ -0,0 +1,210 @@
+"""A connection whose requests overlap and are answered in their order."""
+
+import abc
+import asyncio
+from typing import Any, cast
+
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
+
+from .caller_memory import CallerMemory, ConnectionMemory
+from .pipelined_request import (
+    PipelinedRequest,
+    RequestFlow,
+    RequestTransport,
+)
+from .request_pipeline import RequestPipeline
+
+#: Time for a caller to read an answer that was sent before the request body
+#: had been read.
+CLOSE_DELAY_S = 2.0
+
+
+class PipelinedConnection(HttpToolsProtocol, abc.ABC):
+    """Starts, answers and ends the requests of one connection.
+
+    The base class keeps the state of one request only. Here, ``cycle`` is the
+    request that was read last, and each request has its own flow control,
+    transport and notice that its answer is not needed any more.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._pipeline = RequestPipeline()
+        self._memory = ConnectionMemory(self._process_memory)
+        #: The request that was read last.
+        self._request: PipelinedRequest | None = None
+        #: Received bytes of requests that are not read yet.
+        self._unparsed = b''
+        #: Whether received bytes are dropped: the connection ends.
+        self._reading_ended = False
+        #: Whether received bytes have been dropped.
+        self._has_dropped = False
+        #: Whether a request on this connection has been answered.
+        self._has_answered = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel all requests: the caller has disconnected.
+
+        :param exc: the error, if there was one.
+        """
+        super().connection_lost(exc)
+        self._unset_keepalive_if_required()
+        self._unparsed = b''
+        self._pipeline.withdraw_all()
+
+    def abort(self) -> None:
+        """Close the connection at once, even within an answer."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    @property
+    def _process_memory(self) -> CallerMemory:
+        return cast(CallerMemory, getattr(self.server_state, 'memory'))
+
+    @property
+    def _running(self) -> bool:
+        return bool(self._pipeline)
+
+    def _start_cycle(self, req: PipelinedRequest) -> None:
+        """Hand a request to the application, whether or not others run."""
+        former = self.cycle
+        self._request = req
+        # The base class would queue the request behind this cycle.
+        self.cycle = None  # type: ignore[assignment]
+        try:
+            HttpToolsProtocol.on_headers_complete(self)
+        finally:
+            self.cycle = self.cycle or former
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        req = cast(PipelinedRequest, self._request)
+        req.cycle = cycle
+        cycle.flow = RequestFlow(req, self.flow, self._update_reading)
+        cycle.transport = cast(
+            asyncio.Transport,
+            RequestTransport(
+                req, self.transport, self._end_with, self._close_after
+            ),
+        )
+        cycle.on_response = lambda: self._complete_answer(req)
+        if not getattr(self.server_state, 'overlaps_requests', False):
+            app = _in_order(app)
+        super()._start_asgi_task(cycle, app)
+
+    def _end_with(self, req: PipelinedRequest) -> None:
+        """Close the connection after an answer; nothing behind it is read."""
+        if req not in self._pipeline:
+            return
+        # Of this request, the body may still be arriving.
+        self._drop_unparsed()
+        self._reading_ended = self._reading_ended or req is not self._request
+        req.cycle.keep_alive = False
+        self._pipeline.withdraw_after(req)
+        self._update_reading()
+
+    def _abort_answer(self, req: PipelinedRequest) -> None:
+        """End the connection where this answer would go on.
+
+        The answers before it are sent.
+        """
+        if req.withdrawn.done():
+            return
+        self._stop_reading()
+        if req in self._pipeline and not self._pipeline.is_first(req):
+            self._pipeline.withdraw_from(req)
+            self._end_with(cast(PipelinedRequest, self._pipeline.last))
+            return
+        follows_answer = self._has_answered and req in self._pipeline
+        self._pipeline.withdraw_all()
+        if follows_answer:
+            # A reset could discard the answers before it.
+            self._half_close()
+        else:
+            self.abort()
+
+    def _close_after(self, req: PipelinedRequest) -> None:
+        """Close the connection so that the caller still reads the answer.
+
+        Closing a socket with unread request bytes resets the connection, and
+        a reset can discard the answer before the caller has read it. In this
+        case only the sending side is closed at first.
+        """
+        if req in self._pipeline and not self._pipeline.is_first(req):
+            self._abort_answer(req)
+            return
+        self._end_with(req)
+        if req.cycle.more_body or self._has_dropped:
+            self._half_close()
+        else:
+            self.transport.close()
+
+    def _complete_answer(self, req: PipelinedRequest) -> None:
+        """Go on with the next request (callback of the request cycle)."""
+        self.server_state.total_requests += 1
+        self._has_answered = True
+        self._pipeline.complete(req)
+        if self.transport.is_closing() or self._reading_ended:
+            return
+        self._start_waiting()
+        unparsed = self._unparsed
+        self._unparsed = b''
+        self._parse(unparsed)
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading, by the bytes that wait to be taken.
+
+        A disconnect is not noticed while reading is paused, so reading goes
+        on while only few bytes wait.
+        """
+        waiting = len(self._unparsed)
+        cycle = self.cycle
+        if cycle is not None and cycle.more_body:
+            waiting += 0 if cycle.response_complete else len(cycle.body)
+        if waiting > HIGH_WATER_LIMIT and not self._reading_ended:
+            self.flow.pause_reading()
+        else:
+            self.flow.resume_reading()
+
+    def _stop_reading(self) -> None:
+        self._reading_ended = True
+        self._drop_unparsed()
+        self._update_reading()
+
+    def _drop_unparsed(self) -> None:
+        self._has_dropped = self._has_dropped or bool(self._unparsed)
+        self._unparsed = b''
+
+    def _half_close(self) -> None:
+        self._stop_reading()
+        self.transport.write_eof()
+        self.loop.call_later(CLOSE_DELAY_S, self.abort)
+
+    @abc.abstractmethod
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes as far as the limits allow.
+
+        :param data: the bytes.
+        """
+
+    @abc.abstractmethod
+    def _start_waiting(self) -> None:
+        """Start the time in which the next request has to begin."""
+
+
+def _in_order(app: Any) -> Any:
+    """Return an application that serves one request at a time.
+
+    :param app: an application that knows nothing of pipelined requests.
+    """
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        req: PipelinedRequest = scope['state']['pipelined_request']
+        if await req.wait_to_start(overlaps=False):
+            await app(scope, receive, send)
+
+    return serve
--- /dev/null
+++ b/src/cuminhoist/pipelined_request.py
@@ -0,0 +1,203 @@
+"""One request on a caller's connection, from its head to its answer."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from uvicorn.protocols.http.flow_control import FlowControl
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
+
+from .caller_memory import ConnectionMemory
+
+
+class PipelinedRequest:
+    """Tells an application when a request may start and be answered.
+
+    Applications find it in the state of the ASGI scope.
+
+    :param loop: the event loop.
+    :param declare: called once it is known whether the request may overlap
+        with others of its connection.
+    :param memory: counts what is held for the connection.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        declare: Callable[['PipelinedRequest', bool], None],
+        memory: ConnectionMemory,
+    ) -> None:
+        self.memory = memory
+        #: Completed when nobody waits for the answer any more: the caller
+        #: has disconnected, or an answer before it ends the connection.
+        self.withdrawn: asyncio.Future[None] = loop.create_future()
+        #: Whether it may run beside others; None while that is not known.
+        self.overlaps: bool | None = None
+        #: Time for which the answer waited for those before it, in seconds.
+        self.turn_wait_s = float(0)
+        #: Time for which the request was held before it ran, in seconds.
+        self.start_wait_s = float(0)
+        #: The base class's state of the request; set with its head.
+        self.cycle: RequestResponseCycle = None  # type: ignore[assignment]
+        #: Body bytes that have been received.
+        self.body_bytes = 0
+        self.on_turn: Callable[[], None] | None = None
+        self._loop = loop
+        self._declare = declare
+        self._may_start = asyncio.Event()
+        self._turn = asyncio.Event()
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether all answers before this one are complete."""
+        return self._turn.is_set()
+
+    def allow_start(self) -> None:
+        """Let the request run."""
+        self._may_start.set()
+
+    def give_turn(self) -> None:
+        """Let the answer be sent."""
+        if not self.has_turn:
+            self._turn.set()
+            if self.on_turn is not None:
+                self.on_turn()
+
+    def withdraw(self) -> None:
+        """Cancel the request: its answer will not be sent."""
+        if self.withdrawn.done():
+            return
+        self.withdrawn.set_result(None)
+        self.cycle.disconnected = True
+        self.cycle.message_event.set()
+        # Wakes the application; what it sends from now on is dropped.
+        self._may_start.set()
+        self._turn.set()
+
+    def declare(self, *, overlaps: bool) -> None:
+        """Tell whether the request may run beside others.
+
+        :param overlaps: whether it may.
+        """
+        if not self.withdrawn.done():
+            self._declare(self, overlaps)
+
+    async def wait_to_start(self, *, overlaps: bool) -> bool:
+        """Wait until the request may run.
+
+        It may run beside the unanswered ones before it if all of them
+        overlap. One that does not overlap waits for their answers.
+
+        :param overlaps: whether the request may run beside others.
+        :returns: whether it may run; false if it was withdrawn.
+        """
+        self.declare(overlaps=overlaps)
+        if not self._may_start.is_set():
+            began_at = self._loop.time()
+            await self._may_start.wait()
+            self.start_wait_s = self._loop.time() - began_at
+        return not self.withdrawn.done()
+
+    async def wait_for_turn(self) -> None:
+        """Wait until the answers before this one are complete."""
+        if self._turn.is_set():
+            return
+        began_at = self._loop.time()
+        try:
+            await self._turn.wait()
+        finally:
+            self.turn_wait_s += self._loop.time() - began_at
+
+
+class RequestFlow(FlowControl):
+    """Flow control of one request's answer.
+
+    The answer is not written before its turn.
+
+    :param req: the request.
+    :param conn_flow: flow control of the connection.
+    :param update_reading: pauses or resumes reading from the caller.
+    """
+
+    def __init__(
+        self,
+        req: PipelinedRequest,
+        conn_flow: FlowControl,
+        update_reading: Callable[[], None],
+    ) -> None:
+        self._req = req
+        self._conn_flow = conn_flow
+        self._update_reading = update_reading
+
+    @property
+    def write_paused(self) -> bool:  # type: ignore[override]
+        """Whether the application has to wait before it sends."""
+        return not self._req.has_turn or self._conn_flow.write_paused
+
+    async def drain(self) -> None:
+        """Wait until the answer may be written."""
+        await self._req.wait_for_turn()
+        if not self._req.withdrawn.done():
+            await self._conn_flow.drain()
+
+    def pause_reading(self) -> None:
+        """Pause or resume reading, whichever the connection needs."""
+        self._update_reading()
+
+    def resume_reading(self) -> None:
+        """Pause or resume reading, whichever the connection needs."""
+        self._update_reading()
+
+
+class RequestTransport:
+    """What the request cycle of the base class writes its answer to.
+
+    :param req: the request.
+    :param transport: transport of the connection.
+    :param end_answers: called with the request if the connection ends with
+        its answer.
+    :param close: called with the request to close the connection.
+    """
+
+    def __init__(
+        self,
+        req: PipelinedRequest,
+        transport: asyncio.Transport,
+        end_answers: Callable[[PipelinedRequest], None],
+        close: Callable[[PipelinedRequest], None],
+    ) -> None:
+        self._req = req
+        self._transport = transport
+        self._end_answers = end_answers
+        self._close = close
+        self._interim = b''
+        req.on_turn = self._write_interim
+
+    def write(self, data: Any) -> None:
+        """Write bytes of the answer.
+
+        :param data: the bytes.
+        """
+        if self._req.withdrawn.done():
+            return
+        if not self._req.has_turn:
+            # Only an interim answer (100) is written before the turn; final
+            # answers wait in the flow control.
+            self._interim += data
+            return
+        if not self._req.cycle.keep_alive:
+            self._end_answers(self._req)
+        self._transport.write(data)
+
+    def is_closing(self) -> bool:
+        """Return whether the answer can't be sent any more."""
+        return self._req.withdrawn.done() or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection with this answer."""
+        self._close(self._req)
+
+    def _write_interim(self) -> None:
+        if self._interim and not self._transport.is_closing():
+            self._transport.write(self._interim)
+            self._interim = b''
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -197,17 +197,26 @@
     def _start_request_server(
         self, address: Address | None, app: Any
     ) -> HttpServer | None:
-        server = self._start_server(address, app)
+        server = self._start_server(address, app, overlaps_requests=True)
         if server is not None:
             server.apply_limits(UNCONFIGURED_LIMITS)
         return server
 
     def _start_server(
-        self, address: Address | None, app: Any
+        self,
+        address: Address | None,
+        app: Any,
+        *,
+        overlaps_requests: bool = False,
     ) -> HttpServer | None:
         if address is None:
             return None
-        server = HttpServer.from_app(app, address.host, address.port)
+        server = HttpServer.from_app(
+            app,
+            address.host,
+            address.port,
+            overlaps_requests=overlaps_requests,
+        )
         self._servers.append(server)
         self._background.spawn(server.serve())
         return server
--- /dev/null
+++ b/src/cuminhoist/request_pipeline.py
@@ -0,0 +1,105 @@
+"""Orders the unanswered requests of one caller's connection."""
+
+import collections
+
+from .pipelined_request import PipelinedRequest
+
+
+class RequestPipeline:
+    """Decides which requests may run, and whose answer may be sent.
+
+    Idempotent requests overlap. One that may run at most once waits until
+    those before it are answered, because an answer before it may end the
+    connection and it must not have run then. Those behind it wait for it,
+    because they may depend on its effect.
+    """
+
+    def __init__(self) -> None:
+        self._requests: collections.deque[PipelinedRequest] = (
+            collections.deque()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of unanswered requests."""
+        return len(self._requests)
+
+    def __contains__(self, req: PipelinedRequest) -> bool:
+        """Tell whether a request is unanswered and not withdrawn.
+
+        :param req: the request.
+        """
+        return req in self._requests
+
+    @property
+    def last(self) -> PipelinedRequest | None:
+        """The unanswered request that was read last, if there is one."""
+        return self._requests[-1] if self._requests else None
+
+    @property
+    def body_bytes(self) -> int:
+        """Body bytes of all unanswered requests."""
+        return sum(req.body_bytes for req in self._requests)
+
+    def add(self, req: PipelinedRequest) -> None:
+        """Add a request that was read behind the others.
+
+        :param req: the request.
+        """
+        self._requests.append(req)
+        self._update()
+
+    def declare(self, req: PipelinedRequest, overlaps: bool) -> None:
+        """Note whether a request may run beside others.
+
+        :param req: the request.
+        :param overlaps: whether it may.
+        """
+        req.overlaps = overlaps
+        self._update()
+
+    def is_first(self, req: PipelinedRequest) -> bool:
+        """Tell whether it is this request's turn.
+
+        :param req: the request.
+        """
+        return bool(self._requests) and self._requests[0] is req
+
+    def complete(self, req: PipelinedRequest) -> None:
+        """Remove the first request, whose answer is complete.
+
+        :param req: the request.
+        """
+        if self.is_first(req):
+            self._requests.popleft()
+            self._update()
+
+    def withdraw_after(self, req: PipelinedRequest) -> None:
+        """Cancel the requests behind one.
+
+        :param req: the request; it stays.
+        """
+        while req in self._requests and self._requests[-1] is not req:
+            self._requests.pop().withdraw()
+
+    def withdraw_from(self, req: PipelinedRequest) -> None:
+        """Cancel a request and those behind it.
+
+        :param req: the request.
+        """
+        if req in self._requests:
+            self.withdraw_after(req)
+            self._requests.pop().withdraw()
+
+    def withdraw_all(self) -> None:
+        """Cancel all requests."""
+        while self._requests:
+            self._requests.pop().withdraw()
+
+    def _update(self) -> None:
+        if self._requests:
+            self._requests[0].allow_start()
+            self._requests[0].give_turn()
+        for index, req in enumerate(self._requests):
+            if not req.overlaps:
+                break
+            req.allow_start()
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -296,7 +296,7 @@
 
     :param app: the application.
     """
-    server = HttpServer.from_app(app, '127.0.0.1', 0)
+    server = HttpServer.from_app(app, '127.0.0.1', 0, overlaps_requests=True)
     serving = asyncio.create_task(server.serve())
     while not server.started:
         await asyncio.sleep(0.01)
