--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -103,7 +103,7 @@
                 return
             self._count_head()
         if data and self._reading_ended:
-            self._has_dropped = True
+            self._expects_more = True
         if self._head.begun:
             self._start_timer()
         else:
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -41,8 +41,8 @@
         self._unparsed = b''
         #: Whether received bytes are dropped: the connection ends.
         self._reading_ended = False
-        #: Whether received bytes have been dropped.
-        self._has_dropped = False
+        #: Whether the caller has sent bytes behind the last answer, or may.
+        self._expects_more = False
         #: Whether a request on this connection has been answered.
         self._has_answered = False
 
@@ -73,6 +73,8 @@
         """Hand a request to the application, whether or not others run."""
         former = self.cycle
         self._request = req
+        # A caller that pipelines may send more before it reads an answer.
+        self._expects_more = self._expects_more or bool(self._pipeline)
         # The base class would queue the request behind this cycle.
         self.cycle = None  # type: ignore[assignment]
         try:
@@ -137,7 +139,7 @@
             self._abort_answer(req)
             return
         self._end_with(req)
-        if req.cycle.more_body or self._has_dropped:
+        if req.cycle.more_body or self._expects_more:
             self._half_close()
         else:
             self.transport.close()
@@ -176,7 +178,7 @@
         self._update_reading()
 
     def _drop_unparsed(self) -> None:
-        self._has_dropped = self._has_dropped or bool(self._unparsed)
+        self._expects_more = self._expects_more or bool(self._unparsed)
         self._unparsed = b''
 
     def _half_close(self) -> None:
