--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -11,7 +11,6 @@
 from returns.result import Success
 
 from ..exceptions import LocalProtocolError
-from ..exchange import Headers
 from ..logging_setup import logger
 from ..problems import Refusal
 from ..steering.decisions import (
@@ -25,13 +24,13 @@
 from ..steering.targets import TargetEntry
 from ..types import Ran, Reason
 from . import refusals
+from .answer_sender import AnswerSender
 from .answers import (
     Send,
     TargetAnswer,
-    send_answer,
     send_refusal,
 )
-from .attempt import AttemptOutcome, AttemptSender, abort, headers_for_caller
+from .attempt import AttemptOutcome, AttemptSender, abort
 from .authentication import Authenticator
 from .bodies import BodyTooLarge, CallerDisconnected, Receive, RequestBody
 from .crash_detector import CrashDetector
@@ -42,7 +41,7 @@
 from .request_metrics import RequestMetrics
 from .request_recorder import RequestRecorder
 from .request_state import RequestState, RoutingState
-from .retry_policy import MIN_ATTEMPT_S, RetryPolicy
+from .retry_policy import RetryPolicy
 from .routes import RepeatPolicy
 from .target_connections import TargetConnections
 from .target_pause_log import TargetPauseLog
@@ -100,7 +99,7 @@
         )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
-        self._pacer = connections.pacer
+        self._answer_sender = AnswerSender(wire, connections.pacer, now)
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
@@ -144,10 +143,12 @@
             scope['state']['abort']()
 
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        pipelined = scope['state']['pipelined_request']
         req = self._wire.decode_request(scope)
         accepted = self._acceptance.accept(req, scope)
         if not isinstance(accepted, Success):
             refusal = accepted.failure()
+            pipelined.declare(overlaps=True)
             self._recorder.record_refusal(req, refusal)
             await send_refusal(
                 refusal,
@@ -163,6 +164,9 @@
         body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
+            overlaps = state.route.repeat is RepeatPolicy.idempotent
+            if not await pipelined.wait_to_start(overlaps=overlaps):
+                raise CallerDisconnected
             if req.has_body:
                 await body.fill_buffer(req.body_bytes or 0)
             outcome = await self._place_and_send(state, body, scope, send)
@@ -173,7 +177,7 @@
         except BodyTooLarge:
             outcome = await self._refuse_body(body, send)
         finally:
-            self._recorder.record_request(state, outcome)
+            self._recorder.record_request(state, outcome, pipelined)
 
     def _body_limit(self) -> int:
         routes = self.routing_state.routes
@@ -429,8 +433,7 @@
     ) -> str:
         failed = state.failed_answer
         if failed is not None and failed.body_complete:
-            headers = headers_for_caller(self._wire, failed)
-            await send_answer(failed, headers, send, self._pacer)
+            await self._answer_sender.send_buffered(failed, send)
             return f'answered-{failed.status}'
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
@@ -455,18 +458,7 @@
         scope: Any,
         send: Send,
     ) -> str:
-        headers: Headers = headers_for_caller(self._wire, answer)
-        try:
-            async with asyncio.timeout(
-                max(state.ends_at - self._now(), MIN_ATTEMPT_S),
-            ):
-                await send_answer(answer, headers, send, self._pacer)
-        except (Exception, asyncio.CancelledError) as exc:
-            # The connection is reset, so that the caller does not mistake a
-            # truncated answer for a complete one.
-            abort(answer.exchange)
-            scope['state']['abort']()
-            state.trail.append(f'answer cut: {exc!r}')
+        if not await self._answer_sender.pass_on(state, answer, scope, send):
             return 'cut'
         if answer.status < _MIN_SERVER_ERROR:
             # A target that is busy answers 504 to a request that never ran.
