Log load headers that can't be parsed once for each target

They were dropped without a trace, so that an operator could not tell why a target counted as one that sends no load. Negative counts and a speed of zero count as invalid now.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -45,6 +45,8 @@
     :param connection_lost: whether the connection closed before the end of
         the answer.
     :param load: load of the target; None if its answer does not tell.
+    :param odd_load: the text of a load header that can't be parsed, for the
+        log; empty otherwise.
     """
 
     ending: Ending
@@ -57,6 +59,7 @@
     limit_per_s: float | None = None
     connection_lost: bool = False
     load: TargetLoad | None = None
+    odd_load: str = ''
 
 
 class AttemptSender:
@@ -178,6 +181,7 @@
                     None if metadata.misdirected else metadata.limit_per_s
                 ),
                 load=None if metadata.misdirected else metadata.load,
+                odd_load='' if metadata.misdirected else metadata.odd_load,
             )
         failed = answer.status >= _MIN_FAILURE_STATUS
         if not failed and not metadata.stamped:
@@ -198,6 +202,7 @@
             odd_pause=metadata.odd_pause,
             limit_per_s=metadata.limit_per_s,
             load=metadata.load,
+            odd_load=metadata.odd_load,
         )
 
     def _release_connection(
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -52,6 +52,12 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
+        self.odd_loads = Counter(
+            'cuminhoist_invalid_load_headers',
+            'Load headers of targets that could not be parsed, by service.',
+            ('service',),
+            registry=self.registry,
+        )
         self.leaving_notices = Counter(
             'cuminhoist_leaving_notices',
             'New notices of leaving targets: from an answer, or from control '
--- a/src/cuminhoist/gateway/target_pause_log.py
+++ b/src/cuminhoist/gateway/target_pause_log.py
@@ -1,9 +1,10 @@
-"""Counts and logs the pauses that targets ask an entry instance for."""
+"""Counts and logs pauses that targets ask for, and invalid load headers."""
 
 from collections.abc import Callable
 
 from ..logging_setup import logger
 from .attempt import AttemptOutcome
+from .load_header_log import LoadHeaderLog
 from .request_metrics import RequestMetrics
 
 #: Interval between two lines about odd pauses, in seconds. A faulty target
@@ -16,7 +17,9 @@
 class TargetPauseLog:
     """Counts and logs the pauses of targets for one entry instance.
 
-    :param metrics: counts the pauses.
+    Load headers that can't be parsed are logged as well.
+
+    :param metrics: counts the pauses and the headers.
     :param now: returns monotonic time in seconds.
     """
 
@@ -26,6 +29,7 @@
         self._metrics = metrics
         self._now = now
         self._odd_logged_at = float('-inf')
+        self._load_headers = LoadHeaderLog(metrics)
 
     def record(
         self,
@@ -36,7 +40,7 @@
         *,
         pausing: bool,
     ) -> None:
-        """Record the pause of an attempt, if there is one.
+        """Record the pause and the invalid load of an attempt, if any.
 
         :param request_id: identity of the request.
         :param service: service of the target.
@@ -45,6 +49,7 @@
         :param pausing: whether the target paused before; only the answer that
             starts a pause is logged.
         """
+        self._load_headers.record(request_id, service, target, outcome.odd_load)
         if outcome.odd_pause:
             self._count(service, 'bounded' if outcome.pause_s else 'ignored')
             self._log_odd(request_id, service, target, outcome)
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -57,6 +57,8 @@
         request.
     :param misdirected: whether another target has the address now.
     :param load: load of the target; None if the answer does not tell.
+    :param odd_load: the text of a load header that can't be parsed, for the
+        log; empty otherwise.
     :param closes_connection: whether the target closes the connection.
     :param target_leaving: whether the target is about to stop and must not
         get new requests.
@@ -81,6 +83,7 @@
     limit_per_s: float = float('inf')
     idle_timeout_s: float | None = None
     stamped: bool = True
+    odd_load: str = ''
 
 
 class WireFormat(abc.ABC):
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -49,8 +49,10 @@
 _ENCODING = 'latin-1'
 _MS = 1000
 _PERCENT = 100
-#: Counts in the load of a target; a percentage may follow.
-_LOAD_COUNTS = 3
+#: Three counts, and perhaps a percentage above zero, of at most nine digits.
+_COUNTS = re.compile(
+    rb'(\s*\d{1,9}\s*,){2}\s*\d{1,9}\s*(,\s*(?=0*[1-9])\d{1,9}\s*)?'
+)
 
 #: Hop-by-hop headers; they are not passed on.
 _CONNECTION_HEADERS = frozenset(
@@ -163,10 +165,12 @@
         headers_by_name = dict(headers)
         misdirected = status == _MISDIRECTED_STATUS
         pause_s, odd_pause = _pause(status, headers_by_name)
+        load, odd_load = _target_load(headers_by_name.get(_LOAD, b''))
         return AnswerMetadata(
             not_run=misdirected or _NOT_RUN in headers_by_name,
             misdirected=misdirected,
-            load=_target_load(headers_by_name.get(_LOAD, b'')),
+            load=load,
+            odd_load=odd_load,
             closes_connection=(
                 b'close' in headers_by_name.get(b'connection', b'').lower()
             ),
@@ -235,16 +239,17 @@
     return api_key.strip() if scheme.lower() == _BEARER else ''
 
 
-def _target_load(text: bytes) -> TargetLoad | None:
-    parts = text.split(b',')
-    if len(parts) not in {_LOAD_COUNTS, _LOAD_COUNTS + 1}:
-        return None
-    try:
-        running, waiting, slots, *percent = (int(part) for part in parts)
-    except ValueError:
-        return None
-    slowdown = percent[0] / _PERCENT if percent and percent[0] > 0 else None
-    return TargetLoad(running, waiting, slots, slowdown)
+def _target_load(text: bytes) -> tuple[TargetLoad | None, str]:
+    """Return the load, and its text if it can't be parsed."""
+    if not text.strip():
+        return None, ''
+    if not _COUNTS.fullmatch(text):
+        return None, text[:_LOGGED_TEXT_BYTES].decode(_ENCODING)
+    running, waiting, slots, *percent = (
+        int(count) for count in text.split(b',')
+    )
+    slowdown = percent[0] / _PERCENT if percent else None
+    return TargetLoad(running, waiting, slots, slowdown), ''
 
 
 def _pause(
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -214,3 +214,22 @@
     workspaces = [text for name, text in head.headers if name == b'x-tenant']
     assert workspaces == [b'own']
     assert b'authorization' not in dict(head.headers)
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['3,1', '3,1,9,0', '3,1,9,1,1', '-3,1,9', '3,1,9,-20', '3,1,9,1e9', ',,'],
+)
+def test_odd_load_is_kept_for_the_log(text):
+    """Guards against loads read from a header of another form."""
+    metadata = PlatformWire().read_metadata(
+        200, [(b'x-server-load', text.encode())]
+    )
+    assert metadata.load is None
+    assert metadata.odd_load == text
+
+
+def test_proper_or_missing_load_is_not_logged():
+    """Guards against lines about targets that send no load."""
+    for headers in ([], [(b'x-server-load', b'3, 1, 9, 80')]):
+        assert not PlatformWire().read_metadata(200, headers).odd_load
