Emulate targets of unlike speed, with a knee, noise and heavy tails

Targets of the emulator were alike and their run times did not depend on the requests that run, so that replays could not show what a learned limit or the told speed is worth. The bound counts the work that such targets can do.

--- a/src/cuminhoist/emulator/bound.py
+++ b/src/cuminhoist/emulator/bound.py
@@ -6,7 +6,7 @@
 
 import math
 
-from .patterns import Pattern
+from .patterns import Pattern, UnevenTargets
 
 #: Time step of the numerical integration, in seconds.
 STEP_S = 0.1
@@ -41,7 +41,24 @@
 
     :param pattern: the load pattern.
     """
-    return _capacity_fraction(pattern) - _unavoidable_late_fraction(pattern)
+    in_time = _capacity_fraction(pattern) - _unavoidable_late_fraction(pattern)
+    return in_time * (1 - _late_tail_fraction(pattern))
+
+
+def _late_tail_fraction(pattern: Pattern) -> float:
+    """Return the fraction that is late because its run takes much longer.
+
+    Each request runs once. A cache hit at the fastest target is assumed.
+    """
+    uneven = pattern.uneven
+    if uneven is None:
+        return 0
+    hit_s = pattern.work.cold_s * pattern.work.warm_part
+    shortest_s = hit_s * uneven.min_factor * uneven.tail_factor
+    in_time = _probability_below(
+        pattern.callers.objective_s / shortest_s, pattern.work.spread
+    )
+    return uneven.tail_part * (1 - in_time)
 
 
 def _unavoidable_late_fraction(pattern: Pattern) -> float:
@@ -114,7 +131,23 @@
         if overloaded.at_s <= now < overloaded.at_s + overloaded.for_s:
             unused_fraction = 1 - overloaded.slots / work.slots
             working_fraction -= overloaded.part * unused_fraction
-    return slots * working_fraction / (work.cold_s * work.warm_part)
+    speed = _mean_speed(pattern.uneven) if pattern.uneven else 1
+    return slots * working_fraction * speed / (work.cold_s * work.warm_part)
+
+
+def _mean_speed(uneven: UnevenTargets) -> float:
+    """Return the speed of all targets relative to usual ones.
+
+    Beyond the knee, more requests at a target get no more work done. The mean
+    of the speeds is that of factors whose logarithms are spread evenly.
+    """
+    span = math.log(uneven.max_factor / uneven.min_factor)
+    speed = float(1) / uneven.min_factor
+    if span:
+        speed = (1 / uneven.min_factor - 1 / uneven.max_factor) / span
+    noisy = 1 - uneven.noise_part * (1 - 1 / uneven.noise_factor)
+    tail = 1 + uneven.tail_part * (uneven.tail_factor - 1)
+    return uneven.knee * speed * noisy / tail
 
 
 def _accepted_fraction(pattern: Pattern, now: float) -> float:
--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -203,12 +203,41 @@
     connections: CutConnections
 
 
+class UnevenTargets(msgspec.Struct, frozen=True, kw_only=True):
+    """How the run times of targets differ and vary.
+
+    :param min_factor: run time of the fastest target relative to the usual
+        one.
+    :param max_factor: run time of the slowest target relative to the usual
+        one.
+    :param knee: fraction of the slots from which run times grow in proportion
+        to the number of requests that run.
+    :param noise_part: fraction of the targets that are noisy at any moment,
+        as others use their machines.
+    :param noise_factor: factor of the run time of noisy targets.
+    :param noise_s: mean time for which a target is noisy, in seconds.
+    :param tail_part: fraction of the runs that take much longer.
+    :param tail_factor: factor of the run time of these.
+    """
+
+    min_factor: float = 1
+    max_factor: float = 1
+    knee: float = 1
+    noise_part: float = 0
+    noise_factor: float = 2.5
+    noise_s: float = 0.6
+    tail_part: float = 0
+    tail_factor: float = 7
+
+
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
     """A load pattern to replay.
 
     :param answers: situation that the pattern represents.
     :param length_s: how long requests arrive, in seconds.
     :param region_s: one-way network delay between regions, in seconds.
+    :param uneven: how the run times of targets differ; None for targets that
+        are alike and do not tell their speed.
     """
 
     name: str
@@ -226,6 +255,7 @@
     limiting: tuple[Limiting, ...] = ()
     poison: tuple[PoisonRequest, ...] = ()
     cuts: tuple[Cut, ...] = ()
+    uneven: UnevenTargets | None = None
 
 
 def load_pattern(path: pathlib.Path) -> Result[Pattern, FieldError]:
--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -32,10 +32,12 @@
 from .disturbances import schedule_disturbances
 from .emulated_entry import EmulatedEntry
 from .entry_instances import TARGET_RTT_S, EntryInstances
+from .machines import Machine
 from .notices import RegionNotices
 from .patterns import CutConnections, Pattern
 from .poison import RUN_S, PoisonArrivals, schedule_poison
 from .report import Outcome, Report
+from .noise import add_machines, schedule_noise
 from .targets import SERVICE, EmulatedTarget, Job
 
 #: Round-trip time between a caller and its entry instance, in seconds.
@@ -57,6 +59,8 @@
 MAX_RETRY_TOKENS = 8.0
 #: Endings after which an instance may have another one serve the request.
 _LOST_CONNECTION = frozenset((Ending.lost, Ending.unreachable))
+#: Endings with an answer that tells the load of the target.
+_TOLD_LOAD = frozenset((Ending.answered, Ending.shed, Ending.declined))
 #: Endings that may be the fault of the path to the target.
 _FAILURES = _LOST_CONNECTION | {Ending.timeout}
 
@@ -104,6 +108,7 @@
 
     def __init__(self, pattern: Pattern, seed: int) -> None:
         self.now = float(0)
+        self._seed = seed
         self._pattern = pattern
         self._rng = random.Random(seed)  # noqa: S311
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -120,6 +125,7 @@
         self.targets = {
             target.entry.name: target for target in self._make_targets()
         }
+        add_machines(pattern, self.targets, seed)
         self._entries = EntryInstances(
             pattern, seed, self._schedule_after, self._listed_targets
         )
@@ -160,6 +166,13 @@
         schedule_poison(
             pattern, self._rng, self._schedule_at, self._send_poison
         )
+        schedule_noise(
+            pattern,
+            self.targets,
+            self._change_noise,
+            self._schedule_at,
+            self._seed,
+        )
         self._update_targets()
         self._tick()
         while self._events:
@@ -175,6 +188,15 @@
         self.report.poison_sent_on = self._poison.excess
         return self.report
 
+    def _change_noise(
+        self,
+        target: EmulatedTarget,
+        machine: Machine,
+        noisy: bool,  # noqa: FBT001
+    ) -> None:
+        machine.set_noise(self.now, noisy=noisy)
+        self._schedule_next_end(target, machine)
+
     def _send_poison(self, region: str, content: str, down_s: float) -> None:
         caller = _WaitingCaller(
             region,
@@ -405,8 +427,33 @@
             self._schedule_after(RUN_S, lambda: self._crash(job, target))
             return
         run_s = target.run_s(job.key)
+        if target.machine is not None:
+            target.machine.start(job.number, run_s, self.now)
+            self._schedule_next_end(target, target.machine)
+            return
         self._schedule_after(run_s, lambda: self._finish_run(job, target))
 
+    def _schedule_next_end(
+        self, target: EmulatedTarget, machine: Machine
+    ) -> None:
+        """Schedule the end of the request that ends first as things are."""
+        next_end = machine.next_end()
+        if next_end is None:
+            return
+        number, left_s = next_end
+        version = machine.version
+
+        def end_run() -> None:
+            if machine.version != version:
+                return
+            job = target.job(number)
+            machine.stop(number, self.now)
+            if job is not None:
+                self._finish_run(job, target)
+            self._schedule_next_end(target, machine)
+
+        self._schedule_after(left_s, end_run)
+
     def _crash(self, cause: Job, target: EmulatedTarget) -> None:
         if not target.runs(cause):
             return
@@ -465,6 +512,7 @@
             self.now + delay_s - job.sent_at,
             pause_s=pause_s,
             limit_per_s=target.limit_per_s or UNLIMITED,
+            load=target.load() if ending in _TOLD_LOAD else None,
         )
 
     def _handle_answer(
--- a/src/cuminhoist/emulator/targets.py
+++ b/src/cuminhoist/emulator/targets.py
@@ -6,9 +6,11 @@
 import msgspec
 
 from ..fleet.instance_config import Address
+from ..steering.target_load import TargetLoad
 from ..steering.targets import TargetEntry, TargetState
 from .emulated_entry import EmulatedEntry
 from .limits import LimitedArrivals
+from .machines import Machine
 from .patterns import Overloaded, Pattern, Work
 
 SERVICE = 'service'
@@ -80,6 +82,9 @@
             state=TargetState.ready,
         )
         self.region = region
+        #: Runs its requests; None if run times are known when they start.
+        self.machine: Machine | None = None
+        self._uneven = pattern.uneven
         self.work: Work = pattern.work
         self.slowdown = float(1)
         self.declined_fraction = float(0)
@@ -151,8 +156,22 @@
         if key in self._cached:
             mean *= self.work.warm_part
         run_factor = self._rng.gauss(1, self.work.spread)
+        uneven = self._uneven
+        if uneven is not None and self._rng.random() < uneven.tail_part:
+            run_factor *= uneven.tail_factor
         return mean * self.slowdown * max(run_factor, 0.1)
 
+    def load(self) -> TargetLoad | None:
+        """Return the load that its answers tell; None if they do not."""
+        if self.machine is None:
+            return None
+        return TargetLoad(
+            len(self._running),
+            len(self._waiting),
+            self.work.slots,
+            self.machine.slowdown,
+        )
+
     def runs(self, job: Job) -> bool:
         """Tell whether a request still runs, as the target has not ended.
 
@@ -160,6 +179,13 @@
         """
         return job.number in self._running
 
+    def job(self, number: int) -> Job | None:
+        """Return a request that runs; None if it has ended.
+
+        :param number: number of the placement request.
+        """
+        return self._running.get(number)
+
     def finish(self, job: Job) -> Job | None:
         """End a run and return the queued request that starts next, if any.
 
