--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -223,7 +223,7 @@
         )
         self.disturbed_own_slots = 0
         for tracked in targets.values():
-            tracked.share_holders(self.history.holders)
+            tracked.cache.share_holders(self.history.holders)
 
     def options(
         self,
--- a/src/cuminhoist/steering/run_time_learning.py
+++ b/src/cuminhoist/steering/run_time_learning.py
@@ -45,7 +45,7 @@
     if not expected_hit and was_hit:
         # The target had cached the object, which was not expected.
         return _ratio(run_s, times.hit_run_s)
-    cache_full = target.is_cache_full(times.cache_capacity)
+    cache_full = target.cache.is_full(times.cache_capacity)
     # A full cache may have evicted the object; the target is then not slow.
     missed = not was_hit and cache_full
     expected = times.hit_run_s
@@ -73,12 +73,12 @@
     if expected_hit:
         times.record_cached_object(
             was_hit=was_hit,
-            cache_full=target.is_cache_full(times.cache_capacity),
+            cache_full=target.cache.is_full(times.cache_capacity),
         )
     else:
         remote = target.region != queue.placement.region
         times.record_presumed_object(was_hit=was_hit, remote=remote)
-    target.cache_capacity = times.cache_capacity
+    target.cache.capacity = times.cache_capacity
 
 
 def _ratio(run_s: float, expected_s: float) -> float:
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -2,24 +2,13 @@
 
 import collections
 
+from .cached_objects import CachedObjects
 from .decisions import Ending
 from .overload_detector import OverloadDetector
+from .target_ejection import SMOOTHING, TargetEjection
 from .target_limits import UNLIMITED, RequestRate
 from .targets import TargetEntry
 
-#: Weight of a new observation in moving averages.
-SMOOTHING = 0.2
-#: A target is ejected above this fraction of failed requests.
-MAX_FAILURE_FRACTION = 0.5
-#: Number of consecutive failures after which a target is ejected.
-MAX_CONSECUTIVE_FAILURES = 3
-#: Duration of the first ejection and the longest one, in seconds. A crashed
-#: target stays on the target list for some seconds.
-MIN_EJECTION_S = 0.4
-MAX_EJECTION_S = 3.0
-#: Pause after a target shed a request, in seconds. Its queue is full, and the
-#: shortest run takes about this long.
-SHED_PAUSE_S = 0.06
 #: A target counts as disturbed if its runs take longer than expected by more
 #: than this factor.
 DISTURBED_SLOWDOWN = 2.0
@@ -32,8 +21,6 @@
 #: Targets that have cached or are loading an object, by object and name.
 ObjectHolders = dict[str, dict[str, 'TrackedTarget']]
 
-_FAILURES = frozenset((Ending.failed, Ending.lost, Ending.timeout))
-
 
 class SlotPool:
     """Slots of one region that one dispatcher may use.
@@ -77,13 +64,13 @@
         self.running = 0
         #: True until the target is sent a request or answers one.
         self.untried = True
-        self.cache_capacity = float('inf')
+        self.cache = CachedObjects(entry.name, self)
         #: Number of requests that wait for a slot of this target.
         self.queued = 0
         self.expected_run_s = float(0)
         self.warmup_until = float('-inf')
         self.warmup_rate_per_s = float('inf')
-        self.ejected_until = float('-inf')
+        self._ejection = TargetEjection()
         #: Whether so many targets are ejected that ejection is ignored.
         self.panic_mode = False
         #: Until when no entry instance sends requests, because the target
@@ -92,46 +79,22 @@
         self._overload_detector = OverloadDetector()
         # Holds back requests while the target names a limit.
         self._request_rate: RequestRate | None = None
-        self._next_ejection_s = MIN_EJECTION_S
-        self._failure_ejection_until = float('-inf')
-        self._failure_fraction = float(0)
-        self._consecutive_failures = 0
         self._run_time_ratio = float(1)
         self._run_time_ratio_at = float('-inf')
         self._warmup_tokens = float(1)
         self._warmup_tokens_at = float('-inf')
-        self._loading_since: dict[str, float] = {}
         self._running_since: collections.deque[float] = collections.deque()
-        self._cached: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
-        self._holders: ObjectHolders = {}
 
     def has_cached(self, key: str) -> bool:
         """Tell whether the target is taken to have cached an object.
 
         :param key: identity of the object.
         """
-        return key in self._cached
-
-    def share_holders(self, holders: ObjectHolders) -> None:
-        """Record the objects of this target in an index of all targets.
-
-        :param holders: the index.
-        """
-        if holders is self._holders:
-            return
-        self._holders = holders
-        for key in (*self._cached, *self._loading_since):
-            self._record_holder(key)
+        return key in self.cache
 
     def forget_objects(self) -> None:
-        """Remove a target that is no longer used from the index."""
-        for key in (*self._cached, *self._loading_since):
-            names = self._holders.get(key, {})
-            if names.get(self.entry.name) is self:
-                names.pop(self.entry.name)
-        self._holders = {}
+        """Remove a target that is no longer used from the index of objects."""
+        self.cache.forget()
 
     def is_warming_up(self, now: float) -> bool:
         """Tell whether the target is still warming up.
@@ -140,13 +103,6 @@
         """
         return now < self.warmup_until
 
-    def is_cache_full(self, cache_capacity: float) -> bool:
-        """Tell whether the cache of the target is about full.
-
-        :param cache_capacity: estimated cache capacity, in objects.
-        """
-        return len(self._cached) >= cache_capacity - 2
-
     def is_disturbed(self, now: float) -> bool:
         """Tell whether the target keeps failing or is much too slow.
 
@@ -155,9 +111,7 @@
 
         :param now: monotonic time in seconds.
         """
-        if now < self._failure_ejection_until:
-            return True
-        if self._consecutive_failures >= MAX_CONSECUTIVE_FAILURES:
+        if self._ejection.is_for_failures(now):
             return True
         return self.current_run_time_ratio(now) > DISTURBED_SLOWDOWN
 
@@ -228,14 +182,14 @@
         slowdown = max(
             self.current_run_time_ratio(now), self._overdue_ratio(now)
         )
-        return slowdown * factor / max(1 - self._failure_fraction, 0.2)
+        return slowdown * factor / max(1 - self._ejection.failure_fraction, 0.2)
 
     def working_fraction(self, now: float) -> float:
         """Return the fraction of its slots that does useful work.
 
         :param now: monotonic time in seconds.
         """
-        if now < max(self.ejected_until, self._overloaded_until):
+        if now < max(self._ejection.until, self._overloaded_until):
             return 0
         fraction = min(1 / self.slowdown(now), 1)
         if self._request_rate is None:
@@ -258,9 +212,7 @@
         if now < self.warmup_until:
             self._warmup_tokens = self._available_warmup_tokens(now) - 1
             self._warmup_tokens_at = now
-        if key and key not in self._cached:
-            self._loading_since.setdefault(key, now)
-            self._record_holder(key)
+        self.cache.start_loading(key, now)
 
     def wait_s(self, run_s: float, now: float) -> float:
         """Return the estimated wait of a request that arrives now.
@@ -273,7 +225,7 @@
         if self.has_free_slot(now) and not self.queued:
             return 0
         ahead = self.queued + 1
-        ejected_s = max(self.ejected_until - now, 0)
+        ejected_s = max(self._ejection.until - now, 0)
         if self.panic_mode:
             ejected_s = 0
         ejected_s = max(self._overloaded_until - now, ejected_s)
@@ -296,11 +248,8 @@
         :param now: monotonic time in seconds.
         :returns: seconds; None if no request for the object runs there.
         """
-        started_at = self._loading_since.get(key)
-        if started_at is None:
-            return None
-        left_s = miss_run_s * self.slowdown(now) - (now - started_at)
-        return max(left_s, miss_run_s * 0.1)
+        load_s = miss_run_s * self.slowdown(now)
+        return self.cache.loading_left_s(key, load_s, miss_run_s, now)
 
     def end(
         self,
@@ -320,18 +269,12 @@
         self.pool.running = max(self.pool.running - 1, 0)
         if self._running_since:
             self._running_since.popleft()
-        if self._loading_since.pop(key, None) is not None:
-            self._remove_holder(key)
+        self.cache.end_loading(key)
         if ending is Ending.answered:
-            self._add_cached(key)
+            self.cache.add(key)
             self._record_answer(ratio, now)
-        elif ending in _FAILURES:
-            self._record_failure(now)
-        elif ending is Ending.shed:
-            self.ejected_until = max(self.ejected_until, now + SHED_PAUSE_S)
-        elif ending in {Ending.unreachable, Ending.misdirected}:
-            self._consecutive_failures = MAX_CONSECUTIVE_FAILURES
-            self._eject(now)
+        else:
+            self._ejection.record_failure(ending, now)
 
     def record_pause(
         self, entry_instance: str, pause_s: float, now: float
@@ -355,29 +298,9 @@
         :param now: monotonic time in seconds.
         """
         self.untried = False
-        self._add_cached(key)
+        self.cache.add(key)
         self._record_answer(ratio, now)
 
-    def _add_cached(self, key: str) -> None:
-        if not key:
-            return
-        self._cached[key] = None
-        self._cached.move_to_end(key)
-        self._record_holder(key)
-        while len(self._cached) > self.cache_capacity:
-            evicted, _ = self._cached.popitem(last=False)
-            self._remove_holder(evicted)
-
-    def _record_holder(self, key: str) -> None:
-        self._holders.setdefault(key, {})[self.entry.name] = self
-
-    def _remove_holder(self, key: str) -> None:
-        if key in self._cached or key in self._loading_since:
-            return
-        names = self._holders.get(key, {})
-        if names.get(self.entry.name) is self:
-            names.pop(self.entry.name)
-
     def is_ejected(self, now: float) -> bool:
         """Tell whether the target is ejected or pauses after a shed request.
 
@@ -386,15 +309,12 @@
 
         :param now: monotonic time in seconds.
         """
-        if now < self.ejected_until:
+        if now < self._ejection.until:
             return True
-        failing = self._consecutive_failures >= MAX_CONSECUTIVE_FAILURES
-        return failing and self.running > 0
+        return self._ejection.keeps_failing and self.running > 0
 
     def _record_answer(self, ratio: float, now: float) -> None:
-        self._consecutive_failures = 0
-        self._failure_fraction *= 1 - SMOOTHING
-        self._next_ejection_s = MIN_EJECTION_S
+        self._ejection.record_answer()
         self._run_time_ratio = self.current_run_time_ratio(now)
         self._run_time_ratio += SMOOTHING * (
             min(ratio, 20) - self._run_time_ratio
@@ -419,22 +339,6 @@
         # start time. The result is thus a lower bound.
         return (now - self._running_since[0]) / self.expected_run_s / 2
 
-    def _record_failure(self, now: float) -> None:
-        self._consecutive_failures += 1
-        self._failure_fraction += SMOOTHING * (1 - self._failure_fraction)
-        if (
-            self._consecutive_failures >= MAX_CONSECUTIVE_FAILURES
-            or self._failure_fraction > MAX_FAILURE_FRACTION
-        ):
-            self._eject(now)
-
-    def _eject(self, now: float) -> None:
-        if now < self.ejected_until:
-            return
-        self.ejected_until = now + self._next_ejection_s
-        self._failure_ejection_until = self.ejected_until
-        self._next_ejection_s = min(self._next_ejection_s * 2, MAX_EJECTION_S)
-
     def _available_warmup_tokens(self, now: float) -> float:
         elapsed = now - self._warmup_tokens_at
         if elapsed == float('inf'):
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -98,7 +98,7 @@
     """Guards against an index that grows with all objects ever seen."""
     placement = Placement(_targets(30), REGION)
     tracked = placement.targets['t0']
-    tracked.cache_capacity = 2
+    tracked.cache.capacity = 2
     for key in ('a', 'b', 'c'):
         tracked.start(key, 0)
         tracked.end(Ending.answered, key, 1, 0)
