Estimate answers with the learned and the told speed of targets

The estimate of an answer used one smoothed ratio for each target. A single run that took seven times as long raised it, marked the target as disturbed and could raise the limit on shifts; a target that had just told that it is slow was used like any other.

--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -8,6 +8,7 @@
 from .decisions import PlacementRequest
 from .placement import Option, Placement, RunTimes
 from .target_pauses import TargetPauses
+from .target_speed import SpeedNews
 from .tracked_target import TrackedTarget
 
 #: Least weight of a new observation in the run times of a service.
@@ -80,6 +81,7 @@
         self.placement = Placement({}, '')
         self.waiting: collections.deque[WaitingRequest] = collections.deque()
         self.run_times = RunTimes()
+        self.speed_news = SpeedNews()
 
     @property
     def targets(self) -> dict[str, TrackedTarget]:
--- a/src/cuminhoist/steering/run_time_learning.py
+++ b/src/cuminhoist/steering/run_time_learning.py
@@ -1,5 +1,7 @@
 """Learns run times and cache results of a service from attempt reports."""
 
+import msgspec
+
 from .decisions import AttemptReport, Ending
 from .queues import INITIAL_MISS_RUN_FRACTION, SMOOTHING, ServiceQueue
 from .tracked_target import TrackedTarget
@@ -12,6 +14,47 @@
 MISS_LIKE_RATIO = 1.35
 
 
+class _Conditions(msgspec.Struct, frozen=True):
+    """What made a run longer or shorter than one on a usual target.
+
+    :param usual_ratio: run time of the target relative to its service's.
+    :param slowdown: mean slowdown of its machine during the run.
+    """
+
+    usual_ratio: float = 1
+    slowdown: float = 1
+
+    @property
+    def total(self) -> float:
+        """Expected run time relative to that of a usual target."""
+        return self.usual_ratio * self.slowdown
+
+    def record_run(
+        self,
+        target: TrackedTarget,
+        report: AttemptReport,
+        ratio: float,
+        now: float,
+    ) -> None:
+        """Record a run time in the learned speed of its target.
+
+        Only requests with an expected cache hit, or without an object, are
+        recorded: otherwise a cache hit at a slow target could be mistaken for
+        a miss at a fast one. Unexpected misses are few.
+
+        :param target: target of the attempt.
+        :param report: the attempt report.
+        :param ratio: run time relative to the one expected at this target.
+        :param now: monotonic time in seconds.
+        """
+        if (
+            target.speed is not None
+            and report.ending is Ending.answered
+            and not target.is_warming_up(now)
+        ):
+            target.speed.add_run(ratio * self.usual_ratio, now)
+
+
 def learn_run_time(
     queue: ServiceQueue,
     target: TrackedTarget,
@@ -30,12 +73,17 @@
     times = queue.run_times
     run_s = max(report.run_s - target.extra_rtt_s, 0)
     queue.init_run_times(run_s / INITIAL_MISS_RUN_FRACTION)
+    conditions = _conditions(queue, target, report, run_s, now)
     if not times.miss_run_s:
         # No run time is known yet, and this one is zero after subtracting
         # the network round trip.
         return 1
     if report.ending is Ending.answered:
         times.mean_s += SMOOTHING * (run_s - times.mean_s)
+    run_s /= conditions.total
+    if expected_hit or not report.key:
+        usual_s = times.hit_run_s if report.key else times.mean_s
+        conditions.record_run(target, report, _ratio(run_s, usual_s), now)
     was_hit = run_s < (times.hit_run_s + times.miss_run_s) / 2
     # At a slow target, a long run time is no evidence of a cache miss.
     miss_like = 1 / MISS_LIKE_RATIO < run_s / times.miss_run_s < MISS_LIKE_RATIO
@@ -59,10 +107,30 @@
         ratio = 1
     is_usual = not target.is_warming_up(now) and ratio < OUTLIER_RATIO
     if report.ending is Ending.answered and is_usual:
-        queue.add_run_time(run_s, expected_hit=expected_hit)
+        queue.add_run_time(
+            run_s * conditions.usual_ratio, expected_hit=expected_hit
+        )
     return ratio
 
 
+def _conditions(
+    queue: ServiceQueue,
+    target: TrackedTarget,
+    report: AttemptReport,
+    run_s: float,
+    now: float,
+) -> _Conditions:
+    if report.load is None or report.load.slowdown is None:
+        return _Conditions()
+    speed = target.learn_speed(queue.speed_news)
+    told = report.load.slowdown
+    conditions = _Conditions(
+        speed.usual_ratio(now), speed.slowdown_during(told, run_s, now)
+    )
+    speed.told(told, now)
+    return conditions
+
+
 def _learn_cache_result(
     queue: ServiceQueue,
     target: TrackedTarget,
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -7,6 +7,7 @@
 from .overload_detector import OverloadDetector
 from .target_ejection import SMOOTHING, TargetEjection
 from .target_limits import UNLIMITED, RequestRate
+from .target_speed import SpeedNews, TargetSpeed
 from .targets import TargetEntry
 
 #: A target counts as disturbed if its runs take longer than expected by more
@@ -79,6 +80,8 @@
         self._overload_detector = OverloadDetector()
         # Holds back requests while the target names a limit.
         self._request_rate: RequestRate | None = None
+        #: Learned speed; None until the target tells its slowdown.
+        self.speed: TargetSpeed | None = None
         self._run_time_ratio = float(1)
         self._run_time_ratio_at = float('-inf')
         self._warmup_tokens = float(1)
@@ -113,6 +116,8 @@
         """
         if self._ejection.is_for_failures(now):
             return True
+        if self.speed is not None:
+            return self.speed.is_disturbed(now)
         return self.current_run_time_ratio(now) > DISTURBED_SLOWDOWN
 
     def has_free_slot(self, now: float) -> bool:
@@ -179,9 +184,7 @@
         :param now: monotonic time in seconds.
         """
         factor = WARMUP_SLOWDOWN if now < self.warmup_until else 1
-        slowdown = max(
-            self.current_run_time_ratio(now), self._overdue_ratio(now)
-        )
+        slowdown = max(self._expected_ratio(now), self._overdue_ratio(now))
         return slowdown * factor / max(1 - self._ejection.failure_fraction, 0.2)
 
     def working_fraction(self, now: float) -> float:
@@ -290,6 +293,15 @@
         )
         self._overloaded_until = max(self._overloaded_until, overloaded_until)
 
+    def learn_speed(self, news: SpeedNews) -> TargetSpeed:
+        """Return the learned speed, from now on used for estimates.
+
+        :param news: predicts the slowdown of the service's targets.
+        """
+        if self.speed is None:
+            self.speed = TargetSpeed(news)
+        return self.speed
+
     def observe(self, key: str, ratio: float, now: float) -> None:
         """Count an answered attempt that another dispatcher granted.
 
@@ -315,12 +327,20 @@
 
     def _record_answer(self, ratio: float, now: float) -> None:
         self._ejection.record_answer()
+        if self.speed is not None:
+            # Its robust statistics replace the average.
+            return
         self._run_time_ratio = self.current_run_time_ratio(now)
         self._run_time_ratio += SMOOTHING * (
             min(ratio, 20) - self._run_time_ratio
         )
         self._run_time_ratio_at = now
 
+    def _expected_ratio(self, now: float) -> float:
+        if self.speed is None:
+            return self.current_run_time_ratio(now)
+        return self.speed.usual_ratio(now) * self.speed.slowdown(now)
+
     def current_run_time_ratio(self, now: float) -> float:
         """Return the ratio of actual to expected run time, faded to 1.
 
@@ -334,10 +354,16 @@
     def _overdue_ratio(self, now: float) -> float:
         """Return how late the oldest running request is, as a ratio."""
         if not self._running_since or not self.expected_run_s:
-            return 1
+            return 1 if self.speed is None else 0
+        number = 0
+        if self.speed is not None:
+            # A single long run does not make the target slow.
+            number = len(self._running_since) // 2
+            if not number:
+                return 0
         # Requests may end out of order, and each end removes the earliest
         # start time. The result is thus a lower bound.
-        return (now - self._running_since[0]) / self.expected_run_s / 2
+        return (now - self._running_since[number]) / self.expected_run_s / 2
 
     def _available_warmup_tokens(self, now: float) -> float:
         elapsed = now - self._warmup_tokens_at
