--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -9,6 +9,7 @@
 from .placement import Placement, RunTimes
 from .placement_options import Option
 from .target_pauses import TargetPauses
+from .target_speed import SpeedNews
 from .tracked_target import TrackedTarget
 
 #: Least weight of a new observation in the run times of a service.
@@ -81,6 +82,7 @@
         self.placement = Placement({}, '')
         self.waiting: collections.deque[WaitingRequest] = collections.deque()
         self.run_times = RunTimes()
+        self.speed_news = SpeedNews()
 
     @property
     def targets(self) -> dict[str, TrackedTarget]:
