Name the workspace of a request in its log line and in metrics

Metrics show the busiest workspaces and count the others together, so that their size does not grow with the workspaces. The line of a refused request has the detail of the refusal.

--- a/src/cuminhoist/gateway/authentication.py
+++ b/src/cuminhoist/gateway/authentication.py
@@ -108,7 +108,10 @@
             return None
         if self._routing_state.routes_confirmed and not credential.relayed:
             return not_run_refusal(
-                Reason.unknown_key, 'The key is missing or unknown.'
+                Reason.unknown_key,
+                'The request does not have exactly one key.'
+                if credential.is_empty
+                else 'The key is unknown.',
             )
         # A caller does not try again after a 401, and a newer configuration
         # may have the key. The relaying instance may have a newer one.
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -5,6 +5,7 @@
 
 from ..logging_setup import logger
 from ..types import Reason
+from .busiest_names import BusiestNames
 
 #: Upper bounds of the latency histograms, in seconds; objectives lie between
 #: 0.2 and 1 s, timeouts between 1 and 7 s.
@@ -40,6 +41,14 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
+        self.workspace_requests = Counter(
+            'cuminhoist_workspace_requests',
+            'Requests by workspace and kind of outcome, for the busiest '
+            'workspaces; the others are counted together.',
+            ('workspace', 'outcome'),
+            registry=self.registry,
+        )
+        self._busiest = BusiestNames()
         self.attempts = Counter(
             'cuminhoist_attempts',
             'Attempts at targets by service and ending.',
@@ -80,6 +89,18 @@
             registry=self.registry,
         )
 
+    def count_workspace(self, name: str, outcome: str) -> None:
+        """Count a request of a workspace.
+
+        :param name: name of the workspace.
+        :param outcome: how the request ended; its first word counts.
+        """
+        label = self._busiest.count(name)
+        kind = outcome.partition('-')[0]
+        self.workspace_requests.labels(label, kind).inc()
+        for ended in self._busiest.review():
+            self.workspace_requests.remove_by_labels({'workspace': ended})
+
     def count_refusal(self, reason: Reason) -> None:
         """Count a request that was refused before it was routed.
 
--- a/src/cuminhoist/gateway/request_recorder.py
+++ b/src/cuminhoist/gateway/request_recorder.py
@@ -41,11 +41,14 @@
         self._metrics.requests.labels(state.service, outcome).inc()
         self._metrics.latency.labels(state.service).observe(took_s)
         self._metrics.waited.labels(state.service).observe(state.waited_s)
+        if state.workspace is not None:
+            self._metrics.count_workspace(state.workspace.name, outcome)
         routes = self._routing_state.routes
         log_request(
             id=state.req.request_id,
             route=state.route.name,
             service=state.service,
+            workspace=state.req.workspace,
             object=state.req.key,
             fingerprint=(
                 msgspec.structs.astuple(state.fingerprint)
@@ -77,6 +80,7 @@
             path=req.path,
             config_version=routes.version if routes else 0,
             outcome=f'refused-{refusal.reason}',
+            detail=refusal.detail,
         )
 
     def _list_age_ms(self) -> int | None:
