--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -192,6 +192,12 @@
         self.links.ready = False
         self.links.send_readiness()
 
+    def confirm_routes(self) -> None:
+        """Find out whether the routes are known to be the newest ones."""
+        self.request_proxy.routing_state.routes_confirmed = (
+            self.links.is_newest(self._progress().state_index)
+        )
+
     async def stop(self) -> None:
         """End all tasks."""
         await self._background.stop()
@@ -286,13 +292,10 @@
         self._update_targets()
 
     def _on_view(self, view: View) -> None:
-        routing = self.request_proxy.routing_state
-        routing.entry_count = max(view.entries, 1)
+        self.request_proxy.routing_state.entry_count = max(view.entries, 1)
         # Between two checks, a refusal for a missing route or key could be
         # final although this view tells of a newer state.
-        routing.routes_confirmed = self.links.is_newest(
-            self._progress().state_index
-        )
+        self.confirm_routes()
         self._region_entry_count = max(view.region_entries, 1)
 
     def _on_target_list(self, feed: TargetFeed) -> None:
@@ -371,9 +374,7 @@
 
     async def _run_checks(self) -> None:
         while True:
-            self.request_proxy.routing_state.routes_confirmed = (
-                self.links.is_newest(self._progress().state_index)
-            )
+            self.confirm_routes()
             if self.ready != self.links.ready:
                 self.links.ready = self.ready
                 self.links.send_readiness()
