--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,6 +7,7 @@
 STANDARD_BENCHMARKS = (
     'block_map',
     'lookup_cost',
+    'authentication_cost',
     'admission_cost',
     'decision_cost',
     'leaving_cost',
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -69,6 +69,7 @@
         b'upgrade',
     ),
 )
+_IDENTITY_HEADERS = frozenset((_AUTHORIZATION, _WORKSPACE))
 _REPLACED_HEADERS = frozenset((_DEADLINE, _EXPECTED_TARGET))
 
 
@@ -121,7 +122,7 @@
         headers = [
             header
             for header in req.headers
-            if header[0] not in {_AUTHORIZATION, _WORKSPACE}
+            if header[0] not in _IDENTITY_HEADERS
         ]
         return msgspec.structs.replace(
             req, headers=headers, api_key='', workspace=workspace
