--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -271,7 +271,8 @@
         previous = self._declared
         if previous is not None and state.index <= previous.index:
             return
-        self._declared = state
+        # The body has the keys of all callers, and may be megabytes long.
+        self._declared = state.without_body()
         if state.body and (
             previous is None or state.version > previous.version
         ):
--- a/src/cuminhoist/register/declared_state.py
+++ b/src/cuminhoist/register/declared_state.py
@@ -55,6 +55,10 @@
         )
         return cls(voters=voters, former=voters)
 
+    def without_body(self) -> Self:
+        """Return the state without the encoded configuration."""
+        return msgspec.structs.replace(self, body=b'')
+
     @property
     def voters_settled(self) -> bool:
         """Whether no joint configuration is in force."""
--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -234,3 +234,13 @@
     assert routing.routes_confirmed
     entry.links.message_received(link, _view(0))
     assert not routing.routes_confirmed
+
+
+async def test_configuration_is_not_kept_as_it_was_sent():
+    """Guards against keys that stay in the memory of the instance."""
+    entry = _entry_instance()
+    entry._decode = decode_routes
+    entry._on_declared_state(_state(1, 1000))
+    assert entry.request_proxy.routing_state.routes.version == 1
+    assert entry._declared.version == 1
+    assert not entry._declared.body
