--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -197,6 +197,12 @@
         self.links.ready = False
         self.links.send_readiness()
 
+    def confirm_routes(self) -> None:
+        """Find out whether the routes are known to be the newest ones."""
+        self.request_proxy.routing_state.routes_confirmed = (
+            self.links.is_newest(self._progress().state_index)
+        )
+
     async def stop(self) -> None:
         """End all tasks."""
         await self._background.stop()
@@ -272,7 +278,8 @@
         previous = self._declared
         if previous is not None and state.index <= previous.index:
             return
-        self._declared = state
+        # The body has the keys of all callers, and may be megabytes long.
+        self._declared = state.without_body()
         if state.body and (
             previous is None or state.version > previous.version
         ):
@@ -293,13 +300,10 @@
         self._update_targets()
 
     def _on_view(self, view: View) -> None:
-        routing = self.request_proxy.routing_state
-        routing.entry_count = max(view.entries, 1)
+        self.request_proxy.routing_state.entry_count = max(view.entries, 1)
         # Between two checks, a refusal for a missing route or key could be
         # final although this view tells of a newer state.
-        routing.routes_confirmed = self.links.is_newest(
-            self._progress().state_index
-        )
+        self.confirm_routes()
         self._region_entry_count = max(view.region_entries, 1)
 
     def _on_target_list(self, feed: TargetFeed) -> None:
@@ -378,9 +382,7 @@
 
     async def _run_checks(self) -> None:
         while True:
-            self.request_proxy.routing_state.routes_confirmed = (
-                self.links.is_newest(self._progress().state_index)
-            )
+            self.confirm_routes()
             self._allowances.keep(self.links.view(), self._now())
             if self.ready != self.links.ready:
                 self.links.ready = self.ready
