Leave a region's share to the dispatcher that has a quorum

If a partition splits the control instances of a region, both halves have a dispatcher. The one without a quorum now stops to use the share after a window, when the other one uses all of it.

tests/fleet pass.

--- a/src/cuminhoist/fleet/allowance_broadcast.py
+++ b/src/cuminhoist/fleet/allowance_broadcast.py
@@ -65,6 +65,10 @@
         self._entry_names = RecentNames(bounds.absent_s)
         self._changed: set[str] = set()
         self._has_quorum = False
+        self._may_be_replaced_at = float('inf')
+        # All control instances of the region that this one has ever seen.
+        self._regional_controls: set[str] = set()
+        self._window_s = bounds.window_s
         dispatch.on_share_request = self._ask
 
     def replace_routes(self, routes: RouteTable, now: float) -> None:
@@ -89,6 +93,7 @@
         is_dispatcher = self._is_dispatcher()
         self._allowances.keep(now, HEARTBEAT_INTERVAL_S, decides=is_dispatcher)
         self._count_entries(now, confirmed=heartbeat.confirmed)
+        self._suspend_if_replaced(now)
         self._allowances.apply_limits(self._limits, self._linked_fraction, now)
         self._send_changes()
         if is_dispatcher:
@@ -145,6 +150,29 @@
         controls = self._links.fleet.controls()
         return dispatcher_of(self._hello.region, controls) == self._hello.name
 
+    def _suspend_if_replaced(self, now: float) -> None:
+        """Stop to use the share where another dispatcher may use it.
+
+        If control instances of a region are split, the one with a quorum
+        leaves out the entry instances of the other side for a window. A region
+        that is cut off as a whole keeps its share.
+        """
+        linked = {
+            control.name
+            for control in self._links.fleet.controls()
+            if control.region == self._hello.region
+        }
+        self._regional_controls |= linked
+        if self._has_quorum or linked >= self._regional_controls:
+            self._may_be_replaced_at = float('inf')
+        else:
+            self._may_be_replaced_at = min(
+                self._may_be_replaced_at, now + self._window_s
+            )
+        self._allowances.suspend(
+            now, is_suspended=now >= self._may_be_replaced_at
+        )
+
     def _ask(self, request: ShareRequest) -> None:
         self._links.broadcast(AllowanceNotice(requests=(request,)))
 
--- a/src/cuminhoist/steering/region_allowances.py
+++ b/src/cuminhoist/steering/region_allowances.py
@@ -70,6 +70,7 @@
         self._buckets = buckets
         self._limits: Mapping[str, Allowance] = {}
         self._linked_fraction = float(1)
+        self._is_suspended = False
         # Parts of entry instances that are not linked, by workspace.
         self._unlinked_parts: dict[str, int] = {}
         self._asked: dict[str, _Asked] = {}
@@ -102,7 +103,7 @@
 
         :param workspace: name of the workspace.
         """
-        if not self._knows_transfers:
+        if not self._knows_transfers or self._is_suspended:
             return 0
         parts = self.ledger.parts(workspace, self._region)
         unlinked = self._unlinked_parts.get(workspace, 0)
@@ -139,6 +140,16 @@
         if not decides:
             self._buckets.restart(now)
 
+    def suspend(self, now: float, *, is_suspended: bool) -> None:
+        """Stop to use the share of the region, or use it again.
+
+        :param now: monotonic time in seconds.
+        :param is_suspended: whether another instance may use it.
+        """
+        if is_suspended != self._is_suspended:
+            self._is_suspended = is_suspended
+            self._resize_all(now)
+
     def hear_all(
         self,
         region: str,
--- a/tests/fleet/test_allowance_broadcast.py
+++ b/tests/fleet/test_allowance_broadcast.py
@@ -255,6 +255,28 @@
     assert bucket.size.rate_per_s < 0.55 * full
 
 
+async def test_dispatcher_that_may_be_replaced_stops_to_use_the_share(tmp_path):
+    """Guards against two halves of a region that both spend its share."""
+    control = _Control(tmp_path, _routes())
+    control.hear_north()
+    links = control.instance.links
+    add_peer(links, hello('c1', control=True))
+    control.send_heartbeat()
+    bucket = control.instance.dispatch.dispatcher.allowances.find(ACME)
+    full = bucket.size.rate_per_s
+    links.peers.pop('c1')
+    control.instance.replica.reaches_quorum = lambda voters: False
+    for _ in range(3):
+        control.send_heartbeat()
+        assert bucket.size.rate_per_s == full
+        await asyncio.sleep(2)
+    control.send_heartbeat()
+    assert bucket.size.rate_per_s < 0.05 * full
+    add_peer(links, hello('c1', control=True))
+    control.send_heartbeat()
+    assert bucket.size.rate_per_s == full
+
+
 async def test_lower_limit_is_in_force_when_it_is_learned(tmp_path):
     """Guards against a limit that applies only from the next heartbeat on."""
     control = _Control(tmp_path, _routes())
--- a/tests/steering/allowance_world.py
+++ b/tests/steering/allowance_world.py
@@ -115,14 +115,17 @@
         entry = region.entries[number % len(region.entries)]
         if entry.frozen:
             return
-        if not entry.linked and entry.decided_remotely:
+        is_remote = entry.linked and not region.frozen
+        if not is_remote and entry.decided_remotely:
             entry.buckets.restart(self.now)
-        entry.decided_remotely = entry.linked
-        buckets = region.buckets if entry.linked else entry.buckets
+        entry.decided_remotely = is_remote
+        buckets = region.buckets if is_remote else entry.buckets
         is_admitted = buckets.admit(ACME, self.now) is None
         (self.admitted if is_admitted else self.refused).append(self.now)
-        request = region.allowances.request(ACME, self.now)
-        if entry.linked and request is not None:
+        request = (
+            region.allowances.request(ACME, self.now) if is_remote else None
+        )
+        if request is not None:
             for other in REGIONS:
                 self._send(name, other, 'answer', request)
 
