Send subscribers all shares once these count

An entry instance that subscribed before the first limit was configured, or before its control instance knew the shares, kept a share of 0 and would have refused all requests of limited workspaces without a dispatcher. Transfers are also sent on new links while no limit is configured, since it may return.

tests/fleet pass.

--- a/src/cuminhoist/fleet/allowance_broadcast.py
+++ b/src/cuminhoist/fleet/allowance_broadcast.py
@@ -63,7 +63,11 @@
         self._limits: Mapping[str, Allowance] = {}
         self._linked_fraction = float(1)
         self._entry_names = RecentNames(bounds.absent_s)
+        # Workspaces whose shares have changed, and whether subscribers get
+        # all shares with the next heartbeat.
         self._changed: set[str] = set()
+        self._sends_all = False
+        self._knew_transfers = False
         self._has_quorum = False
         self._may_be_replaced_at = float('inf')
         # All control instances of the region that this one has ever seen.
@@ -77,7 +81,12 @@
         :param routes: the routes.
         :param now: monotonic time in seconds.
         """
-        self._limits = allowances_of(routes)
+        limits = allowances_of(routes)
+        # Subscribers have no shares of workspaces that had no limit.
+        self._sends_all = (
+            self._sends_all or limits.keys() != self._limits.keys()
+        )
+        self._limits = limits
         self._allowances.apply_limits(self._limits, self._linked_fraction, now)
         self._report.version = routes.version
 
@@ -124,12 +133,14 @@
         """
         peer = link.peer
         transfers = self._allowances.ledger.in_force()
-        if not isinstance(peer, Peer) or not self._limits:
+        if not isinstance(peer, Peer):
             return
-        if not peer.hello.control:
+        if peer.hello.control:
+            # Also without limits: they may be configured again later.
+            if transfers:
+                link.send(AllowanceNotice(transfers=transfers))
+        elif self._limits:
             link.send(AllowanceShares(shares=self._shares(peer.hello.region)))
-        elif transfers:
-            link.send(AllowanceNotice(transfers=transfers))
 
     def _handle_notice(self, msg: AllowanceNotice, now: float) -> None:
         """Apply transfers; answer requests as the region's dispatcher."""
@@ -200,7 +211,13 @@
 
     def _send_changes(self) -> None:
         """Send the changed shares of each region to its subscribers."""
-        if not self._changed or not self._limits:
+        knows_transfers = self._allowances.knows_transfers
+        sends_all = (
+            self._sends_all
+            or knows_transfers != self._knew_transfers
+            or len(self._changed) > MAX_SHARES
+        )
+        if not self._limits or not (sends_all or self._changed):
             return
         ledger = self._allowances.ledger
         for region in ledger.regions:
@@ -213,9 +230,11 @@
                 workspace: ledger.parts(workspace, region)
                 for workspace in self._changed
             }
-            msg = AllowanceShares(shares=RegionShares(parts))
-            self._links.send_to_links(links, msg)
+            shares = self._shares(region) if sends_all else RegionShares(parts)
+            self._links.send_to_links(links, AllowanceShares(shares=shares))
         self._changed = set()
+        self._sends_all = False
+        self._knew_transfers = knows_transfers
 
     def _shares(self, region: str) -> RegionShares:
         """Return all shares of a region; 0 while they are not known."""
--- a/tests/fleet/test_allowance_broadcast.py
+++ b/tests/fleet/test_allowance_broadcast.py
@@ -156,6 +156,7 @@
     """Guards against entry instances with a share that was given away."""
     control = _Control(tmp_path, _routes())
     control.hear_north()
+    control.send_heartbeat()
     control.instance._on_message(
         control.north, AllowanceNotice(transfers=(GIVEN,))
     )
@@ -169,6 +170,36 @@
     assert _shares_sent(control.entry.link) == []
 
 
+async def test_subscribers_get_all_shares_once_these_count(tmp_path):
+    """Guards against entry instances that keep a share of 0, as they
+    subscribed before the first limit or before the shares were known."""
+    control = _Control(tmp_path, RouteTable(1, {}, {}))
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == []
+    control.routes = _routes(version=2)
+    control.instance._on_learned(_state(2))
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == [RegionShares({}, 0)]
+    control.hear_north()
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == [RegionShares({}, WHOLE // 2)]
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == []
+
+
+async def test_transfers_are_told_without_limits(tmp_path):
+    """Guards against an instance that misses transfers of a workspace whose
+    limit ends for a while."""
+    control = _Control(tmp_path, RouteTable(1, {}, {}))
+    control.instance._on_message(
+        control.north, AllowanceNotice(transfers=(GIVEN,))
+    )
+    other = add_peer(control.instance.links, hello('c1', control=True))
+    other.link.peer = other
+    control.instance._on_peer_linked(other)
+    assert any(isinstance(msg, AllowanceNotice) for msg in other.link.take())
+
+
 async def test_request_of_another_region_is_answered(tmp_path):
     """Guards against a share that stays where nobody uses it."""
     control = _Control(tmp_path, _routes())
