--- a/tests/gateway/test_placement_client.py
+++ b/tests/gateway/test_placement_client.py
@@ -12,11 +12,14 @@
     DispatcherClient,
     PlacementClient,
 )
+from cuminhoist.steering.allowances import BucketSize
 from cuminhoist.steering.decisions import (
     AttemptReport,
     Ending,
     Granted,
     PlacementRequest,
+    RefusalReason,
+    Refused,
 )
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.slot_lending import (
@@ -24,7 +27,7 @@
     make_tracked_targets,
 )
 from cuminhoist.steering.tracked_target import TrackedTarget
-from tests.steering.builders import target
+from tests.steering.builders import request, target
 
 _TERMS = DispatchContext('south', {'south-a': 'south'}, frozenset(), 0, {}, {})
 
@@ -200,3 +203,40 @@
         return stayed
 
     assert asyncio.run(scenario()) > 20
+
+
+class _RefusingDispatcher(_DelayedDispatcher):
+    """Refuses each placement request by the allowance, until it is lost."""
+
+    lost = False
+
+    def is_available(self):
+        return not self.lost
+
+    def send_request(self, req):
+        refused = Refused(req.number, RefusalReason.over_allowance, 1)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.client.handle_decision, refused)
+
+
+def test_local_allowance_saves_nothing_while_the_dispatcher_decides():
+    """Guards against a second burst when the dispatcher is lost, also of a
+    workspace that it has only refused."""
+
+    async def scenario():
+        local = Dispatcher()
+        size = BucketSize(rate_per_s=0.01, capacity=50, start=2)
+        # The bucket has been filled for a long time.
+        local.allowances.set_sizes({'acme': size}, -100_000)
+        dispatcher = _RefusingDispatcher()
+        loop = asyncio.get_running_loop()
+        client = PlacementClient(dispatcher, local, loop.time)
+        dispatcher.client = client
+        first, _ = await client.request_placement(request(1, workspace='acme'))
+        assert first.reason is RefusalReason.over_allowance
+        dispatcher.lost = True
+        # Without targets it is refused for another reason and refunded.
+        await client.request_placement(request(2, workspace='acme'))
+        return local.allowances.find('acme').tokens(loop.time())
+
+    assert asyncio.run(scenario()) == pytest.approx(2, abs=0.1)
--- a/tests/steering/allowance_world.py
+++ b/tests/steering/allowance_world.py
@@ -97,6 +97,12 @@
         self._tick_region(self.regions[name])
         self.at(self.now + 2 * DELAY_S, self.sync, name)
 
+    def join(self, name):
+        """Add an entry instance, which has read the configuration."""
+        entry = Entry(len(self.regions[name].entries))
+        entry.local.apply_limits({ACME: self.limit}, self.now)
+        self.regions[name].entries.append(entry)
+
     def partition(self, name):
         """Cut a region off from the others."""
         self.cut |= {
--- a/tests/steering/test_allowances_of_regions.py
+++ b/tests/steering/test_allowances_of_regions.py
@@ -22,7 +22,6 @@
     BOUNDS,
     REGIONS,
     SIZES,
-    Entry,
     World,
     arrivals,
     conforming,
@@ -171,8 +170,8 @@
 
 def _join(world):
     for when in (16, 16.5, 17, 20):
-        for region in world.regions.values():
-            world.at(when, region.entries.append, Entry(7))
+        for name in REGIONS:
+            world.at(when, world.join, name)
 
 
 @pytest.mark.parametrize(('rate', 'burst'), LIMITS)
@@ -244,7 +243,7 @@
     elif kind == 'stall':
         _stall(world, region, is_frozen=True)
     elif kind == 'join':
-        region.entries.append(Entry(9))
+        world.join(name)
     elif kind == 'lose':
         _cut_off(region.entries[-1])
     else:
