Tell entry instances at once that a dispatcher was replaced

Until the next view, up to 0.5 s, they decided by their parts of allowances, which have no burst, and refused requests of workspaces within their limits. Only where workspaces have limits; other deployments are served as before.

tests/fleet pass.

--- a/src/cuminhoist/fleet/allowance_broadcast.py
+++ b/src/cuminhoist/fleet/allowance_broadcast.py
@@ -126,6 +126,21 @@
                 peer.hello.region, (), now, knows_transfers=msg.knows_shares
             )
 
+    def replaces(self, peer: Peer) -> bool:
+        """Tell whether entry instances must learn at once who decides now.
+
+        Until they know their new dispatcher they decide by their parts of the
+        allowances, with no burst, and refuse requests within a limit.
+
+        :param peer: an instance whose link has ended.
+        """
+        return (
+            bool(self._limits)
+            and peer.hello.control
+            and peer.hello.region == self._hello.region
+            and self._is_dispatcher()
+        )
+
     def send_in_force(self, link: Link) -> None:
         """Send what an instance must know of the shares.
 
--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -164,7 +164,7 @@
         links = self.links
         links.on_message = self._on_message
         links.on_peer_linked = self._on_peer_linked
-        links.on_peer_lost = self.dispatch.handle_peer_loss
+        links.on_peer_lost = self._on_peer_lost
         links.on_call = self.replica.handle_call
         if self.replica.latest_chosen is not None:
             self._on_learned(self.replica.latest_chosen)
@@ -373,6 +373,11 @@
         self._leaving_broadcast.send_in_force(peer.link)
         self._send_notices(peer.link)
 
+    def _on_peer_lost(self, peer: Peer) -> None:
+        self.dispatch.handle_peer_loss(peer)
+        if self._allowance_broadcast.replaces(peer):
+            self._send_views()
+
     def _send_notices(self, link: Link) -> None:
         """Send what an instance must know of targets and requests."""
         self._limit_broadcast.send_in_force(link)
--- a/tests/fleet/test_allowance_broadcast.py
+++ b/tests/fleet/test_allowance_broadcast.py
@@ -286,6 +286,20 @@
     assert bucket.size.rate_per_s < 0.55 * full
 
 
+async def test_replacement_tells_entry_instances_at_once(tmp_path):
+    """Guards against entry instances that refuse requests by their parts
+    until the next view."""
+    control = _Control(tmp_path, _routes())
+    former = add_peer(control.instance.links, hello('b0', control=True))
+    control.entry.link.take()
+    control.instance.links.peers.pop('b0')
+    control.instance._on_peer_lost(former)
+    (view,) = control.entry.link.take()
+    assert view.dispatcher == 'c0'
+    control.instance._on_peer_lost(control.north)
+    assert control.entry.link.take() == []
+
+
 async def test_dispatcher_that_may_be_replaced_stops_to_use_the_share(tmp_path):
     """Guards against two halves of a region that both spend its share."""
     control = _Control(tmp_path, _routes())
