Count the requests of a limit that returned from 0

The counters missed requests until a new bucket had counted more than the former one; workspaces without a limit were kept for good.

tests/fleet/test_allowance_broadcast.py passes.

--- a/src/cuminhoist/fleet/allowance_report.py
+++ b/src/cuminhoist/fleet/allowance_report.py
@@ -48,6 +48,7 @@
 
         :param now: monotonic time in seconds.
         """
+        self._forget_unlimited()
         for workspace, bucket in self._buckets:
             totals = (bucket.used, bucket.refused)
             former = self._totals.get(workspace, (0, 0))
@@ -59,6 +60,13 @@
             )
         self._record_shares(now)
 
+    def _forget_unlimited(self) -> None:
+        """Forget workspaces without a limit; a new bucket counts from 0."""
+        for workspace in list(self._totals):
+            if self._buckets.find(workspace) is None:
+                self._totals.pop(workspace)
+                self._refused_at.pop(workspace, None)
+
     def _count(
         self, workspace: str, totals: tuple[int, int], former: tuple[int, int]
     ) -> None:
@@ -69,8 +77,7 @@
         for outcome, total, before in zip(
             ('used', 'refused'), totals, former, strict=True
         ):
-            # A bucket whose limit ended and came back counts from 0; refunds
-            # lower the number of used requests.
+            # Refunds lower the number of used requests.
             counter.labels(name, outcome).inc(max(total - before, 0))
 
     def _record_shares(self, now: float) -> None:
--- a/tests/fleet/test_allowance_broadcast.py
+++ b/tests/fleet/test_allowance_broadcast.py
@@ -393,6 +393,31 @@
     )
 
 
+async def test_requests_count_from_0_after_a_limit_ended(tmp_path):
+    """Guards against counters that miss requests of a limit that returned."""
+    control = _Control(tmp_path, _routes())
+    control.hear_north()
+    await asyncio.sleep(1)
+    control.decide(60)
+    control.send_heartbeat()
+    former = _refused(control)
+    assert former > 40
+    for version, routes in ((2, RouteTable(2, {}, {})), (3, _routes(3))):
+        control.routes = routes
+        control.instance._on_learned(_state(version))
+        control.send_heartbeat()
+    control.decide(30, first=100)
+    control.send_heartbeat()
+    assert _refused(control) - former > 15
+
+
+def _refused(control):
+    return control.instance.metrics.registry.get_sample_value(
+        'cuminhoist_allowance_requests_total',
+        {'workspace': ACME, 'outcome': 'refused'},
+    )
+
+
 async def test_entry_instance_without_dispatcher_uses_its_part():
     """Guards against entry instances that each admit the region's share."""
     entry = _entry_instance(_routes(rate_per_s=100.0, burst=200.0))
