--- a/src/cuminhoist/fleet/allowance_broadcast.py
+++ b/src/cuminhoist/fleet/allowance_broadcast.py
@@ -63,8 +63,16 @@
         self._limits: Mapping[str, Allowance] = {}
         self._linked_fraction = float(1)
         self._entry_names = RecentNames(bounds.absent_s)
+        # Workspaces whose shares have changed, and whether subscribers get
+        # all shares with the next heartbeat.
         self._changed: set[str] = set()
+        self._sends_all = False
+        self._knew_transfers = False
         self._has_quorum = False
+        self._may_be_replaced_at = float('inf')
+        # All control instances of the region that this one has ever seen.
+        self._regional_controls: set[str] = set()
+        self._window_s = bounds.window_s
         dispatch.on_share_request = self._ask
 
     def replace_routes(self, routes: RouteTable, now: float) -> None:
@@ -73,7 +81,12 @@
         :param routes: the routes.
         :param now: monotonic time in seconds.
         """
-        self._limits = allowances_of(routes)
+        limits = allowances_of(routes)
+        # Subscribers have no shares of workspaces that had no limit.
+        self._sends_all = (
+            self._sends_all or limits.keys() != self._limits.keys()
+        )
+        self._limits = limits
         self._allowances.apply_limits(self._limits, self._linked_fraction, now)
         self._report.version = routes.version
 
@@ -89,6 +102,7 @@
         is_dispatcher = self._is_dispatcher()
         self._allowances.keep(now, HEARTBEAT_INTERVAL_S, decides=is_dispatcher)
         self._count_entries(now, confirmed=heartbeat.confirmed)
+        self._suspend_if_replaced(now)
         self._allowances.apply_limits(self._limits, self._linked_fraction, now)
         self._send_changes()
         if is_dispatcher:
@@ -112,6 +126,21 @@
                 peer.hello.region, (), now, knows_transfers=msg.knows_shares
             )
 
+    def replaces(self, peer: Peer) -> bool:
+        """Tell whether entry instances must learn at once who decides now.
+
+        Until they know their new dispatcher they decide by their parts of the
+        allowances, with no burst, and refuse requests within a limit.
+
+        :param peer: an instance whose link has ended.
+        """
+        return (
+            bool(self._limits)
+            and peer.hello.control
+            and peer.hello.region == self._hello.region
+            and self._is_dispatcher()
+        )
+
     def send_in_force(self, link: Link) -> None:
         """Send what an instance must know of the shares.
 
@@ -119,12 +148,14 @@
         """
         peer = link.peer
         transfers = self._allowances.ledger.in_force()
-        if not isinstance(peer, Peer) or not self._limits:
+        if not isinstance(peer, Peer):
             return
-        if not peer.hello.control:
+        if peer.hello.control:
+            # Also without limits: they may be configured again later.
+            if transfers:
+                link.send(AllowanceNotice(transfers=transfers))
+        elif self._limits:
             link.send(AllowanceShares(shares=self._shares(peer.hello.region)))
-        elif transfers:
-            link.send(AllowanceNotice(transfers=transfers))
 
     def _handle_notice(self, msg: AllowanceNotice, now: float) -> None:
         """Apply transfers; answer requests as the region's dispatcher."""
@@ -145,6 +176,29 @@
         controls = self._links.fleet.controls()
         return dispatcher_of(self._hello.region, controls) == self._hello.name
 
+    def _suspend_if_replaced(self, now: float) -> None:
+        """Stop to use the share where another dispatcher may use it.
+
+        If control instances of a region are split, the one with a quorum
+        leaves out the entry instances of the other side for a window. A region
+        that is cut off as a whole keeps its share.
+        """
+        linked = {
+            control.name
+            for control in self._links.fleet.controls()
+            if control.region == self._hello.region
+        }
+        self._regional_controls |= linked
+        if self._has_quorum or linked >= self._regional_controls:
+            self._may_be_replaced_at = float('inf')
+        else:
+            self._may_be_replaced_at = min(
+                self._may_be_replaced_at, now + self._window_s
+            )
+        self._allowances.suspend(
+            now, is_suspended=now >= self._may_be_replaced_at
+        )
+
     def _ask(self, request: ShareRequest) -> None:
         self._links.broadcast(AllowanceNotice(requests=(request,)))
 
@@ -172,7 +226,13 @@
 
     def _send_changes(self) -> None:
         """Send the changed shares of each region to its subscribers."""
-        if not self._changed or not self._limits:
+        knows_transfers = self._allowances.knows_transfers
+        sends_all = (
+            self._sends_all
+            or knows_transfers != self._knew_transfers
+            or len(self._changed) > MAX_SHARES
+        )
+        if not self._limits or not (sends_all or self._changed):
             return
         ledger = self._allowances.ledger
         for region in ledger.regions:
@@ -185,9 +245,11 @@
                 workspace: ledger.parts(workspace, region)
                 for workspace in self._changed
             }
-            msg = AllowanceShares(shares=RegionShares(parts))
-            self._links.send_to_links(links, msg)
+            shares = self._shares(region) if sends_all else RegionShares(parts)
+            self._links.send_to_links(links, AllowanceShares(shares=shares))
         self._changed = set()
+        self._sends_all = False
+        self._knew_transfers = knows_transfers
 
     def _shares(self, region: str) -> RegionShares:
         """Return all shares of a region; 0 while they are not known."""
--- a/tests/fleet/test_allowance_broadcast.py
+++ b/tests/fleet/test_allowance_broadcast.py
@@ -156,6 +156,7 @@
     """Guards against entry instances with a share that was given away."""
     control = _Control(tmp_path, _routes())
     control.hear_north()
+    control.send_heartbeat()
     control.instance._on_message(
         control.north, AllowanceNotice(transfers=(GIVEN,))
     )
@@ -169,6 +170,36 @@
     assert _shares_sent(control.entry.link) == []
 
 
+async def test_subscribers_get_all_shares_once_these_count(tmp_path):
+    """Guards against entry instances that keep a share of 0, as they
+    subscribed before the first limit or before the shares were known."""
+    control = _Control(tmp_path, RouteTable(1, {}, {}))
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == []
+    control.routes = _routes(version=2)
+    control.instance._on_learned(_state(2))
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == [RegionShares({}, 0)]
+    control.hear_north()
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == [RegionShares({}, WHOLE // 2)]
+    control.send_heartbeat()
+    assert _shares_sent(control.entry.link) == []
+
+
+async def test_transfers_are_told_without_limits(tmp_path):
+    """Guards against an instance that misses transfers of a workspace whose
+    limit ends for a while."""
+    control = _Control(tmp_path, RouteTable(1, {}, {}))
+    control.instance._on_message(
+        control.north, AllowanceNotice(transfers=(GIVEN,))
+    )
+    other = add_peer(control.instance.links, hello('c1', control=True))
+    other.link.peer = other
+    control.instance._on_peer_linked(other)
+    assert any(isinstance(msg, AllowanceNotice) for msg in other.link.take())
+
+
 async def test_request_of_another_region_is_answered(tmp_path):
     """Guards against a share that stays where nobody uses it."""
     control = _Control(tmp_path, _routes())
@@ -255,6 +286,42 @@
     assert bucket.size.rate_per_s < 0.55 * full
 
 
+async def test_replacement_tells_entry_instances_at_once(tmp_path):
+    """Guards against entry instances that refuse requests by their parts
+    until the next view."""
+    control = _Control(tmp_path, _routes())
+    former = add_peer(control.instance.links, hello('b0', control=True))
+    control.entry.link.take()
+    control.instance.links.peers.pop('b0')
+    control.instance._on_peer_lost(former)
+    (view,) = control.entry.link.take()
+    assert view.dispatcher == 'c0'
+    control.instance._on_peer_lost(control.north)
+    assert control.entry.link.take() == []
+
+
+async def test_dispatcher_that_may_be_replaced_stops_to_use_the_share(tmp_path):
+    """Guards against two halves of a region that both spend its share."""
+    control = _Control(tmp_path, _routes())
+    control.hear_north()
+    links = control.instance.links
+    add_peer(links, hello('c1', control=True))
+    control.send_heartbeat()
+    bucket = control.instance.dispatch.dispatcher.allowances.find(ACME)
+    full = bucket.size.rate_per_s
+    links.peers.pop('c1')
+    control.instance.replica.reaches_quorum = lambda voters: False
+    for _ in range(3):
+        control.send_heartbeat()
+        assert bucket.size.rate_per_s == full
+        await asyncio.sleep(2)
+    control.send_heartbeat()
+    assert bucket.size.rate_per_s < 0.05 * full
+    add_peer(links, hello('c1', control=True))
+    control.send_heartbeat()
+    assert bucket.size.rate_per_s == full
+
+
 async def test_lower_limit_is_in_force_when_it_is_learned(tmp_path):
     """Guards against a limit that applies only from the next heartbeat on."""
     control = _Control(tmp_path, _routes())
@@ -326,6 +393,31 @@
     )
 
 
+async def test_requests_count_from_0_after_a_limit_ended(tmp_path):
+    """Guards against counters that miss requests of a limit that returned."""
+    control = _Control(tmp_path, _routes())
+    control.hear_north()
+    await asyncio.sleep(1)
+    control.decide(60)
+    control.send_heartbeat()
+    former = _refused(control)
+    assert former > 40
+    for version, routes in ((2, RouteTable(2, {}, {})), (3, _routes(3))):
+        control.routes = routes
+        control.instance._on_learned(_state(version))
+        control.send_heartbeat()
+    control.decide(30, first=100)
+    control.send_heartbeat()
+    assert _refused(control) - former > 15
+
+
+def _refused(control):
+    return control.instance.metrics.registry.get_sample_value(
+        'cuminhoist_allowance_requests_total',
+        {'workspace': ACME, 'outcome': 'refused'},
+    )
+
+
 async def test_entry_instance_without_dispatcher_uses_its_part():
     """Guards against entry instances that each admit the region's share."""
     entry = _entry_instance(_routes(rate_per_s=100.0, burst=200.0))
--- a/tests/steering/allowance_world.py
+++ b/tests/steering/allowance_world.py
@@ -97,6 +97,12 @@
         self._tick_region(self.regions[name])
         self.at(self.now + 2 * DELAY_S, self.sync, name)
 
+    def join(self, name):
+        """Add an entry instance, which has read the configuration."""
+        entry = Entry(len(self.regions[name].entries))
+        entry.local.apply_limits({ACME: self.limit}, self.now)
+        self.regions[name].entries.append(entry)
+
     def partition(self, name):
         """Cut a region off from the others."""
         self.cut |= {
@@ -115,14 +121,17 @@
         entry = region.entries[number % len(region.entries)]
         if entry.frozen:
             return
-        if not entry.linked and entry.decided_remotely:
+        is_remote = entry.linked and not region.frozen
+        if not is_remote and entry.decided_remotely:
             entry.buckets.restart(self.now)
-        entry.decided_remotely = entry.linked
-        buckets = region.buckets if entry.linked else entry.buckets
+        entry.decided_remotely = is_remote
+        buckets = region.buckets if is_remote else entry.buckets
         is_admitted = buckets.admit(ACME, self.now) is None
         (self.admitted if is_admitted else self.refused).append(self.now)
-        request = region.allowances.request(ACME, self.now)
-        if entry.linked and request is not None:
+        request = (
+            region.allowances.request(ACME, self.now) if is_remote else None
+        )
+        if request is not None:
             for other in REGIONS:
                 self._send(name, other, 'answer', request)
 
