Bound the memory that is held for callers by the memory limit in the settings

Near the high mark new requests are refused as not run, and the connections that hold most for callers that do not read are closed first. The transport of a caller's connection keeps at most 16 KiB before the application waits. Metrics: bytes by purpose, refusals (memory-full), closed connections.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -168,7 +168,7 @@
         """
         super().on_body(body)
         if self._request is not None:
-            self._request.body_bytes += len(body)
+            self._request.add_body_bytes(len(body))
 
     def on_message_complete(self) -> None:
         """Expect the next request (callback of the parser)."""
@@ -254,7 +254,7 @@
     def _has_read_ahead(self) -> bool:
         return (
             len(self._pipeline) >= self._limits.max_unanswered
-            or self._pipeline.body_bytes > MAX_BODIES_AHEAD_BYTES
+            or self._pipeline.body_bytes >= MAX_BODIES_AHEAD_BYTES
         )
 
     @property
--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -3,28 +3,75 @@
 import asyncio
 import collections
 import enum
+import math
+from collections.abc import Callable
+from typing import Self
 
 import msgspec
 
+#: Marks as fractions of the memory limit of the process. The rest is for the
+#: program, its state, the buffers of connections to targets and of the kernel,
+#: and for requests that were accepted below the high mark.
+HIGH_FRACTION = 0.25
+LOW_FRACTION = 0.2
+#: Fraction of the high mark for answers that wait for their turn, so that
+#: they alone never cause refusals.
+WAITING_FRACTION = 0.5
+#: Fraction of the high mark for those of one connection.
+CONNECTION_FRACTION = 1 / 64
+#: A connection may be closed for memory if its caller has read so little for
+#: so long that its writing stayed paused, in seconds. A caller that reads
+#: takes some 10 KB in much less.
+STALL_S = 1.0
+
 
 class Purpose(enum.StrEnum):
     """What held bytes are for."""
 
     #: Answers that wait for their turn on a connection.
     waiting_answers = 'waiting-answers'
+    #: Answers on the way from targets to their callers.
+    passing_answers = 'passing-answers'
+    #: Written bytes that a caller's connection has not taken.
+    unsent_bytes = 'unsent-bytes'
+    #: Bodies of unanswered requests.
+    request_bodies = 'request-bodies'
+    #: Received bytes of requests behind those that are read ahead.
+    unread_requests = 'unread-requests'
 
 
 class MemoryLimits(msgspec.Struct, frozen=True):
     """Bounds on held bytes.
 
+    :param high_bytes: from here on, new requests are refused and connections
+        whose callers do not read are closed.
+    :param low_bytes: below this, requests are accepted again.
     :param waiting_answers_bytes: bound for all answers that wait for their
         turn.
     :param connection_bytes: bound for those of one connection.
     """
 
+    high_bytes: float = math.inf
+    low_bytes: float = math.inf
     waiting_answers_bytes: float = 32 * 1024 * 1024
     connection_bytes: float = 1024 * 1024
 
+    @classmethod
+    def from_memory(cls, memory_bytes: float) -> Self:
+        """Derive the bounds from the memory limit of the process.
+
+        :param memory_bytes: the limit; 0 if there is none.
+        """
+        if not memory_bytes:
+            return cls()
+        high_bytes = memory_bytes * HIGH_FRACTION
+        return cls(
+            high_bytes,
+            memory_bytes * LOW_FRACTION,
+            high_bytes * WAITING_FRACTION,
+            high_bytes * CONNECTION_FRACTION,
+        )
+
 
 class CallerMemory:
     """Bytes that a process holds for all its callers.
@@ -36,15 +83,22 @@
         self.limits = limits
         #: Held bytes by purpose.
         self.held: collections.Counter[Purpose] = collections.Counter()
+        #: Whether new requests are refused.
+        self.is_full = False
+        #: Connections that were closed for memory.
+        self.closed_connections = 0
+        self._total = 0
+        self._stalled: dict[ConnectionMemory, float] = {}
         self._waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
+        self._relief: asyncio.TimerHandle | None = None
 
     @property
     def has_room(self) -> bool:
         """Whether more of answers that wait for their turn may be read."""
         held = self.held[Purpose.waiting_answers]
-        return held < self.limits.waiting_answers_bytes
+        return held < self.limits.waiting_answers_bytes and not self.is_full
 
     def add(self, purpose: Purpose, size: int) -> None:
         """Count bytes that are held from now on.
@@ -53,6 +107,12 @@
         :param size: number of bytes; negative if they are released.
         """
         self.held[purpose] += size
+        self._total += size
+        if self._total >= self.limits.high_bytes:
+            self.is_full = True
+            self._plan_relief(0)
+        elif self._total < self.limits.low_bytes:
+            self.is_full = False
         # One at a time: what it reads is counted before the next one reads.
         while self._waiting and self.has_room:
             waiter = self._waiting.popleft()
@@ -67,32 +127,97 @@
             self._waiting.append(waiter)
             await waiter
 
+    def note_stall(self, conn: 'ConnectionMemory', *, stalled: bool) -> None:
+        """Note whether the caller of a connection reads its answer.
+
+        :param conn: the connection.
+        :param stalled: whether writing to it is paused.
+        """
+        if stalled:
+            now = asyncio.get_running_loop().time()
+            self._stalled.setdefault(conn, now)
+        else:
+            self._stalled.pop(conn, None)
+
+    def _plan_relief(self, delay_s: float) -> None:
+        if self._relief is None:
+            loop = asyncio.get_running_loop()
+            self._relief = loop.call_later(delay_s, self._relieve)
+
+    def _relieve(self) -> None:
+        """Close stalled connections, those that hold most first."""
+        self._relief = None
+        if not self.is_full:
+            return
+        now = asyncio.get_running_loop().time()
+        closable = [
+            conn
+            for conn, since in self._stalled.items()
+            if now - since >= STALL_S
+        ]
+        closable.sort(key=lambda conn: conn.total)
+        left = self._total
+        while closable and left >= self.limits.low_bytes:
+            conn = closable.pop()
+            left -= conn.total
+            self._stalled.pop(conn, None)
+            self.closed_connections += 1
+            conn.close()
+        self._plan_relief(STALL_S / 4)
+
 
 class ConnectionMemory:
     """Bytes that are held for one connection.
 
     :param process: counts the bytes of all connections.
+    :param close: closes the connection at once.
     """
 
-    def __init__(self, process: CallerMemory) -> None:
+    def __init__(
+        self, process: CallerMemory, close: Callable[[], None]
+    ) -> None:
         self.process = process
-        self.waiting_answers_bytes = 0
+        self.close = close
+        self._held: dict[Purpose, int] = {}
         self._released = asyncio.Event()
 
+    @property
+    def total(self) -> int:
+        """All bytes that are held for the connection."""
+        return sum(self._held.values())
+
+    def set(self, purpose: Purpose, size: int) -> None:
+        """Replace the number of bytes that are held for a purpose.
+
+        :param purpose: the purpose.
+        :param size: number of bytes.
+        """
+        former = self._held.get(purpose, 0)
+        if size != former:
+            self._held[purpose] = size
+            self.process.add(purpose, size - former)
+
+    def add(self, purpose: Purpose, size: int) -> None:
+        """Count bytes that are held from now on.
+
+        :param purpose: what they are for.
+        :param size: number of bytes; negative if they are released.
+        """
+        self.set(purpose, self._held.get(purpose, 0) + size)
+
     def add_answer_bytes(self, size: int) -> None:
         """Count bytes of an answer that waits for its turn.
 
         :param size: number of bytes; negative if they are released.
         """
-        self.waiting_answers_bytes += size
-        self.process.add(Purpose.waiting_answers, size)
+        self.add(Purpose.waiting_answers, size)
         if size < 0:
             self._released.set()
 
     async def wait_for_room(self) -> None:
         """Wait until more of an answer may be read before its turn."""
-        limits = self.process.limits
-        while self.waiting_answers_bytes >= limits.connection_bytes:
+        bound = self.process.limits.connection_bytes
+        while self._held.get(Purpose.waiting_answers, 0) >= bound:
             self._released.clear()
             await self._released.wait()
         await self.process.wait_for_room()
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -113,6 +113,8 @@
         self.upload_complete = False
         #: The connection stops reading above this many unread body bytes.
         self.high_water_bytes = HIGH_WATER_BYTES
+        #: Called with the change of the unread body bytes.
+        self.on_buffered: Callable[[int], None] = _ignore_bytes
         self.uploader: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.conn: ExchangeConnection | None = None
@@ -132,6 +134,11 @@
         """Whether status and headers of the answer have arrived."""
         return self._head_received
 
+    @property
+    def buffered(self) -> int:
+        """Body bytes that have not been read."""
+        return self._buffered
+
     def is_own_answer(self) -> bool:
         """Return whether the headers received answer this request."""
         if self.echo is None:
@@ -156,6 +163,7 @@
         """
         self._chunks.append(chunk)
         self._buffered += len(chunk)
+        self.on_buffered(len(chunk))
         self._wake_waiter()
         return self._buffered > self.high_water_bytes
 
@@ -203,6 +211,7 @@
             await self._wait_for_data()
         chunk = self._chunks.popleft()
         self._buffered -= len(chunk)
+        self.on_buffered(-len(chunk))
         if not self.ended and self.conn is not None:
             self.conn.resume_reading(self._buffered)
         return chunk
@@ -217,3 +226,7 @@
     def _wake_waiter(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+
+def _ignore_bytes(_change: int) -> None:
+    """Count nothing: the bytes are not held for a caller."""
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -63,6 +63,7 @@
         instances together.
     :param limits: limits that the deployment sets.
     :param link_bytes_per_s: bandwidth of its network link, in bytes a second.
+    :param memory_bytes: memory of its machine; 0 if it is not limited.
     :param target_source_host: IP address from which connections to targets
         are opened; empty to let the system choose.
     """
@@ -84,6 +85,7 @@
     list_calls_per_s: float
     limits: DeploymentLimits = DeploymentLimits()
     link_bytes_per_s: float = float('inf')
+    memory_bytes: float = 0
     peer_listen_address: Address | None = None
     target_source_host: str = ''
 
--- a/src/cuminhoist/gateway/answer_body.py
+++ b/src/cuminhoist/gateway/answer_body.py
@@ -4,7 +4,7 @@
 import collections
 from collections.abc import AsyncIterator
 
-from ..caller_memory import ConnectionMemory
+from ..caller_memory import ConnectionMemory, Purpose
 from ..pipelined_request import PipelinedRequest
 from .answers import TargetAnswer
 
@@ -26,6 +26,11 @@
         self._chunks: collections.deque[bytes] = collections.deque()
         self._memory = memory
         self._hold(answer.body)
+        # What a caller does not read fills the buffer of the exchange, too.
+        memory.add(Purpose.passing_answers, answer.exchange.buffered)
+        answer.exchange.on_buffered = lambda change: memory.add(
+            Purpose.passing_answers, change
+        )
 
     async def read_until_turn(
         self, req: PipelinedRequest, left_s: float
@@ -71,6 +76,8 @@
         """Release the bytes that are still held."""
         while self._chunks:
             self._memory.add_answer_bytes(-len(self._chunks.popleft()))
+        self._exchange.on_buffered = _ignore_bytes
+        self._memory.add(Purpose.passing_answers, -self._exchange.buffered)
 
     async def _read_ahead(self) -> None:
         while not self._complete:
@@ -86,3 +93,7 @@
         if chunk:
             self._chunks.append(chunk)
             self._memory.add_answer_bytes(len(chunk))
+
+
+def _ignore_bytes(_change: int) -> None:
+    """Count nothing: the answer has ended."""
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -1,5 +1,6 @@
 """Builds the refusals of requests that no target answered."""
 
+from ..caller_memory import STALL_S
 from ..problems import Refusal
 from ..steering.decisions import Ending, RefusalReason, Refused
 from ..types import Ran, Reason
@@ -15,6 +16,15 @@
 DECLINED_RETRY_S = 0.01
 
 
+def refusal_without_memory() -> Refusal:
+    """Return the refusal of a request while memory for callers is short."""
+    return not_run_refusal(
+        Reason.memory_full,
+        'The entry instance holds too much for callers that do not read.',
+        STALL_S,
+    )
+
+
 def refusal_of_poison(state: RequestState) -> Refusal:
     """Return the refusal of a request that ends the targets that run it.
 
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -1,8 +1,11 @@
 """Metrics of an entry instance, and the log line of each request."""
 
+import functools
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from ..caller_memory import CallerMemory, Purpose
 from ..logging_setup import logger
 from ..types import Reason
 
@@ -80,6 +83,29 @@
             registry=self.registry,
         )
 
+    def watch_memory(self, memory: CallerMemory) -> None:
+        """Report what the process holds for callers.
+
+        :param memory: counts the held bytes.
+        """
+        held = Gauge(
+            'cuminhoist_caller_memory_bytes',
+            'Bytes held for callers, by purpose.',
+            ('purpose',),
+            registry=self.registry,
+        )
+        for purpose in Purpose:
+            held.labels(purpose).set_function(
+                functools.partial(memory.held.__getitem__, purpose)
+            )
+        closed = Gauge(
+            'cuminhoist_connections_closed_for_memory',
+            'Connections closed since the start because their callers did not '
+            'read and memory was short.',
+            registry=self.registry,
+        )
+        closed.set_function(lambda: memory.closed_connections)
+
     def count_refusal(self, reason: Reason) -> None:
         """Count a request that was refused before it was routed.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -142,6 +142,8 @@
         pipelined = scope['state']['pipelined_request']
         req = self._wire.decode_request(scope)
         refusal, route = self._find_route(req)
+        if pipelined.memory.process.is_full:
+            refusal = refusals.refusal_without_memory()
         if refusal is not None or route is None:
             refusal = refusal or self._refuse_unknown_route()
             pipelined.declare(overlaps=True)
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -10,7 +10,7 @@
     RequestResponseCycle,
 )
 
-from .caller_memory import CallerMemory, ConnectionMemory
+from .caller_memory import CallerMemory, ConnectionMemory, Purpose
 from .pipelined_request import (
     PipelinedRequest,
     RequestFlow,
@@ -21,6 +21,9 @@
 #: Time for a caller to read an answer that was sent before the request body
 #: had been read.
 CLOSE_DELAY_S = 2.0
+#: The application waits above this many unsent bytes. Less than the usual
+#: 64 KiB, since unsent bytes below it are not counted.
+WRITE_HIGH_WATER_BYTES = 16 * 1024
 
 
 class PipelinedConnection(HttpToolsProtocol, abc.ABC):
@@ -34,7 +37,10 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self._pipeline = RequestPipeline()
-        self._memory = ConnectionMemory(self._process_memory)
+        self._memory = ConnectionMemory(
+            cast(CallerMemory, getattr(self.server_state, 'memory')),
+            self.abort,
+        )
         #: The request that was read last.
         self._request: PipelinedRequest | None = None
         #: Received bytes of requests that are not read yet.
@@ -55,16 +61,39 @@
         self._unset_keepalive_if_required()
         self._unparsed = b''
         self._pipeline.withdraw_all()
+        self._memory.process.note_stall(self._memory, stalled=False)
+        self._memory.set(Purpose.unsent_bytes, 0)
+        self._count_requests()
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Bound the unsent bytes that the transport holds.
+
+        :param transport: the transport of the connection.
+        """
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+
+    def pause_writing(self) -> None:
+        """Pause the answer: the caller does not read it fast enough."""
+        super().pause_writing()
+        self._memory.set(
+            Purpose.unsent_bytes, self.transport.get_write_buffer_size()
+        )
+        self._memory.process.note_stall(self._memory, stalled=True)
+
+    def resume_writing(self) -> None:
+        """Resume the answer."""
+        super().resume_writing()
+        self._memory.set(Purpose.unsent_bytes, 0)
+        self._memory.process.note_stall(self._memory, stalled=False)
 
     def abort(self) -> None:
         """Close the connection at once, even within an answer."""
         if self.transport is not None:
             self.transport.abort()
 
-    @property
-    def _process_memory(self) -> CallerMemory:
-        return cast(CallerMemory, getattr(self.server_state, 'memory'))
-
     @property
     def _running(self) -> bool:
         return bool(self._pipeline)
@@ -163,6 +192,7 @@
         A disconnect is not noticed while reading is paused, so reading goes
         on while only few bytes wait.
         """
+        self._count_requests()
         waiting = len(self._unparsed)
         cycle = self.cycle
         if cycle is not None and cycle.more_body:
@@ -172,6 +202,10 @@
         else:
             self.flow.resume_reading()
 
+    def _count_requests(self) -> None:
+        self._memory.set(Purpose.unread_requests, len(self._unparsed))
+        self._memory.set(Purpose.request_bodies, self._pipeline.body_bytes)
+
     def _stop_reading(self) -> None:
         self._reading_ended = True
         self._drop_unparsed()
--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -9,6 +9,10 @@
 
 from .caller_memory import ConnectionMemory
 
+#: Most bytes of one body that count as held; the application buffers at most
+#: as many for a retry and passes the others on.
+MAX_COUNTED_BODY_BYTES = 256 * 1024
+
 
 class PipelinedRequest:
     """Tells an application when a request may start and be answered.
@@ -39,7 +43,7 @@
         self.start_wait_s = float(0)
         #: The base class's state of the request; set with its head.
         self.cycle: RequestResponseCycle = None  # type: ignore[assignment]
-        #: Body bytes that have been received.
+        #: Body bytes that have been received and may still be held.
         self.body_bytes = 0
         self.on_turn: Callable[[], None] | None = None
         self._loop = loop
@@ -52,6 +56,13 @@
         """Whether all answers before this one are complete."""
         return self._turn.is_set()
 
+    def add_body_bytes(self, size: int) -> None:
+        """Count received bytes of the body.
+
+        :param size: number of bytes.
+        """
+        self.body_bytes = min(self.body_bytes + size, MAX_COUNTED_BODY_BYTES)
+
     def allow_start(self) -> None:
         """Let the request run."""
         self._may_start.set()
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -15,6 +15,7 @@
 _MS = 1000
 #: Bytes in one megabit.
 _BYTES_PER_MBIT = 125_000
+_BYTES_PER_MB = 1_000_000
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -32,6 +33,8 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     link_mbps: float = 0
+    #: Memory of the machine; 0 if it is not limited.
+    memory_mb: float = 0
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -119,6 +122,7 @@
         limits=_deployment_limits(boot.bounds),
         link_bytes_per_s=boot.limits.link_mbps * _BYTES_PER_MBIT
         or float('inf'),
+        memory_bytes=boot.limits.memory_mb * _BYTES_PER_MB,
     )
 
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -11,6 +11,7 @@
 
 from returns.result import Result, Success
 
+from ..caller_memory import CallerMemory, MemoryLimits
 from ..fleet.background import BackgroundTasks
 from ..fleet.control_instance import ControlInstance
 from ..fleet.entry_instance import EntryInstance
@@ -80,6 +81,7 @@
 
     def __init__(self, cfg: InstanceConfig) -> None:
         self._cfg = cfg
+        self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
         self._servers: list[HttpServer] = []
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
@@ -157,8 +159,7 @@
             cfg.peer_address, relay_app(entry.request_proxy)
         )
         if server is not None:
-            entry.request_proxy.routing_state.apply_limits = server.apply_limits
-            server.report_refusals(entry.metrics.count_refusal)
+            self._connect_listener(entry, server)
         self._start_server(
             cfg.readiness_address, readiness_app(lambda: entry.ready)
         )
@@ -178,6 +179,14 @@
         await entry.stop()
         _log.bind(instance=cfg.name).info('stopped')
 
+    def _connect_listener(
+        self, entry: EntryInstance, server: HttpServer
+    ) -> None:
+        """Have the listener get its limits and report what it refuses."""
+        entry.request_proxy.routing_state.apply_limits = server.apply_limits
+        entry.metrics.watch_memory(self._memory)
+        server.report_refusals(entry.metrics.count_refusal)
+
     async def _drain(self, entry: EntryInstance, server: HttpServer) -> None:
         loop = asyncio.get_running_loop()
         grace_s = self._cfg.limits.stop_grace_s
@@ -197,7 +206,9 @@
     def _start_request_server(
         self, address: Address | None, app: Any
     ) -> HttpServer | None:
-        server = self._start_server(address, app, overlaps_requests=True)
+        server = self._start_server(
+            address, app, overlaps_requests=True, memory=self._memory
+        )
         if server is not None:
             server.apply_limits(UNCONFIGURED_LIMITS)
         return server
@@ -208,6 +219,7 @@
         app: Any,
         *,
         overlaps_requests: bool = False,
+        memory: CallerMemory | None = None,
     ) -> HttpServer | None:
         if address is None:
             return None
@@ -216,6 +228,7 @@
             address.host,
             address.port,
             overlaps_requests=overlaps_requests,
+            memory=memory,
         )
         self._servers.append(server)
         self._background.spawn(server.serve())
--- a/src/cuminhoist/types.py
+++ b/src/cuminhoist/types.py
@@ -62,6 +62,7 @@
     body_too_large = 'body-too-large'
     head_too_large = 'head-too-large'
     head_timeout = 'head-timeout'
+    memory_full = 'memory-full'
 
 
 class DrainScope(enum.StrEnum):
--- a/tests/gateway/test_pipelined_requests.py
+++ b/tests/gateway/test_pipelined_requests.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 
-from cuminhoist.caller_memory import MemoryLimits
+from cuminhoist.caller_memory import MemoryLimits, Purpose
+from cuminhoist.exchange import HIGH_WATER_BYTES
 from cuminhoist.gateway import request_recorder
 from cuminhoist.gateway.routes import RepeatPolicy
 from tests.waiting import eventually
@@ -170,7 +171,10 @@
         await eventually(lambda: len(target.heads) == 3)
         await asyncio.sleep(0.3)
         # Each reader may go beyond the bound by the chunk that it reads.
-        assert sum(memory.held.values()) < 300_000 + 2 * 262_144
+        held = memory.held
+        assert held[Purpose.waiting_answers] < 300_000 + 2 * 262_144
+        bound = 2 * (HIGH_WATER_BYTES + 262_144)
+        assert held[Purpose.passing_answers] < bound
         assert not target.sent
         target.gate.set()
         for reader, writer in callers:
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -73,3 +73,12 @@
     assert load_settings(path).unwrap().link_bytes_per_s == 418750
     path.write_text(json.dumps(SETTINGS))
     assert load_settings(path).unwrap().link_bytes_per_s == float('inf')
+
+
+def test_memory_of_the_machine_is_read_in_bytes(tmp_path):
+    """Guards against a process without a bound on what callers hold."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps({**SETTINGS, 'limits': {'memory_mb': 200}}))
+    assert load_settings(path).unwrap().memory_bytes == 200e6
+    path.write_text(json.dumps(SETTINGS))
+    assert load_settings(path).unwrap().memory_bytes == 0
