--- a/src/cuminhoist/gateway/request_acceptance.py
+++ b/src/cuminhoist/gateway/request_acceptance.py
@@ -49,6 +49,9 @@
         :param req: a request that has just arrived.
         :param scope: its ASGI scope.
         """
+        memory = scope['state']['pipelined_request'].memory
+        if memory.process.is_full:
+            return Failure(refusals.refusal_without_memory())
         found = self._find_route(req)
         if not isinstance(found, Success):
             return Failure(found.failure())
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -92,3 +92,12 @@
     limits = load_settings(path).unwrap().limits
     assert limits.refuses_unconfirmed_keys
     assert limits.key_trust_s == 1.5
+
+
+def test_memory_of_the_machine_is_read_in_bytes(tmp_path):
+    """Guards against a process without a bound on what callers hold."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps({**SETTINGS, 'limits': {'memory_mb': 200}}))
+    assert load_settings(path).unwrap().memory_bytes == 200e6
+    path.write_text(json.dumps(SETTINGS))
+    assert load_settings(path).unwrap().memory_bytes == 0
