--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -180,3 +180,16 @@
     fault = _decode(wire).failure()
     assert "'first'" in fault
     assert "'second'" in fault
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [{'api_keys': ['k']}, {'name': ''}, {'name': 'own', 'api_keys': 'k'}],
+)
+def test_invalid_workspace_is_located(entry):
+    """Guards against a refusal that leaves open which workspace is wrong."""
+    wire = _wire()
+    wire['tenants'] = [{'name': 'first', 'api_keys': ['secret']}, entry]
+    fault = _decode(wire).failure()
+    assert '$.tenants[1]' in fault
+    assert 'secret' not in fault
