Learn how many concurrent requests each target takes

Targets whose run times grow from half of their slots on were sent as many requests as they have slots; they got no more work done and each answer took longer. ConcurrencyLimit keeps the last run times of a target by the number of requests that ran, and chooses the knee from which they fit a growth in proportion. The limit is one request above it, never above the slots nor below one, falls at once when the target sheds or declines, and starts at half of the slots.

Averages of a service with such targets bound the deviation of a single run, as runs that take seven times as long had raised the run time after a cache miss from 0.9 to 4 s.

--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -13,6 +13,9 @@
 
 #: Least weight of a new observation in the run times of a service.
 SMOOTHING = 0.05
+#: Factor by which a run time may deviate from the average and still count in
+#: full. Run times vary by about 15 in 100.
+MAX_DEVIATION = 1.35
 #: Run times of a cache miss and a cache hit, as fractions of the first
 #: objective, until run times have been measured.
 INITIAL_MISS_RUN_FRACTION = 0.9
@@ -88,13 +91,21 @@
         """All targets by name."""
         return self.placement.targets
 
-    def add_run_time(self, run_s: float, *, expected_hit: bool) -> None:
+    def add_run_time(
+        self, run_s: float, *, expected_hit: bool, robust: bool = False
+    ) -> None:
         """Add the run time of an answered request to the averages.
 
         :param run_s: run time in seconds.
         :param expected_hit: whether a cache hit was expected.
+        :param robust: whether the deviation of a single run counts only up to
+            a bound, as a few runs take very long.
         """
         times = self.run_times
+        mean_s = times.hit_run_s if expected_hit else times.miss_run_s
+        if robust and mean_s:
+            run_s = max(run_s, mean_s / MAX_DEVIATION)
+            run_s = min(run_s, mean_s * MAX_DEVIATION)
         if expected_hit:
             times.hit_count += 1
             weight = max(SMOOTHING, 1 / (times.hit_count + 1))
--- a/src/cuminhoist/steering/run_time_learning.py
+++ b/src/cuminhoist/steering/run_time_learning.py
@@ -1,5 +1,7 @@
 """Learns run times and cache results of a service from attempt reports."""
 
+import math
+
 import msgspec
 
 from .decisions import AttemptReport, Ending
@@ -19,21 +21,26 @@
 
     :param usual_ratio: run time of the target relative to its service's.
     :param slowdown: mean slowdown of its machine during the run.
+    :param contention: slowdown by other requests at the target.
+    :param running: number of requests that ran there at its end.
     """
 
     usual_ratio: float = 1
     slowdown: float = 1
+    contention: float = 1
+    running: int = 0
 
     @property
     def total(self) -> float:
         """Expected run time relative to that of a usual target."""
-        return self.usual_ratio * self.slowdown
+        return self.usual_ratio * self.slowdown * self.contention
 
     def record_run(
         self,
+        queue: ServiceQueue,
         target: TrackedTarget,
         report: AttemptReport,
-        ratio: float,
+        run_s: float,
         now: float,
     ) -> None:
         """Record a run time in the learned speed of its target.
@@ -42,9 +49,10 @@
         recorded: otherwise a cache hit at a slow target could be mistaken for
         a miss at a fast one. Unexpected misses are few.
 
+        :param queue: queue of the service.
         :param target: target of the attempt.
         :param report: the attempt report.
-        :param ratio: run time relative to the one expected at this target.
+        :param run_s: run time without these conditions, in seconds.
         :param now: monotonic time in seconds.
         """
         if (
@@ -52,7 +60,13 @@
             and report.ending is Ending.answered
             and not target.is_warming_up(now)
         ):
-            target.speed.add_run(ratio * self.usual_ratio, now)
+            times = queue.run_times
+            usual_s = times.hit_run_s if report.key else times.mean_s
+            ratio = _ratio(run_s, usual_s) * self.usual_ratio
+            target.speed.add_run(ratio, now)
+            target.speed.limit.record_run(
+                self.running, run_s * self.total / self.slowdown
+            )
 
 
 def learn_run_time(
@@ -82,9 +96,8 @@
         times.mean_s += SMOOTHING * (run_s - times.mean_s)
     run_s /= conditions.total
     if expected_hit or not report.key:
-        usual_s = times.hit_run_s if report.key else times.mean_s
-        conditions.record_run(target, report, _ratio(run_s, usual_s), now)
-    was_hit = run_s < (times.hit_run_s + times.miss_run_s) / 2
+        conditions.record_run(queue, target, report, run_s, now)
+    was_hit = run_s < _longest_hit_s(queue, target)
     # At a slow target, a long run time is no evidence of a cache miss.
     miss_like = 1 / MISS_LIKE_RATIO < run_s / times.miss_run_s < MISS_LIKE_RATIO
     is_evidence = was_hit or (miss_like and not target.is_disturbed(now))
@@ -108,7 +121,9 @@
     is_usual = not target.is_warming_up(now) and ratio < OUTLIER_RATIO
     if report.ending is Ending.answered and is_usual:
         queue.add_run_time(
-            run_s * conditions.usual_ratio, expected_hit=expected_hit
+            run_s * conditions.usual_ratio,
+            expected_hit=expected_hit,
+            robust=target.speed is not None,
         )
     return ratio
 
@@ -124,13 +139,31 @@
         return _Conditions()
     speed = target.learn_speed(queue.speed_news)
     told = report.load.slowdown
+    # Answers differ in whether they count the request that they answer.
+    running = max(report.load.running, target.running)
     conditions = _Conditions(
-        speed.usual_ratio(now), speed.slowdown_during(told, run_s, now)
+        speed.usual_ratio(now),
+        speed.slowdown_during(told, run_s, now),
+        speed.limit.contention(running),
+        running,
     )
     speed.told(told, now)
+    speed.others_running = max(report.load.running - target.running, 0)
+    if report.ending in {Ending.shed, Ending.declined}:
+        speed.limit.record_decline(running, now)
     return conditions
 
 
+def _longest_hit_s(queue: ServiceQueue, target: TrackedTarget) -> float:
+    """Return the run time up to which a run counts as a cache hit."""
+    times = queue.run_times
+    if target.speed is None:
+        return (times.hit_run_s + times.miss_run_s) / 2
+    # Run times of unlike targets spread by factors. With the arithmetic mean,
+    # only the longest misses would count as misses and raise their average.
+    return math.sqrt(times.hit_run_s * times.miss_run_s)
+
+
 def _learn_cache_result(
     queue: ServiceQueue,
     target: TrackedTarget,
--- a/src/cuminhoist/steering/target_speed.py
+++ b/src/cuminhoist/steering/target_speed.py
@@ -10,6 +10,8 @@
 import math
 import statistics
 
+from .concurrency_limit import ConcurrencyLimit, ServiceKnee
+
 #: Upper ends of the classes of ages, in seconds. What a target told is not
 #: used when it is older than the last one.
 AGE_CLASSES_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -52,6 +54,7 @@
     """
 
     def __init__(self) -> None:
+        self.knee = ServiceKnee()
         self._mean = float(1)
         self._variance = float(0)
         self._count = 0
@@ -106,10 +109,14 @@
     """Run time of one target relative to its service's, and its slowdown.
 
     :param news: predicts the slowdown of the service's targets.
+    :param slots: slots of the target.
     """
 
-    def __init__(self, news: SpeedNews) -> None:
+    def __init__(self, news: SpeedNews, slots: int) -> None:
         self._news = news
+        self.limit = ConcurrencyLimit(slots, news.knee)
+        #: Number of requests of others that ran at its last answer.
+        self.others_running = 0
         self._told: float | None = None
         self._told_at = float('-inf')
         #: Logarithms of the last run times relative to the service's.
@@ -151,10 +158,11 @@
         """Record a run time.
 
         :param ratio: run time relative to that of the service, without the
-            slowdown of the moment.
+            slowdown of the moment and of other requests at the target.
         :param now: monotonic time in seconds.
         """
-        self._runs.append(math.log(min(max(ratio, MIN_RATIO), MAX_RATIO)))
+        log_ratio = math.log(min(max(ratio, MIN_RATIO), MAX_RATIO))
+        self._runs.append(log_ratio)
         self._ran_at = now
         self._usual_log = statistics.median([*self._runs, *_ASSUMED_LOGS])
         if len(self._runs) >= RECENT_RUNS:
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -125,7 +125,7 @@
 
         :param now: monotonic time in seconds.
         """
-        if self.running >= self.slots or self.pool.is_full():
+        if self.running >= self.limit(now) or self.pool.is_full():
             return False
         if self.is_barred:
             return False
@@ -137,6 +137,16 @@
             now >= self.warmup_until or self._available_warmup_tokens(now) >= 1
         )
 
+    def limit(self, now: float) -> float:
+        """Return how many requests may run concurrently.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.speed is None:
+            return self.slots
+        limit = self.speed.limit.limit(now) - self.speed.others_running
+        return max(min(limit, self.slots), 1)
+
     def is_overloaded(self, now: float) -> bool:
         """Tell whether the target asked several entry instances to pause.
 
@@ -235,7 +245,7 @@
         if self._request_rate is not None:
             queued_s = self.queued / self._request_rate.per_s
             ejected_s = max(self._limited_for_s(now) + queued_s, ejected_s)
-        own_s = run_s * self.slowdown(now) * ahead / self.slots
+        own_s = run_s * self.slowdown(now) * ahead / self.limit(now)
         if not self.pool.is_full():
             return ejected_s + own_s
         pool_s = run_s / max(self.pool.slots, 1)
@@ -299,7 +309,7 @@
         :param news: predicts the slowdown of the service's targets.
         """
         if self.speed is None:
-            self.speed = TargetSpeed(news)
+            self.speed = TargetSpeed(news, self.slots)
         return self.speed
 
     def observe(self, key: str, ratio: float, now: float) -> None:
@@ -339,7 +349,12 @@
     def _expected_ratio(self, now: float) -> float:
         if self.speed is None:
             return self.current_run_time_ratio(now)
-        return self.speed.usual_ratio(now) * self.speed.slowdown(now)
+        running = self.running + 1 + self.speed.others_running
+        return (
+            self.speed.usual_ratio(now)
+            * self.speed.slowdown(now)
+            * self.speed.limit.contention(running)
+        )
 
     def current_run_time_ratio(self, now: float) -> float:
         """Return the ratio of actual to expected run time, faded to 1.
