--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -75,6 +75,26 @@
             'in which they run from one window of 2 s to the next.',
             registry=self.registry,
         )
+        self.limit_quantiles = Gauge(
+            'cuminhoist_learned_limit_ratio',
+            'Learned limits of the targets as a fraction of their slots, by '
+            'service and quantile.',
+            ('service', 'quantile'),
+            registry=self.registry,
+        )
+        self.limited_targets = Gauge(
+            'cuminhoist_limited_targets',
+            'Targets with a learned limit below their slots, by service.',
+            ('service',),
+            registry=self.registry,
+        )
+        self.lowest_limits = Gauge(
+            'cuminhoist_lowest_limit_ratio',
+            'The lowest learned limits of each service as a fraction of the '
+            'slots, by target.',
+            ('service', 'target'),
+            registry=self.registry,
+        )
         self.state_gauge = Gauge(
             'cuminhoist_belief',
             'Versions, ages and sizes of the state that decisions use.',
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -19,6 +19,7 @@
 from ..steering.slot_lending import DispatchContext
 from ..steering.targets import TargetEntry
 from .control_metrics import ControlMetrics
+from .learned_limits import LearnedLimits
 from .messages import (
     AttemptReportNotice,
     DecisionNotice,
@@ -66,6 +67,7 @@
         self._tick_timer: asyncio.TimerHandle | None = None
         self._limit_was_raised = False
         self._shift_limit = shift_limit
+        self._learned_limits = LearnedLimits(region, metrics)
         self._change_logged_at = float('-inf')
 
     def handle_message(self, peer: Peer, msg: Message) -> None:
@@ -120,6 +122,7 @@
         self.dispatcher.expire_attempts(now)
         self._log_shift_limit(now)
         self._check_region_change(now)
+        self._learned_limits.update(self.dispatcher.queues(), now)
         return self._meter.measure(self.dispatcher.service_loads(), now)
 
     def update(
