--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -85,6 +85,24 @@
             'cuminhoist_allowance_share_ratio',
             'Share of this region in the allowances of the busiest workspaces.',
             ('workspace',),
+        self.limit_quantiles = Gauge(
+            'cuminhoist_learned_limit_ratio',
+            'Learned limits of the targets as a fraction of their slots, by '
+            'service and quantile.',
+            ('service', 'quantile'),
+            registry=self.registry,
+        )
+        self.limited_targets = Gauge(
+            'cuminhoist_limited_targets',
+            'Targets with a learned limit below their slots, by service.',
+            ('service',),
+            registry=self.registry,
+        )
+        self.lowest_limits = Gauge(
+            'cuminhoist_lowest_limit_ratio',
+            'The lowest learned limits of each service as a fraction of the '
+            'slots, by target.',
+            ('service', 'target'),
             registry=self.registry,
         )
         self.state_gauge = Gauge(
--- a/tests/gateway/test_cut_from_targets.py
+++ b/tests/gateway/test_cut_from_targets.py
@@ -178,7 +178,9 @@
             await harness.request(request_id=f'id{number}')
         queue = harness.dispatcher.queue('svc')
         ended = queue.targets['t0']
-        await eventually(lambda: ended._ejection._consecutive_failures or ended.untried)
+        await eventually(
+            lambda: ended._ejection._consecutive_failures or ended.untried
+        )
         assert not harness.proxy.reachability.is_cut
 
 
