--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -21,6 +21,35 @@
 ORDER_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8)
 
 
+class LearnedLimitMetrics:
+    """Metrics of the learned limits of targets.
+
+    :param registry: registry of the metrics.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.quantiles = Gauge(
+            'cuminhoist_learned_limit_ratio',
+            'Learned limits of the targets as a fraction of their slots, by '
+            'service and quantile.',
+            ('service', 'quantile'),
+            registry=registry,
+        )
+        self.limited_targets = Gauge(
+            'cuminhoist_limited_targets',
+            'Targets with a learned limit below their slots, by service.',
+            ('service',),
+            registry=registry,
+        )
+        self.lowest = Gauge(
+            'cuminhoist_lowest_limit_ratio',
+            'The lowest learned limits of each service as a fraction of the '
+            'slots, by target.',
+            ('service', 'target'),
+            registry=registry,
+        )
+
+
 class ControlMetrics:
     """Metrics for decisions, orders and the state that decisions use."""
 
@@ -85,26 +114,9 @@
             'cuminhoist_allowance_share_ratio',
             'Share of this region in the allowances of the busiest workspaces.',
             ('workspace',),
-        self.limit_quantiles = Gauge(
-            'cuminhoist_learned_limit_ratio',
-            'Learned limits of the targets as a fraction of their slots, by '
-            'service and quantile.',
-            ('service', 'quantile'),
-            registry=self.registry,
-        )
-        self.limited_targets = Gauge(
-            'cuminhoist_limited_targets',
-            'Targets with a learned limit below their slots, by service.',
-            ('service',),
-            registry=self.registry,
-        )
-        self.lowest_limits = Gauge(
-            'cuminhoist_lowest_limit_ratio',
-            'The lowest learned limits of each service as a fraction of the '
-            'slots, by target.',
-            ('service', 'target'),
             registry=self.registry,
         )
+        self.learned_limits = LearnedLimitMetrics(self.registry)
         self.state_gauge = Gauge(
             'cuminhoist_belief',
             'Versions, ages and sizes of the state that decisions use.',
--- a/src/cuminhoist/fleet/learned_limits.py
+++ b/src/cuminhoist/fleet/learned_limits.py
@@ -26,7 +26,7 @@
 
     def __init__(self, region: str, metrics: ControlMetrics) -> None:
         self._region = region
-        self._metrics = metrics
+        self._metrics = metrics.learned_limits
         self._low: set[str] = set()
 
     def update(
@@ -37,7 +37,7 @@
         :param queues: queues of the dispatcher by service.
         :param now: monotonic time in seconds.
         """
-        self._metrics.lowest_limits.clear()
+        self._metrics.lowest.clear()
         present: set[str] = set()
         for service, queue in queues:
             learned = [
@@ -63,15 +63,13 @@
             ('0.5', statistics.median(ordered)),
             ('1', ordered[-1]),
         ):
-            self._metrics.limit_quantiles.labels(service, name).set(fraction)
+            self._metrics.quantiles.labels(service, name).set(fraction)
         self._metrics.limited_targets.labels(service).set(
             sum(limit_ratio < 1 for limit_ratio in ordered)
         )
         worst = sorted(fractions, key=fractions.__getitem__)
         for named in worst[:MAX_NAMED_TARGETS]:
-            self._metrics.lowest_limits.labels(service, named).set(
-                fractions[named]
-            )
+            self._metrics.lowest.labels(service, named).set(fractions[named])
         for target in learned:
             self._log_change(service, target, now)
 
--- a/tests/fleet/test_key_changes.py
+++ b/tests/fleet/test_key_changes.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import types
 
 import msgspec
 from hypothesis import settings
@@ -17,6 +18,11 @@
 )
 from returns.result import Success
 
+from cuminhoist.caller_memory import (
+    CallerMemory,
+    ConnectionMemory,
+    MemoryLimits,
+)
 from cuminhoist.fleet.entry_instance import EntryInstance
 from cuminhoist.fleet.entry_links import VIEW_VALID_S
 from cuminhoist.fleet.instance_config import Address, DeploymentLimits
@@ -65,6 +71,12 @@
     ).encode()
 
 
+def _scope():
+    memory = ConnectionMemory(CallerMemory(MemoryLimits()), lambda: None)
+    pipelined = types.SimpleNamespace(memory=memory)
+    return {'state': {'pipelined_request': pipelined}}
+
+
 def _request(key):
     scope = {
         'state': {'authority': b'', 'request_target': b'/x'},
@@ -236,7 +248,7 @@
     def _arrive(self, key):
         entry = self.entry
         proxy = entry.instance.request_proxy
-        accepted = proxy._acceptance.accept(_request(key), {'state': {}})
+        accepted = proxy._acceptance.accept(_request(key), _scope())
         if proxy.routing_state.routes is None:
             assert accepted.failure().status == 503
         elif isinstance(accepted, Success):
--- a/tests/fleet/test_learned_limits.py
+++ b/tests/fleet/test_learned_limits.py
@@ -30,7 +30,9 @@
     assert f'cuminhoist_limited_targets{{service="{SERVICE}"}} 20.0' in text
     named = text.count('cuminhoist_lowest_limit_ratio{')
     assert named == MAX_NAMED_TARGETS
-    median = metrics.limit_quantiles.labels(SERVICE, '0.5')._value.get()
+    median = metrics.learned_limits.quantiles.labels(
+        SERVICE, '0.5'
+    )._value.get()
     assert median == pytest.approx(6 / 9)
 
 
