Index the waiting requests of a service

A freed slot, a withdrawal, a recheck and a lost entry instance scanned the whole queue. Requests are now found by target, pool, sender and due time.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,6 +9,7 @@
     'lookup_cost',
     'admission_cost',
     'decision_cost',
+    'queue_cost',
     'leaving_cost',
     'ownership_cost',
     'delivery_cost',
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -23,16 +23,13 @@
 )
 from .limit_enforcer import LimitEnforcer
 from .placement import Option, Placement
-from .queues import (
-    RunningAttempt,
-    ServiceQueue,
-    WaitingRequest,
-)
+from .queues import RunningAttempt, ServiceQueue
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
 from .target_pauses import PausesByInstance, TargetPause, TargetPauses
 from .target_selector import TargetSelector
 from .tracked_target import TrackedTarget
+from .waiting_requests import WaitingRequest
 
 #: Margin that an estimate must keep to the objective, as a fraction of the
 #: estimate. Run times vary by about 15%, so answers that are estimated closer
@@ -121,6 +118,7 @@
                 former.forget_objects()
         queue.recheck_requests_without(targets, now)
         queue.placement = Placement(targets, region, queue.placement.history)
+        queue.waiting.update_all_slots()
         for target in targets.values():
             self.limits.set_rate(target, region, now)
 
@@ -137,10 +135,7 @@
         queue = self.queue(request.service)
         queue.init_run_times(request.objective_left_s)
         waiting = WaitingRequest(entry_instance, request, now)
-        decision = self._decide(queue, waiting, now)
-        if decision is None:
-            queue.waiting.append(waiting)
-        return decision
+        return self._decide(queue, waiting, now)
 
     def end_attempt(
         self,
@@ -261,13 +256,9 @@
         :param now: monotonic time in seconds.
         """
         queue = self.queue(service)
-        for waiting in tuple(queue.waiting):
-            if (
-                waiting.entry_instance == entry_instance
-                and waiting.request.number == number
-            ):
-                waiting.leave_target_queue()
-                queue.waiting.remove(waiting)
+        waiting = queue.waiting.find(entry_instance, number)
+        if waiting is not None:
+            queue.waiting.remove(waiting)
         # The withdrawal may have been sent before the grant arrived.
         attempt = self._running_attempts.pop((entry_instance, number), None)
         if attempt is not None:
@@ -281,10 +272,8 @@
         """
         self.pauses.pop(entry_instance, None)
         for queue in self._services.values():
-            for waiting in tuple(queue.waiting):
-                if waiting.entry_instance == entry_instance:
-                    waiting.leave_target_queue()
-                    queue.waiting.remove(waiting)
+            for waiting in queue.waiting.sent_by(entry_instance):
+                queue.waiting.remove(waiting)
         for key, attempt in tuple(self._running_attempts.items()):
             if key[0] == entry_instance:
                 self._running_attempts.pop(key)
@@ -307,9 +296,7 @@
         """
         decisions: list[tuple[str, Decision]] = []
         for queue in self._services.values():
-            for waiting in list(queue.waiting):
-                if now < waiting.recheck_at:
-                    continue
+            for waiting in queue.waiting.take_due(now):
                 decision = self._decide(queue, waiting, now)
                 if decision is not None:
                     queue.waiting.remove(waiting)
@@ -325,7 +312,8 @@
         :param report: identifies the attempt; its ending is not used.
         :param now: monotonic time in seconds.
         """
-        target = self.queue(report.service).targets.get(report.target)
+        queue = self.queue(report.service)
+        target = queue.targets.get(report.target)
         if (
             target is not None
             and (entry_instance, report.number) not in self._running_attempts
@@ -339,6 +327,7 @@
                 )
             )
             target.start(report.key, now)
+            queue.waiting.update_slots(target)
 
     def count_remote_grant(
         self, request: PlacementRequest, granted: Granted, now: float
@@ -374,7 +363,7 @@
         waiting: WaitingRequest,
         now: float,
     ) -> Decision | None:
-        waiting.leave_target_queue()
+        queue.waiting.leave_target(waiting)
         options = self._selector.options(queue, waiting, now)
         if not options:
             return self._refuse_without_option(queue, waiting, now)
@@ -385,7 +374,7 @@
             best.total_s * (1 + RUN_TIME_SPREAD)
             <= waiting.objective_ends_at - now
         ):
-            waiting.join_target_queue(best, now)
+            queue.waiting.join(waiting, best, now)
             return None
         return self._decide_late(queue, waiting, options, now)
 
@@ -415,16 +404,13 @@
     ) -> list[tuple[str, Decision]]:
         """Grant waiting requests the slots that are free in a pool."""
         decisions: list[tuple[str, Decision]] = []
-        for waiting in list(queue.waiting):
-            awaited = waiting.target
-            if awaited is None or awaited.pool is not target.pool:
-                continue
-            if awaited.has_free_slot(now):
-                waiting.leave_target_queue()
-                queue.waiting.remove(waiting)
-                granted = self._grant(waiting, awaited, now)
-                decisions.append((waiting.entry_instance, granted))
-        return decisions
+        while True:
+            waiting = queue.waiting.next_for(target.pool, now)
+            if waiting is None or waiting.target is None:
+                return decisions
+            granted = self._grant(waiting, waiting.target, now)
+            queue.waiting.remove(waiting)
+            decisions.append((waiting.entry_instance, granted))
 
     def _record_end(
         self,
@@ -440,6 +426,7 @@
                 queue, target, report, attempt.expected_hit, now
             )
         target.end(report.ending, attempt.key, ratio, now)
+        queue.waiting.update_slots(target)
 
     def _grant(
         self,
@@ -460,11 +447,9 @@
             )
         )
         target.start(request.key, now)
-        self.shift_limiter.count(
-            now,
-            target.region,
-            self.queue(request.service).placement.region,
-        )
+        queue = self.queue(request.service)
+        queue.waiting.update_slots(target)
+        self.shift_limiter.count(now, target.region, queue.placement.region)
         return Granted(
             request.number,
             name,
@@ -503,6 +488,8 @@
         )
 
     def _release_slot(self, attempt: RunningAttempt, now: float) -> None:
-        target = self.queue(attempt.service).targets.get(attempt.target)
+        queue = self.queue(attempt.service)
+        target = queue.targets.get(attempt.target)
         if target is not None:
             target.end(Ending.withdrawn, attempt.key, 1, now)
+            queue.waiting.update_slots(target)
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -1,14 +1,13 @@
 """Queue, running attempts and run times of one service."""
 
-import collections
 from collections.abc import Mapping
 
 import msgspec
 
-from .decisions import PlacementRequest
-from .placement import Option, Placement, RunTimes
+from .placement import Placement, RunTimes
 from .target_pauses import TargetPauses
 from .tracked_target import TrackedTarget
+from .waiting_requests import WaitingRequests
 
 #: Least weight of a new observation in the run times of a service.
 SMOOTHING = 0.05
@@ -16,9 +15,6 @@
 #: objective, until run times have been measured.
 INITIAL_MISS_RUN_FRACTION = 0.9
 INITIAL_HIT_RUN_FRACTION = 0.3
-#: Delay after the expected end of a wait until the request is placed anew,
-#: in seconds.
-RECHECK_DELAY_S = 0.015
 
 
 class RunningAttempt(msgspec.Struct, frozen=True):
@@ -35,50 +31,12 @@
     expected_hit: bool = False
 
 
-class WaitingRequest:
-    """A request in the queue of a service.
-
-    :param entry_instance: entry instance that sent the placement request.
-    :param request: the placement request.
-    :param now: time of its arrival, in monotonic seconds.
-    """
-
-    def __init__(
-        self, entry_instance: str, request: PlacementRequest, now: float
-    ) -> None:
-        self.entry_instance = entry_instance
-        self.request = request
-        self.arrived_at = now
-        self.objective_ends_at = now + request.objective_left_s
-        #: The target whose slot the request waits for.
-        self.target: TrackedTarget | None = None
-        #: When the request is placed anew, in monotonic seconds.
-        self.recheck_at = now
-
-    def join_target_queue(self, option: Option, now: float) -> None:
-        """Wait for a slot of a target.
-
-        :param option: the target and the expected wait.
-        :param now: monotonic time in seconds.
-        """
-        self.leave_target_queue()
-        self.target = option.target
-        self.target.queued += 1
-        self.recheck_at = now + option.wait_s + RECHECK_DELAY_S
-
-    def leave_target_queue(self) -> None:
-        """Stop waiting for the slot of a target."""
-        if self.target is not None:
-            self.target.queued -= 1
-            self.target = None
-
-
 class ServiceQueue:
     """Targets, run times and waiting requests of one service."""
 
     def __init__(self) -> None:
         self.placement = Placement({}, '')
-        self.waiting: collections.deque[WaitingRequest] = collections.deque()
+        self.waiting = WaitingRequests()
         self.run_times = RunTimes()
 
     @property
@@ -121,14 +79,11 @@
         :param pauses: its pauses.
         :param now: monotonic time in seconds.
         """
-        for waiting in self.waiting:
-            if (
-                waiting.entry_instance == entry_instance
-                and waiting.target is not None
-                and pauses.left_s(waiting.target.entry, now)
-            ):
-                waiting.leave_target_queue()
-                waiting.recheck_at = now
+        for waiting in self.waiting.sent_by(entry_instance):
+            awaited = waiting.target
+            if awaited is not None and pauses.left_s(awaited.entry, now):
+                self.waiting.leave_target(waiting)
+                self.waiting.recheck(waiting, now)
 
     def recheck_requests_without(
         self, targets: Mapping[str, TrackedTarget], now: float
@@ -138,14 +93,9 @@
         :param targets: the targets that stay, by name.
         :param now: monotonic time in seconds.
         """
-        for waiting in self.waiting:
-            awaited = waiting.target
-            if (
-                awaited is not None
-                and targets.get(awaited.entry.name) is not awaited
-            ):
-                waiting.leave_target_queue()
-                waiting.recheck_at = now
+        for awaited in self.waiting.awaited_targets():
+            if targets.get(awaited.entry.name) is not awaited:
+                self.waiting.release_target(awaited, now)
 
     def recheck_overloaded_requests(
         self, target: TrackedTarget, now: float
@@ -164,6 +114,4 @@
         :param target: the target.
         :param now: monotonic time in seconds.
         """
-        for waiting in self.waiting:
-            if waiting.target is target:
-                waiting.recheck_at = now
+        self.waiting.recheck_target(target, now)
--- a/src/cuminhoist/steering/target_selector.py
+++ b/src/cuminhoist/steering/target_selector.py
@@ -7,9 +7,10 @@
 from collections.abc import Mapping
 
 from .placement import Option
-from .queues import ServiceQueue, WaitingRequest
+from .queues import ServiceQueue
 from .region_shift_limiter import RegionShiftLimiter
 from .target_pauses import PausesByInstance
+from .waiting_requests import WaitingRequest
 
 #: With a larger fraction of a region's own slots lost, over all services, the
 #: limit on shifts is raised. Up to it, the other targets of the region take
--- /dev/null
+++ b/src/cuminhoist/steering/waiting_requests.py
@@ -0,0 +1,284 @@
+"""Requests of one service that wait for a slot, and ways to find them.
+
+Load pattern: thousands of requests wait for hundreds of targets while slots
+are freed thousands of times a second. What a freed slot, a withdrawal, a
+recheck or a lost entry instance costs must not grow with the number of
+waiting requests.
+"""
+
+import heapq
+import itertools
+from collections.abc import Iterable, Iterator
+
+from .decisions import PlacementRequest
+from .placement import Option
+from .tracked_target import SlotPool, TrackedTarget
+
+#: Delay after the expected end of a wait until the request is placed anew,
+#: in seconds.
+RECHECK_DELAY_S = 0.015
+
+
+class WaitingRequest:
+    """A request that waits for a decision.
+
+    :param entry_instance: entry instance that sent the placement request.
+    :param request: the placement request.
+    :param now: time of its arrival, in monotonic seconds.
+    """
+
+    def __init__(
+        self, entry_instance: str, request: PlacementRequest, now: float
+    ) -> None:
+        self.entry_instance = entry_instance
+        self.request = request
+        self.arrived_at = now
+        self.objective_ends_at = now + request.objective_left_s
+        #: The target whose slot the request waits for.
+        self.target: TrackedTarget | None = None
+        #: When the request is placed anew, in monotonic seconds.
+        self.recheck_at = now
+        #: Position in the order of arrival; None until it waits.
+        self.sequence: int | None = None
+
+
+class _TargetQueue:
+    """The requests that wait for one target, in order of arrival.
+
+    :param target: the target.
+    """
+
+    def __init__(self, target: TrackedTarget) -> None:
+        self.target = target
+        #: Pool under which the target is listed while it may have a free slot.
+        self.listed_pool: SlotPool | None = None
+        self._waiting: dict[int, WaitingRequest] = {}
+        # Heap of sequence numbers; those of requests that left stay until
+        # they come up.
+        self._order: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return iter(tuple(self._waiting.values()))
+
+    def add(self, sequence: int, waiting: WaitingRequest) -> None:
+        """Add a request.
+
+        :param sequence: its position in the order of arrival.
+        :param waiting: the request.
+        """
+        self._waiting[sequence] = waiting
+        heapq.heappush(self._order, sequence)
+
+    def remove(self, sequence: int) -> None:
+        """Remove a request.
+
+        :param sequence: its position in the order of arrival.
+        """
+        self._waiting.pop(sequence)
+
+    def first(self) -> WaitingRequest:
+        """Return the request that is served next; there must be one."""
+        while self._order[0] not in self._waiting:
+            heapq.heappop(self._order)
+        return self._waiting[self._order[0]]
+
+
+class WaitingRequests:
+    """All waiting requests of one service."""
+
+    def __init__(self) -> None:
+        self._sequences = itertools.count()
+        self._all: dict[int, WaitingRequest] = {}
+        self._by_sender: dict[str, dict[int, WaitingRequest]] = {}
+        self._queues: dict[TrackedTarget, _TargetQueue] = {}
+        # Awaited targets that have fewer requests running than slots. Others
+        # have no free slot for certain.
+        self._open: dict[SlotPool, dict[TrackedTarget, _TargetQueue]] = {}
+        # Times of rechecks with sequence numbers; outdated ones stay until
+        # they are due.
+        self._due: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        return len(self._all)
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return iter(tuple(self._all.values()))
+
+    def join(self, waiting: WaitingRequest, option: Option, now: float) -> None:
+        """Have a request wait for a slot of a target.
+
+        :param waiting: the request; it need not wait yet.
+        :param option: the target and the expected wait.
+        :param now: monotonic time in seconds.
+        """
+        self.leave_target(waiting)
+        sequence = self._register(waiting)
+        target = option.target
+        waiting.target = target
+        target.queued += 1
+        queue = self._queues.get(target)
+        if queue is None:
+            queue = _TargetQueue(target)
+            self._queues[target] = queue
+        queue.add(sequence, waiting)
+        self.update_slots(target)
+        self.recheck(waiting, now + option.wait_s + RECHECK_DELAY_S)
+
+    def leave_target(self, waiting: WaitingRequest) -> None:
+        """Have a request no longer wait for the slot of its target.
+
+        :param waiting: the request; it need not wait for one.
+        """
+        target = waiting.target
+        if target is None or waiting.sequence is None:
+            return
+        waiting.target = None
+        target.queued -= 1
+        queue = self._queues[target]
+        queue.remove(waiting.sequence)
+        if not queue:
+            self._unlist(queue)
+            self._queues.pop(target)
+
+    def remove(self, waiting: WaitingRequest) -> None:
+        """Remove a request; nothing happens if it does not wait.
+
+        :param waiting: the request.
+        """
+        self.leave_target(waiting)
+        if waiting.sequence is None:
+            return
+        self._all.pop(waiting.sequence, None)
+        sender = waiting.entry_instance
+        numbers = self._by_sender.get(sender, {})
+        if numbers.get(waiting.request.number) is waiting:
+            numbers.pop(waiting.request.number)
+        if not numbers:
+            self._by_sender.pop(sender, None)
+
+    def find(self, entry_instance: str, number: int) -> WaitingRequest | None:
+        """Return a waiting request.
+
+        :param entry_instance: the entry instance that sent it.
+        :param number: its number in that entry instance.
+        """
+        return self._by_sender.get(entry_instance, {}).get(number)
+
+    def sent_by(self, entry_instance: str) -> tuple[WaitingRequest, ...]:
+        """Return the waiting requests of an entry instance.
+
+        :param entry_instance: the entry instance.
+        """
+        return tuple(self._by_sender.get(entry_instance, {}).values())
+
+    def recheck(self, waiting: WaitingRequest, due_at: float) -> None:
+        """Set when a waiting request is placed anew.
+
+        :param waiting: the request.
+        :param due_at: monotonic time in seconds.
+        """
+        if waiting.sequence is not None:
+            waiting.recheck_at = due_at
+            heapq.heappush(self._due, (due_at, waiting.sequence))
+
+    def recheck_target(self, target: TrackedTarget, now: float) -> None:
+        """Make all requests due that wait for a target.
+
+        :param target: the target.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self._queues.get(target, ()):
+            self.recheck(waiting, now)
+
+    def release_target(self, target: TrackedTarget, now: float) -> None:
+        """Have no request wait for a target, and make those that did due.
+
+        :param target: the target.
+        :param now: monotonic time in seconds.
+        """
+        for waiting in self._queues.get(target, ()):
+            self.leave_target(waiting)
+            self.recheck(waiting, now)
+
+    def take_due(self, now: float) -> list[WaitingRequest]:
+        """Return the requests that are due, in order of arrival.
+
+        Each must be removed, rechecked later or join a target.
+
+        :param now: monotonic time in seconds.
+        """
+        due: dict[int, WaitingRequest] = {}
+        while self._due and self._due[0][0] <= now:
+            due_at, sequence = heapq.heappop(self._due)
+            waiting = self._all.get(sequence)
+            if waiting is not None and waiting.recheck_at == due_at:
+                due[sequence] = waiting
+        return [due[sequence] for sequence in sorted(due)]
+
+    def awaited_targets(self) -> tuple[TrackedTarget, ...]:
+        """Return the targets that requests wait for."""
+        return tuple(self._queues)
+
+    def update_slots(self, target: TrackedTarget) -> None:
+        """Note that slots of a target were taken or freed.
+
+        :param target: the target; it need not be awaited.
+        """
+        queue = self._queues.get(target)
+        if queue is None:
+            return
+        is_open = target.running < target.slots
+        if is_open and queue.listed_pool is target.pool:
+            return
+        self._unlist(queue)
+        if is_open:
+            queue.listed_pool = target.pool
+            self._open.setdefault(target.pool, {})[target] = queue
+
+    def update_all_slots(self) -> None:
+        """Note that targets have other slots or pools."""
+        for target in self._queues:
+            self.update_slots(target)
+
+    def next_for(self, pool: SlotPool, now: float) -> WaitingRequest | None:
+        """Return the request that is sent next to a target of a pool.
+
+        :param pool: the pool.
+        :param now: monotonic time in seconds.
+        :returns: None if no awaited target of it has a free slot.
+        """
+        open_targets = self._open.get(pool)
+        if not open_targets or pool.is_full():
+            return None
+        return _earliest(
+            queue.first()
+            for target, queue in open_targets.items()
+            if target.has_free_slot(now)
+        )
+
+    def _register(self, waiting: WaitingRequest) -> int:
+        if waiting.sequence is None:
+            waiting.sequence = next(self._sequences)
+            self._all[waiting.sequence] = waiting
+            numbers = self._by_sender.setdefault(waiting.entry_instance, {})
+            numbers[waiting.request.number] = waiting
+        return waiting.sequence
+
+    def _unlist(self, queue: _TargetQueue) -> None:
+        pool = queue.listed_pool
+        if pool is None:
+            return
+        queue.listed_pool = None
+        listed = self._open[pool]
+        listed.pop(queue.target)
+        if not listed:
+            self._open.pop(pool)
+
+
+def _earliest(candidates: Iterable[WaitingRequest]) -> WaitingRequest | None:
+    return min(
+        candidates, key=lambda waiting: waiting.sequence or 0, default=None
+    )
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -387,11 +387,11 @@
     ]
     assert dispatcher.decide_or_queue('e', request(2), 0) is None
     queue = dispatcher.queue(SERVICE)
-    awaited = queue.waiting[0].target.entry.name
+    awaited = next(iter(queue.waiting)).target.entry.name
     other = next(name for name in queue.targets if name != awaited)
     dispatcher.set_targets(SERVICE, {other: queue.targets[other]}, REGION, 0)
     assert dispatcher.decide_waiting(0) == []
-    assert queue.waiting[0].target.entry.name == other
+    assert next(iter(queue.waiting)).target.entry.name == other
     granted = next(one for one in running if one.target == other)
     decisions = dispatcher.end_attempt('e', attempt_report(granted), 0.07)
     assert [decision.target for _, decision in decisions] == [other]
--- a/tests/steering/test_pauses_in_dispatcher.py
+++ b/tests/steering/test_pauses_in_dispatcher.py
@@ -93,7 +93,8 @@
     first = _place(dispatcher, 1, 0)
     other = _place(dispatcher, 2, 0)
     assert _place(dispatcher, 3, 0) is None
-    awaited = dispatcher.queue(SERVICE).waiting[0].target.entry.name
+    waiting = dispatcher.queue(SERVICE).waiting
+    awaited = next(iter(waiting)).target.entry.name
     paused, free = (first, other) if awaited == first.target else (other, first)
     decisions = _report_pause(dispatcher, paused, 0.01)
     assert decisions == []
