Order waiting requests by priority and fair shares of workspaces

While requests of more than one rank arrive for a service, a freed slot goes to the most urgent request, then to one that can be in time, then to the workspace with the fewest running requests. The estimated wait counts only requests that are served before. An urgent request that is late may wait while less urgent ones are served more often.

--- a/benchmarks/queue_cost.py
+++ b/benchmarks/queue_cost.py
@@ -18,7 +18,8 @@
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.targets import TargetEntry, TargetState
 from cuminhoist.steering.tracked_target import SlotPool, TrackedTarget
-from cuminhoist.steering.waiting_requests import WaitingRequest, WaitingRequests
+from cuminhoist.steering.waiting_request import WaitingRequest
+from cuminhoist.steering.waiting_requests import WaitingRequests
 
 SERVICE = 'catalogue'
 REGION = 'south'
@@ -30,10 +31,11 @@
 #: Freed slots, each followed by an arrival, in one round.
 CYCLES_PER_ROUND = 1000
 ROUNDS = 3
-#: Simulated time of a cycle and between rechecks, in seconds.
-CYCLE_S = 0.0001
-CYCLES_PER_TICK = 50
 RUN_S = 0.07
+#: Simulated time of a cycle in seconds: all slots are busy.
+CYCLE_S = RUN_S / (TARGET_COUNT * SLOTS)
+#: Rechecks come every 5 ms.
+CYCLES_PER_TICK = round(0.005 / CYCLE_S)
 #: The wait at this load is a quarter of a second.
 OBJECTIVE_S = 2.0
 
--- a/src/cuminhoist/emulator/bound.py
+++ b/src/cuminhoist/emulator/bound.py
@@ -6,6 +6,7 @@
 
 import math
 
+from .mix import RequestMix
 from .patterns import Pattern
 
 #: Time step of the numerical integration, in seconds.
@@ -25,9 +26,10 @@
     rate = region.per_s * (1 + callers.swing * math.sin(angle))
     for burst in pattern.bursts:
         inside = burst.at_s <= now < burst.at_s + burst.for_s
-        if inside and burst.region in {'', name}:
+        of_all = not (burst.request_class or burst.workspace)
+        if inside and of_all and burst.region in {'', name}:
             rate *= burst.factor
-    return rate
+    return rate * RequestMix(pattern).rate_factor(now)
 
 
 def max_in_time_fraction(pattern: Pattern) -> float:
--- a/src/cuminhoist/emulator/patterns.py
+++ b/src/cuminhoist/emulator/patterns.py
@@ -64,6 +64,36 @@
     period_s: float = 36
 
 
+class RequestClass(msgspec.Struct, frozen=True, kw_only=True):
+    """One kind of request, with an objective of its own.
+
+    :param part: usual fraction of the requests.
+    :param priority: rank of its requests, 0 for the most urgent.
+    :param objective_s: objective of a request, in seconds.
+    :param left_s: how long a caller waits for the final answer, in seconds.
+    """
+
+    name: str
+    part: float
+    priority: int
+    objective_s: float
+    left_s: float
+
+
+class Workspaces(msgspec.Struct, frozen=True, kw_only=True):
+    """Workspaces named ``w0``, ``w1`` and so on; the first ones are large.
+
+    :param count: number of workspaces; 0 for requests without one.
+    :param large: number of large workspaces.
+    :param large_factor: how many times the requests of another one each of
+        them usually sends.
+    """
+
+    count: int = 0
+    large: int = 0
+    large_factor: float = 1
+
+
 class Burst(msgspec.Struct, frozen=True, kw_only=True):
     """A period with more requests.
 
@@ -71,12 +101,16 @@
     :param for_s: length of the period, in seconds.
     :param factor: factor of the request rate.
     :param region: name of the region; empty for all regions.
+    :param request_class: name of the request class; empty for all.
+    :param workspace: name of the workspace; empty for all.
     """
 
     at_s: float
     for_s: float
     factor: float
     region: str = ''
+    request_class: str = ''
+    workspace: str = ''
 
 
 class SlowTargets(msgspec.Struct, frozen=True, kw_only=True):
@@ -209,6 +243,7 @@
     :param answers: situation that the pattern represents.
     :param length_s: how long requests arrive, in seconds.
     :param region_s: one-way network delay between regions, in seconds.
+    :param classes: kinds of requests; empty for one kind without priority.
     """
 
     name: str
@@ -226,6 +261,8 @@
     limiting: tuple[Limiting, ...] = ()
     poison: tuple[PoisonRequest, ...] = ()
     cuts: tuple[Cut, ...] = ()
+    classes: tuple[RequestClass, ...] = ()
+    workspaces: Workspaces = Workspaces()
 
 
 def load_pattern(path: pathlib.Path) -> Result[Pattern, FieldError]:
--- a/src/cuminhoist/emulator/report.py
+++ b/src/cuminhoist/emulator/report.py
@@ -1,6 +1,8 @@
 """Outcomes of a replay and the figures computed from them."""
 
 import collections
+from collections.abc import Iterable
+from statistics import fmean
 
 import msgspec
 
@@ -22,6 +24,9 @@
     :param refusals: number of refusals that the caller got.
     :param at_cut: whether the entry instance that was asked first had been cut
         off from all targets for a while; None if no instance had.
+    :param request_class: name of the request class; empty without classes.
+    :param workspace: name of the workspace; empty for none.
+    :param objective_s: objective of the request, in seconds.
     """
 
     region: str
@@ -30,6 +35,9 @@
     moved: bool
     refusals: int
     at_cut: bool | None = None
+    request_class: str = ''
+    workspace: str = ''
+    objective_s: float = float('inf')
 
 
 class Report(msgspec.Struct):
@@ -78,6 +86,27 @@
         answered = sum(outcome.took_s is not None for outcome in self.outcomes)
         return answered / max(len(self.outcomes), 1)
 
+    def served_by_class(self) -> dict[str, float]:
+        """Return the fraction answered at all of each request class."""
+        return _fractions(
+            (outcome.request_class, outcome.took_s is not None)
+            for outcome in self.outcomes
+        )
+
+    def served_by_workspace(self) -> dict[str, float]:
+        """Return the fraction answered at all of each workspace."""
+        return _fractions(
+            (outcome.workspace, outcome.took_s is not None)
+            for outcome in self.outcomes
+        )
+
+    def in_time_by_class(self) -> dict[str, float]:
+        """Return the fraction answered in time of each request class."""
+        return _fractions(
+            (outcome.request_class, self._is_in_time(outcome))
+            for outcome in self.outcomes
+        )
+
     def refused_again(self) -> float:
         """Return the fraction refused more than once and never answered."""
         unanswered = sum(
@@ -159,4 +188,13 @@
         return [shifted[window] / served[window] for window in windows]
 
     def _is_in_time(self, outcome: Outcome) -> bool:
-        return outcome.took_s is not None and outcome.took_s <= self.objective_s
+        objective_s = min(outcome.objective_s, self.objective_s)
+        return outcome.took_s is not None and outcome.took_s <= objective_s
+
+
+def _fractions(flags: Iterable[tuple[str, bool]]) -> dict[str, float]:
+    """Return the fraction of true flags by name."""
+    by_name: dict[str, list[bool]] = {}
+    for name, flag in flags:
+        by_name.setdefault(name, []).append(flag)
+    return {key: fmean(of_key) for key, of_key in by_name.items()}
--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -32,8 +32,9 @@
 from .disturbances import schedule_disturbances
 from .emulated_entry import EmulatedEntry
 from .entry_instances import TARGET_RTT_S, EntryInstances
+from .mix import RequestMix
 from .notices import RegionNotices
-from .patterns import CutConnections, Pattern
+from .patterns import CutConnections, Pattern, RequestClass
 from .poison import RUN_S, PoisonArrivals, schedule_poison
 from .report import Outcome, Report
 from .targets import SERVICE, EmulatedTarget, Job
@@ -75,12 +76,15 @@
         for a while; None if no instance had.
     :param peers: instances that may place the request for a cut one; None if
         it has not been passed on.
+    :param workspace: name of its workspace; empty for none.
     """
 
     region: str
     entry: EmulatedEntry
     key: str
     asked_at: float
+    kind: RequestClass
+    workspace: str
     ends_at: float
     refusals: int = 0
     excluded: tuple[str, ...] = ()
@@ -105,6 +109,7 @@
     def __init__(self, pattern: Pattern, seed: int) -> None:
         self.now = float(0)
         self._pattern = pattern
+        self._mix = RequestMix(pattern)
         self._rng = random.Random(seed)  # noqa: S311
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_ids = itertools.count()
@@ -133,8 +138,10 @@
             region.name: DemandMeter(region.name, 0)
             for region in pattern.regions
         }
+        objectives_s = [kind.objective_s for kind in pattern.classes]
         self.report = Report(
-            pattern.callers.objective_s, max_in_time_fraction(pattern)
+            max((pattern.callers.objective_s, *objectives_s)),
+            max_in_time_fraction(pattern),
         )
 
     @classmethod
@@ -181,6 +188,7 @@
             self._entries.choose(region),
             content,
             self.now,
+            *self._mix.choose(self._rng, self.now),
             self.now + self._pattern.callers.left_s,
             content=content,
             down_s=down_s,
@@ -216,14 +224,16 @@
 
     def _handle_arrival(self, region: str) -> None:
         self._schedule_arrival(region)
-        callers = self._pattern.callers
+        kind, workspace = self._mix.choose(self._rng, self.now)
         entry = self._entries.choose(region)
         caller = _WaitingCaller(
             region,
             entry,
             f'o{self._rng.randrange(self._pattern.work.object_count)}',
             self.now,
-            self.now + callers.left_s,
+            kind,
+            workspace,
+            self.now + kind.left_s,
             content=f'content-{next(self._numbers)}',
             at_cut=self._entries.was_asked_in_cut(entry, self.now),
         )
@@ -246,17 +256,18 @@
         number = next(self._numbers)
         self._waiting_callers[number] = caller
         self._meters[region].count_request(SERVICE)
-        objective_s = self._pattern.callers.objective_s
         request = PlacementRequest(
             number=number,
             service=SERVICE,
             key=caller.key,
             objective_left_s=caller.asked_at
-            + objective_s
+            + caller.kind.objective_s
             - self.now
             - CALLER_RTT_S / 2,
             left_s=caller.ends_at - self.now,
             excluded=caller.excluded,
+            priority=caller.kind.priority,
+            workspace=caller.workspace,
         )
         decision = self.dispatchers[region].decide_or_queue(
             caller.entry.name, request, self.now
@@ -560,6 +571,9 @@
                 shifted,
                 caller.refusals,
                 caller.at_cut,
+                caller.kind.name,
+                caller.workspace,
+                caller.kind.objective_s,
             ),
         )
 
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -29,7 +29,7 @@
 from .target_pauses import PausesByInstance, TargetPause, TargetPauses
 from .target_selector import TargetSelector
 from .tracked_target import TrackedTarget
-from .waiting_requests import WaitingRequest
+from .waiting_request import WaitingRequest
 
 #: Margin that an estimate must keep to the objective, as a fraction of the
 #: estimate. Run times vary by about 15%, so answers that are estimated closer
@@ -134,6 +134,7 @@
         """
         queue = self.queue(request.service)
         queue.init_run_times(request.objective_left_s)
+        queue.waiting.order.count_arrival(request, now)
         waiting = WaitingRequest(entry_instance, request, now)
         return self._decide(queue, waiting, now)
 
@@ -235,6 +236,7 @@
         if attempt is None:
             return []
         queue = self.queue(attempt.service)
+        queue.waiting.order.end(attempt.workspace)
         target = queue.targets.get(attempt.target)
         if target is None:
             return []
@@ -374,6 +376,7 @@
             best.total_s * (1 + RUN_TIME_SPREAD)
             <= waiting.objective_ends_at - now
         ):
+            waiting.is_late = False
             queue.waiting.join(waiting, best, now)
             return None
         return self._decide_late(queue, waiting, options, now)
@@ -384,12 +387,19 @@
         waiting: WaitingRequest,
         options: list[Option],
         now: float,
-    ) -> Decision:
+    ) -> Decision | None:
         """Decide on a request that cannot meet its objective by waiting."""
         free = [option for option in options if not option.wait_s]
         if free:
             soonest = min(free, key=lambda option: option.total_s)
             return self._grant(waiting, soonest.target, now)
+        best = min(options, key=lambda option: option.total_s)
+        has_time = best.total_s * (1 + RUN_TIME_SPREAD) <= waiting.ends_at - now
+        order = queue.waiting.order
+        if has_time and order.is_behind(waiting.request.priority):
+            waiting.is_late = True
+            queue.waiting.join(waiting, best, now)
+            return None
         soonest = min(options, key=lambda option: option.wait_s)
         soonest_s = min(
             soonest.wait_s, self._shortest_pause_s(queue, waiting, now)
@@ -444,10 +454,12 @@
                 request.key,
                 now + request.left_s,
                 expected_hit=expected_hit,
+                workspace=request.workspace,
             )
         )
         target.start(request.key, now)
         queue = self.queue(request.service)
+        queue.waiting.order.start(request, now)
         queue.waiting.update_slots(target)
         self.shift_limiter.count(now, target.region, queue.placement.region)
         return Granted(
@@ -489,6 +501,7 @@
 
     def _release_slot(self, attempt: RunningAttempt, now: float) -> None:
         queue = self.queue(attempt.service)
+        queue.waiting.order.end(attempt.workspace)
         target = queue.targets.get(attempt.target)
         if target is not None:
             target.end(Ending.withdrawn, attempt.key, 1, now)
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -9,7 +9,7 @@
 """
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -148,6 +148,22 @@
     total_s: float
 
 
+class Requirements(msgspec.Struct, frozen=True):
+    """What one request requires of its target.
+
+    :param allowed_regions: regions that may serve it; empty for all.
+    :param excluded: names of targets that were already tried.
+    :param pauses: pauses of the entry instance that sends it.
+    :param count_before: returns how many of the requests that wait for a
+        target are served before it; None for all of them.
+    """
+
+    allowed_regions: frozenset[str] = frozenset()
+    excluded: tuple[str, ...] = ()
+    pauses: TargetPauses = NO_PAUSES
+    count_before: Callable[[TrackedTarget], int] | None = None
+
+
 class PlacementHistory:
     """What placement keeps when the targets of a service are replaced.
 
@@ -230,22 +246,20 @@
         key: str,
         times: RunTimes,
         now: float,
-        allowed_regions: frozenset[str],
-        excluded: tuple[str, ...],
-        pauses: TargetPauses = NO_PAUSES,
+        requirements: Requirements,
     ) -> list[Option]:
         """Return the best targets for a request, with estimates.
 
         :param key: identity of the object that the request uses, or empty.
         :param times: run times of the service.
         :param now: monotonic time in seconds.
-        :param allowed_regions: regions that may serve it; empty for all.
-        :param excluded: names of targets that were already tried.
-        :param pauses: pauses of the entry instance that sends the request.
+        :param requirements: what the request requires of its target.
         """
         self._refresh_health(now)
         found: dict[str, Option] = {}
-        groups = self._allowed_groups(allowed_regions)
+        groups = self._allowed_groups(requirements.allowed_regions)
+        excluded, pauses = requirements.excluded, requirements.pauses
+        count_before = requirements.count_before
         for group in groups:
             hit_s = group.extra_rtt_s + times.hit_run_s * MIN_RUN_TIME_FRACTION
             if _best_total_s(found) <= hit_s:
@@ -257,8 +271,9 @@
                     and not target.is_barred
                     and not pauses.left_s(target.entry, now)
                 ):
-                    option = self._option(target, key, rank, times, now)
-                    found[name] = option
+                    found[name] = self._option(
+                        target, key, rank, times, now, count_before
+                    )
         if found:
             return list(found.values())
         # All targets that were looked at are paused, barred or were tried.
@@ -267,7 +282,7 @@
             for region in groups
         )
         return [
-            self._option(other, key, RANK_COUNT, times, now)
+            self._option(other, key, RANK_COUNT, times, now, count_before)
             for other in others
             if other is not None
         ]
@@ -390,6 +405,7 @@
         rank: int,
         times: RunTimes,
         now: float,
+        count_before: Callable[[TrackedTarget], int] | None,
     ) -> Option:
         is_cached = target.has_cached(key) or not key
         run_s = times.hit_run_s if is_cached else times.miss_run_s
@@ -398,7 +414,8 @@
             # may have had the object cached there.
             run_s = times.presumed_run_s(remote=target.region != self.region)
         target.expected_run_s = times.miss_run_s
-        wait_s = target.wait_s(times.hit_run_s, now)
+        queued = count_before(target) if count_before else None
+        wait_s = target.wait_s(times.hit_run_s, now, queued)
         loading_left_s = target.loading_left_s(key, times.miss_run_s, now)
         if not is_cached and loading_left_s is not None:
             wait_s = max(wait_s, loading_left_s)
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -22,6 +22,8 @@
 
     :param ends_at: deadline of the attempt, in monotonic seconds.
     :param expected_hit: whether a cache hit was expected at the target.
+    :param workspace: its workspace; empty for none, or if another dispatcher
+        granted it.
     """
 
     service: str
@@ -29,6 +31,7 @@
     key: str
     ends_at: float
     expected_hit: bool = False
+    workspace: str = ''
 
 
 class ServiceQueue:
--- a/src/cuminhoist/steering/target_selector.py
+++ b/src/cuminhoist/steering/target_selector.py
@@ -5,12 +5,13 @@
 """
 
 from collections.abc import Mapping
+from functools import partial
 
-from .placement import Option
+from .placement import Option, Requirements
 from .queues import ServiceQueue
 from .region_shift_limiter import RegionShiftLimiter
 from .target_pauses import PausesByInstance
-from .waiting_requests import WaitingRequest
+from .waiting_request import WaitingRequest
 
 #: With a larger fraction of a region's own slots lost, over all services, the
 #: limit on shifts is raised. Up to it, the other targets of the region take
@@ -50,9 +51,7 @@
             request.key,
             queue.run_times,
             now,
-            request.allowed_regions,
-            request.excluded,
-            self._pauses.of(waiting.entry_instance),
+            self._requirements(queue, waiting, request.allowed_regions, now),
         )
         return self._options_within_shift_limit(queue, waiting, options, now)
 
@@ -117,9 +116,7 @@
             waiting.request.key,
             queue.run_times,
             now,
-            regions,
-            waiting.request.excluded,
-            self._pauses.of(waiting.entry_instance),
+            self._requirements(queue, waiting, regions, now),
         )
         objective_s = waiting.objective_ends_at - now
         own_s = min(option.total_s for option in own)
@@ -131,6 +128,31 @@
             <= max(objective_s, own_s + option.target.extra_rtt_s)
         ]
 
+    def _requirements(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        regions: frozenset[str],
+        now: float,
+    ) -> Requirements:
+        """Return what a request requires of its target.
+
+        :param regions: regions that may serve it; empty for all.
+        """
+        count_before = None
+        if queue.waiting.order.is_active(now):
+            count_before = partial(
+                queue.waiting.count_before,
+                priority=queue.waiting.priority(waiting),
+                workspace=waiting.request.workspace,
+            )
+        return Requirements(
+            regions,
+            waiting.request.excluded,
+            self._pauses.of(waiting.entry_instance),
+            count_before,
+        )
+
     def _record_disturbed(self, now: float) -> None:
         self.record_loss(
             sum(
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -262,23 +262,29 @@
             self._loading_since.setdefault(key, now)
             self._record_holder(key)
 
-    def wait_s(self, run_s: float, now: float) -> float:
+    def wait_s(
+        self, run_s: float, now: float, queued: int | None = None
+    ) -> float:
         """Return the estimated wait of a request that arrives now.
 
         :param run_s: run time of requests, in seconds.
         :param now: monotonic time in seconds.
+        :param queued: number of waiting requests that are served before it;
+            None for all of them.
         """
+        if queued is None:
+            queued = self.queued
         if self.is_barred:
             return float('inf')
-        if self.has_free_slot(now) and not self.queued:
+        if self.has_free_slot(now) and not queued:
             return 0
-        ahead = self.queued + 1
+        ahead = queued + 1
         ejected_s = max(self.ejected_until - now, 0)
         if self.panic_mode:
             ejected_s = 0
         ejected_s = max(self._overloaded_until - now, ejected_s)
         if self._request_rate is not None:
-            queued_s = self.queued / self._request_rate.per_s
+            queued_s = queued / self._request_rate.per_s
             ejected_s = max(self._limited_for_s(now) + queued_s, ejected_s)
         own_s = run_s * self.slowdown(now) * ahead / self.slots
         if not self.pool.is_full():
--- a/src/cuminhoist/steering/waiting_requests.py
+++ b/src/cuminhoist/steering/waiting_requests.py
@@ -8,95 +8,34 @@
 
 import heapq
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
-from .decisions import PlacementRequest
 from .placement import Option
+from .service_order import ServiceOrder
+from .target_queue import Place, TargetQueue
 from .tracked_target import SlotPool, TrackedTarget
+from .waiting_request import WaitingRequest
 
 #: Delay after the expected end of a wait until the request is placed anew,
 #: in seconds.
 RECHECK_DELAY_S = 0.015
-
-
-class WaitingRequest:
-    """A request that waits for a decision.
-
-    :param entry_instance: entry instance that sent the placement request.
-    :param request: the placement request.
-    :param now: time of its arrival, in monotonic seconds.
-    """
-
-    def __init__(
-        self, entry_instance: str, request: PlacementRequest, now: float
-    ) -> None:
-        self.entry_instance = entry_instance
-        self.request = request
-        self.arrived_at = now
-        self.objective_ends_at = now + request.objective_left_s
-        #: The target whose slot the request waits for.
-        self.target: TrackedTarget | None = None
-        #: When the request is placed anew, in monotonic seconds.
-        self.recheck_at = now
-        #: Position in the order of arrival; None until it waits.
-        self.sequence: int | None = None
-
-
-class _TargetQueue:
-    """The requests that wait for one target, in order of arrival.
-
-    :param target: the target.
-    """
-
-    def __init__(self, target: TrackedTarget) -> None:
-        self.target = target
-        #: Pool under which the target is listed while it may have a free slot.
-        self.listed_pool: SlotPool | None = None
-        self._waiting: dict[int, WaitingRequest] = {}
-        # Heap of sequence numbers; those of requests that left stay until
-        # they come up.
-        self._order: list[int] = []
-
-    def __len__(self) -> int:
-        return len(self._waiting)
-
-    def __iter__(self) -> Iterator[WaitingRequest]:
-        return iter(tuple(self._waiting.values()))
-
-    def add(self, sequence: int, waiting: WaitingRequest) -> None:
-        """Add a request.
-
-        :param sequence: its position in the order of arrival.
-        :param waiting: the request.
-        """
-        self._waiting[sequence] = waiting
-        heapq.heappush(self._order, sequence)
-
-    def remove(self, sequence: int) -> None:
-        """Remove a request.
-
-        :param sequence: its position in the order of arrival.
-        """
-        self._waiting.pop(sequence)
-
-    def first(self) -> WaitingRequest:
-        """Return the request that is served next; there must be one."""
-        while self._order[0] not in self._waiting:
-            heapq.heappop(self._order)
-        return self._waiting[self._order[0]]
+#: Least time between rechecks of a request that others go before, as a
+#: fraction of the time for which it has waited.
+RECHECK_BACKOFF = 0.5
 
 
 class WaitingRequests:
     """All waiting requests of one service."""
 
     def __init__(self) -> None:
+        self.order = ServiceOrder()
         self._sequences = itertools.count()
         self._all: dict[int, WaitingRequest] = {}
         self._by_sender: dict[str, dict[int, WaitingRequest]] = {}
-        self._queues: dict[TrackedTarget, _TargetQueue] = {}
+        self._queues: dict[TrackedTarget, TargetQueue] = {}
         # Awaited targets that have fewer requests running than slots. Others
         # have no free slot for certain.
-        self._open: dict[SlotPool, dict[TrackedTarget, _TargetQueue]] = {}
+        self._open: dict[SlotPool, dict[TrackedTarget, TargetQueue]] = {}
         # Times of rechecks with sequence numbers; outdated ones stay until
         # they are due.
         self._due: list[tuple[float, int]] = []
@@ -119,13 +58,15 @@
         target = option.target
         waiting.target = target
         target.queued += 1
+        waiting.run_s = option.total_s - option.wait_s
+        waiting.priority = self.priority(waiting)
         queue = self._queues.get(target)
         if queue is None:
-            queue = _TargetQueue(target)
+            queue = TargetQueue(target)
             self._queues[target] = queue
         queue.add(sequence, waiting)
         self.update_slots(target)
-        self.recheck(waiting, now + option.wait_s + RECHECK_DELAY_S)
+        self.recheck(waiting, self._recheck_at(waiting, option, now))
 
     def leave_target(self, waiting: WaitingRequest) -> None:
         """Have a request no longer wait for the slot of its target.
@@ -138,7 +79,7 @@
         waiting.target = None
         target.queued -= 1
         queue = self._queues[target]
-        queue.remove(waiting.sequence)
+        queue.remove(waiting.sequence, waiting)
         if not queue:
             self._unlist(queue)
             self._queues.pop(target)
@@ -253,11 +194,52 @@
         open_targets = self._open.get(pool)
         if not open_targets or pool.is_full():
             return None
-        return _earliest(
-            queue.first()
+        order_at = now if self.order.is_active(now) else float('-inf')
+        places: list[Place] = [
+            queue.first(self.order, order_at)
             for target, queue in open_targets.items()
             if target.has_free_slot(now)
-        )
+        ]
+        return self._all[min(places)[-1]] if places else None
+
+    def priority(self, waiting: WaitingRequest) -> int:
+        """Return the priority that applies to a request.
+
+        :param waiting: the request; it need not wait yet.
+        """
+        request = waiting.request
+        return self.order.priority(request.priority, request.workspace)
+
+    def count_before(
+        self, target: TrackedTarget, priority: int, workspace: str
+    ) -> int:
+        """Return how many requests a target serves before one that arrives.
+
+        :param target: the target.
+        :param priority: priority that applies to the arriving request.
+        :param workspace: its workspace.
+        """
+        queue = self._queues.get(target)
+        if queue is None:
+            return 0
+        return queue.count_before(self.order, priority, workspace)
+
+    def _recheck_at(
+        self, waiting: WaitingRequest, option: Option, now: float
+    ) -> float:
+        """Return when a request that joins a target is placed anew.
+
+        More urgent requests may go before it again and again. It is therefore
+        placed anew ever more rarely, but once it can no longer be in time.
+        """
+        recheck_at = now + option.wait_s + RECHECK_DELAY_S
+        if not self.order.is_active(now):
+            return recheck_at
+        waited_s = now - waiting.arrived_at
+        recheck_at = max(recheck_at, now + waited_s * RECHECK_BACKOFF)
+        if now < waiting.latest_start < recheck_at:
+            return waiting.latest_start
+        return recheck_at
 
     def _register(self, waiting: WaitingRequest) -> int:
         if waiting.sequence is None:
@@ -267,7 +249,7 @@
             numbers[waiting.request.number] = waiting
         return waiting.sequence
 
-    def _unlist(self, queue: _TargetQueue) -> None:
+    def _unlist(self, queue: TargetQueue) -> None:
         pool = queue.listed_pool
         if pool is None:
             return
@@ -276,9 +258,3 @@
         listed.pop(queue.target)
         if not listed:
             self._open.pop(pool)
-
-
-def _earliest(candidates: Iterable[WaitingRequest]) -> WaitingRequest | None:
-    return min(
-        candidates, key=lambda waiting: waiting.sequence or 0, default=None
-    )
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cuminhoist.steering.decisions import Ending
-from cuminhoist.steering.placement import Placement, RunTimes
+from cuminhoist.steering.placement import Placement, Requirements, RunTimes
 from cuminhoist.steering.tracked_target import SlotPool, TrackedTarget
 
 from .builders import REGION, target
@@ -29,7 +29,7 @@
 
 
 def _options(placement, key, now=0, excluded=()):
-    return placement.options(key, TIMES, now, frozenset(), excluded)
+    return placement.options(key, TIMES, now, Requirements(excluded=excluded))
 
 
 def _best(options):
--- a/tests/steering/test_waiting_requests.py
+++ b/tests/steering/test_waiting_requests.py
@@ -10,9 +10,9 @@
 from cuminhoist.steering.decisions import Ending, Granted
 from cuminhoist.steering.placement import Option
 from cuminhoist.steering.tracked_target import SlotPool, TrackedTarget
+from cuminhoist.steering.waiting_request import WaitingRequest
 from cuminhoist.steering.waiting_requests import (
     RECHECK_DELAY_S,
-    WaitingRequest,
     WaitingRequests,
 )
 
