Refuse displaced requests, spread retries and count refusals by priority

A waiting request that more urgent ones make late is placed anew at once. Retry-After of ranked services is spread between a quarter and a third of the time left, urgent ones first. Metrics count refused, displaced and waiting requests by priority, and the log line of a refused request names the promised time.

--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -32,6 +32,24 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
+        self.refusals = Counter(
+            'cuminhoist_placement_refusals',
+            'Refused placement requests by service, reason and priority.',
+            ('service', 'reason', 'priority'),
+            registry=self.registry,
+        )
+        self.displaced = Counter(
+            'cuminhoist_displaced_requests',
+            'Waiting requests that were refused, by service and priority.',
+            ('service', 'priority'),
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            'cuminhoist_waiting_requests',
+            'Requests that wait for a slot, by service and priority.',
+            ('service', 'priority'),
+            registry=self.registry,
+        )
         self.decision_time = Histogram(
             'cuminhoist_decision_seconds',
             'Time to decide on a placement request.',
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -67,6 +67,8 @@
         self._limit_was_raised = False
         self._shift_limit = shift_limit
         self._change_logged_at = float('-inf')
+        # Priorities that a gauge shows, by service.
+        self._priorities: dict[str, set[int]] = {}
 
     def handle_message(self, peer: Peer, msg: Message) -> None:
         """Process a message of an entry instance.
@@ -120,6 +122,7 @@
         self.dispatcher.expire_attempts(now)
         self._log_shift_limit(now)
         self._check_region_change(now)
+        self._record_queues()
         return self._meter.measure(self.dispatcher.service_loads(), now)
 
     def update(
@@ -160,6 +163,25 @@
         )
         self._send_decisions(self.dispatcher.decide_waiting(self._now()))
 
+    def _record_queues(self) -> None:
+        """Record refused, displaced and waiting requests in the metrics."""
+        for kind, count in self.dispatcher.refusals.take().items():
+            priority = str(kind.priority)
+            self._metrics.refusals.labels(
+                kind.service, kind.reason, priority
+            ).inc(count)
+            if kind.has_waited:
+                self._metrics.displaced.labels(kind.service, priority).inc(
+                    count
+                )
+        for service, queue in self.dispatcher.queues():
+            waiting = queue.waiting.count_by_priority()
+            self._priorities.setdefault(service, set()).update(waiting)
+            for listed in self._priorities[service]:
+                self._metrics.waiting.labels(service, str(listed)).set(
+                    waiting[listed]
+                )
+
     def _log_shift_limit(self, now: float) -> None:
         """Log when the limit on shifts is raised or applies again."""
         lost_fraction = self.dispatcher.shift_limiter.lost_fraction(now)
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -274,8 +274,7 @@
                 req
             )
             if isinstance(decision, Refused):
-                wait = f'wait {decision.wait_s * MS_PER_S:.0f}ms'
-                state.trail.append(f'{decider}: {decision.reason}, {wait}')
+                state.trail.append(f'{decider}: {_describe_refusal(decision)}')
                 return await self._answer_without_target(state, decision, send)
             target = self.routing_state.targets.get(decision.target)
             state.waited_s += decision.waited_s
@@ -534,3 +533,10 @@
 
 def _ignore_leaving(_announced: LeavingTarget, _request_id: str) -> None:
     """Ignore that a target is about to stop."""
+
+
+def _describe_refusal(refused: Refused) -> str:
+    """Return the reason, the estimated wait and the promised time."""
+    wait_ms = refused.wait_s * MS_PER_S
+    retry_ms = refused.retry_after_s * MS_PER_S
+    return f'{refused.reason}, wait {wait_ms:.0f}ms, retry {retry_ms:.0f}ms'
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -24,6 +24,7 @@
 from .limit_enforcer import LimitEnforcer
 from .placement import Option, Placement
 from .queues import RunningAttempt, ServiceQueue
+from .refusal_counts import RefusalCounts
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
 from .target_pauses import PausesByInstance, TargetPause, TargetPauses
@@ -61,6 +62,8 @@
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
         self.pauses = PausesByInstance()
+        #: Refused requests, for metrics.
+        self.refusals = RefusalCounts()
         #: Limits that targets name.
         self.limits = LimitEnforcer(self._services)
         self.shift_limiter = RegionShiftLimiter(shift_limit)
@@ -364,6 +367,21 @@
         queue: ServiceQueue,
         waiting: WaitingRequest,
         now: float,
+    ) -> Decision | None:
+        decision = self._choose(queue, waiting, now)
+        if isinstance(decision, Refused):
+            self.refusals.count(
+                waiting.request,
+                decision.reason,
+                has_waited=waiting.sequence is not None,
+            )
+        return decision
+
+    def _choose(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        now: float,
     ) -> Decision | None:
         queue.waiting.leave_target(waiting)
         options = self._selector.options(queue, waiting, now)
@@ -404,7 +422,7 @@
         soonest_s = min(
             soonest.wait_s, self._shortest_pause_s(queue, waiting, now)
         )
-        return self._refuse(waiting, soonest_s)
+        return self._refuse(queue, waiting, soonest_s, now)
 
     def _grant_waiting(
         self,
@@ -490,13 +508,21 @@
             return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
         return Refused(number, RefusalReason.overload, left_s, left_s)
 
-    def _refuse(self, waiting: WaitingRequest, soonest_s: float) -> Refused:
-        retry_after_s = max(RETRY_FRACTION * waiting.request.left_s, soonest_s)
+    def _refuse(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        soonest_s: float,
+        now: float,
+    ) -> Refused:
+        request = waiting.request
+        retry_after_s = max(RETRY_FRACTION * request.left_s, soonest_s)
+        if queue.waiting.order.is_active(now):
+            retry_after_s = queue.waiting.order.spread_retry_s(
+                request.priority, soonest_s, max(waiting.ends_at - now, 0)
+            )
         return Refused(
-            waiting.request.number,
-            RefusalReason.overload,
-            retry_after_s,
-            soonest_s,
+            request.number, RefusalReason.overload, retry_after_s, soonest_s
         )
 
     def _release_slot(self, attempt: RunningAttempt, now: float) -> None:
--- a/src/cuminhoist/steering/service_order.py
+++ b/src/cuminhoist/steering/service_order.py
@@ -12,6 +12,7 @@
 
 import math
 from collections.abc import Mapping
+from typing import TypeVar
 
 import msgspec
 
@@ -35,10 +36,18 @@
 MAX_WORKSPACES = 4096
 #: Interval at which parts below their floor are looked for, in seconds.
 REFRESH_S = 0.1
+#: Callers wait for at most this fraction of the time they have left.
+USABLE_FRACTION = 1 / 3
+#: Earliest return of a refused caller, as a fraction of its time left.
+FIRST_RETRY_FRACTION = 0.25
+#: Step by which refused callers are spread over the time in which they may
+#: return: the golden ratio keeps consecutive ones apart for any number of them.
+SPREAD_STEP = (math.sqrt(5) - 1) / 2
 #: Rank before all priorities, for parts of the requests below their floor.
 FLOOR_PRIORITY = -1
 
 _Rank = tuple[int, str]
+_Part = TypeVar('_Part', int, str)
 
 
 class ServedCounts(msgspec.Struct):
@@ -100,6 +109,7 @@
         self._by_priority: dict[int, ServedCounts] = {}
         self._by_workspace: dict[str, ServedCounts] = {}
         self._refresh_at = float('-inf')
+        self._spread = float(0)
         # Priorities and workspaces below their floor, and priorities that
         # less urgent requests are ahead of.
         self._low_priorities: frozenset[int] = frozenset()
@@ -178,7 +188,29 @@
         """
         return priority in self._behind
 
+    def spread_retry_s(
+        self, priority: int, soonest_s: float, left_s: float
+    ) -> float:
+        """Return when a refused caller may return, in seconds.
+
+        The time from the first expected slot to the last at which callers
+        return is divided among the priorities, urgent ones first. Within its
+        part, callers are spread evenly.
+
+        :param priority: priority of the refused request.
+        :param soonest_s: time until a slot is expected, in seconds.
+        :param left_s: time that the caller has left, in seconds.
+        """
+        self._spread = math.modf(self._spread + SPREAD_STEP)[0]
+        known = sorted({*self._by_priority, priority})
+        place = (known.index(priority) + self._spread) / len(known)
+        first_s = max(soonest_s, FIRST_RETRY_FRACTION * left_s)
+        span_s = max(USABLE_FRACTION * left_s - first_s, 0)
+        return first_s + place * span_s
+
     def _refresh(self, now: float) -> None:
+        _forget_idle(self._by_priority, now)
+        _forget_idle(self._by_workspace, now)
         if not self.is_active(now):
             self._low_priorities = frozenset()
             self._low_workspaces = frozenset()
@@ -234,3 +266,14 @@
                 self._by_workspace.pop(name)
         if len(self._by_workspace) >= MAX_WORKSPACES:
             self._by_workspace.pop(next(iter(self._by_workspace)))
+
+
+def _forget_idle(counts: dict[_Part, ServedCounts], now: float) -> None:
+    """Drop the counts of parts that no request has had for a while."""
+    idle = [
+        part
+        for part, counted in counts.items()
+        if now - counted.counted_at > MEMORY_S
+    ]
+    for part in idle:
+        counts.pop(part)
--- a/src/cuminhoist/steering/waiting_request.py
+++ b/src/cuminhoist/steering/waiting_request.py
@@ -27,6 +27,8 @@
         self.sequence: int | None = None
         #: Expected time from the end of the wait to the answer, in seconds.
         self.run_s = float(0)
+        #: When it is expected to be sent, in monotonic seconds.
+        self.expected_start = now
         #: Whether its answer is late by the estimate of its last placement.
         self.is_late = False
         #: Priority by which it waits; parts of the requests that are served
@@ -43,6 +45,14 @@
         """Latest time to send it in time, in monotonic seconds."""
         return self.objective_ends_at - self.run_s
 
+    def is_displaced(self, delay_s: float) -> bool:
+        """Delay the expected start; tell whether that makes the answer late.
+
+        :param delay_s: the delay in seconds.
+        """
+        self.expected_start += delay_s
+        return not self.is_late and self.expected_start > self.latest_start
+
     def can_be_in_time(self, now: float) -> bool:
         """Tell whether the answer meets the objective if sent now.
 
--- a/src/cuminhoist/steering/waiting_requests.py
+++ b/src/cuminhoist/steering/waiting_requests.py
@@ -6,6 +6,7 @@
 waiting requests.
 """
 
+import collections
 import heapq
 import itertools
 from collections.abc import Iterator
@@ -22,6 +23,9 @@
 #: Least time between rechecks of a request that others go before, as a
 #: fraction of the time for which it has waited.
 RECHECK_BACKOFF = 0.5
+#: Largest number of overtaken requests that are looked at when another one
+#: goes before them. The others are found late when they are rechecked.
+MAX_OVERTAKEN = 64
 
 
 class WaitingRequests:
@@ -64,6 +68,9 @@
         if queue is None:
             queue = TargetQueue(target)
             self._queues[target] = queue
+        waiting.expected_start = now + option.wait_s
+        if self.order.is_active(now):
+            self._displace(queue, waiting, option, now)
         queue.add(sequence, waiting)
         self.update_slots(target)
         self.recheck(waiting, self._recheck_at(waiting, option, now))
@@ -100,6 +107,12 @@
         if not numbers:
             self._by_sender.pop(sender, None)
 
+    def count_by_priority(self) -> collections.Counter[int]:
+        """Return the number of waiting requests of each priority."""
+        return collections.Counter(
+            waiting.request.priority for waiting in self._all.values()
+        )
+
     def find(self, entry_instance: str, number: int) -> WaitingRequest | None:
         """Return a waiting request.
 
@@ -224,6 +237,26 @@
             return 0
         return queue.count_before(self.order, priority, workspace)
 
+    def _displace(
+        self,
+        queue: TargetQueue,
+        waiting: WaitingRequest,
+        option: Option,
+        now: float,
+    ) -> None:
+        """Make requests due that are late because another goes before them.
+
+        Placed anew, they go to another target or are refused at once.
+        """
+        before = queue.count_before(
+            self.order, waiting.priority, waiting.request.workspace
+        )
+        turn_s = option.wait_s / (before + 1)
+        overtaken = queue.after(waiting.priority)
+        for other in itertools.islice(overtaken, MAX_OVERTAKEN):
+            if other.is_displaced(turn_s):
+                self.recheck(other, now)
+
     def _recheck_at(
         self, waiting: WaitingRequest, option: Option, now: float
     ) -> float:
--- a/tests/fleet/test_region_dispatch.py
+++ b/tests/fleet/test_region_dispatch.py
@@ -4,8 +4,11 @@
 
 from cuminhoist.fleet.control_metrics import ControlMetrics
 from cuminhoist.fleet.region_dispatch import RegionDispatch
+from cuminhoist.steering.decisions import Granted, Refused
 from cuminhoist.steering.region_shift_limiter import LOSS_KEPT_S
 
+from ..steering.builders import SERVICE, make_dispatcher, request
+
 
 def _run(now, dispatch, times):
     """Measure at some times; return the messages that are logged."""
@@ -53,3 +56,30 @@
     dispatch.dispatcher.shift_limiter.record_loss(now[0], 0.5)
     events = _run(now, dispatch, (0.5, 1.0, LOSS_KEPT_S, LOSS_KEPT_S + 1))
     assert events == ['shift limit raised', 'shift limit applies']
+
+
+def test_refusals_and_waiting_requests_are_counted():
+    """Guards against refusals of which operators see no cause."""
+    now = [0.0]
+    metrics = ControlMetrics()
+    dispatch = RegionDispatch('south', {}, lambda: now[0], 0.15, metrics)
+    dispatch.dispatcher = make_dispatcher(count=1)
+    granted = dispatch.dispatcher.decide_or_queue('e', request(1), 0)
+    assert isinstance(granted, Granted)
+    waiting = request(2, priority=2)
+    assert dispatch.dispatcher.decide_or_queue('e', waiting, 0) is None
+    late = request(3, priority=2, objective_left_s=-1)
+    assert isinstance(
+        dispatch.dispatcher.decide_or_queue('e', late, 0), Refused
+    )
+    dispatch.measure()
+    text = metrics.render().decode()
+    labels = f'service="{SERVICE}"'
+    assert f'requests{{priority="2",{labels}}} 1.0' in text
+    assert f'{{priority="2",reason="overload",{labels}}} 1.0' in text
+    now[0] = 9
+    dispatch.dispatcher.decide_waiting(9)
+    dispatch.measure()
+    text = metrics.render().decode()
+    assert f'waiting_requests{{priority="2",{labels}}} 0.0' in text
+    assert f'displaced_requests_total{{priority="2",{labels}}} 1.0' in text
--- a/tests/steering/test_service_order.py
+++ b/tests/steering/test_service_order.py
@@ -8,6 +8,7 @@
 from cuminhoist.steering.decisions import Granted, Refused
 from cuminhoist.steering.service_order import (
     FLOOR_PRIORITY,
+    MAX_WORKSPACES,
     MEMORY_S,
     REFRESH_S,
     ServiceOrder,
@@ -140,3 +141,48 @@
     less_urgent = request(91, objective_left_s=0.01, priority=2)
     decision = dispatcher.decide_or_queue('e', less_urgent, 0.6)
     assert isinstance(decision, Refused)
+
+
+def test_overtaken_request_is_refused_at_once():
+    """Guards against requests that wait although they are late by then.
+
+    Urgent requests that go before them take the slots they wait for.
+    """
+    dispatcher, _ = _mixed_dispatcher(priority=1)
+    overtaken = request(3, objective_left_s=0.24, priority=2)
+    assert dispatcher.decide_or_queue('e', overtaken, 0) is None
+    for number in range(4, 7):
+        urgent = request(number, objective_left_s=9)
+        assert dispatcher.decide_or_queue('e', urgent, 0) is None
+    decisions = [decision for _, decision in dispatcher.decide_waiting(0)]
+    assert [decision.number for decision in decisions] == [3]
+    assert isinstance(decisions[0], Refused)
+
+
+def test_refused_callers_return_spread_and_urgent_ones_first():
+    """Guards against refused callers that return together or too late.
+
+    Callers wait for at most a third of the time that they have left.
+    """
+    order = ServiceOrder()
+    for number in range(4):
+        order.count_arrival(request(number, priority=number % 2), 0)
+    urgent, other = (
+        [order.spread_retry_s(priority, 0.05, 3) for _ in range(20)]
+        for priority in (0, 1)
+    )
+    assert max(urgent) <= min(other)
+    assert max(other) <= 1
+    gaps = sorted(urgent)
+    assert min(b - a for a, b in zip(gaps, gaps[1:], strict=False)) > 0
+    assert order.spread_retry_s(0, 2, 3) == 2
+
+
+def test_counts_are_bounded():
+    """Guards against memory that grows with the names of workspaces."""
+    order = ServiceOrder()
+    for number in range(MAX_WORKSPACES + 100):
+        order.count_arrival(request(number, workspace=f'w{number}'), 0)
+    assert len(order._by_workspace) <= MAX_WORKSPACES
+    order.count_arrival(request(1), MEMORY_S + 1)
+    assert not order._by_workspace
