--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
     'admission_cost',
     'decision_cost',
     'allowance_cost',
+    'queue_cost',
     'leaving_cost',
     'ownership_cost',
     'delivery_cost',
--- a/src/cuminhoist/fleet/control_metrics.py
+++ b/src/cuminhoist/fleet/control_metrics.py
@@ -50,6 +50,33 @@
         )
 
 
+class QueueMetrics:
+    """Metrics of the requests that wait for a slot or are refused.
+
+    :param registry: registry of the metrics.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.refusals = Counter(
+            'cuminhoist_placement_refusals',
+            'Refused placement requests by service, reason and priority.',
+            ('service', 'reason', 'priority'),
+            registry=registry,
+        )
+        self.displaced = Counter(
+            'cuminhoist_displaced_requests',
+            'Waiting requests that were refused, by service and priority.',
+            ('service', 'priority'),
+            registry=registry,
+        )
+        self.waiting = Gauge(
+            'cuminhoist_waiting_requests',
+            'Requests that wait for a slot, by service and priority.',
+            ('service', 'priority'),
+            registry=registry,
+        )
+
+
 class ControlMetrics:
     """Metrics for decisions, orders and the state that decisions use."""
 
@@ -61,6 +88,7 @@
             ('service', 'outcome'),
             registry=self.registry,
         )
+        self.queues = QueueMetrics(self.registry)
         self.decision_time = Histogram(
             'cuminhoist_decision_seconds',
             'Time to decide on a placement request.',
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -26,16 +26,14 @@
 from .limit_enforcer import LimitEnforcer
 from .placement import Placement
 from .placement_options import Option
-from .queues import (
-    RunningAttempt,
-    ServiceQueue,
-    WaitingRequest,
-)
+from .queues import RunningAttempt, ServiceQueue
+from .refusal_counts import RefusalCounts
 from .region_shift_limiter import RegionShiftLimiter
 from .run_time_learning import learn_run_time
 from .target_pauses import PausesByInstance, TargetPause, TargetPauses
 from .target_selector import TargetSelector
 from .tracked_target import TrackedTarget
+from .waiting_request import WaitingRequest
 
 #: Margin that an estimate must keep to the objective, as a fraction of the
 #: estimate. Run times vary by about 15%, so answers that are estimated closer
@@ -67,6 +65,8 @@
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
         self.pauses = PausesByInstance()
+        #: Refused requests, for metrics.
+        self.refusals = RefusalCounts()
         #: Limits that targets name.
         self.limits = LimitEnforcer(self._services)
         #: What workspaces may still send.
@@ -126,6 +126,7 @@
                 former.forget_objects()
         queue.recheck_requests_without(targets, now)
         queue.placement = Placement(targets, region, queue.placement.history)
+        queue.waiting.update_all_slots()
         for target in targets.values():
             self.limits.set_rate(target, region, now)
 
@@ -144,11 +145,10 @@
             return refused
         queue = self.queue(request.service)
         queue.init_run_times(request.objective_left_s)
+        queue.waiting.order.count_arrival(request, now)
         waiting = WaitingRequest(entry_instance, request, now)
         decision = self._decide(queue, waiting, now)
-        if decision is None:
-            queue.waiting.append(waiting)
-        elif isinstance(decision, Refused):
+        if isinstance(decision, Refused):
             self.allowances.refund_unplaced(request, now)
         return decision
 
@@ -250,6 +250,7 @@
         if attempt is None:
             return []
         queue = self.queue(attempt.service)
+        queue.waiting.order.end(attempt.workspace)
         target = queue.targets.get(attempt.target)
         if target is None:
             return []
@@ -271,14 +272,10 @@
         :param now: monotonic time in seconds.
         """
         queue = self.queue(service)
-        for waiting in tuple(queue.waiting):
-            if (
-                waiting.entry_instance == entry_instance
-                and waiting.request.number == number
-            ):
-                self.allowances.refund_unplaced(waiting.request, now)
-                waiting.leave_target_queue()
-                queue.waiting.remove(waiting)
+        waiting = queue.waiting.find(entry_instance, number)
+        if waiting is not None:
+            self.allowances.refund_unplaced(waiting.request, now)
+            queue.waiting.remove(waiting)
         # The withdrawal may have been sent before the grant arrived.
         attempt = self._running_attempts.pop((entry_instance, number), None)
         if attempt is not None:
@@ -292,10 +289,8 @@
         """
         self.pauses.pop(entry_instance, None)
         for queue in self._services.values():
-            for waiting in tuple(queue.waiting):
-                if waiting.entry_instance == entry_instance:
-                    waiting.leave_target_queue()
-                    queue.waiting.remove(waiting)
+            for waiting in queue.waiting.sent_by(entry_instance):
+                queue.waiting.remove(waiting)
         for key, attempt in tuple(self._running_attempts.items()):
             if key[0] == entry_instance:
                 self._running_attempts.pop(key)
@@ -318,9 +313,7 @@
         """
         decisions: list[tuple[str, Decision]] = []
         for queue in self._services.values():
-            for waiting in list(queue.waiting):
-                if now < waiting.recheck_at:
-                    continue
+            for waiting in queue.waiting.take_due(now):
                 decision = self._decide(queue, waiting, now)
                 if isinstance(decision, Refused):
                     self.allowances.refund_unplaced(waiting.request, now)
@@ -338,7 +331,8 @@
         :param report: identifies the attempt; its ending is not used.
         :param now: monotonic time in seconds.
         """
-        target = self.queue(report.service).targets.get(report.target)
+        queue = self.queue(report.service)
+        target = queue.targets.get(report.target)
         if (
             target is not None
             and (entry_instance, report.number) not in self._running_attempts
@@ -352,6 +346,7 @@
                 )
             )
             target.start(report.key, now)
+            queue.waiting.update_slots(target)
 
     def count_remote_grant(
         self, request: PlacementRequest, granted: Granted, now: float
@@ -387,7 +382,22 @@
         waiting: WaitingRequest,
         now: float,
     ) -> Decision | None:
-        waiting.leave_target_queue()
+        decision = self._choose(queue, waiting, now)
+        if isinstance(decision, Refused):
+            self.refusals.count(
+                waiting.request,
+                decision.reason,
+                has_waited=waiting.sequence is not None,
+            )
+        return decision
+
+    def _choose(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        now: float,
+    ) -> Decision | None:
+        queue.waiting.leave_target(waiting)
         options = self._selector.options(queue, waiting, now)
         if not options:
             return self._refuse_without_option(queue, waiting, now)
@@ -399,7 +409,8 @@
         if not best.wait_s:
             return self._grant(waiting, best.target, now)
         if best.total_s <= in_time_s:
-            waiting.join_target_queue(best, now)
+            waiting.is_late = False
+            queue.waiting.join(waiting, best, now)
             return None
         return self._decide_late(queue, waiting, options, preference, now)
 
@@ -410,16 +421,23 @@
         options: list[Option],
         preference: DomainPreference,
         now: float,
-    ) -> Decision:
+    ) -> Decision | None:
         """Decide on a request that cannot meet its objective by waiting."""
         free = [option for option in options if not option.wait_s]
         if free:
             return self._grant(waiting, preference.best(free).target, now)
+        best = min(options, key=lambda option: option.total_s)
+        has_time = best.total_s * (1 + RUN_TIME_SPREAD) <= waiting.ends_at - now
+        order = queue.waiting.order
+        if has_time and order.is_behind(waiting.request.priority):
+            waiting.is_late = True
+            queue.waiting.join(waiting, best, now)
+            return None
         soonest = min(options, key=lambda option: option.wait_s)
         soonest_s = min(
             soonest.wait_s, self._shortest_pause_s(queue, waiting, now)
         )
-        return self._refuse(waiting, soonest_s)
+        return self._refuse(queue, waiting, soonest_s, now)
 
     def _grant_waiting(
         self,
@@ -429,16 +447,13 @@
     ) -> list[tuple[str, Decision]]:
         """Grant waiting requests the slots that are free in a pool."""
         decisions: list[tuple[str, Decision]] = []
-        for waiting in list(queue.waiting):
-            awaited = waiting.target
-            if awaited is None or awaited.pool is not target.pool:
-                continue
-            if awaited.has_free_slot(now):
-                waiting.leave_target_queue()
-                queue.waiting.remove(waiting)
-                granted = self._grant(waiting, awaited, now)
-                decisions.append((waiting.entry_instance, granted))
-        return decisions
+        while True:
+            waiting = queue.waiting.next_for(target.pool, now)
+            if waiting is None or waiting.target is None:
+                return decisions
+            granted = self._grant(waiting, waiting.target, now)
+            queue.waiting.remove(waiting)
+            decisions.append((waiting.entry_instance, granted))
 
     def _record_end(
         self,
@@ -454,6 +469,7 @@
                 queue, target, report, attempt.expected_hit, now
             )
         target.end(report.ending, attempt.key, ratio, now)
+        queue.waiting.update_slots(target)
 
     def _grant(
         self,
@@ -471,14 +487,14 @@
                 request.key,
                 now + request.left_s,
                 expected_hit=expected_hit,
+                workspace=request.workspace,
             )
         )
         target.start(request.key, now)
-        self.shift_limiter.count(
-            now,
-            target.region,
-            self.queue(request.service).placement.region,
-        )
+        queue = self.queue(request.service)
+        queue.waiting.order.start(request, now)
+        queue.waiting.update_slots(target)
+        self.shift_limiter.count(now, target.region, queue.placement.region)
         return Granted(
             request.number,
             name,
@@ -507,16 +523,27 @@
             return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
         return Refused(number, RefusalReason.overload, left_s, left_s)
 
-    def _refuse(self, waiting: WaitingRequest, soonest_s: float) -> Refused:
-        retry_after_s = max(RETRY_FRACTION * waiting.request.left_s, soonest_s)
+    def _refuse(
+        self,
+        queue: ServiceQueue,
+        waiting: WaitingRequest,
+        soonest_s: float,
+        now: float,
+    ) -> Refused:
+        request = waiting.request
+        retry_after_s = max(RETRY_FRACTION * request.left_s, soonest_s)
+        if queue.waiting.order.is_active(now):
+            retry_after_s = queue.waiting.order.spread_retry_s(
+                request.priority, soonest_s, max(waiting.ends_at - now, 0)
+            )
         return Refused(
-            waiting.request.number,
-            RefusalReason.overload,
-            retry_after_s,
-            soonest_s,
+            request.number, RefusalReason.overload, retry_after_s, soonest_s
         )
 
     def _release_slot(self, attempt: RunningAttempt, now: float) -> None:
-        target = self.queue(attempt.service).targets.get(attempt.target)
+        queue = self.queue(attempt.service)
+        queue.waiting.order.end(attempt.workspace)
+        target = queue.targets.get(attempt.target)
         if target is not None:
             target.end(Ending.withdrawn, attempt.key, 1, now)
+            queue.waiting.update_slots(target)
