--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -136,6 +136,7 @@
             config.limits.max_shift_fraction,
             self.metrics,
             config.limits.allowance_bounds,
+            learns_limits=config.limits.learns_limits,
         )
         self._demand = self.dispatch.measure()
         self._entry_updates = EntryUpdates(self.links, self.feed, now)
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -103,6 +103,7 @@
             config.limits.max_shift_fraction,
             now,
             config.domain if config.limits.prefers_own_domain else '',
+            learns_limits=config.limits.learns_limits,
         )
         self._target_connections = TargetConnections(
             now,
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -36,6 +36,7 @@
         contact to a quorum of the control instances, in seconds.
     :param prefers_own_domain: whether a request stays in the failure domain of
         its entry instance while its answer is in time there.
+    :param learns_limits: whether concurrency limits of targets are learned.
     :param allowance_bounds: tolerated excess over the allowances of
         workspaces.
     """
@@ -50,6 +51,7 @@
     refuses_unconfirmed_keys: bool = False
     key_trust_s: float = 5
     prefers_own_domain: bool = False
+    learns_limits: bool = False
     allowance_bounds: AllowanceBounds = AllowanceBounds()
 
 
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -51,6 +51,7 @@
         another region within two seconds.
     :param metrics: metrics of the decisions.
     :param bounds: tolerated excess over allowances.
+    :param learns_limits: whether concurrency limits of targets are learned.
     """
 
     def __init__(
@@ -61,9 +62,11 @@
         shift_limit: float,
         metrics: ControlMetrics,
         bounds: AllowanceBounds = AllowanceBounds(),
+        *,
+        learns_limits: bool = False,
     ) -> None:
         self._metrics = metrics
-        self.dispatcher = Dispatcher(shift_limit)
+        self.dispatcher = Dispatcher(shift_limit, learns_limits=learns_limits)
         all_regions = {region, *regions.values()}
         #: Shares of this region in the allowances of workspaces.
         self.allowances = RegionAllowances(
--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -113,6 +113,8 @@
         shift_limit: float,
         now: Callable[[], float],
         domain: str = '',
+        *,
+        learns_limits: bool = False,
     ) -> Self:
         """Return a client with a local dispatcher that knows no targets yet.
 
@@ -122,8 +124,11 @@
         :param now: returns monotonic time in seconds.
         :param domain: failure domain whose targets are preferred; empty for
             none.
+        :param learns_limits: whether concurrency limits of targets are
+            learned.
         """
-        return cls(remote, Dispatcher(shift_limit), now, domain)
+        local = Dispatcher(shift_limit, learns_limits=learns_limits)
+        return cls(remote, local, now, domain)
 
     def next_number(self) -> int:
         """Return a number that identifies a new placement request."""
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -82,6 +82,9 @@
     cloud: _Cloud = _Cloud()
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    #: Whether concurrency limits of targets are learned. The platform does not
+    #: set it: limits below the slots cost answers where targets have no knee.
+    learn_limits: bool = False
     #: Names of the parts of the platform's rules that are in force.
     contracts: tuple[str, ...] = ()
 
@@ -131,16 +134,15 @@
         metrics_address=Address(boot.ip, last_port),
         target_list_address=_parse_address(boot.cloud.address),
         list_calls_per_s=boot.cloud.rate_per_s,
-        limits=_deployment_limits(boot.bounds, boot.contracts),
+        limits=_deployment_limits(boot),
         link_bytes_per_s=boot.limits.link_mbps * _BYTES_PER_MBIT
         or float('inf'),
         memory_bytes=boot.limits.memory_mb * _BYTES_PER_MB,
     )
 
 
-def _deployment_limits(
-    wire: _Bounds, contracts: tuple[str, ...]
-) -> DeploymentLimits:
+def _deployment_limits(boot: _Boot) -> DeploymentLimits:
+    wire = boot.bounds
     return DeploymentLimits(
         retry_budget_ratio=wire.retry_budget_ratio,
         retry_window_s=wire.retry_window_s,
@@ -151,7 +153,8 @@
         drain_s=wire.drain_ms / _MS,
         refuses_unconfirmed_keys=wire.fail_closed,
         key_trust_s=wire.revoke_ms / _MS,
-        prefers_own_domain=_SCARCE_LINKS in contracts,
+        prefers_own_domain=_SCARCE_LINKS in boot.contracts,
+        learns_limits=boot.learn_limits,
         allowance_bounds=AllowanceBounds(
             wire.quota_window_s, wire.quota_over, wire.quota_slack
         ),
--- a/src/cuminhoist/steering/concurrency_limit.py
+++ b/src/cuminhoist/steering/concurrency_limit.py
@@ -180,6 +180,38 @@
         return deviation + SERVICE_WEIGHT * abs(math.log(knee / usual))
 
 
+class FixedLimit(ConcurrencyLimit):
+    """Limit of a target that is sent requests for all of its slots."""
+
+    def limit(self, now: float) -> float:
+        """Return the slots.
+
+        :param now: monotonic time in seconds.
+        """
+        return self._slots
+
+    def contention(self, running: float) -> float:
+        """Return 1: requests do not slow each other down.
+
+        :param running: number of requests that run.
+        """
+        return 1
+
+    def record_decline(self, running: int, now: float) -> None:
+        """Learn nothing from a request that was not taken.
+
+        :param running: number of requests that ran.
+        :param now: monotonic time in seconds.
+        """
+
+    def record_run(self, running: int, run_s: float) -> None:
+        """Learn nothing from a run time.
+
+        :param running: number of requests that ran at its end.
+        :param run_s: run time in seconds.
+        """
+
+
 def _weighted_median(pairs: list[tuple[float, int]]) -> float:
     total = sum(weight for _, weight in pairs)
     passed = 0
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -58,9 +58,13 @@
 
     :param shift_limit: largest increase of the fraction of requests that
         shift to other regions, from one two-second window to the next.
+    :param learns_limits: whether concurrency limits of targets are learned.
     """
 
-    def __init__(self, shift_limit: float = 1) -> None:
+    def __init__(
+        self, shift_limit: float = 1, *, learns_limits: bool = True
+    ) -> None:
+        self._learns_limits = learns_limits
         self._services: dict[str, ServiceQueue] = {}
         self._running_attempts: dict[tuple[str, int], RunningAttempt] = {}
         #: Pauses that targets asked for, by entry instance.
@@ -81,7 +85,11 @@
 
         :param name: name of the service.
         """
-        return self._services.setdefault(name, ServiceQueue())
+        if name not in self._services:
+            self._services[name] = ServiceQueue(
+                learns_limits=self._learns_limits
+            )
+        return self._services[name]
 
     def queues(self) -> Iterable[tuple[str, ServiceQueue]]:
         """Return all services with their queues."""
--- a/src/cuminhoist/steering/queues.py
+++ b/src/cuminhoist/steering/queues.py
@@ -39,13 +39,16 @@
 
 
 class ServiceQueue:
-    """Targets, run times and waiting requests of one service."""
+    """Targets, run times and waiting requests of one service.
 
-    def __init__(self) -> None:
+    :param learns_limits: whether concurrency limits of targets are learned.
+    """
+
+    def __init__(self, *, learns_limits: bool = True) -> None:
         self.placement = Placement({}, '')
         self.waiting = WaitingRequests()
         self.run_times = RunTimes()
-        self.speed_news = SpeedNews()
+        self.speed_news = SpeedNews(learns_limits=learns_limits)
 
     @property
     def targets(self) -> dict[str, TrackedTarget]:
--- a/src/cuminhoist/steering/target_speed.py
+++ b/src/cuminhoist/steering/target_speed.py
@@ -10,7 +10,7 @@
 import math
 import statistics
 
-from .concurrency_limit import ConcurrencyLimit, ServiceKnee
+from .concurrency_limit import ConcurrencyLimit, FixedLimit, ServiceKnee
 
 #: Upper ends of the classes of ages, in seconds. What a target told is not
 #: used when it is older than the last one.
@@ -51,9 +51,12 @@
     The prediction is linear in the last told slowdown. Its weight is the
     correlation of two slowdowns that a target told one after the other, by
     the time between them.
+
+    :param learns_limits: whether concurrency limits of targets are learned.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, learns_limits: bool = True) -> None:
+        self.learns_limits = learns_limits
         self.knee = ServiceKnee()
         self._mean = float(1)
         self._variance = float(0)
@@ -114,7 +117,8 @@
 
     def __init__(self, news: SpeedNews, slots: int) -> None:
         self._news = news
-        self.limit = ConcurrencyLimit(slots, news.knee)
+        limit_type = ConcurrencyLimit if news.learns_limits else FixedLimit
+        self.limit = limit_type(slots, news.knee)
         #: Number of requests of others that ran at its last answer.
         self.others_running = 0
         self._told: float | None = None
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -101,3 +101,17 @@
     assert load_settings(path).unwrap().memory_bytes == 200e6
     path.write_text(json.dumps(SETTINGS))
     assert load_settings(path).unwrap().memory_bytes == 0
+
+
+def test_what_deployments_ask_for_is_off_otherwise(tmp_path):
+    """Guards against new behaviour in deployments that did not ask for it."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(SETTINGS))
+    limits = load_settings(path).unwrap().limits
+    assert not limits.prefers_own_domain
+    assert not limits.learns_limits
+    asked = {'contracts': ['base', 'pressure'], 'learn_limits': True}
+    path.write_text(json.dumps({**SETTINGS, **asked}))
+    limits = load_settings(path).unwrap().limits
+    assert limits.prefers_own_domain
+    assert limits.learns_limits
--- a/tests/steering/test_concurrency_limit.py
+++ b/tests/steering/test_concurrency_limit.py
@@ -10,6 +10,7 @@
 
 from cuminhoist.steering.concurrency_limit import (
     ConcurrencyLimit,
+    FixedLimit,
     ServiceKnee,
 )
 from cuminhoist.steering.decisions import Ending, Granted
@@ -143,3 +144,12 @@
     )
     dispatcher.end_attempt('e', shed, 1.11)
     assert tracked.limit(1.11) < before
+
+
+def test_slots_are_used_where_no_limits_are_learned():
+    """Guards against refusals while targets without a knee have free slots."""
+    limit = FixedLimit(SLOTS, ServiceKnee())
+    _serve(limit, 3, 300)
+    limit.record_decline(3, 0)
+    assert limit.limit(0) == SLOTS
+    assert limit.contention(SLOTS) == 1
