Deliver a complete answer also after the time limit of its request

The limit now holds only while the target still sends. tests/gateway/ test_answer_sender.py fails without the change and passes with it.

--- a/src/cuminhoist/gateway/answer_body.py
+++ b/src/cuminhoist/gateway/answer_body.py
@@ -32,6 +32,11 @@
             Purpose.passing_answers, change
         )
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the target has sent the whole body."""
+        return self._complete
+
     async def read_until_turn(
         self, req: PipelinedRequest, left_s: float
     ) -> None:
--- a/src/cuminhoist/gateway/answer_sender.py
+++ b/src/cuminhoist/gateway/answer_sender.py
@@ -50,8 +50,10 @@
         try:
             await body.read_until_turn(pipelined, self._left_s(state.ends_at))
             # The time in which other answers went first does not count.
-            ends_at = state.ends_at + pipelined.turn_wait_s
-            async with asyncio.timeout(self._left_s(ends_at)):
+            left_s = self._left_s(state.ends_at + pipelined.turn_wait_s)
+            # A complete answer is delivered also when late: ending the
+            # connection would lose the answers behind it, too.
+            async with asyncio.timeout(None if body.is_complete else left_s):
                 await self._send(answer, body, send)
         except (Exception, asyncio.CancelledError) as exc:
             # The connection is ended, so that the caller does not mistake a
--- /dev/null
+++ b/tests/gateway/test_answer_sender.py
@@ -0,0 +1,66 @@
+"""Tests of passing answers of targets on to callers."""
+
+import asyncio
+import types
+
+from cuminhoist.caller_memory import (
+    CallerMemory,
+    ConnectionMemory,
+    MemoryLimits,
+)
+from cuminhoist.exceptions import RemoteProtocolError
+from cuminhoist.gateway.answer_sender import AnswerSender
+from cuminhoist.gateway.answers import TargetAnswer
+from cuminhoist.gateway.pacing import LinkPacer
+from cuminhoist.gateway.retry_policy import MIN_ATTEMPT_S
+from cuminhoist.platform.requests import PlatformWire
+
+
+class _Exchange:
+    """An exchange whose answer has no further bytes."""
+
+    buffered = 0
+
+    def abort(self, _exc: RemoteProtocolError) -> None:
+        """Ignore the end of the exchange."""
+
+    async def read(self) -> bytes:
+        await asyncio.Event().wait()
+        return b''
+
+
+async def _pass_on(*, complete: bool) -> tuple[bool, list[str]]:
+    """Pass an answer on after its time limit, to a caller that reads slowly."""
+    now = asyncio.get_running_loop().time
+    aborts: list[str] = []
+    memory = ConnectionMemory(CallerMemory(MemoryLimits()), lambda: None)
+    pipelined = types.SimpleNamespace(
+        memory=memory, has_turn=True, turn_wait_s=0
+    )
+    scope = {
+        'state': {
+            'pipelined_request': pipelined,
+            'abort': lambda: aborts.append('abort'),
+        }
+    }
+
+    async def send(_event) -> None:
+        await asyncio.sleep(MIN_ATTEMPT_S)
+
+    sender = AnswerSender(PlatformWire(), LinkPacer(float('inf'), now), now)
+    state = types.SimpleNamespace(ends_at=now() - 1, trail=[])
+    answer = TargetAnswer(200, [], b'whole', complete, _Exchange())
+    return await sender.pass_on(state, answer, scope, send), aborts
+
+
+async def test_complete_answer_is_delivered_late():
+    """Guards against ending a connection over an answer that is ready.
+
+    The answers to requests behind it on the connection would be lost too.
+    """
+    assert await _pass_on(complete=True) == (True, [])
+
+
+async def test_answer_that_stalls_is_ended():
+    """Guards against waiting for a target beyond the limit of the route."""
+    assert await _pass_on(complete=False) == (False, ['abort'])
