--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -239,7 +239,8 @@
         replace_seeds: Callable[[tuple[Address, ...]], None],
     ) -> None:
         path = settings_path()
-        last_modified_ns = path.stat().st_mtime_ns
+        # The file may have changed since the process read it at its start.
+        last_modified_ns = 0
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTINGS_POLL_S):
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+import json
+import pathlib
 import resource
+import shutil
 import signal
 import subprocess
 import sys
@@ -14,6 +17,8 @@
 from cuminhoist.platform import daemon
 from cuminhoist.platform.daemon import Daemon, PlatformTargets
 
+from .builders import SETTINGS
+
 
 def _config(folder):
     ip = '127.8.7.6'
@@ -90,3 +95,44 @@
     )
     done = subprocess.run([sys.executable, '-c', check], check=False)
     assert done.returncode == 0
+
+
+def test_sighup_before_the_daemon_runs_does_not_end_the_process(tmp_path):
+    """Guards against a process that a change of settings ends as it starts.
+
+    It happened in the soak, seed 95001, with two versions side by side.
+    """
+    program = pathlib.Path(__file__).parents[2] / 'deploy' / 'cuminhoistd.py'
+    (tmp_path / 'deploy').mkdir()
+    shutil.copy(program, tmp_path / 'deploy')
+    package = tmp_path / 'src' / 'cuminhoist' / 'platform'
+    package.mkdir(parents=True)
+    (package / '__init__.py').touch()
+    (package.parent / '__init__.py').touch()
+    (package / 'daemon.py').write_text(
+        'import os, signal\n'
+        'os.kill(os.getpid(), signal.SIGHUP)\n'
+        'def main(): print("runs")\n'
+    )
+    done = subprocess.run(
+        [sys.executable, tmp_path / 'deploy' / program.name],
+        check=False,
+        capture_output=True,
+    )
+    assert (done.returncode, done.stdout) == (0, b'runs\n')
+
+
+async def test_settings_that_changed_during_the_start_are_read(
+    tmp_path, monkeypatch
+):
+    """Guards against seeds of before the start, as SIGHUP is ignored then."""
+    monkeypatch.setattr(daemon, 'SETTINGS_POLL_S', 0.01)
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(SETTINGS))
+    monkeypatch.setattr(daemon, 'settings_path', lambda: path)
+    process = Daemon(_config(tmp_path / 'disk'))
+    replaced = asyncio.get_running_loop().create_future()
+    watching = asyncio.create_task(process._watch_settings(replaced.set_result))
+    done, _ = await asyncio.wait((replaced, watching), timeout=5)
+    watching.cancel()
+    assert replaced in done
