Play soaks in which one version replaces another

Instances of two versions run side by side during an upgrade, and nothing played that. A soak may now begin with a checkout of a former version; its instances are replaced one by one, control or entry instances first or mixed, while the faults of the plan go on.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,7 @@
         length_s: float = DEFAULT_LENGTH_S,
         keep: str = '',
         plan_version: int = PLAN_VERSION,
+        former: str = '',
     ) -> None:
         """Play one seed; the exit status is 1 if a check is violated.
 
@@ -37,10 +38,13 @@
         :param keep: folder for logs, settings, disks, plan.json and
             evidence.json; empty to keep nothing.
         :param plan_version: version of the fault plan.
+        :param former: checkout of a former version, which is replaced by the
+            present one, or the other way round; empty for no upgrade.
         """
+        former_build = pathlib.Path(former).resolve() if former else None
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(keep or scratch).resolve()
-            soak = Soak(seed, length_s, folder, plan_version)
+            soak = Soak(seed, length_s, folder, plan_version, former_build)
             evidence = asyncio.run(soak.run())
         violations = find_violations(evidence)
         counts = collections.Counter(call.status for call in evidence.calls)
@@ -64,6 +68,7 @@
         jobs: int = 4,
         length_s: float = DEFAULT_LENGTH_S,
         keep: str = '',
+        former: str = '',
     ) -> None:
         """Play many seeds, several at a time.
 
@@ -72,9 +77,10 @@
         :param jobs: number of soaks at a time; each has six processes.
         :param length_s: length of the traffic of each soak, in seconds.
         :param keep: folder that gets one subfolder per seed, as for ``one``.
+        :param former: checkout of a former version, as for ``one``.
         """
         failed = asyncio.run(
-            _play_seeds(first, count, jobs, length_s, keep),
+            _play_seeds(first, count, jobs, length_s, keep, former),
         )
         _console.print(
             f'{count} seeds, {len(failed)} with violations: {failed}'
@@ -89,6 +95,7 @@
     jobs: int,
     length_s: float,
     keep: str,
+    former: str,
 ) -> list[int]:
     """Play each seed in its own process; return the seeds that failed."""
     job_slots = asyncio.Semaphore(jobs)
@@ -98,6 +105,8 @@
         arguments = [f'--seed={seed}', f'--length_s={length_s}']
         if keep:
             arguments.append(f'--keep={keep}/{seed}')
+        if former:
+            arguments.append(f'--former={former}')
         async with job_slots:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -16,7 +16,6 @@
 from .proxy import Proxy
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
-PROGRAM = ROOT / 'deploy' / 'cuminhoistd.py'
 #: Time that a process has to end after SIGTERM before SIGKILL, in seconds.
 GRACE_S = 3.0
 #: Time from the end of a process until its restart, in seconds.
@@ -56,6 +55,8 @@
         self.domain = domain
         self.host = host
         self.is_control = name.startswith('control')
+        #: Checkout of the version that the process runs from its next start.
+        self.build = ROOT
         self.proxy = Proxy(host, PEERS_PORT, PEERS_LISTEN_PORT)
         #: Held while a fault ends and restarts the process.
         self.restart_lock = asyncio.Lock()
@@ -80,8 +81,8 @@
         self._exit_expected = False
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(PROGRAM),
-            cwd=ROOT,
+            str(self.build / 'deploy' / 'cuminhoistd.py'),
+            cwd=self.build,
             env={'CUMINHOIST_BOOT': str(self._folder / 'node.json')},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,8 +11,9 @@
 from .evidence import Evidence
 from .injector import Injector
 from .operators import Operator
-from .plan import FAULT_FREE_S, PLAN_VERSION, FaultPlan
+from .plan import FAULT_FREE_S, PLAN_VERSION, STARTUP_S, FaultPlan
 from .processes import GRACE_S, OPERATORS_PORT, Instance
+from .upgrades import Upgrade, UpgradePlan
 from .upstreams import SERVICES, Target, TargetList
 
 #: Region of each failure domain.
@@ -32,6 +33,8 @@
     :param length_s: length of the traffic, in seconds.
     :param folder: parent of the folders for logs, settings and disks.
     :param plan_version: version of the fault plan.
+    :param former_build: checkout of a former version, to replace the
+        instances of one version by those of the other; None for no upgrade.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         length_s: float,
         folder: pathlib.Path,
         plan_version: int = PLAN_VERSION,
+        former_build: pathlib.Path | None = None,
     ) -> None:
         self.evidence = Evidence()
         self._rng = random.Random(seed)  # noqa: S311
@@ -58,6 +62,16 @@
             tuple(DOMAINS),
             plan_version,
         )
+        self.upgrade_plan = UpgradePlan.from_seed(
+            seed,
+            tuple(control.name for control in self._controls),
+            tuple(entry.name for entry in self._entries),
+            STARTUP_S,
+            length_s - FAULT_FREE_S,
+        )
+        self._upgrade = former_build and Upgrade(
+            self.upgrade_plan, self._controls + self._entries, former_build
+        )
 
     async def run(self) -> Evidence:
         """Play the plan and return the evidence."""
@@ -139,6 +153,8 @@
         )
         began = time.monotonic()
         async with asyncio.TaskGroup() as group:
+            if self._upgrade:
+                group.create_task(self._upgrade.run())
             for fault in self.plan.faults:
                 wait_s = began + fault.at_s - time.monotonic()
                 await asyncio.sleep(max(wait_s, 0))
