Say in the log which requests share a connection and why one was withdrawn

Callers saw requests on a kept connection end without an answer. The log lines of these requests said "gone" or "cut" and could not tell a caller that left from an answer in front that was cut: they did not name the connection, the place on it or the reason.

The line of a request now has the number of its connection and of the request on it, the unanswered requests before it, why it was withdrawn and the request whose answer was the reason. A metric counts withdrawn requests by cause and by whether they had been sent to a target.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -142,7 +142,12 @@
         # The base class reads targets in origin form only.
         authority, target = split_target(self.url)
         self.url = target
-        req = PipelinedRequest(self.loop, self._pipeline.declare, self._memory)
+        req = PipelinedRequest(
+            self.loop,
+            self._pipeline.declare,
+            self._memory,
+            self._next_place(),
+        )
         # The application reaches this connection through the ASGI scope.
         self.scope['state'] = {
             'caller_disconnected': req.withdrawn,
--- a/src/cuminhoist/gateway/relay.py
+++ b/src/cuminhoist/gateway/relay.py
@@ -151,6 +151,7 @@
                 break
             if self._authenticator.confirm(state) is not None:
                 break
+            state.mark_sent()
             outcome = await self._sender.send(state.req, body, peer, left_s)
             state.may_have_run = state.may_have_run or outcome.may_have_run
             state.trail.append(
--- a/src/cuminhoist/gateway/request_metrics.py
+++ b/src/cuminhoist/gateway/request_metrics.py
@@ -58,6 +58,13 @@
             ('service', 'ending'),
             registry=self.registry,
         )
+        self.withdrawn = Counter(
+            'cuminhoist_withdrawn_requests',
+            'Requests withdrawn before they were answered, by cause and by '
+            'whether they had been sent to a target or another instance.',
+            ('service', 'cause', 'sent'),
+            registry=self.registry,
+        )
         self.pauses = Counter(
             'cuminhoist_target_pauses',
             'Pauses that targets asked for, by service and outcome.',
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -352,6 +352,7 @@
         )
         self._placement_client.running_attempts[decision.number] = report
         outcome = AttemptOutcome(Ending.withdrawn)
+        state.mark_sent()
         try:
             with self.reachability.watching():
                 outcome = await self._attempt_sender.send(
--- a/src/cuminhoist/gateway/request_recorder.py
+++ b/src/cuminhoist/gateway/request_recorder.py
@@ -42,7 +42,8 @@
 
         :param state: the request.
         :param outcome: how it ended.
-        :param pipelined: how long it waited for requests of its connection.
+        :param pipelined: its place on the connection, how long it waited for
+            others there, and why it was withdrawn.
         """
         took_s = self._now() - state.arrived_at
         self._metrics.requests.labels(state.service, outcome).inc()
@@ -50,9 +51,20 @@
         self._metrics.waited.labels(state.service).observe(state.waited_s)
         if state.workspace is not None:
             self._metrics.count_workspace(state.workspace.name, outcome)
+        withdrawal = pipelined.withdrawal
+        if withdrawal is not None:
+            self._metrics.withdrawn.labels(
+                state.service, withdrawal.cause, str(state.was_sent).lower()
+            ).inc()
+        place = pipelined.place
         routes = self._routing_state.routes
         log_request(
             id=state.req.request_id,
+            connection=place.connection,
+            connection_request=place.number,
+            ahead=place.ahead,
+            withdrawn=withdrawal.cause if withdrawal else '',
+            withdrawn_by=withdrawal.by_request if withdrawal else 0,
             route=state.route.name,
             service=state.service,
             workspace=state.req.workspace,
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -85,6 +85,7 @@
         #: Targets that were granted but could not be sent the request.
         self.skipped_targets: list[str] = []
         self.may_have_run = False
+        self._was_sent = False
         self.waited_s = float(0)
         self.trail: list[str] = []
         #: Identity of its content; None unless a connection to a target was
@@ -112,6 +113,15 @@
         self.req = req
         self._identity = identity
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether it was sent to a target or to another entry instance."""
+        return self._was_sent
+
+    def mark_sent(self) -> None:
+        """Note that it is sent to a target or to another entry instance."""
+        self._was_sent = True
+
     @property
     def priority(self) -> int:
         """Rank of the request, 0 for the most urgent.
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import itertools
 from typing import Any, cast
 
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
@@ -14,9 +15,11 @@
 from .pipelined_request import (
     PipelinedRequest,
     RequestFlow,
+    RequestPlace,
     RequestTransport,
 )
 from .request_pipeline import RequestPipeline
+from .withdrawals import WithdrawalCause
 
 #: Time for a caller to read an answer that was sent before the request body
 #: had been read.
@@ -25,6 +28,8 @@
 #: 64 KiB, since unsent bytes below it are not counted.
 WRITE_HIGH_WATER_BYTES = 16 * 1024
 
+_connection_numbers = itertools.count(1)
+
 
 class PipelinedConnection(HttpToolsProtocol, abc.ABC):
     """Starts, answers and ends the requests of one connection.
@@ -39,8 +44,12 @@
         self._pipeline = RequestPipeline()
         self._memory = ConnectionMemory(
             cast(CallerMemory, getattr(self.server_state, 'memory')),
-            self.abort,
+            self._close_for_memory,
         )
+        self._number = next(_connection_numbers)
+        self._request_numbers = itertools.count(1)
+        #: Why the requests are withdrawn once the connection is lost.
+        self._end_cause = WithdrawalCause.disconnected
         #: The request that was read last.
         self._request: PipelinedRequest | None = None
         #: Received bytes of requests that are not read yet.
@@ -60,7 +69,7 @@
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._unparsed = b''
-        self._pipeline.withdraw_all()
+        self._pipeline.withdraw_all(self._end_cause)
         self._memory.process.note_stall(self._memory, stalled=False)
         self._memory.set(Purpose.unsent_bytes, 0)
         self._count_requests()
@@ -91,13 +100,25 @@
 
     def abort(self) -> None:
         """Close the connection at once, even within an answer."""
-        if self.transport is not None:
-            self.transport.abort()
+        self._abort_for(WithdrawalCause.closing)
 
     @property
     def _running(self) -> bool:
         return bool(self._pipeline)
 
+    def _close_for_memory(self) -> None:
+        self._abort_for(WithdrawalCause.memory)
+
+    def _abort_for(self, cause: WithdrawalCause) -> None:
+        if self.transport is not None:
+            self._end_cause = cause
+            self.transport.abort()
+
+    def _next_place(self) -> RequestPlace:
+        return RequestPlace(
+            self._number, next(self._request_numbers), len(self._pipeline)
+        )
+
     def _start_cycle(self, req: PipelinedRequest) -> None:
         """Hand a request to the application, whether or not others run."""
         former = self.cycle
@@ -134,7 +155,7 @@
         self._drop_unparsed()
         self._reading_ended = self._reading_ended or req is not self._request
         req.cycle.keep_alive = False
-        self._pipeline.withdraw_after(req)
+        self._pipeline.withdraw_after(req, WithdrawalCause.closing)
         self._update_reading()
 
     def _abort_answer(self, req: PipelinedRequest) -> None:
@@ -150,7 +171,7 @@
             self._end_with(cast(PipelinedRequest, self._pipeline.last))
             return
         follows_answer = self._has_answered and req in self._pipeline
-        self._pipeline.withdraw_all()
+        self._pipeline.withdraw_from(req)
         if follows_answer:
             # A reset could discard the answers before it.
             self._half_close()
--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -4,16 +4,31 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from .caller_memory import ConnectionMemory
+from .withdrawals import Withdrawal
 
 #: Most bytes of one body that count as held; the application buffers at most
 #: as many for a retry and passes the others on.
 MAX_COUNTED_BODY_BYTES = 256 * 1024
 
 
+class RequestPlace(msgspec.Struct, frozen=True):
+    """Where a request stands among those of its process.
+
+    :param connection: number of the connection, unique in the process.
+    :param number: number of the request on the connection, from 1.
+    :param ahead: unanswered requests before it when it was read.
+    """
+
+    connection: int
+    number: int
+    ahead: int
+
+
 class PipelinedRequest:
     """Tells an application when a request may start and be answered.
 
@@ -23,6 +38,7 @@
     :param declare: called once it is known whether the request may overlap
         with others of its connection.
     :param memory: counts what is held for the connection.
+    :param place: where it stands on its connection.
     """
 
     def __init__(
@@ -30,11 +46,13 @@
         loop: asyncio.AbstractEventLoop,
         declare: Callable[['PipelinedRequest', bool], None],
         memory: ConnectionMemory,
+        place: RequestPlace,
     ) -> None:
         self.memory = memory
+        self.place = place
         #: Completed when nobody waits for the answer any more: the caller
         #: has disconnected, or an answer before it ends the connection.
-        self.withdrawn: asyncio.Future[None] = loop.create_future()
+        self.withdrawn: asyncio.Future[Withdrawal] = loop.create_future()
         #: Whether it may run beside others; None while that is not known.
         self.overlaps: bool | None = None
         #: Time for which the answer waited for those before it, in seconds.
@@ -74,11 +92,19 @@
             if self.on_turn is not None:
                 self.on_turn()
 
-    def withdraw(self) -> None:
-        """Cancel the request: its answer will not be sent."""
+    @property
+    def withdrawal(self) -> Withdrawal | None:
+        """Why it was withdrawn; None if it was not."""
+        return self.withdrawn.result() if self.withdrawn.done() else None
+
+    def withdraw(self, withdrawal: Withdrawal) -> None:
+        """Cancel the request: its answer will not be sent.
+
+        :param withdrawal: why.
+        """
         if self.withdrawn.done():
             return
-        self.withdrawn.set_result(None)
+        self.withdrawn.set_result(withdrawal)
         self.cycle.disconnected = True
         self.cycle.message_event.set()
         # Wakes the application; what it sends from now on is dropped.
--- a/src/cuminhoist/request_pipeline.py
+++ b/src/cuminhoist/request_pipeline.py
@@ -3,6 +3,7 @@
 import collections
 
 from .pipelined_request import PipelinedRequest
+from .withdrawals import Withdrawal, WithdrawalCause
 
 
 class RequestPipeline:
@@ -73,27 +74,36 @@
             self._requests.popleft()
             self._update()
 
-    def withdraw_after(self, req: PipelinedRequest) -> None:
+    def withdraw_after(
+        self, req: PipelinedRequest, cause: WithdrawalCause
+    ) -> None:
         """Cancel the requests behind one.
 
         :param req: the request; it stays.
+        :param cause: what happens to its answer.
         """
+        withdrawal = Withdrawal(cause, req.place.number)
         while req in self._requests and self._requests[-1] is not req:
-            self._requests.pop().withdraw()
+            self._requests.pop().withdraw(withdrawal)
 
     def withdraw_from(self, req: PipelinedRequest) -> None:
-        """Cancel a request and those behind it.
+        """Cancel a request whose answer is cut, and those behind it.
 
         :param req: the request.
         """
         if req in self._requests:
-            self.withdraw_after(req)
-            self._requests.pop().withdraw()
+            self.withdraw_after(req, WithdrawalCause.cut_answer)
+            self._requests.pop().withdraw(
+                Withdrawal(WithdrawalCause.cut_answer, req.place.number)
+            )
 
-    def withdraw_all(self) -> None:
-        """Cancel all requests."""
+    def withdraw_all(self, cause: WithdrawalCause) -> None:
+        """Cancel all requests.
+
+        :param cause: why the connection ends.
+        """
         while self._requests:
-            self._requests.pop().withdraw()
+            self._requests.pop().withdraw(Withdrawal(cause))
 
     def _update(self) -> None:
         if self._requests:
--- a/tests/gateway/test_pipelined_requests.py
+++ b/tests/gateway/test_pipelined_requests.py
@@ -183,8 +183,12 @@
             writer.close()
 
 
-async def test_disconnect_withdraws_all_requests_from_targets():
+async def test_disconnect_withdraws_all_requests_from_targets(monkeypatch):
     """Guards against slots that work for a caller that has gone."""
+    lines = []
+    monkeypatch.setattr(
+        request_recorder, 'log_request', lambda **line: lines.append(line)
+    )
     target = GatedTarget(b'b' * 30_000_000)
     async with gateway(target, timeout_s=5.0) as harness:
         _, writer = await _connect(harness)
@@ -193,4 +197,9 @@
         writer.transport.abort()
         await eventually(lambda: target.closed_connections == 3)
         await eventually(lambda: not harness.proxy.running_requests)
+        metrics = harness.proxy._metrics.render().decode()
         assert not sum(harness.server.server_state.memory.held.values())
+    assert {line['withdrawn'] for line in lines} == {'caller-disconnected'}
+    assert sorted(line['ahead'] for line in lines) == [0, 1, 2]
+    labels = 'cause="caller-disconnected",sent="true",service="svc"'
+    assert f'cuminhoist_withdrawn_requests_total{{{labels}}} 3.0' in metrics
