Show that requests behind an answer that is not complete in time are lost

Callers saw requests on a kept connection end without an answer although their targets ran them or had answered. In front stood an answer whose body was on its way at the time limit of the route, stalled or broke off: the connection ended within it.

--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -332,12 +332,16 @@
 async def gateway(
     *targets: ScriptedTarget,
     remote: DispatcherClient | None = None,
+    now: Callable[[], float] = time.monotonic,
+    link_bytes_per_s: float = float('inf'),
     **changes,
 ) -> AsyncIterator[GatewayHarness]:
     """Run a gateway in front of targets.
 
     :param targets: the targets, named t0, t1 and so on.
     :param remote: the dispatcher of the region; None for none.
+    :param now: returns monotonic time in seconds.
+    :param link_bytes_per_s: bandwidth of its link, in bytes a second.
     :param changes: fields of the route that differ from the defaults.
     """
     entries = [
@@ -358,13 +362,10 @@
     )
     proxy = RequestProxy(
         PlatformWire(),
-        TargetConnections(
-            time.monotonic,
-            LinkPacer(float('inf'), time.monotonic),
-        ),
-        PlacementClient(remote or NoDispatcher(), local, time.monotonic),
+        TargetConnections(now, LinkPacer(link_bytes_per_s, now)),
+        PlacementClient(remote or NoDispatcher(), local, now),
         RequestMetrics(),
-        time.monotonic,
+        now,
         retry_ratio=10,
         min_retry_budget=100,
     )
