Read an answer on whose turn comes while it arrives

Callers of several requests got an answer that stopped where its turn had come, and no answer to the requests behind it: the entry instance ended the connection at the time limit of the route although the target had sent all.

While an answer waits for its turn, a task reads it ahead. At the turn this task was cancelled and the sender began to wait for the next bytes at once. The cancelled task ended after that and took the waiter of the sender away, so that arriving bytes woke nobody.

A reader now removes only its own waiter, and the sender goes on once the reader ahead has ended. Before: "70000 bytes read on a total of 200000 expected bytes"; the test passes now.

--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -217,11 +217,14 @@
         return chunk
 
     async def _wait_for_data(self) -> None:
-        self._waiter = asyncio.get_running_loop().create_future()
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiter = waiter
         try:
-            await self._waiter
+            await waiter
         finally:
-            self._waiter = None
+            # Another reader may already wait when one that is cancelled ends.
+            if self._waiter is waiter:
+                self._waiter = None
 
     def _wake_waiter(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/src/cuminhoist/gateway/answer_body.py
+++ b/src/cuminhoist/gateway/answer_body.py
@@ -61,8 +61,7 @@
                     await reading
             await turn
         finally:
-            turn.cancel()
-            reading.cancel()
+            await _cancel(turn, reading)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks.
@@ -100,5 +99,11 @@
             self._memory.add_answer_bytes(len(chunk))
 
 
+async def _cancel(*tasks: asyncio.Task[None]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _ignore_bytes(_change: int) -> None:
     """Count nothing: the answer has ended."""
