Don't end a connection over an answer that is not complete in time

Callers that send several requests on a connection got no answer to requests that sound targets ran or had answered (LOST). In front stood an answer that was ended within its body, and the connection with it.

Cause: the time limit of the route bounded the whole passing on, also of a body whose bytes kept arriving, and every failure of a target within a body ended the connection, even if nothing of this answer had been sent. Requests behind it were passed on all the same.

Now: - The limit bounds the wait for the head. A body that has arrived is delivered. - An answer of which nothing was sent is replaced by a 504 or 502 (outcome unknown) and the connection goes on. - An answer is not begun before its body has arrived while requests behind it run, as far as the bounds on memory allow. Requests behind an answer that has begun start once its body has arrived.

Requests that run at most once still start as first only.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -144,7 +144,7 @@
         self.url = target
         req = PipelinedRequest(
             self.loop,
-            self._pipeline.declare,
+            self._pipeline,
             self._memory,
             self._next_place(),
         )
--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -214,6 +214,13 @@
         if size < 0:
             self._released.set()
 
+    @property
+    def has_room(self) -> bool:
+        """Whether more of an answer may be read before it is sent."""
+        bound = self.process.limits.connection_bytes
+        held = self._held.get(Purpose.waiting_answers, 0)
+        return held < bound and self.process.has_room
+
     async def wait_for_room(self) -> None:
         """Wait until more of an answer may be read before its turn."""
         bound = self.process.limits.connection_bytes
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -115,6 +115,8 @@
         self.high_water_bytes = HIGH_WATER_BYTES
         #: Called with the change of the unread body bytes.
         self.on_buffered: Callable[[int], None] = _ignore_bytes
+        #: Called once, when the whole answer has arrived.
+        self.on_complete: Callable[[], None] = _ignore_end
         self.uploader: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.conn: ExchangeConnection | None = None
@@ -139,6 +141,11 @@
         """Body bytes that have not been read."""
         return self._buffered
 
+    @property
+    def has_news(self) -> bool:
+        """Whether :meth:`read` returns or fails without waiting."""
+        return self.ended or bool(self._chunks)
+
     def is_own_answer(self) -> bool:
         """Return whether the headers received answer this request."""
         if self.echo is None:
@@ -182,6 +189,8 @@
             self.timer.cancel()
         self._wake_waiter()
         self._on_end(self)
+        if self.complete:
+            self.on_complete()
 
     def abort(self, error: Exception) -> None:
         """Fail the exchange and close its connection.
@@ -233,3 +242,7 @@
 
 def _ignore_bytes(_change: int) -> None:
     """Count nothing: the bytes are not held for a caller."""
+
+
+def _ignore_end() -> None:
+    """Do nothing: nobody waits for the end of the answer."""
--- a/src/cuminhoist/gateway/answer_sender.py
+++ b/src/cuminhoist/gateway/answer_sender.py
@@ -4,13 +4,22 @@
 from collections.abc import Callable
 from typing import Any
 
+from returns.result import Failure, Result, Success
+
+from ..exceptions import ProtocolError
 from ..pipelined_request import PipelinedRequest
 from .answer_body import AnswerBody
-from .answers import Send, TargetAnswer, buffered_body, send_answer
+from .answers import (
+    Send,
+    TargetAnswer,
+    buffered_body,
+    send_answer,
+    send_refusal,
+)
 from .attempt import abort, headers_for_caller
 from .pacing import LinkPacer
+from .refusals import refusal_of_incomplete_answer
 from .request_state import RequestState
-from .retry_policy import MIN_ATTEMPT_S
 from .wire import WireFormat
 
 
@@ -35,36 +44,40 @@
         answer: TargetAnswer,
         scope: Any,
         send: Send,
-    ) -> bool:
+    ) -> Result[None, str]:
         """Pass an answer on once it is its turn.
 
+        If the target does not give all of it, a refusal takes its place as
+        long as the caller was sent nothing of it, and the connection goes on.
+        Otherwise the connection is ended, so that the caller does not mistake
+        a truncated answer for a complete one.
+
         :param state: the request.
         :param answer: the start of the answer.
         :param scope: the ASGI scope of the request.
         :param send: sends to the caller.
-        :returns: whether the caller was sent the whole answer; the
-            connection to it is ended otherwise.
+        :returns: a failure, with how the request ended, if the caller was not
+            sent the whole answer.
         """
         pipelined: PipelinedRequest = scope['state']['pipelined_request']
-        body = AnswerBody(answer, pipelined.memory)
+        body = AnswerBody(answer, pipelined, state.answer_limits(self._now()))
         try:
-            await body.read_until_turn(pipelined, self._left_s(state.ends_at))
-            # The time in which other answers went first does not count.
-            left_s = self._left_s(state.ends_at + pipelined.turn_wait_s)
-            # A complete answer is delivered also when late: ending the
-            # connection would lose the answers behind it, too.
-            async with asyncio.timeout(None if body.is_complete else left_s):
-                await self._send(answer, body, send)
+            await self._send(answer, body, send)
         except (Exception, asyncio.CancelledError) as exc:
-            # The connection is ended, so that the caller does not mistake a
-            # truncated answer for a complete one.
             abort(answer.exchange)
-            scope['state']['abort']()
-            state.trail.append(f'answer cut: {exc!r}')
-            return False
+            if pipelined.answer_begun or not _is_of_target(exc):
+                scope['state']['abort']()
+                state.trail.append(f'answer cut: {exc!r}')
+                return Failure('cut')
+            state.trail.append(f'answer incomplete: {exc!r}')
+            timed_out = isinstance(exc, TimeoutError)
+        else:
+            return Success(None)
         finally:
             body.discard()
-        return True
+        refusal = refusal_of_incomplete_answer(timed_out=timed_out)
+        await send_refusal(refusal, send)
+        return Failure(f'failed-{refusal.reason}')
 
     async def send_buffered(self, answer: TargetAnswer, send: Send) -> None:
         """Send an answer whose body is complete.
@@ -80,8 +93,12 @@
     async def _send(
         self, answer: TargetAnswer, body: AnswerBody, send: Send
     ) -> None:
+        await body.read_until_start()
         headers = headers_for_caller(self._wire, answer)
-        await send_answer(answer, headers, body.chunks(), send, self._pacer)
+        async with body.limit_time():
+            await send_answer(answer, headers, body.chunks(), send, self._pacer)
+
 
-    def _left_s(self, ends_at: float) -> float:
-        return max(ends_at - self._now(), MIN_ATTEMPT_S)
+def _is_of_target(exc: BaseException) -> bool:
+    """Tell whether the target has not given all of its answer."""
+    return isinstance(exc, (TimeoutError, ProtocolError))
--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -1,7 +1,6 @@
 """Sends answers to callers: answers of targets and refusals."""
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from typing import Any
 
@@ -10,6 +9,7 @@
 from ..exchange import Exchange, Headers
 from ..problems import PROBLEM_TYPE, Refusal, encode_problem
 from ..types import Ran, Reason
+from .answer_limits import AnswerLimits, read_in_time
 from .pacing import LinkPacer
 
 _UNAUTHORIZED_STATUS = 401
@@ -37,23 +37,30 @@
 async def read_answer_start(
     exchange: Exchange,
     buffer_bytes: int,
+    limits: AnswerLimits,
     body_timeout_s: float | None = None,
 ) -> TargetAnswer:
-    """Return the head and the first body bytes of an answer.
+    """Return the first body bytes of an answer whose head has arrived.
 
-    Raises the error with which the exchange fails.
+    Raises the error with which the exchange fails, or TimeoutError.
 
     :param exchange: the request that was sent.
     :param buffer_bytes: body bytes to read before the answer is passed on.
+    :param limits: until when they may arrive.
     :param body_timeout_s: how long to wait for these bytes, in seconds; None
         for no limit.
     """
-    await exchange.wait_for_head()
     chunks: list[bytes] = []
     complete = False
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(body_timeout_s):
-            complete = await _read_chunks(exchange, buffer_bytes, chunks)
+    limit = asyncio.timeout(body_timeout_s)
+    try:
+        async with limit:
+            complete = await _read_chunks(
+                exchange, buffer_bytes, limits, chunks
+            )
+    except TimeoutError:
+        if not limit.expired():
+            raise
     return TargetAnswer(
         exchange.status,
         exchange.headers,
@@ -64,12 +71,15 @@
 
 
 async def _read_chunks(
-    exchange: Exchange, buffer_bytes: int, chunks: list[bytes]
+    exchange: Exchange,
+    buffer_bytes: int,
+    limits: AnswerLimits,
+    chunks: list[bytes],
 ) -> bool:
     """Add body bytes to the chunks; return whether the body is complete."""
     size = 0
     while size < buffer_bytes:
-        chunk = await exchange.read()
+        chunk = await read_in_time(exchange, limits)
         if not chunk:
             return True
         chunks.append(chunk)
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -16,6 +16,7 @@
 from ..steering.decisions import Ending
 from ..steering.target_load import TargetLoad
 from ..steering.targets import TargetEntry
+from .answer_limits import AnswerLimits, wait_for_head
 from .answers import TargetAnswer, read_answer_start
 from .bodies import RequestBody
 from .target_connections import TargetConnections
@@ -80,19 +81,19 @@
         req: IncomingRequest,
         body: RequestBody,
         target: TargetEntry,
-        left_s: float,
+        limits: AnswerLimits,
     ) -> AttemptOutcome:
         """Send a request and return the outcome with the start of the answer.
 
         :param req: the request.
         :param body: body of the request.
         :param target: the target to send it to.
-        :param left_s: time left for the attempt, in seconds.
+        :param limits: until when its answer may arrive.
         :raises LocalProtocolError: if the request can't be sent as it is;
             nothing was sent then.
         """
         loop = asyncio.get_running_loop()
-        ends_at = loop.time() + left_s
+        left_s = limits.head_by - loop.time()
         connected = await self._connections.acquire(target, left_s)
         if connected.conn is None:
             return AttemptOutcome(
@@ -100,7 +101,7 @@
                 may_have_run=False,
                 detail=connected.error,
             )
-        left_s = ends_at - loop.time()
+        left_s = limits.head_by - loop.time()
         exchange = Exchange(
             self._wire.encode_attempt(req, left_s, target.name),
             lambda ended: self._release_connection(target, ended),
@@ -111,14 +112,14 @@
             exchange.high_water_bytes = self._connections.pacer.buffer_bytes
         _start(connected.conn, exchange)
         try:
-            async with asyncio.timeout(left_s):
-                self._start_upload(exchange, req, body)
-                await exchange.wait_for_head()
-                answer = await read_answer_start(
-                    exchange,
-                    self._connections.pacer.buffer_bytes,
-                    self._body_timeout_s(exchange),
-                )
+            self._start_upload(exchange, req, body)
+            await wait_for_head(exchange, limits)
+            answer = await read_answer_start(
+                exchange,
+                self._connections.pacer.buffer_bytes,
+                limits,
+                self._body_timeout_s(exchange),
+            )
         except TimeoutError:
             abort(exchange)
             return self._outcome_without_answer(
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -124,7 +124,16 @@
             'The target did not run the request.',
             paused_s or (DECLINED_RETRY_S if declined else NOT_READY_RETRY_S),
         )
-    timed_out = outcome.ending is Ending.timeout
+    return refusal_of_incomplete_answer(
+        timed_out=outcome.ending is Ending.timeout
+    )
+
+
+def refusal_of_incomplete_answer(*, timed_out: bool) -> Refusal:
+    """Return the refusal of a request whose answer is not complete.
+
+    :param timed_out: whether the target has taken too long.
+    """
     return Refusal(
         ran=Ran.unknown,
         reason=Reason.target_timeout if timed_out else Reason.target_lost,
--- a/src/cuminhoist/gateway/relay.py
+++ b/src/cuminhoist/gateway/relay.py
@@ -152,7 +152,9 @@
             if self._authenticator.confirm(state) is not None:
                 break
             state.mark_sent()
-            outcome = await self._sender.send(state.req, body, peer, left_s)
+            outcome = await self._sender.send(
+                state.req, body, peer, state.answer_limits(self._now())
+            )
             state.may_have_run = state.may_have_run or outcome.may_have_run
             state.trail.append(
                 f'relayed to {peer.name}: {outcome.ending} {outcome.detail}'
--- a/src/cuminhoist/gateway/request_acceptance.py
+++ b/src/cuminhoist/gateway/request_acceptance.py
@@ -19,6 +19,9 @@
 
 #: Time reserved for the final answer to reach the caller, in seconds.
 ANSWER_MARGIN_S = 0.02
+#: Time for a body that has begun to arrive, as a multiple of the time limit of
+#: the route, if the caller names no deadline.
+BODY_TIME_FACTOR = 2
 
 
 class RequestAcceptance:
@@ -119,6 +122,12 @@
         state.ends_at = (
             state.arrived_at + min(left_s, route.timeout_s) - ANSWER_MARGIN_S
         )
+        body_s = (
+            route.timeout_s * BODY_TIME_FACTOR
+            if state.req.left_s is None
+            else left_s
+        )
+        state.bound_body(state.arrived_at + body_s - ANSWER_MARGIN_S)
         state.objective_ends_at = (
             state.arrived_at + route.objective_s - elapsed_s - round_trip_s
         )
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -359,7 +359,7 @@
                     state.req,
                     body,
                     target,
-                    state.ends_at - started_at,
+                    state.answer_limits(started_at),
                 )
             if outcome.target_leaving:
                 # The report below frees the slot, so the target is taken out
@@ -458,8 +458,9 @@
         scope: Any,
         send: Send,
     ) -> str:
-        if not await self._answer_sender.pass_on(state, answer, scope, send):
-            return 'cut'
+        ended = await self._answer_sender.pass_on(state, answer, scope, send)
+        if not isinstance(ended, Success):
+            return ended.failure()
         if answer.status < _MIN_SERVER_ERROR:
             # A target that is busy answers 504 to a request that never ran.
             self.crash_detector.answered(state)
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -7,12 +7,17 @@
 from ..listener_limits import ListenerLimits
 from ..steering.poison_requests import Fingerprint
 from ..steering.targets import TargetEntry
+from .answer_limits import AnswerLimits
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
 from .wire import IncomingRequest
 from .workspaces import Identity, Workspace
 
 
+#: Least time to pass an answer on, in seconds.
+MIN_PASSING_S = 0.03
+
+
 def _always() -> bool:
     return True
 
@@ -86,6 +91,7 @@
         self.skipped_targets: list[str] = []
         self.may_have_run = False
         self._was_sent = False
+        self._body_ends_at = float(0)
         self.waited_s = float(0)
         self.trail: list[str] = []
         #: Identity of its content; None unless a connection to a target was
@@ -113,6 +119,22 @@
         self.req = req
         self._identity = identity
 
+    def bound_body(self, ends_at: float) -> None:
+        """Bound the time of an answer that has begun to arrive.
+
+        :param ends_at: monotonic time of its end, in seconds; not before the
+            latest start of the answer.
+        """
+        self._body_ends_at = ends_at
+
+    def answer_limits(self, now: float) -> AnswerLimits:
+        """Return until when its answer may arrive.
+
+        :param now: monotonic time in seconds.
+        """
+        whole_by = max(self._body_ends_at, self.ends_at, now + MIN_PASSING_S)
+        return AnswerLimits.from_left(self.ends_at - now, whole_by - now)
+
     @property
     def was_sent(self) -> bool:
         """Whether it was sent to a target or to another entry instance."""
--- a/src/cuminhoist/gateway/retry_policy.py
+++ b/src/cuminhoist/gateway/retry_policy.py
@@ -14,8 +14,7 @@
 from .request_state import RequestState, RoutingState
 from .routes import RepeatPolicy
 
-#: Least time left for a retry, and least time to pass an answer on, in
-#: seconds.
+#: Least time left for a retry, in seconds.
 MIN_ATTEMPT_S = 0.03
 #: Fraction of the deployment's retry limit that the instances use in total;
 #: their counts of requests differ at any one moment.
--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from uvicorn.protocols.http.flow_control import FlowControl
@@ -29,14 +29,42 @@
     ahead: int
 
 
+class RequestOrder(Protocol):
+    """The methods of the order of requests that a request calls."""
+
+    def declare(self, req: 'PipelinedRequest', overlaps: bool) -> None:
+        """Note whether a request may run beside others.
+
+        :param req: the request.
+        :param overlaps: whether it may.
+        """
+
+    def has_started_behind(self, req: 'PipelinedRequest') -> bool:
+        """Tell whether any request behind one was allowed to start.
+
+        :param req: the request.
+        """
+
+    def hold_behind(self, req: 'PipelinedRequest') -> None:
+        """Let no further request behind the first one start.
+
+        :param req: the first request.
+        """
+
+    def release_behind(self, req: 'PipelinedRequest') -> None:
+        """Let requests behind the first one start again.
+
+        :param req: the first request.
+        """
+
+
 class PipelinedRequest:
     """Tells an application when a request may start and be answered.
 
     Applications find it in the state of the ASGI scope.
 
     :param loop: the event loop.
-    :param declare: called once it is known whether the request may overlap
-        with others of its connection.
+    :param order: the order of the requests of its connection.
     :param memory: counts what is held for the connection.
     :param place: where it stands on its connection.
     """
@@ -44,7 +72,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        declare: Callable[['PipelinedRequest', bool], None],
+        order: RequestOrder,
         memory: ConnectionMemory,
         place: RequestPlace,
     ) -> None:
@@ -65,7 +93,7 @@
         self.body_bytes = 0
         self.on_turn: Callable[[], None] | None = None
         self._loop = loop
-        self._declare = declare
+        self._order = order
         self._may_start = asyncio.Event()
         self._turn = asyncio.Event()
 
@@ -74,6 +102,29 @@
         """Whether all answers before this one are complete."""
         return self._turn.is_set()
 
+    @property
+    def may_start(self) -> bool:
+        """Whether it was allowed to run."""
+        return self._may_start.is_set()
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether a part of its answer has been written."""
+        return self.cycle.response_started
+
+    @property
+    def has_later_started(self) -> bool:
+        """Whether any request behind it may be running."""
+        return self._order.has_started_behind(self)
+
+    def hold_later(self) -> None:
+        """Let no request behind it start: its answer may end within it."""
+        self._order.hold_behind(self)
+
+    def release_later(self) -> None:
+        """Let requests behind it start: its answer has arrived."""
+        self._order.release_behind(self)
+
     def add_body_bytes(self, size: int) -> None:
         """Count received bytes of the body.
 
@@ -117,7 +168,7 @@
         :param overlaps: whether it may.
         """
         if not self.withdrawn.done():
-            self._declare(self, overlaps)
+            self._order.declare(self, overlaps)
 
     async def wait_to_start(self, *, overlaps: bool) -> bool:
         """Wait until the request may run.
--- a/src/cuminhoist/request_pipeline.py
+++ b/src/cuminhoist/request_pipeline.py
@@ -1,6 +1,7 @@
 """Orders the unanswered requests of one caller's connection."""
 
 import collections
+import itertools
 
 from .pipelined_request import PipelinedRequest
 from .withdrawals import Withdrawal, WithdrawalCause
@@ -13,12 +14,17 @@
     those before it are answered, because an answer before it may end the
     connection and it must not have run then. Those behind it wait for it,
     because they may depend on its effect.
+
+    None starts behind an answer that has begun to be sent but has not arrived
+    from its target to its end, because it may end the connection.
     """
 
     def __init__(self) -> None:
         self._requests: collections.deque[PipelinedRequest] = (
             collections.deque()
         )
+        #: Whether no further request starts behind the first one.
+        self._held = False
 
     def __len__(self) -> int:
         """Return the number of unanswered requests."""
@@ -72,6 +78,33 @@
         """
         if self.is_first(req):
             self._requests.popleft()
+            self._held = False
+            self._update()
+
+    def has_started_behind(self, req: PipelinedRequest) -> bool:
+        """Tell whether any request behind one was allowed to start.
+
+        :param req: the request.
+        """
+        later = itertools.dropwhile(
+            lambda other: other is not req, self._requests
+        )
+        return any(other.may_start for other in later if other is not req)
+
+    def hold_behind(self, req: PipelinedRequest) -> None:
+        """Let no further request behind the first one start.
+
+        :param req: the first request; nothing happens for another one.
+        """
+        self._held = self._held or self.is_first(req)
+
+    def release_behind(self, req: PipelinedRequest) -> None:
+        """Let requests behind the first one start again.
+
+        :param req: the first request; nothing happens for another one.
+        """
+        if self._held and self.is_first(req):
+            self._held = False
             self._update()
 
     def withdraw_after(
@@ -110,6 +143,6 @@
             self._requests[0].allow_start()
             self._requests[0].give_turn()
         for index, req in enumerate(self._requests):
-            if not req.overlaps:
+            if not req.overlaps or (index and self._held):
                 break
             req.allow_start()
