Draw stalls and break-offs before pipelined requests at random

Guards against answers that are lost to the failure of one before them.

Also a test that an answer past the bounds on memory is begun.

--- a/tests/gateway/builders_steps.py
+++ b/tests/gateway/builders_steps.py
@@ -109,14 +109,22 @@
             body = await self.reader.readexactly(length)
         return int(head.split(b' ')[1]), body
 
+    async def read_answers(self, count: int) -> list[tuple[int, bytes]]:
+        """Return so many answers, or fewer if the connection ends before."""
+        answers = []
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while len(answers) < count:
+                answers.append(await self.read_status())
+        return answers
+
 
 @contextlib.asynccontextmanager
 async def slow_link(
-    target: ScriptedTarget, **changes
+    *targets: ScriptedTarget, **changes
 ) -> AsyncIterator[tuple[GatewayHarness, SafeCaller]]:
     """Run a gateway on a slow link by the time of the loop, and a caller.
 
-    :param target: its target.
+    :param targets: its targets.
     :param changes: arguments of the gateway that differ from the defaults.
     """
     options = {
@@ -125,7 +133,7 @@
         'now': asyncio.get_running_loop().time,
         **changes,
     }
-    async with gateway(target, **options) as harness:
+    async with gateway(*targets, **options) as harness:
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', harness.port
         )
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from cuminhoist.caller_memory import MemoryLimits
 from tests.waiting import eventually
 
 from .builders_steps import (
@@ -113,6 +114,18 @@
         assert await caller.read_status() == (200, body)
 
 
+async def test_answer_past_the_bounds_on_memory_is_begun():
+    """Guards against an answer that waits for memory that it holds itself."""
+    body = bytes(300_000)
+    steps = {'/a/0': [(0.1, PART), (0.1, ALL)]}
+    async with slow_link(StepTarget(steps, body)) as (harness, caller):
+        memory = harness.server.server_state.memory
+        memory.limits = MemoryLimits(connection_bytes=50_000)
+        caller.request(0, 1)
+        assert await caller.read_status() == (200, body)
+        assert await caller.read_status() == SOUND
+
+
 async def test_leaving_caller_ends_an_answer_that_is_read_whole():
     """Guards against targets that work on for a caller that has gone."""
     target = StepTarget({'/a/0': [(0.1, PART), (0, STALL)]})
--- a/tests/gateway/test_pipelining_fuzz.py
+++ b/tests/gateway/test_pipelining_fuzz.py
@@ -15,6 +15,7 @@
 from tests.waiting import eventually
 
 from .builders import HOST, ScriptedTarget, answer, gateway, header
+from .builders_steps import ALL, BODY, STALL, Step, StepTarget, slow_link
 
 #: Streams that are sent at the same time.
 CONCURRENT = 8
@@ -211,3 +212,42 @@
         expected += b'/last!'
     bodies = re.sub(rb'HTTP/1\.1 200.*?\r\n\r\n', b'', received, flags=re.S)
     assert bodies == expected
+
+
+def _random_steps(rng: random.Random) -> tuple[str, list[Step]]:
+    """Return how an answer goes, and its steps."""
+    sizes = sorted(rng.sample(range(len(BODY)), rng.randint(1, 7)))
+    steps: list[Step] = [(rng.uniform(0.01, 0.15), size) for size in sizes]
+    steps[0] = (rng.choice([0.1, 0.5, 0.9]), sizes[0])
+    kind = rng.choice(['whole', 'stall', 'break-off'])
+    last = {'whole': [(0.1, ALL)], 'stall': [(0, STALL)], 'break-off': []}
+    return kind, steps + last[kind]
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('seed', range(60))
+async def test_requests_behind_random_failures_are_answered(seed):
+    """Guards against answers that are lost to the failure of one before."""
+    rng = random.Random(seed)
+    kinds = dict.fromkeys(range(8), 'whole')
+    steps = {}
+    for number in rng.sample(range(8), 4):
+        kinds[number], steps[f'/a/{number}'] = _random_steps(rng)
+    targets = [StepTarget(steps) for _ in range(TARGETS)]
+    async with slow_link(*targets) as (harness, caller):
+        answering = asyncio.create_task(caller.read_answers(len(kinds)))
+        for number in kinds:
+            caller.request(number)
+            await asyncio.sleep(rng.choice([0, 0, 0.05, 0.3]))
+        answers = await answering
+        await eventually(lambda: not harness.proxy.running_requests)
+        assert not sum(harness.server.server_state.memory.held.values())
+    passed_on = {path for target in targets for path in target.paths}
+    cut = len(answers)
+    # Only a failed answer is cut, and nothing behind it was passed on.
+    assert kinds.get(cut) != 'whole'
+    assert not passed_on & {f'/a/{number}' for number in range(cut + 1, 8)}
+    for number, (status, body) in enumerate(answers):
+        whole = BODY if f'/a/{number}' in steps else b'whole'
+        assert status in {502, 503, 504} or body == whole
+        assert status != 200 or kinds[number] == 'whole'
