--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -2,39 +2,85 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
+import msgspec
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from .caller_memory import ConnectionMemory
+from .withdrawals import Withdrawal
 
 #: Most bytes of one body that count as held; the application buffers at most
 #: as many for a retry and passes the others on.
 MAX_COUNTED_BODY_BYTES = 256 * 1024
 
 
+class RequestPlace(msgspec.Struct, frozen=True):
+    """Where a request stands among those of its process.
+
+    :param connection: number of the connection, unique in the process.
+    :param number: number of the request on the connection, from 1.
+    :param ahead: unanswered requests before it when it was read.
+    """
+
+    connection: int
+    number: int
+    ahead: int
+
+
+class RequestOrder(Protocol):
+    """The methods of the order of requests that a request calls."""
+
+    def declare(self, req: 'PipelinedRequest', overlaps: bool) -> None:
+        """Note whether a request may run beside others.
+
+        :param req: the request.
+        :param overlaps: whether it may.
+        """
+
+    def has_started_behind(self, req: 'PipelinedRequest') -> bool:
+        """Tell whether any request behind one was allowed to start.
+
+        :param req: the request.
+        """
+
+    def hold_behind(self, req: 'PipelinedRequest') -> None:
+        """Let no further request behind the first one start.
+
+        :param req: the first request.
+        """
+
+    def release_behind(self, req: 'PipelinedRequest') -> None:
+        """Let requests behind the first one start again.
+
+        :param req: the first request.
+        """
+
+
 class PipelinedRequest:
     """Tells an application when a request may start and be answered.
 
     Applications find it in the state of the ASGI scope.
 
     :param loop: the event loop.
-    :param declare: called once it is known whether the request may overlap
-        with others of its connection.
+    :param order: the order of the requests of its connection.
     :param memory: counts what is held for the connection.
+    :param place: where it stands on its connection.
     """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        declare: Callable[['PipelinedRequest', bool], None],
+        order: RequestOrder,
         memory: ConnectionMemory,
+        place: RequestPlace,
     ) -> None:
         self.memory = memory
+        self.place = place
         #: Completed when nobody waits for the answer any more: the caller
         #: has disconnected, or an answer before it ends the connection.
-        self.withdrawn: asyncio.Future[None] = loop.create_future()
+        self.withdrawn: asyncio.Future[Withdrawal] = loop.create_future()
         #: Whether it may run beside others; None while that is not known.
         self.overlaps: bool | None = None
         #: Time for which the answer waited for those before it, in seconds.
@@ -47,7 +93,7 @@
         self.body_bytes = 0
         self.on_turn: Callable[[], None] | None = None
         self._loop = loop
-        self._declare = declare
+        self._order = order
         self._may_start = asyncio.Event()
         self._turn = asyncio.Event()
 
@@ -56,6 +102,29 @@
         """Whether all answers before this one are complete."""
         return self._turn.is_set()
 
+    @property
+    def may_start(self) -> bool:
+        """Whether it was allowed to run."""
+        return self._may_start.is_set()
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether a part of its answer has been written."""
+        return self.cycle.response_started
+
+    @property
+    def has_later_started(self) -> bool:
+        """Whether any request behind it may be running."""
+        return self._order.has_started_behind(self)
+
+    def hold_later(self) -> None:
+        """Let no request behind it start: its answer may end within it."""
+        self._order.hold_behind(self)
+
+    def release_later(self) -> None:
+        """Let requests behind it start: its answer has arrived."""
+        self._order.release_behind(self)
+
     def add_body_bytes(self, size: int) -> None:
         """Count received bytes of the body.
 
@@ -74,11 +143,19 @@
             if self.on_turn is not None:
                 self.on_turn()
 
-    def withdraw(self) -> None:
-        """Cancel the request: its answer will not be sent."""
+    @property
+    def withdrawal(self) -> Withdrawal | None:
+        """Why it was withdrawn; None if it was not."""
+        return self.withdrawn.result() if self.withdrawn.done() else None
+
+    def withdraw(self, withdrawal: Withdrawal) -> None:
+        """Cancel the request: its answer will not be sent.
+
+        :param withdrawal: why.
+        """
         if self.withdrawn.done():
             return
-        self.withdrawn.set_result(None)
+        self.withdrawn.set_result(withdrawal)
         self.cycle.disconnected = True
         self.cycle.message_event.set()
         # Wakes the application; what it sends from now on is dropped.
@@ -91,7 +168,7 @@
         :param overlaps: whether it may.
         """
         if not self.withdrawn.done():
-            self._declare(self, overlaps)
+            self._order.declare(self, overlaps)
 
     async def wait_to_start(self, *, overlaps: bool) -> bool:
         """Wait until the request may run.
--- a/src/cuminhoist/request_pipeline.py
+++ b/src/cuminhoist/request_pipeline.py
@@ -1,8 +1,10 @@
 """Orders the unanswered requests of one caller's connection."""
 
 import collections
+import itertools
 
 from .pipelined_request import PipelinedRequest
+from .withdrawals import Withdrawal, WithdrawalCause
 
 
 class RequestPipeline:
@@ -12,12 +14,17 @@
     those before it are answered, because an answer before it may end the
     connection and it must not have run then. Those behind it wait for it,
     because they may depend on its effect.
+
+    None starts behind an answer that has begun to be sent but has not arrived
+    from its target to its end, because it may end the connection.
     """
 
     def __init__(self) -> None:
         self._requests: collections.deque[PipelinedRequest] = (
             collections.deque()
         )
+        #: Whether no further request starts behind the first one.
+        self._held = False
 
     def __len__(self) -> int:
         """Return the number of unanswered requests."""
@@ -71,35 +78,71 @@
         """
         if self.is_first(req):
             self._requests.popleft()
+            self._held = False
             self._update()
 
-    def withdraw_after(self, req: PipelinedRequest) -> None:
+    def has_started_behind(self, req: PipelinedRequest) -> bool:
+        """Tell whether any request behind one was allowed to start.
+
+        :param req: the request.
+        """
+        later = itertools.dropwhile(
+            lambda other: other is not req, self._requests
+        )
+        return any(other.may_start for other in later if other is not req)
+
+    def hold_behind(self, req: PipelinedRequest) -> None:
+        """Let no further request behind the first one start.
+
+        :param req: the first request; nothing happens for another one.
+        """
+        self._held = self._held or self.is_first(req)
+
+    def release_behind(self, req: PipelinedRequest) -> None:
+        """Let requests behind the first one start again.
+
+        :param req: the first request; nothing happens for another one.
+        """
+        if self._held and self.is_first(req):
+            self._held = False
+            self._update()
+
+    def withdraw_after(
+        self, req: PipelinedRequest, cause: WithdrawalCause
+    ) -> None:
         """Cancel the requests behind one.
 
         :param req: the request; it stays.
+        :param cause: what happens to its answer.
         """
+        withdrawal = Withdrawal(cause, req.place.number)
         while req in self._requests and self._requests[-1] is not req:
-            self._requests.pop().withdraw()
+            self._requests.pop().withdraw(withdrawal)
 
     def withdraw_from(self, req: PipelinedRequest) -> None:
-        """Cancel a request and those behind it.
+        """Cancel a request whose answer is cut, and those behind it.
 
         :param req: the request.
         """
         if req in self._requests:
-            self.withdraw_after(req)
-            self._requests.pop().withdraw()
+            self.withdraw_after(req, WithdrawalCause.cut_answer)
+            self._requests.pop().withdraw(
+                Withdrawal(WithdrawalCause.cut_answer, req.place.number)
+            )
+
+    def withdraw_all(self, cause: WithdrawalCause) -> None:
+        """Cancel all requests.
 
-    def withdraw_all(self) -> None:
-        """Cancel all requests."""
+        :param cause: why the connection ends.
+        """
         while self._requests:
-            self._requests.pop().withdraw()
+            self._requests.pop().withdraw(Withdrawal(cause))
 
     def _update(self) -> None:
         if self._requests:
             self._requests[0].allow_start()
             self._requests[0].give_turn()
         for index, req in enumerate(self._requests):
-            if not req.overlaps:
+            if not req.overlaps or (index and self._held):
                 break
             req.allow_start()
