Answer a request with an ignored upgrade and an empty body

For a request with an upgrade, the HTTP parser does not read the body, and a second parser does. With `content-length: 0` that one ends the message as soon as it gets the framing, and the head was noted as ended only after that. The connection then waited for a body of which no byte was left.

The head is now noted as ended before the second parser gets the framing, so that the end of the message is the last thing noted. The answer closes the connection as before, because the bytes behind an upgrade may belong to the other protocol.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -324,11 +324,12 @@
         exc = sys.exception()
         framing = _body_framing(self.headers)
         if framing and isinstance(exc, httptools.HttpParserUpgrade):
-            # The parser skips the body too; another one reads it.
+            # The parser skips the body too; another one reads it. An empty
+            # body ends with this head.
             self.cycle.more_body = True
+            self._head.end_head()
             self.parser = httptools.HttpRequestParser(BodyReceiver(self))
             self.parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n' % framing)
-            self._head.end_head()
             self.data_received(self._received[exc.args[0] :])
 
 
