End a connection whose received bytes are not taken

The loop that reads a caller's connection relied on each of its parts to take bytes. A fault in one of them, such as the framing of a body that the parser takes for a complete one, made the process stop answering at all.

Each step of the loop now leaves fewer bytes than there were, or the connection ends with a logged error: with the answer of the last request if that was read completely, otherwise where its answer would go on. So the loop ends after as many steps as there are bytes, whatever the framing does.

Looked at for the same fault: the frames of links (each step takes a length prefix), the records of files (each takes a header), chunked bodies (_Chunks.cut stops at the end of the body), answers of targets (one call of the parser for each read), the reading of answers ahead (waits or completes), and the placement of a request whose granted target may not be used (that target is excluded from then on). Writes to files and to the log would go on for ever if one took no byte; that is another change.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -25,6 +25,7 @@
     malformed,
     record_refusal,
 )
+from .logging_setup import logger
 from .pipelined_connection import PipelinedConnection
 from .pipelined_request import PipelinedRequest
 from .problems import Refusal
@@ -43,6 +44,8 @@
 #: that was sent within the limit may still be on its way.
 IDLE_MARGIN_S = 1.0
 
+_log = logger('listener')
+
 
 class CallerConnection(PipelinedConnection):
     """A caller's connection with size limits, disconnect notice and drain."""
@@ -94,7 +97,11 @@
             if self._between_requests and self._has_read_ahead:
                 self._unparsed = data
                 break
-            piece, data = self._cut(data)
+            piece, rest = self._cut(data)
+            if len(rest) >= len(data):
+                self._end_unreadable()
+                return
+            data = rest
             # The base class stops the timer.
             self._received = piece
             HttpToolsProtocol.data_received(self, piece)
@@ -219,7 +226,30 @@
         if last is None:
             self.transport.write(encode_refusal(refusal))
             self._half_close()
-        elif last.cycle.more_body:
+        else:
+            self._stop_after(last)
+
+    def _end_unreadable(self) -> None:
+        """End the connection: a step of the loop that reads it took no byte.
+
+        The loop would go on for ever and hold all requests of the process.
+        """
+        _log.bind(
+            framing=type(self._body).__name__,
+            head_expected=self._head.expected,
+        ).error('connection closed: its bytes cannot be read')
+        last = self._pipeline.last
+        if last is None:
+            self.abort()
+        else:
+            self._stop_after(last)
+
+    def _stop_after(self, last: PipelinedRequest) -> None:
+        """End the connection with the answer of the last request.
+
+        :param last: the request, behind which nothing is read.
+        """
+        if last.cycle.more_body:
             # The fault is in the body of a request that may be passed on.
             self._abort_answer(last)
         else:
@@ -262,7 +292,11 @@
         return getattr(self.server_state, 'limits', ListenerLimits())
 
     def _cut(self, data: bytes) -> tuple[bytes, bytes]:
-        """Return bytes for the parser, of one request, and the others."""
+        """Return bytes for the parser, of one request, and the others.
+
+        The others are fewer than before: what is not for the parser yet is
+        held.
+        """
         if not self._head.expected:
             piece, data = self._body.cut(data)
             self._head.cut(piece)
