Read the list of targets as a value of its own

The list is read by a source that returns all targets. A reading that can also name the entries that it left out lets the feed count and log them; the type comes first, without a change of behaviour.

--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+import msgspec
 from returns.result import Result, Success
 
 from ..logging_setup import logger
@@ -39,12 +40,36 @@
 _log = logger('targets')
 
 
+class RejectedEntry(msgspec.Struct, frozen=True):
+    """An entry of the list that names no target to use.
+
+    :param name: its id, shortened and printable.
+    :param kind: kind of the fault; one of few.
+    :param fault: what is wrong with it.
+    """
+
+    name: str
+    kind: str
+    fault: str
+
+
+class ListReading(msgspec.Struct, frozen=True):
+    """The list as it was read.
+
+    :param targets: the targets.
+    :param rejected: the entries that were left out.
+    """
+
+    targets: tuple[TargetEntry, ...]
+    rejected: tuple[RejectedEntry, ...] = ()
+
+
 class TargetSource(abc.ABC):
     """Reads the list of targets."""
 
     @abc.abstractmethod
-    async def read(self) -> Result[tuple[TargetEntry, ...], str]:
-        """Return all targets, or the reason why the read failed."""
+    async def read(self) -> Result[ListReading, str]:
+        """Return the list, or the reason why the read failed."""
 
 
 class TargetFeed:
@@ -141,7 +166,7 @@
             result = await self._source.read()
             if isinstance(result, Success):
                 self._set_available(available=True)
-                self._replace(result.unwrap(), reading_since)
+                self._replace(result.unwrap().targets, reading_since)
             else:
                 self._set_available(available=False, reason=result.failure())
                 await asyncio.sleep(TAKEOVER_DELAY_S)
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -16,13 +16,12 @@
 from ..fleet.control_instance import ControlInstance
 from ..fleet.entry_instance import EntryInstance
 from ..fleet.instance_config import Address, InstanceConfig
-from ..fleet.target_feed import TargetSource
+from ..fleet.target_feed import ListReading, TargetSource
 from ..gateway.relay import relay_app
 from ..httpserver import HttpServer
 from ..json_logs import configure_json_logs
 from ..listener_limits import UNCONFIGURED_LIMITS
 from ..logging_setup import logger
-from ..steering.targets import TargetEntry
 from .apps import (
     lookup_app,
     metrics_app,
@@ -63,8 +62,8 @@
         self._address = address
         self._client: TargetSource | None = None
 
-    async def read(self) -> Result[tuple[TargetEntry, ...], str]:
-        """Return all targets, or why the list cannot be read."""
+    async def read(self) -> Result[ListReading, str]:
+        """Return the list, or why it cannot be read."""
         if self._client is None:
             module = await asyncio.to_thread(
                 importlib.import_module, '.target_list', __package__
--- a/src/cuminhoist/platform/target_list.py
+++ b/src/cuminhoist/platform/target_list.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from ..fleet.instance_config import Address
-from ..fleet.target_feed import TargetSource
+from ..fleet.target_feed import ListReading, TargetSource
 from ..steering.targets import TargetEntry, TargetState
 
 #: Timeout for one page, in seconds; the next poll reads the list again.
@@ -59,8 +59,8 @@
             trust_env=False,
         )
 
-    async def read(self) -> Result[tuple[TargetEntry, ...], str]:
-        """Return all targets, or why the list cannot be read."""
+    async def read(self) -> Result[ListReading, str]:
+        """Return the list, or why it cannot be read."""
         targets: list[TargetEntry] = []
         token: str | None = None
         for _ in range(MAX_PAGES):
@@ -71,7 +71,7 @@
             targets.extend(decode_entries(content.instances))
             token = content.next_page_token
             if not token:
-                return Success(tuple(targets))
+                return Success(ListReading(tuple(targets)))
         return Failure('the list of targets has no last page')
 
     async def close(self) -> None:
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -13,6 +13,7 @@
 from cuminhoist.fleet.messages import TargetList
 from cuminhoist.fleet.target_feed import (
     READ_INTERVAL_S,
+    ListReading,
     TargetFeed,
     TargetSource,
 )
@@ -34,7 +35,7 @@
         self.calls += 1
         if self.fails:
             return Failure('status 429')
-        return Success((target('a'),))
+        return Success(ListReading((target('a'),)))
 
 
 def _feed(source, rank):
