Read the list of targets entry by entry

Callers saw requests at targets that the list showed as draining, and answers 502 once these ended: one entry of another writer with an unpaired surrogate or a control byte made every reading of the list fail, and a number of 64 bits was taken and ended the task that passes the list on.

Cause: a page was decoded by one call of a strict, recursive decoder, and what it took was bounded by no range.

A page is still decoded by one call while all of its entries are sound. If one is not, the text is split into its members by quotes, brackets and commas alone, without recursion and in linear time, and each entry is decoded by itself. Ranges are constants of TargetEntry; the adapter refuses what lies outside, and the feed leaves out what an instance with an older version passes on. Decoding a message does not check them, so that the rest of its list stays readable. An entry with bytes that are no UTF-8 is left out wherever they stand; before, only its id and address counted. A target that is listed twice is draining if any of its entries says so. Entries left out are counted in cuminhoist_rejected_list_entries and logged with id and reason, one line a reading at most and none while the same entries stay. A page token too long for an address is a failed read; it ended the task before.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -129,6 +129,7 @@
             self._on_target_list,
             config.limits,
         )
+        self.feed.report_rejected(self.metrics.registry)
         self.dispatch = RegionDispatch(
             config.region,
             config.regions,
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -128,6 +128,7 @@
             self._on_target_list,
             config.limits,
         )
+        self.feed.report_rejected(self.metrics.registry)
         self.links.leaving_notice = self.feed.leaving_notice
         local = self.placement_client.local_dispatcher
         self.links.limits = local.limits.in_force
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -1,18 +1,42 @@
 """Settings of one instance, fixed at its start except for the seeds."""
 
+import re
 from collections.abc import Mapping
+from typing import Self
 
 import msgspec
 
 from ..steering.allowance_sizes import AllowanceBounds
 
 
+#: No sign, space or digit of another script, which ``int`` would take.
+_PORT = re.compile('[0-9]{1,5}')
+MAX_PORT = 65_535
+_MAX_HOST_CHARS = 255
+
+
 class Address(msgspec.Struct, frozen=True, order=True):
     """An IP address and a port."""
 
     host: str
     port: int
 
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Return the address of a text such as ``10.0.0.1:80``.
+
+        :param text: the text.
+        :raises ValueError: if the port is missing or out of range, or the
+            host is too long.
+        """
+        host, _, port_text = text.rpartition(':')
+        port = int(port_text) if _PORT.fullmatch(port_text) else 0
+        if not 0 < port <= MAX_PORT:
+            raise ValueError(f'invalid port in the address {text[-64:]!r}')
+        if len(host) > _MAX_HOST_CHARS:
+            raise ValueError('host of an address is too long')
+        return cls(host, port)
+
     def __str__(self) -> str:
         """Return the address as ``host:port``."""
         return f'{self.host}:{self.port}'
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -10,13 +10,15 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
+from prometheus_client import CollectorRegistry
 from returns.result import Result, Success
 
 from ..logging_setup import logger
 from ..steering.leaving_targets import LeavingTarget, LeavingTargets
-from ..steering.targets import TargetEntry
+from ..steering.targets import MAX_NAME_CHARS, TargetEntry
 from .instance_config import DeploymentLimits
 from .messages import LeavingNotice, TargetList
+from .rejected_entries import RejectedEntry, RejectedEntryLog
 
 #: Interval between reads, in seconds. A leaving target must get no requests
 #: from 3 s after the list shows it, even if the reading instance has just
@@ -40,19 +42,6 @@
 _log = logger('targets')
 
 
-class RejectedEntry(msgspec.Struct, frozen=True):
-    """An entry of the list that names no target to use.
-
-    :param name: its id, shortened and printable.
-    :param kind: kind of the fault; one of few.
-    :param fault: what is wrong with it.
-    """
-
-    name: str
-    kind: str
-    fault: str
-
-
 class ListReading(msgspec.Struct, frozen=True):
     """The list as it was read.
 
@@ -77,7 +66,8 @@
 
     ``listed`` is the list as it was read, which other instances get.
     ``entries`` is the list to decide by: a target that has announced its stop
-    counts as draining there.
+    counts as draining there. ``on_rejected`` is called with the entries that
+    are left out of a list, if any.
 
     :param source: reads the list.
     :param rank: returns the place of this instance in the order of take-over;
@@ -102,9 +92,21 @@
         self._rank = rank
         self._now = now
         self._on_change = on_change
+        self.on_rejected: Callable[[tuple[RejectedEntry, ...]], None] = (
+            _ignore_rejected
+        )
         self._leaving = LeavingTargets.from_limits(limits or DeploymentLimits())
         self._available = True
 
+    def report_rejected(self, registry: CollectorRegistry) -> None:
+        """Count and log the entries that are left out.
+
+        :param registry: registry of the counter.
+        """
+        self.on_rejected = RejectedEntryLog.from_registry(
+            registry, self._now
+        ).record
+
     def to_message(self) -> TargetList:
         """Return the message that carries the list to other instances."""
         return TargetList(
@@ -166,7 +168,10 @@
             result = await self._source.read()
             if isinstance(result, Success):
                 self._set_available(available=True)
-                self._replace(result.unwrap().targets, reading_since)
+                reading = result.unwrap()
+                if reading.rejected:
+                    self.on_rejected(reading.rejected)
+                self._replace(reading.targets, reading_since)
             else:
                 self._set_available(available=False, reason=result.failure())
                 await asyncio.sleep(TAKEOVER_DELAY_S)
@@ -179,8 +184,8 @@
         # less than 0.01 s newer counts as a repetition.
         if read_at <= self.read_at + 0.01:
             return
-        changed = set(entries) != set(self.listed)
-        if changed:
+        entries = self._in_range(entries)
+        if set(entries) != set(self.listed):
             _log_changes(self.listed, entries)
         self.listed = entries
         self.read_at = read_at
@@ -188,6 +193,25 @@
         self._apply_leaving()
         self._on_change(self)
 
+    def _in_range(
+        self, entries: tuple[TargetEntry, ...]
+    ) -> tuple[TargetEntry, ...]:
+        """Return the entries that can be used and passed on.
+
+        An instance with an older version may send others.
+        """
+        added = set(entries).difference(self.listed)
+        faults = {entry: entry.fault() for entry in added if entry.fault()}
+        if not faults:
+            return entries
+        self.on_rejected(
+            tuple(
+                RejectedEntry(entry.name[:MAX_NAME_CHARS], 'received', fault)
+                for entry, fault in faults.items()
+            )
+        )
+        return tuple(entry for entry in entries if entry not in faults)
+
     def _apply_leaving(self) -> None:
         self.entries = self._leaving.apply(self.listed, self._now())
 
@@ -218,6 +242,10 @@
     return round(pause_s * spread / TAKEOVER_DELAY_S)
 
 
+def _ignore_rejected(_rejected: tuple[RejectedEntry, ...]) -> None:
+    """Drop the report of entries that were left out."""
+
+
 def _log_changes(
     before: tuple[TargetEntry, ...],
     after: tuple[TargetEntry, ...],
