--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -41,6 +41,10 @@
     return decode_routes(json.dumps(content).encode())
 
 
+def _check(content):
+    return decode_routes(json.dumps(content).encode())
+
+
 def test_units_and_names_are_ours():
     """Guards against wire names and milliseconds inside the product."""
     table = _decode(_wire(allowed_regions=['north'])).unwrap()
@@ -193,3 +197,71 @@
     fault = _decode(wire).failure()
     assert '$.tenants[1]' in fault
     assert 'secret' not in fault
+
+
+@pytest.mark.parametrize(
+    'version',
+    [
+        'r20261205003011046223',
+        f'r{2**64}',
+        'r' + '9' * 5000,
+        'r-5',
+        'r1_0',
+        'r\u0661\u0662',
+        'r 12',
+        'r',
+        '12',
+    ],
+    ids=lambda version: version[:24],
+)
+def test_version_out_of_range_is_refused(version):
+    """Guards against a version that no other instance can be told."""
+    refused = _check({**_wire(), 'version': version})
+    assert 'version' in refused.failure()
+    assert len(refused.failure()) < 200
+
+
+def test_largest_version_is_carried():
+    """Guards against refusing what instances can tell each other."""
+    largest = {**_wire(), 'version': f'r{2**64 - 1}'}
+    assert _check(largest).unwrap().version == 2**64 - 1
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        {'priority': 2**63},
+        {'priority': -(2**64)},
+        {'max_attempts': 2**63},
+        {'timeout_ms': 1e300},
+        {'timeout_ms': 10**400},
+        {'aim_ms': -1e300},
+        {'traffic_split': [{'backend': 'svc', 'weight': 1e308}] * 2},
+    ],
+    ids=str,
+)
+def test_number_that_cannot_be_used_is_refused(path):
+    """Guards against routes whose requests each raise an error."""
+    assert isinstance(_check(_wire(**path)), Failure)
+
+
+@pytest.mark.parametrize('depth', [200, 1100, 100_000])
+def test_configuration_nested_too_deeply_is_refused(depth):
+    """Guards against one that some instances can decode and others cannot.
+
+    The depth that a decoder takes depends on where it is called.
+    """
+    nested = '[' * depth + ']' * depth
+    body = json.dumps({**_wire(), 'note': 0}).replace(': 0', f': {nested}')
+    assert 'nested' in decode_routes(body.encode()).failure()
+
+
+def test_stored_configuration_nested_too_deeply_is_a_value():
+    """Guards against an error where a configuration in force is decoded."""
+    assert isinstance(decode_routes(b'[' * 100_000), Failure)
+
+
+def test_brackets_in_texts_are_no_nesting():
+    """Guards against refusing a configuration for what its texts hold."""
+    body = json.dumps({**_wire(), 'note': '[{' * 1000 + '\\"['})
+    assert decode_routes(body.encode()).unwrap().version == 7
--- a/tests/register/test_replica.py
+++ b/tests/register/test_replica.py
@@ -294,3 +294,47 @@
     """Guards against a number of voters without limit."""
     voters = tuple(_voter(f'v{number}') for number in range(MAX_VOTERS))
     assert next_voters(voters, [_voter('w')], []) == voters
+
+
+async def _active_replica(cluster):
+    """Return the replica that proposes all orders."""
+    for machine in cluster.machines.values():
+        replica = machine.replica
+        if replica._find_active_proposer() == replica._own_voter:
+            return replica
+    raise AssertionError('no instance proposes')
+
+
+async def test_order_that_cannot_be_stored_fails_alone(tmp_path):
+    """Guards against the end of all control by one order.
+
+    No message and no file holds a version of more than 64 bits; the error
+    ended the task that proposes all orders.
+    """
+    cluster = EmulatedCluster(tmp_path, 3, 5)
+    await cluster.form()
+    replica = await _active_replica(cluster)
+    outcomes = asyncio.gather(
+        replica.submit(DrainDomain(domain='a', drained=True)),
+        replica.submit(configuration(2**64)),
+        replica.submit(configuration(7)),
+    )
+    async with asyncio.timeout(20):
+        drain, odd, sound = await outcomes
+        later = await replica.submit(configuration(8))
+    assert odd is None
+    assert drain.drained == {'a'}
+    assert (sound.version, later.version) == (7, 8)
+
+
+async def test_order_that_cannot_be_sent_is_undecided(tmp_path):
+    """Guards against an error in place of the outcome of an order."""
+    cluster = EmulatedCluster(tmp_path, 3, 5)
+    await cluster.form()
+    active = await _active_replica(cluster)
+    others = [
+        machine.replica
+        for machine in cluster.machines.values()
+        if machine.replica is not active
+    ]
+    assert await others[0].submit(configuration(2**64)) is None
