Refuse an order that other instances could not be told

Operators saw no config and no evacuation confirmed any more, at any instance, after PUT of a config with version r20261205003011046223.

Cause: a version is a Python integer of any size, and an integer over 64 bits has no encoding. The OverflowError ended the task that proposes the orders of all instances, for the life of the process.

Evidence: test_order_that_cannot_be_stored_fails_alone timed out with 'OverflowError: can't serialize ints < -2**63 or > 2**64 - 1', and test_version_out_of_range_is_refused[r20261205003011046223] took the version.

A configuration that an operator orders is refused with the reason if its version is not r and a decimal number of at most 64 bits, if a route has a number over 2**53, or if it is nested more than 100 levels deep: a recursive decoder takes some hundreds, fewer the deeper it is called, so that some instances could have decoded a deeper one in force and others not. One in force is decoded as before, as an instance with an older version may have accepted it; nesting is a refusal there and no RecursionError. An error in a ballot makes each of its orders be proposed by itself, and the one that fails is undecided; the same for an order that has no encoding to be sent on.

Looked at for the same fault: DrainDomain carries a domain of the settings, and Join and ReplaceVoters what was decoded from frames; the product's own interface bounds versions and times in config_validation.

--- a/src/cuminhoist/codec.py
+++ b/src/cuminhoist/codec.py
@@ -14,6 +14,9 @@
 
 TAG_BYTES = 16
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+#: Raised for integers out of range, texts with surrogates, values of types
+#: that have no encoding, and deep nesting.
+_ENCODING_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -86,6 +89,18 @@
         body = self._encoder.encode(envelope)
         return self._compute_tag(body) + body
 
+    def try_encode(self, msg: Message) -> Result[bytes, str]:
+        """Return the frame of a message, or why it has none.
+
+        Frames hold integers of 64 bits and texts of Unicode characters.
+
+        :param msg: the message.
+        """
+        try:
+            return Success(self.encode(msg))
+        except _ENCODING_ERRORS as exc:
+            return Failure(f'{type(exc).__name__}: {exc}')
+
     def decode(self, frame: bytes) -> Result[ReceivedMessage, str]:
         """Return the message of a frame, or why the frame is not valid.
 
--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -91,6 +91,8 @@
     :param source: reads the list of targets.
     :param decode: decodes and validates a configuration.
     :param now: returns monotonic time in seconds.
+    :param check_order: does the same for one that an operator orders; by
+        default ``decode``.
     """
 
     def __init__(
@@ -99,9 +101,11 @@
         source: TargetSource,
         decode: DecodeConfiguration,
         now: Callable[[], float],
+        check_order: DecodeConfiguration | None = None,
     ) -> None:
         self._config = config
         self._decode = decode
+        self._check_order = check_order or decode
         self._now = now
         self._created_at = now()
         self._routes: RouteTable | None = None
@@ -207,7 +211,7 @@
         return outcome
 
     async def _replace_configuration(self, body: bytes) -> OrderOutcome:
-        decoded = self._decode(body)
+        decoded = self._check_order(body)
         if not isinstance(decoded, Success):
             _log.bind(reason=decoded.failure()).info('configuration refused')
             return Invalid(decoded.failure())
--- a/src/cuminhoist/platform/configuration.py
+++ b/src/cuminhoist/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decodes the operators' configuration, in the platform's format."""
 
 import math
+import re
 from typing import Annotated
 
 import msgspec
@@ -21,12 +22,24 @@
 )
 from ..gateway.workspaces import Workspace, WorkspaceTable
 from ..listener_limits import ListenerLimits
+from .json_split import nesting_depth
 
 _MS = 1000
 #: An objective this far above the timeout of its route is refused as a
 #: mistake.
 _MAX_OBJECTIVE_EXCESS_MS = 60_000
 
+#: Highest version; messages between instances hold integers of 64 bits.
+MAX_VERSION = 2**64 - 1
+#: Largest amount of any other number; its sums and products stay finite.
+MAX_NUMBER = 2**53
+#: Deepest nesting of lists and objects. A decoder takes some hundreds, the
+#: fewer the deeper it is called itself.
+MAX_NESTING = 100
+_VERSION = re.compile('r[0-9]{1,20}')
+_MAX_SHOWN_CHARS = 64
+_MAX_FAULT_CHARS = 300
+
 _REPEAT_BY_ROUTE_TYPE = {
     'safe': RepeatPolicy.idempotent,
     # Large answers; such requests may be retried like other reads.
@@ -106,9 +119,58 @@
     try:
         wire = msgspec.json.decode(body, type=_Configuration)
         return Success(_route_table(wire))
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         # The decoding errors of msgspec are subclasses of ValueError.
-        return Failure(str(exc))
+        return Failure(str(exc)[:_MAX_FAULT_CHARS])
+
+
+def check_order(body: bytes) -> Result[RouteTable, str]:
+    """Return the routes of a configuration that an operator orders.
+
+    What other instances may not be able to decode or pass on is refused. A
+    configuration in force is not checked again: an instance with an older
+    version may have accepted it.
+
+    :param body: the configuration as the operator sent it.
+    """
+    if nesting_depth(body) > MAX_NESTING:
+        return Failure(f'nested more than {MAX_NESTING} levels deep')
+    decoded = decode_routes(body)
+    if not isinstance(decoded, Success):
+        return decoded
+    fault = _version_fault(body) or _range_fault(decoded.unwrap())
+    return Failure(fault) if fault else decoded
+
+
+class _Version(msgspec.Struct, frozen=True):
+    version: str
+
+
+def _version_fault(body: bytes) -> str:
+    text = msgspec.json.decode(body, type=_Version).version
+    if _VERSION.fullmatch(text) and int(text[1:]) <= MAX_VERSION:
+        return ''
+    return (
+        f'version {text[:_MAX_SHOWN_CHARS]!r} is not r and a number of '
+        f'at most {MAX_VERSION}'
+    )
+
+
+def _range_fault(table: RouteTable) -> str:
+    """Return which route has a number that cannot be used, if any."""
+    for routes in table.hosts.values():
+        for route in routes:
+            numbers = (
+                route.priority,
+                route.max_targets,
+                route.timeout_s,
+                route.objective_s,
+                *(one.weight for one in route.weighted_services),
+            )
+            if any(abs(number) > MAX_NUMBER for number in numbers):
+                name = route.name[:_MAX_SHOWN_CHARS]
+                return f'route {name!r} has a number out of range'
+    return ''
 
 
 def _route_table(wire: _Configuration) -> RouteTable:
@@ -185,8 +247,14 @@
 
 def _parse_version(text: str) -> int:
     if not text.startswith('r'):
-        raise ValueError(f'version {text!r} does not begin with r')
-    return int(text[1:])
+        raise ValueError(
+            f'version {text[:_MAX_SHOWN_CHARS]!r} does not begin with r'
+        )
+    try:
+        return int(text[1:])
+    except ValueError:
+        shown = text[:_MAX_SHOWN_CHARS]
+        raise ValueError(f'version {shown!r} is no number') from None
 
 
 def _route(wire: _Path, services: dict[str, ServiceSettings]) -> Route:
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -29,7 +29,7 @@
     readiness_app,
 )
 from .boot import load_settings, settings_path
-from .configuration import decode_routes
+from .configuration import check_order, decode_routes
 from .requests import PlatformWire
 
 #: Interval at which the settings file is checked for changes, in seconds; it
@@ -132,7 +132,7 @@
         while not self._stopping.is_set():
             try:
                 return ControlInstance(
-                    cfg, source, decode_routes, time.monotonic
+                    cfg, source, decode_routes, time.monotonic, check_order
                 )
             except OSError as exc:
                 fault = str(exc)
--- a/src/cuminhoist/platform/json_split.py
+++ b/src/cuminhoist/platform/json_split.py
@@ -6,6 +6,7 @@
 by itself.
 """
 
+import itertools
 import re
 
 # Possessive repetition keeps the time linear.
@@ -20,6 +21,11 @@
     rf'(?:[^"\[\]{{}},]++|{_STRING})*+({_BRACKETS}|,)', re.DOTALL
 )
 _KEY = re.compile(rf'\s*{_STRING}', re.DOTALL)
+_DEPTH_CHANGES = {
+    **dict.fromkeys(b'[{', 1),
+    **dict.fromkeys(b']}', -1),
+}
+_NO_BRACKETS = bytes(set(range(256)) - _DEPTH_CHANGES.keys())
 _WHITESPACE = ' \t\r\n'
 
 
@@ -43,6 +49,19 @@
     return [member for member in members if any(member)]
 
 
+def nesting_depth(body: bytes) -> int:
+    """Return how deeply lists and objects are nested, without decoding.
+
+    :param body: the document.
+    """
+    # Without escapes, every other quote ends a text.
+    unescaped = body.replace(rb'\\', b'').replace(rb'\"', b'')
+    outside = b''.join(unescaped.split(b'"')[::2])
+    marks = outside.translate(None, _NO_BRACKETS)
+    changes = map(_DEPTH_CHANGES.__getitem__, marks)
+    return max(itertools.accumulate(changes), default=0)
+
+
 def _split_member(text: str) -> tuple[str, str]:
     """Return key and value; a colon within a key that is a string is none."""
     key = _KEY.match(text)
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -187,9 +187,13 @@
         proposer = self._find_active_proposer()
         if proposer is None or proposer == self._own_voter:
             return await self._submit_locally(order)
+        encoded = self._codec.try_encode(order)
+        if not isinstance(encoded, Success):
+            _log.bind(reason=encoded.failure()).error('order cannot be sent')
+            return None
         reply = await self._peers.call(
             proposer.address,
-            Submit(orders=(self._codec.encode(order),)),
+            Submit(orders=(encoded.unwrap(),)),
             SUBMIT_TIMEOUT_S,
         )
         if isinstance(reply, Submitted) and reply.state is not None:
@@ -267,19 +271,8 @@
             self._orders_submitted.clear()
             batch = self._pending_orders
             self._pending_orders = []
-            if not batch:
-                continue
-            state = None
-            if self.latest_chosen is not None:
-                state = await self._proposer.change(
-                    [entry.order for entry in batch],
-                )
-            if state is not None:
-                self.learn(state)
-                self._peers.broadcast(Learned(state=state))
-            for entry in batch:
-                if not entry.fut.done():
-                    entry.fut.set_result(state)
+            if batch:
+                await self._propose(batch)
 
     async def run_membership(self) -> None:
         """Learn unannounced states, ask to join the voters, and add others."""
@@ -301,6 +294,34 @@
             elif self._find_active_proposer() == self._own_voter:
                 await self._add_joining_voters(known, loop.time(), started_at)
 
+    async def _propose(self, batch: list[_PendingOrder]) -> None:
+        """Propose orders in one ballot, and tell their submitters.
+
+        If that raises an error, each is proposed by itself, so that an order
+        that cannot be stored or sent fails alone.
+        """
+        state = None
+        try:
+            state = await self._choose([entry.order for entry in batch])
+        except Exception:
+            _log.bind(orders=len(batch)).exception('proposal failed')
+            if len(batch) > 1:
+                for entry in batch:
+                    await self._propose([entry])
+                return
+        for entry in batch:
+            if not entry.fut.done():
+                entry.fut.set_result(state)
+
+    async def _choose(self, orders: list[Message]) -> DeclaredState | None:
+        if self.latest_chosen is None:
+            return None
+        state = await self._proposer.change(orders)
+        if state is not None:
+            self.learn(state)
+            self._peers.broadcast(Learned(state=state))
+        return state
+
     async def _learn_unannounced_state(self, now: float) -> None:
         accepted = self._acceptor.accepted.state
         known_index = self.latest_chosen.index if self.latest_chosen else -1
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -12,7 +12,7 @@
 from cuminhoist.gateway.routes import CallerLimits, RepeatPolicy
 from cuminhoist.gateway.workspaces import Workspace
 from cuminhoist.listener_limits import ListenerLimits
-from cuminhoist.platform.configuration import decode_routes
+from cuminhoist.platform.configuration import check_order, decode_routes
 
 
 def _wire(**path):
@@ -42,7 +42,7 @@
 
 
 def _check(content):
-    return decode_routes(json.dumps(content).encode())
+    return check_order(json.dumps(content).encode())
 
 
 def test_units_and_names_are_ours():
@@ -253,7 +253,7 @@
     """
     nested = '[' * depth + ']' * depth
     body = json.dumps({**_wire(), 'note': 0}).replace(': 0', f': {nested}')
-    assert 'nested' in decode_routes(body.encode()).failure()
+    assert 'nested' in check_order(body.encode()).failure()
 
 
 def test_stored_configuration_nested_too_deeply_is_a_value():
@@ -264,4 +264,4 @@
 def test_brackets_in_texts_are_no_nesting():
     """Guards against refusing a configuration for what its texts hold."""
     body = json.dumps({**_wire(), 'note': '[{' * 1000 + '\\"['})
-    assert decode_routes(body.encode()).unwrap().version == 7
+    assert check_order(body.encode()).unwrap().version == 7
