Show that part of an earlier answer decides an outcome

A target writes the beginning of an answer to an earlier request, breaks it off and goes on with the answer that is due. Callers of one-time requests hear what the earlier answer says, and such a request runs at two targets.

--- /dev/null
+++ b/tests/test_client_connection.py
@@ -0,0 +1,63 @@
+"""Answers that run into each other, repeat or break off on one connection.
+
+The tests guard against an outcome that is read from bytes of an earlier
+answer.
+"""
+
+import itertools
+
+from .builders_answers import (
+    SoundAnswer,
+    exchange_of,
+    opened_connection,
+    shed_answer,
+)
+
+EARLIER = (
+    shed_answer('earlier'),
+    shed_answer('earlier', b'no room'),
+    SoundAnswer('earlier'),
+    SoundAnswer('earlier', framing='chunked'),
+    SoundAnswer('earlier', framing='close'),
+    SoundAnswer('earlier', 500),
+    SoundAnswer('earlier', interim=True),
+    SoundAnswer('earlier', 204, b'', 'close'),
+)
+DUE = (
+    shed_answer('due'),
+    SoundAnswer('due', body=b'due body'),
+    SoundAnswer('due', 500, b'due failure'),
+    SoundAnswer('due', 200, b'due body', 'chunked'),
+    SoundAnswer('due', 200, b'due body', 'close'),
+)
+
+
+async def received(stream, request_id='due', ends=True, method=b'POST'):
+    """Return the exchange whose connection got some bytes, and its body."""
+    conn, transport = opened_connection()
+    exchange = exchange_of(request_id, method)
+    conn.start(exchange)
+    transport.feed(stream)
+    if ends:
+        transport.end()
+    if not exchange.complete:
+        return exchange, conn, None
+    body = b''
+    while chunk := await exchange.read():
+        body += chunk
+    return exchange, conn, body
+
+
+async def test_part_of_an_earlier_answer_decided_the_outcome():
+    """Guards against a status of one answer with the id of another.
+
+    The earlier answer breaks off at each of its bytes; the one that is due
+    follows (TWICE, REFUSED, MIXED).
+    """
+    for earlier, due in itertools.product(EARLIER, DUE):
+        part = earlier.encode()
+        for size in range(len(part) + 1):
+            exchange, _, body = await received(part[:size] + due.encode())
+            assert exchange.status in {0, due.status}, (part[:size], due)
+            if exchange.complete:
+                assert body == due.body, (part[:size], due)
