Believe an answer only if its head is one sound head

What callers saw: a target wrote the beginning of its answer to an earlier request, broke it off within its head, and went on with the answer that was due.

Cause: the parser takes the two heads for one where the cut is within the reason of the status line or the text of a header: the second status line becomes the end of that text. Of several ids the last one was compared, so that the status and X-Not-Executed of one answer counted for the id of the other.

Fix: the connection keeps the bytes of a head and passes each head to the parser apart from what follows, so that a later one in the same packet is known, too. A head counts if its bytes match the grammar of one head, it holds no second status line, at most one framing that is understood, and the expected id exactly once. An answer that breaks off with a cut at any byte and is followed by a whole one either leaves a line that is no header, or the second status line in the reason or in a text; both are refused. The connection ends then, and the outcome of a request that may have run is unknown. Empty lines before an answer, interim answers with a body and 101 are refused as well: they are left over or never asked for.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -12,8 +12,9 @@
 
 import httptools
 
+from .answer_head import HEAD_END, find_head_fault
 from .exceptions import ConnectionLostError, RemoteProtocolError
-from .exchange import Exchange
+from .exchange import AnswerOwner, Exchange
 
 #: The upload of a request body pauses above this many unsent bytes.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
@@ -25,7 +26,7 @@
 
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
-_LAST_VALID_STATUS = 599
+_SWITCHING_PROTOCOLS_STATUS = 101
 
 
 class ClientConnection(asyncio.Protocol):
@@ -40,11 +41,18 @@
         self._aborted = False
         self._on_close = on_close
         self._transport: asyncio.Transport | None = None
+        # Parses one answer; the next one gets a parser of its own.
         self._parser: Any = None
+        # The head that is being read.
+        self._head = bytearray()
+        self._head_evaluated = False
         self._exchange: Exchange | None = None
         self._body_ends_at_eof = False
         self._answer_complete = False
         self._skipping_answer = False
+        # Bytes left of the body that is skipped; None if its length is
+        # unknown.
+        self._skipped_bytes: int | None = None
         self._head_bytes = 0
         self._framing_bytes = 0
         self._reading = True
@@ -85,9 +93,10 @@
         self._exchange = exchange
         self._body_ends_at_eof = False
         self._answer_complete = False
+        self._skipping_answer = False
         self._head_bytes = 0
         self._framing_bytes = 0
-        self._parser = httptools.HttpResponseParser(self)
+        self._begin_head()
         exchange.conn = self
         exchange.sent = True
         self._require_transport().write(encoded)
@@ -160,7 +169,7 @@
             self._head_bytes += len(data)
         self._framing_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._parse(exchange, data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if not self._answer_complete:
                 exchange.abort(RemoteProtocolError(f'malformed answer: {exc}'))
@@ -221,34 +230,26 @@
         exchange = self._exchange
         if exchange is None or self._answer_complete:
             return
+        self._head_evaluated = True
         status = int(self._parser.get_status_code())
-        if status < _FIRST_FINAL_STATUS:
-            exchange.headers.clear()
+        fault = find_head_fault(bytes(self._head), status, exchange.headers)
+        if fault:
+            exchange.abort(RemoteProtocolError(fault))
             return
-        if status > _LAST_VALID_STATUS:
-            exchange.abort(RemoteProtocolError(f'invalid status {status}'))
+        if status < _FIRST_FINAL_STATUS:
+            self._skip_interim(exchange, status)
             return
-        if exchange.is_unidentified():
-            exchange.abort(RemoteProtocolError('the answer names no request'))
+        owner = exchange.find_owner()
+        if owner is AnswerOwner.unknown:
+            exchange.abort(
+                RemoteProtocolError('the answer does not name one request')
+            )
             return
-        if not exchange.is_own_answer():
-            self._skipping_answer = True
-            exchange.headers.clear()
+        if owner is AnswerOwner.other:
+            self._begin_skipping(exchange)
             return
         exchange.status = status
-        header_values = dict(exchange.headers)
-        chunked = (
-            b'chunked' in header_values.get(b'transfer-encoding', b'').lower()
-        )
-        self._body_ends_at_eof = (
-            not chunked and b'content-length' not in header_values
-        )
-        connection_options = header_values.get(b'connection', b'').lower()
-        if (
-            b'close' in connection_options
-            or self._parser.get_http_version() != '1.1'
-        ):
-            self._reusable = False
+        self._note_framing(exchange)
         exchange.mark_head_received()
         if status in _STATUSES_WITHOUT_BODY or exchange.head.method == b'HEAD':
             self._body_ends_at_eof = False
@@ -282,6 +283,89 @@
         elif self._exchange is not None and self._exchange.status:
             self._answer_complete = True
 
+    def _begin_head(self) -> None:
+        self._head.clear()
+        self._head_evaluated = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    def _parse(self, exchange: Exchange, data: bytes) -> None:
+        """Parse the answers before the one that is due apart from each other.
+
+        Each head ends a piece that the parser gets, so that the bytes of the
+        next one are known.
+        """
+        rest = data
+        while rest and not exchange.status and not exchange.ended:
+            if self._skipping_answer:
+                rest = self._skip(rest)
+            else:
+                rest = self._parse_head(exchange, rest)
+        if rest and not exchange.ended:
+            self._parser.feed_data(rest)
+
+    def _parse_head(self, exchange: Exchange, data: bytes) -> bytes:
+        """Parse bytes of a head and return those behind it."""
+        tail = bytes(self._head[1 - len(HEAD_END) :])
+        end = (tail + data).find(HEAD_END)
+        size = len(data) if end < 0 else end + len(HEAD_END) - len(tail)
+        self._head += data[:size]
+        self._parser.feed_data(data[:size])
+        if end >= 0 and not exchange.status and not exchange.ended:
+            self._end_head(exchange)
+        return data[size:]
+
+    def _end_head(self, exchange: Exchange) -> None:
+        """Go on behind the head of an answer that is not the one due."""
+        if not self._head_evaluated:
+            exchange.abort(RemoteProtocolError('empty lines before an answer'))
+        elif not self._skipping_answer:
+            self._begin_head()
+
+    def _skip_interim(self, exchange: Exchange, status: int) -> None:
+        if status == _SWITCHING_PROTOCOLS_STATUS:
+            exchange.abort(RemoteProtocolError('no other protocol was asked'))
+        exchange.headers.clear()
+
+    def _begin_skipping(self, exchange: Exchange) -> None:
+        length = dict(exchange.headers).get(b'content-length')
+        self._skipped_bytes = None if length is None else int(length)
+        self._skipping_answer = True
+        exchange.headers.clear()
+
+    def _skip(self, data: bytes) -> bytes:
+        """Parse bytes of a body that is skipped and return those behind it.
+
+        The end of a line ends each piece that the parser gets, since a body
+        in chunks ends with a line.
+        """
+        start = 0
+        while self._skipping_answer and start < len(data):
+            end = len(data)
+            if self._skipped_bytes is not None:
+                end = min(end, start + self._skipped_bytes)
+                self._skipped_bytes -= end - start
+            else:
+                end = data.find(b'\n', start) + 1 or end
+            self._parser.feed_data(data[start:end])
+            start = end
+        if not self._skipping_answer:
+            self._begin_head()
+        return data[start:]
+
+    def _note_framing(self, exchange: Exchange) -> None:
+        """Note where the body ends, and whether the connection can be kept."""
+        header_values = dict(exchange.headers)
+        self._body_ends_at_eof = not (
+            b'transfer-encoding' in header_values
+            or b'content-length' in header_values
+        )
+        connection_options = header_values.get(b'connection', b'').lower()
+        if (
+            b'close' in connection_options
+            or self._parser.get_http_version() != '1.1'
+        ):
+            self._reusable = False
+
     def _release(self, exchange: Exchange) -> None:
         self._exchange = None
         if not self._reading:
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import enum
 import re
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
@@ -87,6 +88,17 @@
         return b''.join(parts)
 
 
+class AnswerOwner(enum.Enum):
+    """The request that an answer belongs to.
+
+    It is unknown if the answer names no request, or more than one.
+    """
+
+    own = enum.auto()
+    other = enum.auto()
+    unknown = enum.auto()
+
+
 class Exchange:
     """One request and its answer.
 
@@ -139,16 +151,15 @@
         """Body bytes that have not been read."""
         return self._buffered
 
-    def is_own_answer(self) -> bool:
-        """Return whether the headers received answer this request."""
+    def find_owner(self) -> AnswerOwner:
+        """Return whose answer the headers received belong to."""
         if self.echo is None:
-            return True
+            return AnswerOwner.own
         name, expected = self.echo
-        return dict(self.headers).get(name) == expected
-
-    def is_unidentified(self) -> bool:
-        """Return whether the headers do not tell which request they answer."""
-        return self.echo is not None and self.echo[0] not in dict(self.headers)
+        ids = [text for header, text in self.headers if header == name]
+        if len(ids) != 1:
+            return AnswerOwner.unknown
+        return AnswerOwner.own if ids[0] == expected else AnswerOwner.other
 
     def mark_head_received(self) -> None:
         """Wake the reader that waits for status and headers."""
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -6,6 +6,8 @@
 
 import itertools
 
+import pytest
+
 from .builders_answers import (
     SoundAnswer,
     exchange_of,
@@ -61,3 +63,26 @@
             assert exchange.status in {0, due.status}, (part[:size], due)
             if exchange.complete:
                 assert body == due.body, (part[:size], due)
+
+
+@pytest.mark.parametrize('due', DUE)
+async def test_answer_in_pieces_was_refused(due):
+    """Guards against a sound answer that depends on how it arrives."""
+    stream = b''.join(
+        answer.encode()
+        for answer in (
+            SoundAnswer('earlier', framing='chunked', body=b'a\r\n\r\nb'),
+            shed_answer('earlier', b'HTTP/1.1 200 OK\r\n\r\n'),
+            due,
+        )
+    )
+    for size in (1, 2, 3, 7, len(stream)):
+        conn, transport = opened_connection()
+        exchange = exchange_of('due')
+        conn.start(exchange)
+        transport.feed(
+            *(stream[at : at + size] for at in range(0, len(stream), size))
+        )
+        transport.end()
+        assert exchange.complete, exchange.error
+        assert exchange.status == due.status
