--- a/tests/builders_answers.py
+++ b/tests/builders_answers.py
@@ -101,6 +101,11 @@
             if part and not self.closed:
                 self._conn.data_received(part)
 
+    @property
+    def has_exchange(self) -> bool:
+        """Whether the connection is open and waits for an answer."""
+        return not self.closed and self._conn._exchange is not None
+
     def end(self) -> None:
         """Let the server close the connection in order."""
         if not self.closed:
--- a/tests/gateway/test_spoilt_answers.py
+++ b/tests/gateway/test_spoilt_answers.py
@@ -6,7 +6,24 @@
 
 from cuminhoist.gateway.routes import RepeatPolicy
 
+from cuminhoist.gateway.relay import RelayWire
+from cuminhoist.platform.requests import PlatformWire
+from cuminhoist.steering.decisions import Ending
+from tests.builders_answers import SoundAnswer, shed_answer
+
 from .builders import ScriptedTarget, answer, gateway, header
+from .builders_streams import FedConnections, attempt
+
+
+async def outcome_of(stream, wire=None):
+    """Return the outcome of a request for which a target sends a stream."""
+    outcome, _ = await attempt(
+        FedConnections(),
+        'due',
+        lambda transport: transport.feed(stream) or transport.end(),
+        wire,
+    )
+    return outcome
 
 
 class SpoilingTarget(ScriptedTarget):
@@ -56,3 +73,41 @@
     async with gateway(target, repeat=RepeatPolicy.once) as harness:
         received = await harness.request('POST', request_id='due')
     assert not received.startswith(b'HTTP/1.1 2')
+
+
+async def test_refusal_behind_another_answer_was_believed():
+    """Guards against a refusal on a connection that is out of step (TWICE)."""
+    stream = SoundAnswer('earlier').encode() + shed_answer('due').encode()
+    outcome = await outcome_of(stream)
+    assert outcome.may_have_run
+    assert outcome.ending is Ending.lost
+    assert (await outcome_of(shed_answer('due').encode())).may_have_run is False
+
+
+async def test_contradicting_answer_was_believed():
+    """Guards against a refusal or an answer that denies itself (TWICE)."""
+    note = b'X-Not-Executed: 1\r\n'
+    stamp = b'X-Server-Stamp: 3e.08\r\n'
+    for sound, line in (
+        (SoundAnswer('due'), note),
+        (SoundAnswer('due', 500), note),
+        (SoundAnswer('due', 504), note),
+        (SoundAnswer('due'), stamp),
+        (shed_answer('due'), note),
+    ):
+        head, _, rest = sound.encode().partition(b'X-Server-Load')
+        outcome = await outcome_of(head + line + b'X-Server-Load' + rest)
+        assert outcome.may_have_run, sound
+        assert outcome.answer is None, sound
+
+
+async def test_relayed_answer_of_another_request_was_passed_on():
+    """Guards against an answer of another caller by a relay (MIXED)."""
+    wire = RelayWire(PlatformWire())
+    other = SoundAnswer('earlier').encode()
+    assert (await outcome_of(other, wire)).answer is None
+    own = await outcome_of(other + SoundAnswer('due', 500).encode(), wire)
+    assert own.answer.status == 500
+    refusal = b'HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n'
+    assert (await outcome_of(refusal, wire)).may_have_run is False
+    assert (await outcome_of(other + refusal, wire)).may_have_run
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -86,3 +86,15 @@
         transport.end()
         assert exchange.complete, exchange.error
         assert exchange.status == due.status
+
+
+async def test_connection_was_kept_behind_another_answer():
+    """Guards against a connection that goes on out of step."""
+    conn, transport = opened_connection()
+    exchange = exchange_of('due')
+    conn.start(exchange)
+    transport.feed(SoundAnswer('earlier').encode() + DUE[1].encode())
+    assert exchange.complete
+    assert exchange.status == 200
+    assert not conn.usable
+    assert transport.closed
