Believe no refusal behind an answer to another request

What callers saw: nothing yet; a target that sends an earlier answer once more is out of step, and a refusal that follows on the same connection let a one-time request run at another target. The connection was used again.

Cause: a whole answer to another request was skipped without a trace.

Evidence, before:

Fix: the exchange notes that an answer to another request came first. The connection ends with the exchange, and "not run" is unknown then. A success or a failure with the present id counts as before: the extra answer of a target may come late at any time, and its callers would lose service without a gain, since both say that the request has run.

The random streams no longer take an interim answer in front for an answer to another request: it names none, and a sound target may send it.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -330,6 +330,9 @@
         length = dict(exchange.headers).get(b'content-length')
         self._skipped_bytes = None if length is None else int(length)
         self._skipping_answer = True
+        # A server that is out of step may be so again.
+        self._reusable = False
+        exchange.is_behind_other = True
         exchange.headers.clear()
 
     def _skip(self, data: bytes) -> bytes:
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -123,6 +123,8 @@
         self.complete = False
         self.error: Exception | None = None
         self.upload_complete = False
+        #: Whether an answer to another request arrived on the connection first.
+        self.is_behind_other = False
         #: The connection stops reading above this many unread body bytes.
         self.high_water_bytes = HIGH_WATER_BYTES
         #: Called with the change of the unread body bytes.
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -19,7 +19,7 @@
 from .answers import TargetAnswer, read_answer_start
 from .bodies import RequestBody
 from .target_connections import TargetConnections
-from .wire import IncomingRequest, WireFormat
+from .wire import AnswerMetadata, IncomingRequest, WireFormat
 
 #: How long the body of an answer that asks for a pause may take, in seconds.
 #: The pause counts from the head of the answer and must be known by then.
@@ -163,6 +163,10 @@
         answer: TargetAnswer,
     ) -> AttemptOutcome:
         metadata = self._wire.read_metadata(answer.status, answer.headers)
+        doubt = _find_doubt(metadata, answer)
+        if doubt:
+            abort(answer.exchange)
+            return AttemptOutcome(Ending.lost, detail=doubt)
         if metadata.idle_timeout_s is not None:
             self._connections.set_idle_timeout(target, metadata.idle_timeout_s)
         if metadata.not_run:
@@ -223,6 +227,18 @@
             )
 
 
+def _find_doubt(metadata: AnswerMetadata, answer: TargetAnswer) -> str:
+    """Return why an answer must not decide the outcome; empty if it may.
+
+    Behind an answer to another request, a success or a failure is passed on,
+    since it says of itself that the request has run. That it has not run is
+    not believed: a one-time request would run at another target.
+    """
+    if metadata.not_run and answer.exchange.is_behind_other:
+        return f'status {answer.status} behind another answer'
+    return ''
+
+
 def _start(conn: ClientConnection, exchange: Exchange) -> None:
     try:
         conn.start(exchange)
--- a/tests/builders_answers.py
+++ b/tests/builders_answers.py
@@ -11,6 +11,7 @@
 from cuminhoist.exchange import Exchange, RequestHead
 
 ID_HEADER = b'x-request-id'
+INTERIM_HEAD = b'HTTP/1.1 100 Continue\r\n\r\n'
 _PARTS = 5
 
 #: A socket that never becomes readable, as that of a sound idle connection.
@@ -44,7 +45,7 @@
         elif self.framing == 'length':
             lines.append(f'Content-Length: {len(self.body)}')
         head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
-        interim = b'HTTP/1.1 100 Continue\r\n\r\n' if self.interim else b''
+        interim = INTERIM_HEAD if self.interim else b''
         return interim + head + self._framed_body()
 
     def _framed_body(self) -> bytes:
--- a/tests/gateway/test_answer_streams.py
+++ b/tests/gateway/test_answer_streams.py
@@ -11,7 +11,12 @@
 import msgspec
 import pytest
 
-from tests.builders_answers import SoundAnswer, shed_answer, split
+from tests.builders_answers import (
+    INTERIM_HEAD,
+    SoundAnswer,
+    shed_answer,
+    split,
+)
 
 from .builders_streams import FedConnections, attempt
 
@@ -28,7 +33,8 @@
     :param is_whole: whether the answer that is due is complete in it.
     :param is_clean: whether only whole answers of other requests, of which
         the end is known, are in front of it.
-    :param is_first: whether nothing is in front of it.
+    :param is_first: whether nothing is in front of it but an interim answer,
+        which belongs to no other request.
     """
 
     due: SoundAnswer
@@ -92,7 +98,7 @@
         ending,
         is_whole and not (ends_at_close and ending == 'reset'),
         all(harmless for _, harmless in parts),
-        not any(part for part, _ in parts),
+        all(part in {b'', INTERIM_HEAD} for part, _ in parts),
     )
 
 
