Believe no answer that contradicts itself

What callers saw: nothing yet; a head that is read from two answers can say two things, and a one-time request ran again where one of them was that it had not run.

Cause: X-Not-Executed counted beside every status, and of several notes or stamps the last one counted.

Evidence, before:

assert outcome.may_have_run: AttemptOutcome(Ending.shed, ... may_have_run=False, detail='status 200, not run')

Fix: the note counts beside 4xx and 503, the statuses with which a target may reject a request. Beside any other status, or where the note or the stamp stands twice, the answer is none: the connection ends and the outcome is unknown. The relay between entry instances does the same.

--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -234,6 +234,8 @@
     since it says of itself that the request has run. That it has not run is
     not believed: a one-time request would run at another target.
     """
+    if metadata.contradicts_itself:
+        return f'status {answer.status} in an answer that contradicts itself'
     if metadata.not_run and answer.exchange.is_behind_other:
         return f'status {answer.status} behind another answer'
     return ''
--- a/src/cuminhoist/gateway/relay.py
+++ b/src/cuminhoist/gateway/relay.py
@@ -104,6 +104,7 @@
             not_run=refused,
             pause_s=metadata.pause_s if refused else 0,
             stamped=metadata.stamped,
+            contradicts_itself=metadata.contradicts_itself,
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
--- a/src/cuminhoist/gateway/wire.py
+++ b/src/cuminhoist/gateway/wire.py
@@ -77,6 +77,9 @@
     :param idle_timeout_s: how long the target keeps an idle connection, in
         seconds; None if the answer does not tell.
     :param stamped: whether the target marked the answer as its own.
+    :param contradicts_itself: whether the answer says of the same thing more
+        than once or in two ways, so that it may have been read from two
+        answers.
     """
 
     not_run: bool = False
@@ -90,6 +93,7 @@
     idle_timeout_s: float | None = None
     stamped: bool = True
     odd_load: str = ''
+    contradicts_itself: bool = False
 
 
 class WireFormat(abc.ABC):
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -44,6 +44,7 @@
 
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+_CLIENT_ERROR_STATUSES = range(400, 500)
 #: Longest pause that a target may ask for, in seconds; the list of targets
 #: tells of one that is gone for longer.
 MAX_PAUSE_S = 30.0
@@ -170,6 +171,7 @@
         :param headers: its headers, names in lower case.
         """
         headers_by_name = dict(headers)
+        names = [name for name, _ in headers]
         misdirected = status == _MISDIRECTED_STATUS
         pause_s, odd_pause = _pause(status, headers_by_name)
         load, odd_load = _target_load(headers_by_name.get(_LOAD, b''))
@@ -189,6 +191,11 @@
                 headers_by_name.get(b'keep-alive', b'')
             ),
             stamped=_STAMP in headers_by_name,
+            contradicts_itself=(
+                names.count(_STAMP) > 1
+                or names.count(_NOT_RUN) > 1
+                or (_NOT_RUN in headers_by_name and not _is_refusal(status))
+            ),
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
@@ -201,6 +208,11 @@
         ]
 
 
+def _is_refusal(status: int) -> bool:
+    """Tell whether a target may answer so without running the request."""
+    return status == _UNAVAILABLE_STATUS or status in _CLIENT_ERROR_STATUSES
+
+
 def _forwarded_headers(headers: Headers, chunked: bool) -> Headers:
     dropped = set(_CONNECTION_HEADERS)
     for name, text in headers:
