Keep a caller's id from making a sound answer look spoilt

What callers saw: a request with two X-Request-Id headers got 504 although its target had answered, and the target counted as slow. With the check of heads, an id such as "HTTP/1.1 200 OK" would have made the answer look like two, so that one caller could take sound targets out of use.

Cause: both ids were passed on, and a target may repeat either of them. The text that is repeated was not told from the target's own.

Fix: only the id that names the request is passed on, the last one. A head may hold as many texts like a status line as the id that it repeats; an answer that is joined to another one holds one more.

--- a/src/cuminhoist/answer_head.py
+++ b/src/cuminhoist/answer_head.py
@@ -23,16 +23,19 @@
 _MIN_FINAL_STATUS = 200
 
 
-def find_head_fault(head: bytes, status: int, headers: Headers) -> str:
+def find_head_fault(
+    head: bytes, status: int, headers: Headers, echoed: bytes = b''
+) -> str:
     """Return why a head must not be believed; empty if it is sound.
 
     :param head: all bytes of the head, its empty line included.
     :param status: the status that was read from it.
     :param headers: the headers that were read from it, names in lower case.
+    :param echoed: text of a caller that a sound answer repeats once.
     """
     if _HEAD.fullmatch(head) is None:
         return 'malformed head'
-    if _STATUS_LINE.search(head, 1) is not None:
+    if _has_second_status_line(head, echoed):
         return 'two status lines'
     framings = [header for header in headers if header[0] in {_LENGTH, _CODING}]
     if len(framings) > 1:
@@ -43,3 +46,11 @@
         coding = framings[0][1].strip().lower()
         return '' if coding == b'chunked' else 'unknown transfer coding'
     return ''
+
+
+def _has_second_status_line(head: bytes, echoed: bytes) -> bool:
+    if _STATUS_LINE.search(head, 1) is None:
+        return False
+    # A caller may choose a text that looks like a status line.
+    count = len(_STATUS_LINE.findall(head, 1))
+    return count > len(_STATUS_LINE.findall(echoed))
--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -232,7 +232,12 @@
             return
         self._head_evaluated = True
         status = int(self._parser.get_status_code())
-        fault = find_head_fault(bytes(self._head), status, exchange.headers)
+        fault = find_head_fault(
+            bytes(self._head),
+            status,
+            exchange.headers,
+            exchange.echo.text if exchange.echo else b'',
+        )
         if fault:
             exchange.abort(RemoteProtocolError(fault))
             return
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -223,7 +223,7 @@
     dropped -= {b'host', b'content-length', _REQUEST_ID, b'cookie'}
     forwarded = [
         header
-        for header in headers
+        for header in _with_one_id(headers)
         if header[0] not in dropped and header[0] not in _REPLACED_HEADERS
     ]
     return (
@@ -233,6 +233,18 @@
     )
 
 
+def _with_one_id(headers: Headers) -> Headers:
+    """Return headers with the last of several ids only, which names a request.
+
+    Its target may repeat any of them in its answer.
+    """
+    ids = [header for header in headers if header[0] == _REQUEST_ID]
+    if len(ids) <= 1:
+        return headers
+    others = [header for header in headers if header[0] != _REQUEST_ID]
+    return [*others, ids[-1]]
+
+
 def _object_key(text: str) -> str:
     for part in text.split(';'):
         name, _, content = part.strip().partition('=')
--- a/tests/gateway/test_spoilt_answers.py
+++ b/tests/gateway/test_spoilt_answers.py
@@ -6,12 +6,20 @@
 
 from cuminhoist.gateway.routes import RepeatPolicy
 
+import pytest
+
 from cuminhoist.gateway.relay import RelayWire
 from cuminhoist.platform.requests import PlatformWire
 from cuminhoist.steering.decisions import Ending
 from tests.builders_answers import SoundAnswer, shed_answer
 
-from .builders import ScriptedTarget, answer, gateway, header
+from .builders import (
+    ScriptedTarget,
+    answer,
+    gateway,
+    header,
+    header_values,
+)
 from .builders_streams import FedConnections, attempt
 
 
@@ -111,3 +119,23 @@
     refusal = b'HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n'
     assert (await outcome_of(refusal, wire)).may_have_run is False
     assert (await outcome_of(other + refusal, wire)).may_have_run
+
+
+@pytest.mark.parametrize(
+    ('request_id', 'fields'),
+    [
+        ('HTTP/1.1 200 OK', ()),
+        ('spaced \t', ()),
+        ('second', ('X-Request-Id: first',)),
+    ],
+)
+async def test_id_of_a_caller_made_a_sound_answer_look_spoilt(
+    request_id, fields
+):
+    """Guards against callers who take sound targets out of use."""
+    target = ScriptedTarget(answer)
+    async with gateway(target) as harness:
+        received = await harness.request(request_id=request_id, fields=fields)
+    assert received.startswith(b'HTTP/1.1 200')
+    ids = header_values(target.heads[0], 'x-request-id')
+    assert ids == [request_id.strip()]
--- a/tests/test_answer_head.py
+++ b/tests/test_answer_head.py
@@ -60,6 +60,17 @@
     assert find_head_fault(head + b'\r\n', 200, []) == fault
 
 
+def test_text_of_a_caller_hid_a_second_status_line():
+    """Guards against an id that looks like the beginning of an answer."""
+    line = b'X-Request-Id: HTTP/1.1 200 OK\r\n'
+    sound = b'HTTP/1.1 200 OK\r\n' + line + b'\r\n'
+    joined = b'HTTP/1.1 503 No\r\nA: b' + sound
+    echoed = b'HTTP/1.1 200 OK'
+    assert not find_head_fault(sound, 200, [], echoed)
+    assert find_head_fault(sound, 200, []) == 'two status lines'
+    assert find_head_fault(joined, 503, [], echoed) == 'two status lines'
+
+
 @pytest.mark.parametrize(('status', 'lines', 'fault'), FRAMING_FAULTS)
 def test_body_had_two_ends(status, lines, fault):
     """Guards against bytes of one answer that are read as another one's."""
