--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import enum
 import re
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
@@ -87,21 +88,45 @@
         return b''.join(parts)
 
 
+class Echo(msgspec.Struct, frozen=True):
+    """A header of a request that the server repeats in its answer.
+
+    :param name: its name, in lower case.
+    :param text: its text, which identifies the request.
+    :param required: whether each answer has it; an answer without it is
+        taken for that to the present request otherwise.
+    """
+
+    name: bytes
+    text: bytes
+    required: bool = True
+
+
+class AnswerOwner(enum.Enum):
+    """The request that an answer belongs to.
+
+    It is unknown if the answer names no request, or more than one.
+    """
+
+    own = enum.auto()
+    other = enum.auto()
+    unknown = enum.auto()
+
+
 class Exchange:
     """One request and its answer.
 
     :param head: request line and headers.
     :param on_end: called once, when the answer is complete or has failed.
-    :param echo: name and value of a header that the server repeats in its
-        answer. An answer with another value belongs to an earlier request
-        and is skipped.
+    :param echo: header that the server repeats in its answer. An answer with
+        another text belongs to an earlier request and is skipped.
     """
 
     def __init__(
         self,
         head: RequestHead,
         on_end: OnExchangeEnd,
-        echo: tuple[bytes, bytes] | None = None,
+        echo: Echo | None = None,
     ) -> None:
         self.head = head
         self.echo = echo
@@ -111,6 +136,8 @@
         self.complete = False
         self.error: Exception | None = None
         self.upload_complete = False
+        #: Whether an answer to another request arrived on the connection first.
+        self.is_behind_other = False
         #: The connection stops reading above this many unread body bytes.
         self.high_water_bytes = HIGH_WATER_BYTES
         #: Called with the change of the unread body bytes.
@@ -146,16 +173,17 @@
         """Whether :meth:`read` returns or fails without waiting."""
         return self.ended or bool(self._chunks)
 
-    def is_own_answer(self) -> bool:
-        """Return whether the headers received answer this request."""
-        if self.echo is None:
-            return True
-        name, expected = self.echo
-        return dict(self.headers).get(name) == expected
-
-    def is_unidentified(self) -> bool:
-        """Return whether the headers do not tell which request they answer."""
-        return self.echo is not None and self.echo[0] not in dict(self.headers)
+    def find_owner(self) -> AnswerOwner:
+        """Return whose answer the headers received belong to."""
+        echo = self.echo
+        if echo is None:
+            return AnswerOwner.own
+        ids = [text for name, text in self.headers if name == echo.name]
+        if not ids and not echo.required:
+            return AnswerOwner.own
+        if len(ids) != 1:
+            return AnswerOwner.unknown
+        return AnswerOwner.own if ids[0] == echo.text else AnswerOwner.other
 
     def mark_head_received(self) -> None:
         """Wake the reader that waits for status and headers."""
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..exchange import Headers, RequestHead
+from ..exchange import Echo, Headers, RequestHead
 from ..gateway.hosts import canonical_host, is_host
 from ..gateway.wire import (
     RELAYED_WORKSPACE,
@@ -44,6 +44,7 @@
 
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+_CLIENT_ERROR_STATUSES = range(400, 500)
 #: Longest pause that a target may ask for, in seconds; the list of targets
 #: tells of one that is gone for longer.
 MAX_PAUSE_S = 30.0
@@ -154,14 +155,14 @@
             req.method.encode(_ENCODING), req.request_target, headers
         )
 
-    def echoed_header(self, req: IncomingRequest) -> tuple[bytes, bytes] | None:
+    def echoed_header(self, req: IncomingRequest) -> Echo | None:
         """Return the header that the answer must repeat, or None.
 
         :param req: the request.
         """
         if not req.request_id:
             return None
-        return _REQUEST_ID, req.request_id.encode(_ENCODING)
+        return Echo(_REQUEST_ID, req.request_id.encode(_ENCODING))
 
     def read_metadata(self, status: int, headers: Headers) -> AnswerMetadata:
         """Return what the headers of an answer tell about the target.
@@ -170,6 +171,7 @@
         :param headers: its headers, names in lower case.
         """
         headers_by_name = dict(headers)
+        names = [name for name, _ in headers]
         misdirected = status == _MISDIRECTED_STATUS
         pause_s, odd_pause = _pause(status, headers_by_name)
         load, odd_load = _target_load(headers_by_name.get(_LOAD, b''))
@@ -189,6 +191,11 @@
                 headers_by_name.get(b'keep-alive', b'')
             ),
             stamped=_STAMP in headers_by_name,
+            contradicts_itself=(
+                names.count(_STAMP) > 1
+                or names.count(_NOT_RUN) > 1
+                or (_NOT_RUN in headers_by_name and not _is_refusal(status))
+            ),
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
@@ -201,6 +208,11 @@
         ]
 
 
+def _is_refusal(status: int) -> bool:
+    """Tell whether a target may answer so without running the request."""
+    return status == _UNAVAILABLE_STATUS or status in _CLIENT_ERROR_STATUSES
+
+
 def _forwarded_headers(headers: Headers, chunked: bool) -> Headers:
     dropped = set(_CONNECTION_HEADERS)
     for name, text in headers:
@@ -211,7 +223,7 @@
     dropped -= {b'host', b'content-length', _REQUEST_ID, b'cookie'}
     forwarded = [
         header
-        for header in headers
+        for header in _with_one_id(headers)
         if header[0] not in dropped and header[0] not in _REPLACED_HEADERS
     ]
     return (
@@ -221,6 +233,18 @@
     )
 
 
+def _with_one_id(headers: Headers) -> Headers:
+    """Return headers with the last of several ids only, which names a request.
+
+    Its target may repeat any of them in its answer.
+    """
+    ids = [header for header in headers if header[0] == _REQUEST_ID]
+    if len(ids) <= 1:
+        return headers
+    others = [header for header in headers if header[0] != _REQUEST_ID]
+    return [*others, ids[-1]]
+
+
 def _object_key(text: str) -> str:
     for part in text.split(';'):
         name, _, content = part.strip().partition('=')
