Give the streams of the tests the limits of answers

The merge of two parts left a test that passed a time in seconds where the limits of an answer belong, and one attribute too many on an exchange.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -337,7 +337,7 @@
         self._skipping_answer = True
         # A server that is out of step may be so again.
         self._reusable = False
-        exchange.is_behind_other = True
+        exchange.mark_behind_other()
         exchange.headers.clear()
 
     def _skip(self, data: bytes) -> bytes:
--- a/src/cuminhoist/exchange.py
+++ b/src/cuminhoist/exchange.py
@@ -136,8 +136,6 @@
         self.complete = False
         self.error: Exception | None = None
         self.upload_complete = False
-        #: Whether an answer to another request arrived on the connection first.
-        self.is_behind_other = False
         #: The connection stops reading above this many unread body bytes.
         self.high_water_bytes = HIGH_WATER_BYTES
         #: Called with the change of the unread body bytes.
@@ -151,6 +149,7 @@
         self._buffered = 0
         self._waiter: asyncio.Future[None] | None = None
         self._head_received = False
+        self._is_behind_other = False
         self._on_end = on_end
 
     @property
@@ -163,6 +162,11 @@
         """Whether status and headers of the answer have arrived."""
         return self._head_received
 
+    @property
+    def is_behind_other(self) -> bool:
+        """Whether an answer to another request arrived first."""
+        return self._is_behind_other
+
     @property
     def buffered(self) -> int:
         """Body bytes that have not been read."""
@@ -185,6 +189,10 @@
             return AnswerOwner.unknown
         return AnswerOwner.own if ids[0] == echo.text else AnswerOwner.other
 
+    def mark_behind_other(self) -> None:
+        """Note that an answer to another request arrived first."""
+        self._is_behind_other = True
+
     def mark_head_received(self) -> None:
         """Wake the reader that waits for status and headers."""
         self._head_received = True
--- a/tests/gateway/builders_streams.py
+++ b/tests/gateway/builders_streams.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from cuminhoist.fleet.instance_config import Address
+from cuminhoist.gateway.answer_limits import AnswerLimits
 from cuminhoist.gateway.attempt import AttemptOutcome, AttemptSender
 from cuminhoist.gateway.bodies import RequestBody
 from cuminhoist.gateway.pacing import LinkPacer
@@ -75,7 +76,10 @@
     connections.play = play
     sender = AttemptSender(wire or PlatformWire(), connections)
     outcome = await sender.send(
-        _request(request_id), RequestBody(_no_event, 0), TARGET, TIMEOUT_S
+        _request(request_id),
+        RequestBody(_no_event, 0),
+        TARGET,
+        AnswerLimits.from_left(TIMEOUT_S, TIMEOUT_S),
     )
     if outcome.answer is None:
         return outcome, None
