Let nothing run behind a refusal of our own that closes the connection

Callers that sent requests behind one with a malformed host or with a body over the limit got no answer to them although targets ran them: the 400 or 413 closed the connection.

Cause: a refused request was declared to overlap with those behind it, and a 413 closed the connection also if nothing of its body was to come.

Now requests behind a refusal that closes do not start, and a request that is given up closes the connection only if the rest of its body is still to come; no request behind it has been read then.

--- a/src/cuminhoist/gateway/answers.py
+++ b/src/cuminhoist/gateway/answers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..exchange import Exchange, Headers
+from ..pipelined_request import PipelinedRequest
 from ..problems import PROBLEM_TYPE, Refusal, encode_problem
 from ..types import Ran, Reason
 from .answer_limits import AnswerLimits, read_in_time
@@ -160,6 +161,24 @@
     await _send_body(send, body, more=False)
 
 
+async def send_own_refusal(
+    refusal: Refusal, req: PipelinedRequest, send: Send
+) -> str:
+    """Answer a request that is given up, perhaps before its whole body came.
+
+    The connection is closed if the rest of the body is still to come. No
+    request behind it has been read then.
+
+    :param refusal: the refusal.
+    :param req: the request, with its turn.
+    :param send: sends to the caller.
+    :returns: how the request ended.
+    """
+    await req.wait_for_turn()
+    await send_refusal(refusal, send, close_connection=not req.body_arrived)
+    return f'refused-{refusal.reason}'
+
+
 def not_run_refusal(
     reason: Reason,
     detail: str,
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -76,6 +76,31 @@
     )
 
 
+def refusal_of_large_body(*, may_run: bool) -> Refusal:
+    """Return the refusal of a request whose body is too long.
+
+    :param may_run: whether a target may run what it got of the body.
+    """
+    return Refusal(
+        ran=Ran.unknown if may_run else Ran.not_run,
+        reason=Reason.body_too_large,
+        detail='The body is too large.',
+    )
+
+
+def refusal_of_unsendable(state: RequestState, detail: str) -> Refusal:
+    """Return the refusal of a request that can't be sent as it is.
+
+    :param state: the request.
+    :param detail: why it can't.
+    """
+    return Refusal(
+        ran=Ran.unknown if state.may_have_run else Ran.not_run,
+        reason=Reason.bad_request,
+        detail=f'The request cannot be passed on: {detail}.',
+    )
+
+
 def refusal_without_target(state: RequestState, refused: Refused) -> Refusal:
     """Return the refusal of a request that gets no target, or no other one.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -22,12 +22,13 @@
 )
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.targets import TargetEntry
-from ..types import Ran, Reason
+from ..types import Reason
 from . import refusals
 from .answer_sender import AnswerSender
 from .answers import (
     Send,
     TargetAnswer,
+    send_own_refusal,
     send_refusal,
 )
 from .attempt import AttemptOutcome, AttemptSender, abort
@@ -123,24 +124,29 @@
         :param send: sends to the caller.
         """
         self.running_requests += 1
-        serving = asyncio.create_task(self._serve(scope, receive, send))
-        disconnected = scope['state']['caller_disconnected']
         try:
-            await asyncio.wait(
-                (serving, disconnected),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not serving.done():
-                serving.cancel()
-            await asyncio.gather(serving, return_exceptions=True)
+            await self._serve_while_connected(scope, receive, send)
         finally:
             self.running_requests -= 1
-        if not serving.cancelled() and serving.exception() is not None:
-            error = serving.exception()
-            _log.opt(exception=error).error(
-                'request ended by an unexpected error',
-            )
-            scope['state']['abort']()
+
+    async def _serve_while_connected(
+        self, scope: Any, receive: Receive, send: Send
+    ) -> None:
+        serving = asyncio.create_task(self._serve(scope, receive, send))
+        disconnected = scope['state']['caller_disconnected']
+        await asyncio.wait(
+            (serving, disconnected),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not serving.done():
+            serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        if serving.cancelled() or serving.exception() is None:
+            return
+        _log.opt(exception=serving.exception()).error(
+            'request ended by an unexpected error',
+        )
+        scope['state']['abort']()
 
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         pipelined = scope['state']['pipelined_request']
@@ -148,16 +154,14 @@
         accepted = self._acceptance.accept(req, scope)
         if not isinstance(accepted, Success):
             refusal = accepted.failure()
-            pipelined.declare(overlaps=True)
-            self._recorder.record_refusal(req, refusal)
-            await send_refusal(
-                refusal,
-                send,
-                close_connection=(
-                    self.routing_state.refuses_requests
-                    or refusal.reason is Reason.bad_request
-                ),
+            closes = (
+                self.routing_state.refuses_requests
+                or refusal.reason is Reason.bad_request
             )
+            # Nothing may run behind a refusal that closes the connection.
+            pipelined.declare(overlaps=not closes)
+            self._recorder.record_refusal(req, refusal)
+            await send_refusal(refusal, send, close_connection=closes)
             return
         state = accepted.unwrap()
         self._retries.count_request(state.service)
@@ -173,9 +177,15 @@
         except CallerDisconnected:
             outcome = 'gone'
         except LocalProtocolError as exc:
-            outcome = await self._refuse_unsendable(state, str(exc), send)
+            state.trail.append(str(exc))
+            refusal = refusals.refusal_of_unsendable(state, str(exc))
+            outcome = await send_own_refusal(refusal, pipelined, send)
         except BodyTooLarge:
-            outcome = await self._refuse_body(body, send)
+            # A target may have run what it got of a streamed body.
+            refusal = refusals.refusal_of_large_body(
+                may_run=not body.can_resend
+            )
+            outcome = await send_own_refusal(refusal, pipelined, send)
         finally:
             self._recorder.record_request(state, outcome, pipelined)
 
@@ -183,28 +193,6 @@
         routes = self.routing_state.routes
         return routes.limits.max_body_bytes if routes else 0
 
-    async def _refuse_body(self, body: RequestBody, send: Send) -> str:
-        refusal = Refusal(
-            # A target may have run what it got of a streamed body.
-            ran=Ran.not_run if body.can_resend else Ran.unknown,
-            reason=Reason.body_too_large,
-            detail='The body is too large.',
-        )
-        await send_refusal(refusal, send, close_connection=True)
-        return f'refused-{refusal.reason}'
-
-    async def _refuse_unsendable(
-        self, state: RequestState, detail: str, send: Send
-    ) -> str:
-        state.trail.append(detail)
-        refusal = Refusal(
-            ran=Ran.unknown if state.may_have_run else Ran.not_run,
-            reason=Reason.bad_request,
-            detail=f'The request cannot be passed on: {detail}.',
-        )
-        await send_refusal(refusal, send, close_connection=True)
-        return f'refused-{refusal.reason}'
-
     async def _place_and_send(
         self,
         state: RequestState,
--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -107,6 +107,11 @@
         """Whether it was allowed to run."""
         return self._may_start.is_set()
 
+    @property
+    def body_arrived(self) -> bool:
+        """Whether its whole body has been received."""
+        return not self.cycle.more_body
+
     @property
     def answer_begun(self) -> bool:
         """Whether a part of its answer has been written."""
