Answer a request that an unexpected error ends, and keep its connection

An unexpected error while one request was served ended the connection of its caller, and with it the requests behind it that targets ran. If nothing of the answer was sent, the caller now gets a 502 (outcome unknown) and the connection goes on.

--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -101,6 +101,15 @@
     )
 
 
+def refusal_after_error() -> Refusal:
+    """Return the refusal of a request that an unexpected error ended."""
+    return Refusal(
+        ran=Ran.unknown,
+        reason=Reason.target_lost,
+        detail='An internal error ended the request.',
+    )
+
+
 def refusal_without_target(state: RequestState, refused: Refused) -> Refusal:
     """Return the refusal of a request that gets no target, or no other one.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -146,7 +146,13 @@
         _log.opt(exception=serving.exception()).error(
             'request ended by an unexpected error',
         )
-        scope['state']['abort']()
+        pipelined = scope['state']['pipelined_request']
+        if pipelined.answer_begun:
+            scope['state']['abort']()
+        else:
+            await send_own_refusal(
+                refusals.refusal_after_error(), pipelined, send
+            )
 
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         pipelined = scope['state']['pipelined_request']
