Answer what a stopping entry instance has taken

Callers of an entry instance that got SIGTERM saw requests fail with a 500 while targets were at work on them (LOST). It took all requests until 0.55 of the grace period and ended at 0.93 of it, whatever still ran; asyncio then cancelled the tasks, and the listener answered 500.

From SIGTERM on, a request is taken only if it can be answered by 0.94 of the grace period (gateway/stop_window, which needs no network). Its own deadline shows that at any time. In the first half, the longest time of at least 30 requests of the same route and service of late, by 1.5, and the age of the oldest one that is unanswered show it, too. The second half is too short for a service that turns slow, so that only deadlines count there; no request is taken then that could be broken off. Others get 503, not run, with Retry-After and connection: close, at once.

Requests that were taken before the signal are limited as well (gateway/stop_limits): one that waits for its body, its turn or a target is refused, as not run, when it could not be answered any more, and one at a target gets 504, which promises nothing, at 0.94 if it is still running. Answers behind it on the connection are then sent. At the end the listener closes idle connections instead of reading requests that it cannot serve.

Evidence: the tests failed before with `assert False` (passed on) and `assert not 1` (running requests at the end) and pass now.

--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -25,6 +25,24 @@
     )
 
 
+def refusal_of_stopping_instance(*, may_have_run: bool = False) -> Refusal:
+    """Return the refusal of a request that outlasts this instance.
+
+    :param may_have_run: whether a target may be at work on it.
+    """
+    if may_have_run:
+        return Refusal(
+            ran=Ran.unknown,
+            reason=Reason.target_timeout,
+            detail='This entry instance stops before the target has answered.',
+        )
+    return not_run_refusal(
+        Reason.draining,
+        'Retry at another entry instance.',
+        NOT_READY_RETRY_S,
+    )
+
+
 def refusal_of_poison(state: RequestState) -> Refusal:
     """Return the refusal of a request that ends the targets that run it.
 
--- a/src/cuminhoist/gateway/request_acceptance.py
+++ b/src/cuminhoist/gateway/request_acceptance.py
@@ -15,6 +15,7 @@
 from .request_state import RequestState, RoutingState
 from .routes import Route
 from .splits import Splitter
+from .stop_limits import StopLimits
 from .wire import IncomingRequest
 
 #: Time reserved for the final answer to reach the caller, in seconds.
@@ -37,6 +38,8 @@
     ) -> None:
         self._routing_state = routing_state
         self._authenticator = authenticator
+        #: Tells which requests can be served before the instance ends.
+        self.stop_limits = StopLimits(now)
         self._now = now
         self._splitter = Splitter(random.Random())  # noqa: S311
         self._elapsed_estimators: dict[str, CallerElapsedEstimator] = {}
@@ -63,19 +66,18 @@
         if refusal is not None:
             return Failure(refusal)
         self._set_deadlines(state, scope['state'].get('round_trip_s', 0))
+        if not self.stop_limits.admits(state):
+            return Failure(refusals.refusal_of_stopping_instance())
         return Success(state)
 
     def _find_route(self, req: IncomingRequest) -> Result[Route, Refusal]:
+        if self._routing_state.refuses_requests:
+            return Failure(refusals.refusal_of_stopping_instance())
         routes = self._routing_state.routes
-        if routes is None or self._routing_state.refuses_requests:
-            reason = (
-                Reason.draining
-                if self._routing_state.refuses_requests
-                else Reason.no_state
-            )
+        if routes is None:
             return Failure(
                 not_run_refusal(
-                    reason,
+                    Reason.no_state,
                     'Retry at another entry instance.',
                     refusals.NOT_READY_RETRY_S,
                 )
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -114,6 +114,7 @@
         self._acceptance = RequestAcceptance(
             self.routing_state, self._authenticator, now
         )
+        self.stop_limits = self._acceptance.stop_limits
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one request of a caller.
@@ -154,8 +155,7 @@
                 refusal,
                 send,
                 close_connection=(
-                    self.routing_state.refuses_requests
-                    or refusal.reason is Reason.bad_request
+                    refusal.reason in {Reason.draining, Reason.bad_request}
                 ),
             )
             return
@@ -164,12 +164,7 @@
         body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
-            overlaps = state.route.repeat is RepeatPolicy.idempotent
-            if not await pipelined.wait_to_start(overlaps=overlaps):
-                raise CallerDisconnected
-            if req.has_body:
-                await body.fill_buffer(req.body_bytes or 0)
-            outcome = await self._place_and_send(state, body, scope, send)
+            outcome = await self._serve_until_stop(state, body, scope, send)
         except CallerDisconnected:
             outcome = 'gone'
         except LocalProtocolError as exc:
@@ -193,6 +188,26 @@
         await send_refusal(refusal, send, close_connection=True)
         return f'refused-{refusal.reason}'
 
+    async def _serve_until_stop(
+        self, state: RequestState, body: RequestBody, scope: Any, send: Send
+    ) -> str:
+        """Serve a request, or refuse it if the instance stops before that."""
+        pipelined = scope['state']['pipelined_request']
+        with self.stop_limits.limit(state):
+            overlaps = state.route.repeat is RepeatPolicy.idempotent
+            if not await pipelined.wait_to_start(overlaps=overlaps):
+                raise CallerDisconnected
+            if state.req.has_body:
+                await body.fill_buffer(state.req.body_bytes or 0)
+            return await self._place_and_send(state, body, scope, send)
+        if pipelined.cycle.response_started:
+            scope['state']['abort']()
+            return 'cut'
+        refusal = refusals.refusal_of_stopping_instance(
+            may_have_run=state.may_have_run
+        )
+        return await self._answer_without_target(state, refusal, send)
+
     async def _refuse_unsendable(
         self, state: RequestState, detail: str, send: Send
     ) -> str:
@@ -295,7 +310,9 @@
         outcome = None
         refusal = self._authenticator.confirm(state)
         if refusal is None and not scope['state'].get('relayed', False):
+            self.stop_limits.start_attempt(state)
             outcome = await self.relay.send(state, body)
+            self.stop_limits.end_attempt(state)
         if outcome is not None and outcome.answer is not None:
             return await self._pass_answer_on(
                 state, outcome.answer, scope, send
@@ -352,6 +369,7 @@
         )
         self._placement_client.running_attempts[decision.number] = report
         outcome = AttemptOutcome(Ending.withdrawn)
+        self.stop_limits.start_attempt(state)
         try:
             with self.reachability.watching():
                 outcome = await self._attempt_sender.send(
@@ -383,6 +401,7 @@
         if outcome.connection_lost:
             self.crash_detector.connection_lost(state, body, target)
         state.may_have_run = state.may_have_run or outcome.may_have_run
+        self.stop_limits.end_attempt(state)
         return outcome
 
     def _record_attempt(
@@ -457,9 +476,11 @@
         scope: Any,
         send: Send,
     ) -> str:
+        succeeded = answer.status < _MIN_SERVER_ERROR
+        self.stop_limits.start_answer(state, served=succeeded)
         if not await self._answer_sender.pass_on(state, answer, scope, send):
             return 'cut'
-        if answer.status < _MIN_SERVER_ERROR:
+        if succeeded:
             # A target that is busy answers 504 to a request that never ran.
             self.crash_detector.answered(state)
         return f'answered-{answer.status}'
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -122,6 +122,16 @@
         self.start_drain()
         self.should_exit = True
 
+    def close_idle(self) -> None:
+        """Stop listening and close the connections without a request.
+
+        A request that is sent from now on is not read.
+        """
+        for server in self.servers:
+            server.close()
+        for conn in self._connections():
+            conn.shutdown()
+
     async def shutdown(self, sockets: Any = None) -> None:
         """Stop accepting connections and let running requests finish.
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -18,6 +18,7 @@
 from ..fleet.instance_config import Address, InstanceConfig
 from ..fleet.target_feed import TargetSource
 from ..gateway.relay import relay_app
+from ..gateway.stop_window import StopWindow
 from ..httpserver import HttpServer
 from ..json_logs import configure_json_logs
 from ..listener_limits import UNCONFIGURED_LIMITS
@@ -36,12 +37,10 @@
 #: Interval at which the settings file is checked for changes, in seconds; it
 #: may change without a SIGHUP.
 SETTINGS_POLL_S = 1.0
-#: Fraction of the time between SIGTERM and SIGKILL in which requests are still
-#: accepted, because callers keep look-up answers for some seconds.
-ACCEPTING_FRACTION = 0.55
-#: Fraction of that time after which the process aborts requests that still
-#: run.
-EXIT_FRACTION = 0.93
+#: Fraction of the time between SIGTERM and SIGKILL in which the process stays
+#: although nothing runs, because callers keep look-up answers for some
+#: seconds.
+LISTENING_FRACTION = 0.55
 #: Interval of tries to write the identity of a new voter to disk, in seconds;
 #: without an identity the instance cannot vote.
 DISK_RETRY_S = 0.25
@@ -188,20 +187,26 @@
         server.report_refusals(entry.metrics.count_refusal)
 
     async def _drain(self, entry: EntryInstance, server: HttpServer) -> None:
-        loop = asyncio.get_running_loop()
+        """Serve what can be answered before the process is killed.
+
+        :param entry: the entry instance.
+        :param server: its listener for requests.
+        """
         grace_s = self._cfg.limits.stop_grace_s
-        started_at = loop.time()
+        proxy = entry.request_proxy
+        began_at = time.monotonic()
+        window = StopWindow.from_grace(grace_s, began_at)
+        listens_until = began_at + grace_s * LISTENING_FRACTION
         server.start_drain()
-        while loop.time() - started_at < grace_s * ACCEPTING_FRACTION:
-            await asyncio.sleep(_DRAIN_POLL_S)
-        entry.request_proxy.routing_state.refuses_requests = True
-        while loop.time() - started_at < grace_s * EXIT_FRACTION:
-            if (
-                not entry.request_proxy.running_requests
-                and not server.has_connections
-            ):
-                return
+        proxy.stop_limits.begin(window)
+        while time.monotonic() < window.exits_at:
+            if time.monotonic() >= window.answers_until:
+                proxy.routing_state.refuses_requests = True
+            is_idle = not proxy.running_requests and not server.has_connections
+            if is_idle and time.monotonic() >= listens_until:
+                break
             await asyncio.sleep(_DRAIN_POLL_S)
+        server.close_idle()
 
     def _start_request_server(
         self, address: Address | None, app: Any
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -16,6 +16,7 @@
     InstanceConfig,
 )
 from cuminhoist.gateway.routes import RepeatPolicy
+from cuminhoist.gateway.stop_window import MIN_COUNT
 from cuminhoist.platform.daemon import Daemon
 from tests.gateway.builders import (
     HOST,
@@ -90,6 +91,17 @@
     assert received.startswith(b'HTTP/1.1 200')
 
 
+async def test_request_of_a_fast_service_is_served_early_in_the_stop():
+    """Guards against refusing most callers whose look-up is some s old."""
+    target = ScriptedTarget(answer)
+    async with gateway(target, **_LATE) as harness:
+        for _ in range(MIN_COUNT):
+            await harness.request(deadline_ms=DEADLINE_MS)
+        async with _stopping(harness, grace_s=6):
+            received = await harness.request(deadline_ms=DEADLINE_MS)
+    assert received.startswith(b'HTTP/1.1 200')
+
+
 async def test_request_on_a_kept_connection_is_refused_or_not_read():
     """Guards against requests on open connections that are broken off."""
     target = ScriptedTarget(answer)
