Show that the stop of a daemon cuts requests with long deadlines

HttpServer waits 30 s for running requests "unless the deployment allows longer deadlines", but the node never tells it of any. Topologies may allow 600 s (MAX_DEADLINE_MS of config_validation).

AssertionError: assert 30.0 > 600

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,8 @@
 import pytest
 
 from cuminhoist.config_model import Accepted, Change, Drain
+from cuminhoist.node import Node
+from cuminhoist.settings import Settings
 from cuminhoist.types import DrainScope
 from demo.audit import RunRecord, violations
 from demo.callers import Caller, Request, next_id
@@ -141,3 +143,19 @@
             if record.request_id == 'once'
         ]
         assert len(runs) == 1
+
+
+def test_stop_waits_for_the_longest_deadline(tmp_path):
+    """Guards against a stop that cuts requests before their deadlines.
+
+    Topologies may allow deadlines of ten minutes.
+    """
+    deadline_s = 600
+    config = DeploymentConfig.from_example('porth-data').with_deadline(
+        deadline_s * 1000
+    )
+    topology = config.topology
+    cfg = Settings.from_instance(
+        topology.entry_instances()[0], 'topology.json', 'key', str(tmp_path)
+    )
+    assert Node(cfg, topology)._server.drain_timeout_s > deadline_s
