Let a stopping daemon wait for the longest deadline

A stop of cuminhoistd closed the connections of callers 31 s after it had begun to refuse requests, also of those whose service allows up to 600 s. Their requests were broken off while targets were at work.

The node now passes the longest deadline of its services, plus 0.5 s for the answer, to the listener; 30 s stay the least. A request ends by its own deadline, so that none is broken off. The daemon knows no time at which it is killed; operators keep an instance running as docs/operators/drains.md says.

Evidence: the test failed with `AssertionError: assert 30.0 > 600` and passes now.

--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -21,7 +21,7 @@
 from .consensus import LogReplica
 from .entry_role import EntryRole, InstanceContext
 from .httperrors import exception_handlers
-from .httpserver import HttpServer
+from .httpserver import DRAIN_TIMEOUT_S, HttpServer
 from .logging_setup import logger
 from .openapi import openapi_config
 from .operator_api import (
@@ -39,6 +39,8 @@
 #: Once cached look-ups have expired, a stop waits until no request has
 #: arrived for this time, but at most for one more look-up lifetime.
 STOP_IDLE_S = 1.0
+#: Time for the answer to a request that has reached its deadline.
+DEADLINE_ANSWER_S = 0.5
 
 _log = logger('node')
 
@@ -76,6 +78,7 @@
             self._build_app(),
             cfg.host,
             cfg.http_port,
+            _drain_timeout_s(topology),
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -216,6 +219,16 @@
         )
 
 
+def _drain_timeout_s(topology: Topology) -> float:
+    """Return how long a stop waits for running requests, in seconds.
+
+    :param topology: the deployment; requests end by their deadlines.
+    """
+    deadlines_s = (each.longest_deadline_s for each in topology.services)
+    longest_s = max(deadlines_s, default=0) + DEADLINE_ANSWER_S
+    return max(longest_s, DRAIN_TIMEOUT_S)
+
+
 def _log_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         _log.opt(exception=task.exception()).error(
