Show loops that repeat a write which takes nothing

Files and log lines are written in loops that rely on each write to take a byte. One that takes none would hold the process for good, as the parser of a caller's connection did. Found by reading; no such write has been seen.

AssertionError: the write is repeated for ever

--- a/tests/test_json_logs.py
+++ b/tests/test_json_logs.py
@@ -59,3 +59,18 @@
         sink(_log_message(second=second, text='x' * 500))
     assert sink.dropped
     assert len(sink._buffered) <= MAX_BUFFERED_BYTES
+
+
+def test_write_that_takes_nothing_blocks_nothing():
+    """Guards against a log line that holds up the process for ever."""
+    calls = []
+
+    def take_nothing(text):
+        calls.append(text)
+        assert len(calls) < 10, 'the write is repeated for ever'
+        return 0
+
+    sink = JsonLogSink(take_nothing)
+    sink(_log_message())
+    sink(_log_message('again'))
+    assert calls[-1].count(b'\n') == 2
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -208,6 +208,21 @@
     assert {path.name for path in tmp_path.iterdir()} == REQUIRED_FILES
 
 
+@pytest.mark.asyncio
+async def test_write_that_takes_nothing_fails(tmp_path, monkeypatch):
+    """Guards against a process that repeats such a write for ever."""
+    log = await open_log(tmp_path)
+    calls = []
+
+    def take_nothing(fd, *_args):
+        calls.append(fd)
+        assert len(calls) < 10, 'the write is repeated for ever'
+        return 0
+
+    monkeypatch.setattr(storage.os, 'pwrite', take_nothing)
+    assert isinstance(await log.append(entries(1, 1)), Failure)
+
+
 @pytest.mark.asyncio
 async def test_failed_sync_is_no_full_disk(tmp_path, monkeypatch):
     """Guards against a failed sync that is reported as a full disk."""
