--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -115,6 +115,7 @@
         self._acceptance = RequestAcceptance(
             self.routing_state, self._authenticator, now
         )
+        self.stop_limits = self._acceptance.stop_limits
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one request of a caller.
@@ -160,10 +161,7 @@
         accepted = self._acceptance.accept(req, scope)
         if not isinstance(accepted, Success):
             refusal = accepted.failure()
-            closes = (
-                self.routing_state.refuses_requests
-                or refusal.reason is Reason.bad_request
-            )
+            closes = refusal.reason in {Reason.draining, Reason.bad_request}
             # Nothing may run behind a refusal that closes the connection.
             pipelined.declare(overlaps=not closes)
             self._recorder.record_refusal(req, refusal)
@@ -174,12 +172,7 @@
         body = RequestBody(receive, self._body_limit())
         outcome = 'gone'
         try:
-            overlaps = state.route.repeat is RepeatPolicy.idempotent
-            if not await pipelined.wait_to_start(overlaps=overlaps):
-                raise CallerDisconnected
-            if req.has_body:
-                await body.fill_buffer(req.body_bytes or 0)
-            outcome = await self._place_and_send(state, body, scope, send)
+            outcome = await self._serve_until_stop(state, body, scope, send)
         except CallerDisconnected:
             outcome = 'gone'
         except LocalProtocolError as exc:
@@ -199,6 +192,26 @@
         routes = self.routing_state.routes
         return routes.limits.max_body_bytes if routes else 0
 
+    async def _serve_until_stop(
+        self, state: RequestState, body: RequestBody, scope: Any, send: Send
+    ) -> str:
+        """Serve a request, or refuse it if the instance stops before that."""
+        pipelined = scope['state']['pipelined_request']
+        with self.stop_limits.limit(state):
+            overlaps = state.route.repeat is RepeatPolicy.idempotent
+            if not await pipelined.wait_to_start(overlaps=overlaps):
+                raise CallerDisconnected
+            if state.req.has_body:
+                await body.fill_buffer(state.req.body_bytes or 0)
+            return await self._place_and_send(state, body, scope, send)
+        if pipelined.cycle.response_started:
+            scope['state']['abort']()
+            return 'cut'
+        refusal = refusals.refusal_of_stopping_instance(
+            may_have_run=state.may_have_run
+        )
+        return await self._answer_without_target(state, refusal, send)
+
     async def _place_and_send(
         self,
         state: RequestState,
@@ -289,7 +302,9 @@
         outcome = None
         refusal = self._authenticator.confirm(state)
         if refusal is None and not scope['state'].get('relayed', False):
+            self.stop_limits.start_attempt(state)
             outcome = await self.relay.send(state, body)
+            self.stop_limits.end_attempt(state)
         if outcome is not None and outcome.answer is not None:
             return await self._pass_answer_on(
                 state, outcome.answer, scope, send
@@ -347,6 +362,7 @@
         self._placement_client.running_attempts[decision.number] = report
         outcome = AttemptOutcome(Ending.withdrawn)
         state.mark_sent()
+        self.stop_limits.start_attempt(state)
         try:
             with self.reachability.watching():
                 outcome = await self._attempt_sender.send(
@@ -378,6 +394,7 @@
         if outcome.connection_lost:
             self.crash_detector.connection_lost(state, body, target)
         state.may_have_run = state.may_have_run or outcome.may_have_run
+        self.stop_limits.end_attempt(state)
         return outcome
 
     def _record_attempt(
@@ -452,10 +469,12 @@
         scope: Any,
         send: Send,
     ) -> str:
+        succeeded = answer.status < _MIN_SERVER_ERROR
+        self.stop_limits.start_answer(state, served=succeeded)
         ended = await self._answer_sender.pass_on(state, answer, scope, send)
         if not isinstance(ended, Success):
             return ended.failure()
-        if answer.status < _MIN_SERVER_ERROR:
+        if succeeded:
             # A target that is busy answers 504 to a request that never ran.
             self.crash_detector.answered(state)
         return f'answered-{answer.status}'
