Guard against cut answers that look whole

No code is changed: each answer (length, chunks, until the close, refusals) is cut at each of its bytes and its connection closed or reset, and callers of cut answers are checked through the listener. Answers to HEAD, 204 and 304 are checked to have no body.

--- a/tests/gateway/test_spoilt_answers.py
+++ b/tests/gateway/test_spoilt_answers.py
@@ -52,6 +52,24 @@
         return self._earlier + answer(head, status=self._status)
 
 
+class CuttingTarget(ScriptedTarget):
+    """Closes its connection within an answer.
+
+    :param body: body of the answer.
+    :param size: bytes that it sends, as the end of a slice.
+    """
+
+    def __init__(self, body: bytes, size: int) -> None:
+        super().__init__(answer)
+        self._body = body
+        self._size = size
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.write(answer(head, self._body)[: self._size])
+        writer.close()
+
+
 async def test_part_of_a_refusal_made_a_one_time_request_run_twice():
     """Guards against a refusal of another request that is believed (TWICE)."""
     refusal = (
@@ -139,3 +157,18 @@
     assert received.startswith(b'HTTP/1.1 200')
     ids = header_values(target.heads[0], 'x-request-id')
     assert ids == [request_id.strip()]
+
+
+@pytest.mark.parametrize('size', [20, 50, 80, -1])
+@pytest.mark.parametrize('body', [b'whole', b'x' * 200_000])
+async def test_caller_took_a_cut_answer_for_a_whole_one(size, body):
+    """Guards against a success that ends early and looks complete (MIXED)."""
+    target = CuttingTarget(body, size)
+    async with gateway(target, repeat=RepeatPolicy.once) as harness:
+        received = await harness.request('POST')
+    head, _, content = received.partition(b'\r\n\r\n')
+    assert header(received, 'x-server-stamp') == '' or (
+        int(header(head, 'content-length')) > len(content)
+    )
+    if len(content) < 1000:
+        assert received.startswith(b'HTTP/1.1 502')
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -98,3 +98,43 @@
     assert exchange.status == 200
     assert not conn.usable
     assert transport.closed
+
+
+@pytest.mark.parametrize('due', DUE)
+async def test_cut_answer_was_taken_for_a_whole_one(due):
+    """Guards against the start of an answer that looks complete (MIXED).
+
+    The target breaks off at each byte of its answer and closes or resets the
+    connection.
+    """
+    whole = due.encode()
+    head_size = whole.index(b'\r\n\r\n') + 4
+    for size in range(len(whole)):
+        for error in (None, ConnectionResetError()):
+            conn, transport = opened_connection()
+            exchange = exchange_of('due')
+            conn.start(exchange)
+            transport.feed(whole[:size])
+            if error is None:
+                transport.end()
+            transport.lose(error)
+            # Only an orderly close ends a body without a length.
+            ends_in_order = due.framing == 'close' and error is None
+            if not ends_in_order or size < head_size:
+                assert not exchange.complete, (whole[:size], error)
+            assert exchange.head_received is (size >= head_size)
+
+
+@pytest.mark.parametrize(
+    ('method', 'status'), [(b'HEAD', 200), (b'GET', 204), (b'GET', 304)]
+)
+async def test_answer_without_a_body_waited_for_one(method, status):
+    """Guards against the next answer as the body of one that has none."""
+    lines = b'HTTP/1.1 %d OK\r\nX-Request-Id: due\r\n' % status
+    for framing in (b'', b'Content-Length: 5\r\n'):
+        exchange, conn, body = await received(
+            lines + framing + b'\r\n', ends=False, method=method
+        )
+        assert exchange.complete
+        assert body == b''
+        assert conn.usable
