--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -4,9 +4,16 @@
 that are ignored or kept too long.
 """
 
-from cuminhoist.probes import ProbeClient, Prober, ProbeResult
+from cuminhoist.probes import (
+    PROBE_TIMEOUT_S,
+    HttpxProbeClient,
+    ProbeClient,
+    Prober,
+    ProbeResult,
+)
 from cuminhoist.slots import SlotOutcome
 
+from .builders_carry import RawServer, raw_target
 from .test_slot_table import Bench, OwnAll
 
 PROBE_COST_S = 0.006
@@ -106,3 +113,29 @@
     client.result = ProbeResult(healthy=True)
     await _run(bench, prober, 3)
     assert not bench.membership.is_target_leaving('t0')
+
+
+async def test_extra_health_answer_was_taken_for_the_next_one():
+    """Guards against a failing target that stays healthy in all later probes.
+
+    The target sends its first health answer twice in one packet.
+    """
+    statuses = ['200 OK', '503 Service Unavailable', '503 Service Unavailable']
+
+    async def script(server, reader, writer):
+        while True:
+            await server.head(reader)
+            status = statuses[len(server.heads) - 1]
+            answer = f'HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\n{{}}'
+            copies = 2 if len(server.heads) == 1 else 1
+            writer.write(answer.encode() * copies)
+
+    client = HttpxProbeClient()
+    async with RawServer(script) as server:
+        target = raw_target(server.port)
+        healthy = [
+            (await client.probe(target, PROBE_TIMEOUT_S)).healthy
+            for _ in statuses
+        ]
+        await client.close()
+    assert healthy == [True, False, False]
