Send probes over the product's own connections

What operators saw: nothing yet. A target that sends a health answer twice was read one answer late from then on: a target that had begun to fail stayed healthy for as long as the connection was kept.

Cause: the client of the probes keeps bytes behind an answer in its parser and reads them as the answer to the next request.

Evidence, before: assert [True, True, False] == [True, False, False]

Fix: the probes use the pool that the requests use. It ends a connection that has bytes behind an answer, and checks heads.

Measured: 49 tests of probes, pool and clients pass.

--- a/src/cuminhoist/probes.py
+++ b/src/cuminhoist/probes.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .clock import Clock
+from .connection_pool import ConnectionLimits, PoolTransport
 from .membership import Membership
 from .ownership import Ownership
 from .settings import Target
@@ -72,7 +73,10 @@
 
     def __init__(self, path: str = '/health') -> None:
         self._path = path
-        self._http = httpx.AsyncClient(trust_env=False)
+        limits = ConnectionLimits(connections=PROBE_CONCURRENCY, idle=1)
+        self._http = httpx.AsyncClient(
+            transport=PoolTransport(limits), trust_env=False
+        )
 
     async def probe(self, target: Target, timeout_s: float) -> ProbeResult:
         """Send a probe and return its result.
