Count a message that cannot be decoded or encoded, and go on

Instances that read the list stopped following it, and orders were no longer proposed: an integer over 64 bits or an unpaired surrogate in a message raised an error in the task that sent it, and a deeply nested frame RecursionError in the callback that reads a link.

A message is encoded in one place for each kind of link; one that has no frame is counted and left out, a call with it fails, a reply is none. An odd frame ends its link, after which a new one begins with the complete state. A message of an unknown name, from a newer version, is counted and skipped: the link stays, so that both versions can run side by side.

--- a/src/cuminhoist/codec.py
+++ b/src/cuminhoist/codec.py
@@ -14,6 +14,8 @@
 
 TAG_BYTES = 16
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+#: Beginning of the reason for a message of a newer version.
+UNKNOWN_MESSAGE = 'unknown message'
 #: Raised for integers out of range, texts with surrogates, values of types
 #: that have no encoding, and deep nesting.
 _ENCODING_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
@@ -113,14 +115,14 @@
             return Failure('wrong tag')
         try:
             return self._decode_body(body)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return Failure(f'malformed message: {exc}')
 
     def _decode_body(self, body: bytes) -> Result[ReceivedMessage, str]:
         envelope = self._envelope_decoder.decode(body)
         message_type = _types_by_frame_name.get(envelope.name)
         if message_type is None:
-            return Failure(f'unknown message {envelope.name!r}')
+            return Failure(f'{UNKNOWN_MESSAGE} {envelope.name[:64]!r}')
         msg = msgspec.msgpack.decode(envelope.body, type=message_type)
         return Success(ReceivedMessage(envelope.sender, msg))
 
--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -17,6 +17,7 @@
 
 from ..codec import (
     MAX_FRAME_BYTES,
+    UNKNOWN_MESSAGE,
     Codec,
     Message,
     frame_name_of,
@@ -24,7 +25,7 @@
 )
 from ..logging_setup import logger
 from .instance_config import Address
-from .link_meter import LinkMeter, NoMeter
+from .link_meter import LinkMeter, NoMeter, encode_or_report
 
 #: Interval between keep-alives, in seconds.
 KEEPALIVE_INTERVAL_S = 0.5
@@ -183,10 +184,13 @@
     def send(self, msg: Message) -> None:
         """Queue a message; on a link that has ended it is dropped.
 
+        One that cannot be encoded is counted and dropped.
+
         :param msg: the message.
         """
-        if not self.ended:
-            self.send_encoded(frame_name_of(type(msg)), self._codec.encode(msg))
+        frame = b'' if self.ended else self._encode(msg)
+        if frame:
+            self.send_encoded(frame_name_of(type(msg)), frame)
 
     def send_encoded(self, name: str, frame: bytes) -> None:
         """Queue an encoded message; on a link that has ended it is dropped.
@@ -215,10 +219,13 @@
         :param msg: the request.
         :param timeout_s: longest time to wait, in seconds.
         """
+        body = self._encode(msg)
+        if not body:
+            return Failure('cannot be encoded')
         number = next(self._call_numbers)
         fut: asyncio.Future[Message | None] = self._loop.create_future()
         self._calls[number] = fut
-        self.send(Call(number=number, body=self._codec.encode(msg)))
+        self.send(Call(number=number, body=body))
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await fut
@@ -236,13 +243,23 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _encode(self, msg: Message) -> bytes:
+        """Return the frame of a message; empty if it has none."""
+        return encode_or_report(self._codec, self._meter, msg)
+
+    def _decode(self, frame: bytes) -> Message | None:
+        """Return the message of a frame, or nothing for one that is odd."""
+        decoded = self._codec.decode(frame)
+        if isinstance(decoded, Success):
+            msg: Message = decoded.unwrap().message
+            return msg
+        self._meter.count_rejected('received', '', decoded.failure())
+        return None
+
     def _handle_frame(self, frame: bytes) -> None:
         decoded = self._codec.decode(frame)
         if not isinstance(decoded, Success):
-            _log.bind(reason=decoded.failure()).warning(
-                'malformed frame received; closing the link'
-            )
-            self.close()
+            self._reject(decoded.failure())
             return
         msg = decoded.unwrap().message
         if isinstance(msg, Call):
@@ -254,6 +271,16 @@
         elif not isinstance(msg, KeepAlive):
             self._deliver(msg)
 
+    def _reject(self, reason: str) -> None:
+        """Count a malformed frame and close the link.
+
+        A message of a newer version leaves it open. After any other one, a
+        delta may be missing; a new link begins with the complete state.
+        """
+        self._meter.count_rejected('received', '', reason)
+        if not reason.startswith(UNKNOWN_MESSAGE):
+            self.close()
+
     def _deliver(self, msg: Message) -> None:
         try:
             self._handler.message_received(self, msg)
@@ -264,26 +291,21 @@
             )
 
     async def _answer(self, call: Call) -> None:
-        decoded = self._codec.decode(call.body)
+        msg = self._decode(call.body)
         answer: Message | None = None
-        if isinstance(decoded, Success):
+        if msg is not None:
             try:
-                answer = await self._handler.call_received(
-                    self,
-                    decoded.unwrap().message,
-                )
+                answer = await self._handler.call_received(self, msg)
             except Exception:
                 _log.exception('handler failed on a call')
-        body = b'' if answer is None else self._codec.encode(answer)
+        body = b'' if answer is None else self._encode(answer)
         self.send(Reply(number=call.number, body=body))
 
     def _complete_call(self, reply: Reply) -> None:
         fut = self._calls.get(reply.number)
         if fut is None or fut.done():
             return
-        decoded = self._codec.decode(reply.body)
-        decodable = isinstance(decoded, Success)
-        fut.set_result(decoded.unwrap().message if decodable else None)
+        fut.set_result(self._decode(reply.body) if reply.body else None)
 
     def _flush(self) -> None:
         chunks = self._unsent
@@ -335,7 +357,7 @@
     ) -> None:
         self._codec = codec
         self._handler = handler
-        self._meter = meter
+        self._meter = meter or NoMeter()
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -380,7 +402,9 @@
         :param links: the links.
         :param msg: the message.
         """
-        frame = self._codec.encode(msg)
+        frame = encode_or_report(self._codec, self._meter, msg)
+        if not frame:
+            return
         for link in links:
             link.send_encoded(frame_name_of(type(msg)), frame)
 
--- a/src/cuminhoist/transport.py
+++ b/src/cuminhoist/transport.py
@@ -146,9 +146,12 @@
         """
         if peer not in self._peers:
             return Failure(TransportError(peer, 'unknown instance', sent=False))
+        encoded = self._codec.try_encode(msg)
+        if not isinstance(encoded, Success):
+            return Failure(TransportError(peer, encoded.failure(), sent=False))
         try:
             async with asyncio.timeout(timeout_s):
-                frame = await self._exchange(peer, self._codec.encode(msg))
+                frame = await self._exchange(peer, encoded.unwrap())
         except TimeoutError:
             return Failure(TransportError(peer, 'timeout'))
         except pynng.NNGException as exc:
@@ -210,9 +213,17 @@
                 handler_task = asyncio.create_task(self._reply_to(frame))
                 self._handler_tasks.add(handler_task)
                 handler_task.add_done_callback(self._handler_tasks.discard)
-                reply = self._codec.encode(await handler_task)
+                reply = self._encode_reply(await handler_task)
                 await _shield(partial(context.asend, reply))
 
+    def _encode_reply(self, reply: Message) -> bytes:
+        encoded = self._codec.try_encode(reply)
+        if isinstance(encoded, Success):
+            frame: bytes = encoded.unwrap()
+            return frame
+        _log.error('Cannot encode a reply: {}.', encoded.failure())
+        return self._codec.encode(ErrorReply(reason='internal error'))
+
     async def _reply_to(self, frame: bytes) -> Message:
         decoded = self._codec.decode(frame)
         if not isinstance(decoded, Success):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -11,7 +11,7 @@
 
 from cuminhoist import transport
 from cuminhoist.codec import Codec
-from cuminhoist.transport import PynngTransport
+from cuminhoist.transport import ErrorReply, PynngTransport
 from demo.deployment import DeploymentConfig, on_free_ports
 
 ENDS_WITHIN_S = 5.0
@@ -74,3 +74,24 @@
     await server.start()
     async with asyncio.timeout(ENDS_WITHIN_S):
         await server.stop()
+
+
+async def test_message_without_encoding_ends_no_server():
+    """Guards against servers that end one by one, each with one odd reply."""
+    server = _transport()
+    odd = ErrorReply(reason='\ud800')
+
+    async def answer(_sender, _msg):
+        return odd
+
+    server.add_handler(ErrorReply, answer)
+    own = server._own_instance.name
+    await server.start()
+    try:
+        for _ in range(transport.SERVER_CONTEXTS + 1):
+            reply = await server.call(own, ErrorReply(reason=''), 5)
+            assert reply.failure().reason == 'internal error'
+        refused = await server.call(own, odd, 5)
+        assert 'encode' in refused.failure().reason
+    finally:
+        await server.stop()
