--- a/tests/fleet/test_control_instance.py
+++ b/tests/fleet/test_control_instance.py
@@ -8,17 +8,19 @@
 
 import msgspec
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from cuminhoist.fleet import region_dispatch
 from cuminhoist.fleet.control_instance import ControlInstance
 from cuminhoist.fleet.instance_config import DeploymentLimits
 from cuminhoist.fleet.messages import (
+    ControlHeartbeat,
     DecisionNotice,
     LeavingNotice,
     PlacementRequestNotice,
     TargetList,
 )
+from cuminhoist.fleet.target_feed import ListReading, TargetSource
 from cuminhoist.steering.decisions import Granted
 from cuminhoist.steering.leaving_targets import LeavingTarget
 from tests.steering.builders import request, target
@@ -135,3 +137,63 @@
     assert len(assigned) == 2
     services = dict(control.dispatch.dispatcher.queues())
     assert len(services['catalogue'].targets) == 60
+
+
+class _FailingSource(TargetSource):
+    """Fails with an error that nobody has foreseen, for some reads."""
+
+    def __init__(self, failures):
+        self._failures = failures
+
+    async def read(self):
+        self._failures -= 1
+        if self._failures >= 0:
+            raise OverflowError('unforeseen')
+        return Success(ListReading((target('new', domain=SOUTH_A),)))
+
+
+async def test_reading_of_the_list_comes_back_after_an_error(
+    tmp_path, monkeypatch
+):
+    """Guards against a list that stays as it is until the process restarts."""
+    control = _control(tmp_path)
+    control.feed._source = _FailingSource(3)
+    monkeypatch.setattr(control.links, 'start', _nothing)
+    await control.start()
+    await asyncio.sleep(15)
+    assert [entry.name for entry in control.feed.listed] == ['new']
+    await control._background.stop()
+
+
+async def test_instance_without_its_proposals_does_not_propose(
+    tmp_path, monkeypatch
+):
+    """Guards against orders that go to an instance that proposes none."""
+    control = _control(tmp_path)
+    monkeypatch.setattr(control.links, 'start', _nothing)
+    other = add_peer(control.links, hello('c1', control=True))
+    monkeypatch.setattr(control.replica, 'reaches_quorum', lambda names: True)
+
+    def confirmed():
+        beats = [
+            msg
+            for msg in other.link.take()
+            if isinstance(msg, ControlHeartbeat)
+        ]
+        return beats[-1].confirmed
+
+    async def fail():
+        raise OverflowError('unforeseen')
+
+    monkeypatch.setattr(control.replica, 'run_proposals', fail)
+    await control.start()
+    await asyncio.sleep(0.5)
+    assert confirmed()
+    await asyncio.sleep(30)
+    assert not confirmed()
+    assert not control.confirmed
+    await control._background.stop()
+
+
+async def _nothing():
+    """Start no listener."""
--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -244,3 +244,27 @@
     assert entry.request_proxy.routing_state.routes.version == 1
     assert entry._declared.version == 1
     assert not entry._declared.body
+
+
+async def test_instance_that_has_lost_a_task_is_not_ready(monkeypatch):
+    """Guards against callers at an instance that does not follow the fleet."""
+    entry = _entry_instance()
+    entry._decode = decode_routes
+    entry._on_declared_state(_state(1, 4096))
+    assert entry.ready
+
+    async def fail():
+        raise OverflowError('unforeseen')
+
+    async def idle():
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(entry.links, 'run', fail)
+    monkeypatch.setattr(entry.feed, 'run', idle)
+    await entry.start()
+    await asyncio.sleep(1)
+    assert entry.ready
+    await asyncio.sleep(30)
+    assert not entry.ready
+    assert not entry.links.ready
+    await entry.stop()
