Start a long-lived task again after an error

Operators saw instances that ran on without reading the list of targets or proposing orders: a task that raised an error nobody had foreseen was logged once as 'background task failed' and lost for the life of the process, and the instance stayed ready.

An entry instance is not ready while links or checks is down; the list of targets is read there only while no control instance sends it. A control instance whose proposals are down says that it has no quorum, so that the next voter proposes. Lost heartbeats and links show as silence, and a list that is not read is read by the next instance in rank.

Supervised are: dialling, proposals, membership, target list, heartbeats and reports of control instances; links, target list, checks and reports of entry instances; the watch of the settings file, which also ended if the file was missing at that moment. Not supervised: the tasks of HTTP servers, as their listeners accept in callbacks and the task only waits for the stop, and checks of one target or one dial, which the next event starts anew.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -9,7 +9,7 @@
 import pathlib
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from returns.result import Result, Success
@@ -60,6 +60,9 @@
 #: was announced gets it again, in seconds; announcements take one round trip.
 RESEND_DELAY_S = 0.5
 
+#: Name of the task that proposes orders.
+_PROPOSALS = 'proposals'
+
 DecodeConfiguration = Callable[[bytes], Result[RouteTable, str]]
 _log = logger('control')
 
@@ -114,7 +117,7 @@
         meter = PrometheusMeter(
             config.domain, config.region, self.metrics.registry
         )
-        self._background = BackgroundTasks()
+        self._background = BackgroundTasks.from_registry(self.metrics.registry)
         self._reports = meter.run_reports
         hello = Hello(
             name=config.name,
@@ -176,15 +179,25 @@
             self._on_learned(self.replica.latest_chosen)
         await links.start()
         self._started = True
-        for coroutine in (
-            links.run_dialling(),
-            self.replica.run_proposals(),
-            self.replica.run_membership(),
-            self.feed.run(),
-            self._run_heartbeats(),
-            self._reports(),
+        for name, factory in (
+            ('links', links.run_dialling),
+            (_PROPOSALS, self.replica.run_proposals),
+            ('membership', self.replica.run_membership),
+            ('target list', self.feed.run),
+            ('heartbeats', self._run_heartbeats),
+            ('reports', self._reports),
         ):
-            self._background.spawn(coroutine)
+            self.supervise(name, factory)
+
+    def supervise(
+        self, name: str, factory: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a long-lived task of the process until the stop.
+
+        :param name: name of the task in logs and metrics.
+        :param factory: starts the task, again after an error.
+        """
+        self._background.supervise(name, factory)
 
     async def stop(self) -> None:
         """Send a leaving heartbeat, wait ``LEAVE_DELAY_S``, end all tasks."""
@@ -195,8 +208,15 @@
 
     @property
     def confirmed(self) -> bool:
-        """Whether this instance reaches a quorum of the voters."""
-        return self.replica.reaches_quorum(
+        """Whether this instance reaches a quorum and can propose orders.
+
+        The other control instances send orders to one that can. One whose
+        heartbeats or links are down is silent, and the list of targets is
+        read by the next one if it does not arrive.
+        """
+        return not self._background.is_down(
+            _PROPOSALS
+        ) and self.replica.reaches_quorum(
             self.links.reachable_voters(self.replica.name),
         )
 
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from returns.result import Success
@@ -53,6 +53,10 @@
 #: Number of entry instances that is assumed without a view.
 ASSUMED_ENTRY_COUNT = 8
 
+#: Tasks without which an instance does not follow the declared state. The
+#: list of targets is only read here while no control instance sends it.
+_NEEDED_TASKS = ('links', 'checks')
+
 _log = logger('entry')
 
 
@@ -82,7 +86,7 @@
         meter = PrometheusMeter(
             config.domain, config.region, self.metrics.registry
         )
-        self._background = BackgroundTasks()
+        self._background = BackgroundTasks.from_registry(self.metrics.registry)
         self._reports = meter.run_reports
         self.links = EntryLinks(
             config,
@@ -150,11 +154,13 @@
     def ready(self) -> bool:
         """Whether requests are accepted.
 
-        Needs routes and at least one target, and ends with the drain.
+        Needs routes, at least one target and the tasks that follow the fleet,
+        and ends with the drain.
         """
         routing = self.request_proxy.routing_state
         return (
             not self.leaving
+            and not self._background.any_down(_NEEDED_TASKS)
             and routing.routes is not None
             and bool(routing.targets)
         )
@@ -169,13 +175,23 @@
         links.running_attempts = self._running_attempts
         links.unexpired_pauses = self.placement_client.unexpired_pauses
         links.progress = self._progress
-        for coroutine in (
-            links.run(),
-            self.feed.run(),
-            self._run_checks(),
-            self._reports(),
+        for name, factory in (
+            ('links', links.run),
+            ('target list', self.feed.run),
+            ('checks', self._run_checks),
+            ('reports', self._reports),
         ):
-            self._background.spawn(coroutine)
+            self.supervise(name, factory)
+
+    def supervise(
+        self, name: str, factory: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a long-lived task of the process until the stop.
+
+        :param name: name of the task in logs and metrics.
+        :param factory: starts the task, again after an error.
+        """
+        self._background.supervise(name, factory)
 
     def lookup(self, region: str, domain: str) -> list[Address]:
         """Return the entry instances that a caller may connect to.
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import functools
 import importlib
+import pathlib
 import signal
 import sys
 import time
@@ -85,6 +87,7 @@
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
         self._reload_requested = asyncio.Event()
+        self._settings_modified_ns = 0
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
@@ -92,6 +95,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
+        self._settings_modified_ns = _modified_ns(settings_path())
         source = PlatformTargets(self._cfg.target_list_address)
         if self._cfg.is_control:
             await self._run_control(source)
@@ -112,8 +116,11 @@
         self._start_server(
             cfg.metrics_address, metrics_app(control.metrics.render)
         )
-        self._background.spawn(
-            self._watch_settings(control.links.replace_seeds)
+        control.supervise(
+            'settings',
+            functools.partial(
+                self._watch_settings, control.links.replace_seeds
+            ),
         )
         _log.bind(instance=cfg.name, life=control.incarnation).info('started')
         await self._stopping.wait()
@@ -168,7 +175,10 @@
             cfg.metrics_address, metrics_app(entry.metrics.render)
         )
         await entry.start()
-        self._background.spawn(self._watch_settings(entry.links.replace_seeds))
+        entry.supervise(
+            'settings',
+            functools.partial(self._watch_settings, entry.links.replace_seeds),
+        )
         _log.bind(instance=cfg.name).info('started')
         await self._stopping.wait()
         _log.bind(instance=cfg.name).info('stopping')
@@ -238,19 +248,15 @@
         replace_seeds: Callable[[tuple[Address, ...]], None],
     ) -> None:
         path = settings_path()
-        last_modified_ns = path.stat().st_mtime_ns
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTINGS_POLL_S):
                     await self._reload_requested.wait()
-            with contextlib.suppress(OSError):
-                modified_ns = path.stat().st_mtime_ns
-                if (
-                    modified_ns == last_modified_ns
-                    and not self._reload_requested.is_set()
-                ):
-                    continue
-                last_modified_ns = modified_ns
+            modified_ns = _modified_ns(path)
+            is_same = modified_ns in {0, self._settings_modified_ns}
+            if is_same and not self._reload_requested.is_set():
+                continue
+            self._settings_modified_ns = modified_ns
             self._reload_requested.clear()
             loaded = load_settings(path)
             if isinstance(loaded, Success):
@@ -262,6 +268,14 @@
                 _log.bind(fault=fault).warning('cannot read the settings file')
 
 
+def _modified_ns(path: pathlib.Path) -> int:
+    """Return when a file was modified, in ns; 0 if it cannot be read."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 async def _run(cfg: InstanceConfig) -> None:
     await Daemon(cfg).run()
 
