--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import functools
 import importlib
+import pathlib
 import signal
 import sys
 import time
@@ -84,6 +86,8 @@
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
         self._reload_requested = asyncio.Event()
+        #: 0, as the file may have changed since it was read at the start.
+        self._settings_modified_ns = 0
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
@@ -111,8 +115,11 @@
         self._start_server(
             cfg.metrics_address, metrics_app(control.metrics.render)
         )
-        self._background.spawn(
-            self._watch_settings(control.links.replace_seeds)
+        control.supervise(
+            'settings',
+            functools.partial(
+                self._watch_settings, control.links.replace_seeds
+            ),
         )
         _log.bind(instance=cfg.name, life=control.incarnation).info('started')
         await self._stopping.wait()
@@ -167,7 +174,10 @@
             cfg.metrics_address, metrics_app(entry.metrics.render)
         )
         await entry.start()
-        self._background.spawn(self._watch_settings(entry.links.replace_seeds))
+        entry.supervise(
+            'settings',
+            functools.partial(self._watch_settings, entry.links.replace_seeds),
+        )
         _log.bind(instance=cfg.name).info('started')
         await self._stopping.wait()
         _log.bind(instance=cfg.name).info('stopping')
@@ -243,20 +253,15 @@
         replace_seeds: Callable[[tuple[Address, ...]], None],
     ) -> None:
         path = settings_path()
-        # The file may have changed since the process read it at its start.
-        last_modified_ns = 0
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTINGS_POLL_S):
                     await self._reload_requested.wait()
-            with contextlib.suppress(OSError):
-                modified_ns = path.stat().st_mtime_ns
-                if (
-                    modified_ns == last_modified_ns
-                    and not self._reload_requested.is_set()
-                ):
-                    continue
-                last_modified_ns = modified_ns
+            modified_ns = _modified_ns(path)
+            is_same = modified_ns in {0, self._settings_modified_ns}
+            if is_same and not self._reload_requested.is_set():
+                continue
+            self._settings_modified_ns = modified_ns
             self._reload_requested.clear()
             loaded = load_settings(path)
             if isinstance(loaded, Success):
@@ -268,6 +273,14 @@
                 _log.bind(fault=fault).warning('cannot read the settings file')
 
 
+def _modified_ns(path: pathlib.Path) -> int:
+    """Return when a file was modified, in ns; 0 if it cannot be read."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 async def _run(cfg: InstanceConfig) -> None:
     await Daemon(cfg).run()
 
