Show that voters which were replaced stay voters

A machine that joins before its predecessor stops is added to the voters, and nobody drops the predecessor. After two planned replacements there are eight voters, of which six run; two lost disks leave four, too few for any ballot.

A voter whose link was reset counts as silent for ever, so that another instance can take its place while it runs.

The emulated machines now measure the silence of voters by heartbeats, and can be frozen, isolated and added.

--- a/tests/register/builders.py
+++ b/tests/register/builders.py
@@ -21,6 +21,8 @@
 from cuminhoist.storage import DiskError, DiskErrorKind
 
 PORT = 7000
+#: Interval between heartbeats, in seconds.
+HEARTBEAT_S = 0.5
 
 
 class InlineDisk(DiskExecutor):
@@ -49,11 +51,15 @@
         self.replica: RegisterReplica | None = None
         #: States that each incarnation has learned, in order.
         self.learned_states: list[list[DeclaredState]] = []
+        self._heard_at: dict[str, float] = {}
+        self._started_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self, *, first_start: bool) -> None:
         """Start a process with the present contents of the disk."""
         self.learned_states.append([])
+        self._heard_at = {}
+        self._started_at = asyncio.get_running_loop().time()
         files = AcceptorFiles(self.folder)
         founders = (
             DeclaredState.from_founders(self.cluster.founders)
@@ -74,6 +80,7 @@
         self._tasks = [
             asyncio.create_task(self.replica.run_proposals()),
             asyncio.create_task(self.replica.run_membership()),
+            asyncio.create_task(self._run_heartbeats()),
         ]
         self.cluster.send_latest_chosen(self)
 
@@ -96,11 +103,12 @@
         msg: Message,
         timeout_s: float,
     ) -> Message | None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self.cluster.deliver_call(self, address, msg)
-        except TimeoutError:
-            return None
+        # A request whose sender no longer waits is delivered all the same.
+        task = asyncio.create_task(
+            self.cluster.deliver_call(self, address, msg)
+        )
+        await asyncio.wait([task], timeout=timeout_s)
+        return task.result() if task.done() else None
 
     def broadcast(self, msg: Message) -> None:
         for other in self.cluster.machines.values():
@@ -126,7 +134,16 @@
         )
 
     def voter_silence_s(self, voter: str) -> float:
-        return 0 if voter in self.reachable_voters('') else float('inf')
+        now = asyncio.get_running_loop().time()
+        return now - self._heard_at.get(voter, self._started_at)
+
+    async def _run_heartbeats(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            for other in self.cluster.reachable(self):
+                self._heard_at[other.replica.name] = now
+            self.cluster.send_latest_chosen(self)
+            await asyncio.sleep(HEARTBEAT_S)
 
     def _on_learned(self, state: DeclaredState) -> None:
         self.learned_states[-1].append(state)
@@ -145,6 +162,8 @@
         self.rng = random.Random(seed)
         self.loss_fraction = 0.0
         self.cut_links: set[frozenset[str]] = set()
+        #: Set when the machine goes on, by host of each frozen machine.
+        self.frozen: dict[str, asyncio.Event] = {}
         self.machines = {
             host: Machine(self, host)
             for host in (f'10.{number}.0.1' for number in range(1, count + 1))
@@ -159,12 +178,57 @@
         """Hosts of all machines."""
         return list(self.machines)
 
+    @property
+    def running_hosts(self) -> list[str]:
+        """Hosts of the machines that run, sorted."""
+        return sorted(
+            host
+            for host, machine in self.machines.items()
+            if machine.replica is not None
+        )
+
+    @property
+    def voting_hosts(self) -> list[str]:
+        """Hosts of the voters of the newest known state, sorted."""
+        state = self.newest_state()
+        return sorted(voter.address.host for voter in state.voters)
+
     async def form(self) -> None:
         """Start all machines and wait until all are voters."""
         for machine in self.machines.values():
             machine.start(first_start=True)
         await self.wait_for_votes()
 
+    def add_machine(self) -> Machine:
+        """Start a machine that was not there before, with an empty disk."""
+        machine = Machine(self, f'10.{len(self.machines) + 1}.0.1')
+        self.machines[machine.host] = machine
+        machine.start(first_start=False)
+        return machine
+
+    def isolate(self, host: str) -> None:
+        """Drop all messages between a machine and the others."""
+        for other in self.hosts:
+            if other != host:
+                self.disconnect(host, other)
+
+    def freeze(self, host: str) -> None:
+        """Hold all messages from and to a machine until it goes on."""
+        self.frozen[host] = asyncio.Event()
+
+    def unfreeze(self, host: str) -> None:
+        """Deliver the messages that a frozen machine did not get or send."""
+        self.frozen.pop(host).set()
+
+    def newest_state(self) -> DeclaredState:
+        """Return the newest chosen state that any machine knows."""
+        states = [
+            machine.replica.latest_chosen
+            for machine in self.machines.values()
+            if machine.replica is not None and machine.replica.latest_chosen
+        ]
+        return max(states, key=lambda state: state.index)
+
     async def wait_for_votes(self) -> None:
         """Wait up to 40 s until all running instances are voters."""
         for _ in range(400):
@@ -180,13 +244,7 @@
 
         Only the newest state known to any replica decides who is a voter.
         """
-        states = [
-            machine.replica.latest_chosen
-            for machine in self.machines.values()
-            if machine.replica is not None and machine.replica.latest_chosen
-        ]
-        newest = max(states, key=lambda state: state.index)
-        voting = {voter.name for voter in newest.voters}
+        voting = {voter.name for voter in self.newest_state().voters}
         return {
             machine.host
             for machine in self.machines.values()
@@ -195,15 +253,14 @@
         }
 
     def send_latest_chosen(self, machine: Machine) -> None:
-        """Send a started machine the newest states of the others."""
+        """Send a machine the states of the others that are newer than its."""
+        known = machine.replica.latest_chosen
         for other in self.reachable(machine):
-            if (
-                other.replica is not None
-                and other.replica.latest_chosen is not None
+            state = other.replica.latest_chosen
+            if state is not None and (
+                known is None or known.index < state.index
             ):
-                self.send(
-                    other, machine, Learned(state=other.replica.latest_chosen)
-                )
+                self.send(other, machine, Learned(state=state))
 
     def disconnect(self, host: str, other: str) -> None:
         """Drop all messages between two machines."""
@@ -217,6 +274,7 @@
             if other is not machine
             and other.replica is not None
             and frozenset((machine.host, other.host)) not in self.cut_links
+            and self.frozen.keys().isdisjoint((machine.host, other.host))
         ]
 
     async def deliver_call(
@@ -227,14 +285,12 @@
     ) -> Message | None:
         """Deliver a call and its reply."""
         receiver = self.machines[address.host]
-        if receiver not in self.reachable(sender):
-            return None
-        await self._delay_or_lose()
-        if receiver.replica is None:
+        if not await self._passes(sender, receiver):
             return None
         reply = await receiver.replica.handle_call(_copy(msg))
-        await self._delay_or_lose()
-        return None if reply is None else _copy(reply)
+        if reply is None or not await self._passes(receiver, sender):
+            return None
+        return _copy(reply)
 
     def send(self, sender: Machine, receiver: Machine, msg: Message) -> None:
         """Deliver a message that has no reply."""
@@ -248,24 +304,24 @@
         receiver: Machine,
         msg: Message,
     ) -> None:
-        try:
-            await self._delay_or_lose()
-        except TimeoutError:
-            return
-        if receiver.replica is None or (
-            frozenset((sender.host, receiver.host)) in self.cut_links
-        ):
+        if not await self._passes(sender, receiver):
             return
         if isinstance(msg, Learned):
             receiver.replica.learn(msg.state)
         elif isinstance(msg, Join):
             receiver.replica.on_join(msg)
 
-    async def _delay_or_lose(self) -> None:
+    async def _passes(self, sender: Machine, receiver: Machine) -> bool:
+        """Wait for a message's delay; tell whether it arrives."""
         await asyncio.sleep(self.rng.uniform(0.001, 0.07))
-        if self.rng.random() < self.loss_fraction:
-            await asyncio.sleep(60)
-            raise TimeoutError
+        for host in (sender.host, receiver.host):
+            if host in self.frozen:
+                await self.frozen[host].wait()
+        return (
+            receiver.replica is not None
+            and frozenset((sender.host, receiver.host)) not in self.cut_links
+            and self.rng.random() >= self.loss_fraction
+        )
 
 
 def configuration(version: int, text: str = '') -> ReplaceConfiguration:
--- /dev/null
+++ b/tests/register/test_voters.py
@@ -0,0 +1,210 @@
+"""Tests of the voters under series of replacements, cuts and lost disks.
+
+They guard against voters that have left for good and still count for a
+majority, and against a machine that is only silent and is taken for gone.
+"""
+
+import asyncio
+
+import pytest
+
+from .builders import EmulatedCluster, configuration
+
+pytestmark = [pytest.mark.looptime]
+
+#: Time that the deployment has after a loss before it must bear another, in
+#: seconds.
+CATCH_UP_S = 6
+SEEDS = range(6)
+
+
+async def _lose_disks(cluster, hosts):
+    for host in hosts:
+        await cluster.machines[host].wipe()
+    for host in hosts:
+        cluster.machines[host].start(first_start=False)
+
+
+async def _check_control(cluster, version):
+    """Check that what was acknowledged stays and that orders are decided."""
+    await asyncio.sleep(CATCH_UP_S)
+    for host in cluster.running_hosts:
+        state = await cluster.machines[host].replica.read()
+        assert state is not None
+        assert state.version == version
+    replica = cluster.machines[cluster.running_hosts[0]].replica
+    assert (await replica.submit(configuration(version + 1))) is not None
+
+
+async def test_disks_are_lost_after_planned_replacements(tmp_path):
+    """Guards against a majority of voters of which some are gone for good.
+
+    Two machines are replaced, each by a new one that starts first. With the
+    old ones there were eight voters, and after two lost disks four of them
+    were left, one too few for any ballot.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, 1)
+    await cluster.form()
+    replica = cluster.machines[cluster.hosts[5]].replica
+    assert await replica.submit(configuration(1))
+    cluster.add_machine()
+    cluster.add_machine()
+    await asyncio.sleep(CATCH_UP_S)
+    for host in cluster.hosts[:2]:
+        await cluster.machines[host].wipe()
+    await asyncio.sleep(CATCH_UP_S)
+    assert cluster.voting_hosts == cluster.running_hosts
+    await _lose_disks(cluster, cluster.hosts[2:4])
+    await _check_control(cluster, 1)
+    assert cluster.voting_hosts == cluster.running_hosts
+
+
+@pytest.mark.parametrize('is_frozen', [True, False])
+async def test_silent_machine_keeps_its_place(tmp_path, is_frozen):
+    """Guards against a machine that is taken for gone without a successor.
+
+    It is frozen or cut off for long, and the voters would then be fewer than
+    the machines of the deployment.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, 2)
+    await cluster.form()
+    await asyncio.sleep(CATCH_UP_S)
+    before = cluster.newest_state()
+    if is_frozen:
+        cluster.freeze(cluster.hosts[3])
+    else:
+        cluster.isolate(cluster.hosts[3])
+    await asyncio.sleep(60)
+    assert cluster.newest_state() == before
+
+
+async def test_returning_machine_gets_its_place_again(tmp_path):
+    """Guards against a machine that stays out after it was cut off.
+
+    With a seventh machine the deployment does not need it for as many voters
+    as it was founded with, so it was dropped.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, 3)
+    await cluster.form()
+    cluster.add_machine()
+    await asyncio.sleep(CATCH_UP_S)
+    name = cluster.machines[cluster.hosts[2]].replica.name
+    cluster.isolate(cluster.hosts[2])
+    await asyncio.sleep(10)
+    assert len(cluster.newest_state().voters) == 6
+    cluster.cut_links.clear()
+    await asyncio.sleep(CATCH_UP_S)
+    voters = cluster.newest_state().voters
+    assert len(voters) == 7
+    assert name in {voter.name for voter in voters}
+
+
+async def test_restarts_in_turn_change_no_voters(tmp_path):
+    """Guards against voters that change with each restart of a process."""
+    cluster = EmulatedCluster(tmp_path, 6, 4)
+    await cluster.form()
+    await asyncio.sleep(CATCH_UP_S)
+    before = cluster.newest_state()
+    for machine in cluster.machines.values():
+        await machine.kill()
+        await asyncio.sleep(2)
+        machine.start(first_start=False)
+        await asyncio.sleep(2)
+    assert cluster.newest_state() == before
+
+
+class _Series:
+    """Draws disruptions that the deployment has to bear, one after another.
+
+    :param cluster: a formed cluster.
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self.version = 0
+
+    async def disrupt(self):
+        """Disrupt one or two machines at once and let them catch up."""
+        cluster, rng = self._cluster, self._cluster.rng
+        hosts = rng.sample(cluster.running_hosts, rng.choice((1, 1, 2)))
+        draw = rng.choice
+        await asyncio.gather(
+            *(draw(self._DISRUPTIONS)(self, host) for host in hosts)
+        )
+        await asyncio.sleep(CATCH_UP_S)
+
+    async def submit_versions(self):
+        """Submit one version after the other, at any machine."""
+        rng = self._cluster.rng
+        while True:
+            await asyncio.sleep(rng.uniform(0, 3))
+            host = rng.choice(self._cluster.running_hosts)
+            order = configuration(self.version + 1)
+            state = await self._cluster.machines[host].replica.submit(order)
+            if state is not None and state.version > self.version:
+                self.version = state.version
+
+    async def _replace_as_planned(self, host):
+        self._cluster.add_machine()
+        await asyncio.sleep(self._cluster.rng.uniform(1, 9))
+        await self._cluster.machines[host].wipe()
+
+    async def _replace_suddenly(self, host):
+        await self._cluster.machines[host].wipe()
+        await asyncio.sleep(self._cluster.rng.uniform(0, 9))
+        self._cluster.add_machine()
+
+    async def _cut(self, host):
+        self._cluster.isolate(host)
+        await asyncio.sleep(self._cluster.rng.uniform(1, 20))
+        self._cluster.cut_links = {
+            link for link in self._cluster.cut_links if host not in link
+        }
+
+    async def _freeze(self, host):
+        self._cluster.freeze(host)
+        await asyncio.sleep(self._cluster.rng.uniform(1, 20))
+        self._cluster.unfreeze(host)
+
+    async def _lose_disk(self, host):
+        await _lose_disks(self._cluster, [host])
+
+    async def _restart(self, host):
+        await self._cluster.machines[host].kill()
+        await asyncio.sleep(self._cluster.rng.uniform(0, 4))
+        self._cluster.machines[host].start(first_start=False)
+
+    _DISRUPTIONS = (
+        _replace_as_planned,
+        _replace_suddenly,
+        _cut,
+        _freeze,
+        _lose_disk,
+        _restart,
+    )
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_series_of_disruptions(tmp_path, seed):
+    """Guards against voters that are gone, and against lost orders.
+
+    After any series the voters are the machines that are there, and the
+    loss of two disks leaves a majority.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, seed)
+    await cluster.form()
+    series = _Series(cluster)
+    submissions = asyncio.create_task(series.submit_versions())
+    for _ in range(8):
+        await series.disrupt()
+        acknowledged = series.version
+        state = await cluster.machines[cluster.running_hosts[0]].replica.read()
+        assert state is not None
+        assert state.version >= acknowledged
+    submissions.cancel()
+    await asyncio.sleep(CATCH_UP_S)
+    assert cluster.voting_hosts == cluster.running_hosts
+    version = cluster.newest_state().version
+    await _lose_disks(cluster, cluster.rng.sample(cluster.running_hosts, 2))
+    await _check_control(cluster, version)
+    assert cluster.voting_hosts == cluster.running_hosts
