Measure the silence of a voter by its heartbeats, not by its link

Callers and operators saw: nothing directly; a running voter could lose its place to an instance that asked to join, and each change of voters delays orders by two ballots. Cause: voter_silence_s looked at the present links. A voter whose link was just reset, or not yet opened, counted as silent for ever. Evidence: test_reset_link_makes_no_voter_silent failed with 'assert inf == 0.5 +- 5.0e-07'. Why it works: the time of the last heartbeat is kept by the voter's name and outlives the link; a voter that was never heard of is silent since the start of the process. Names are forgotten after a minute. Looked at for the same: is_active_proposer and reachable_voters also go by the links; there a lost link has to count at once, and costs one heartbeat.

--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -33,6 +33,9 @@
 #: The proposer is active if its last heartbeat is at most this old, in seconds:
 #: one heartbeat may be late.
 PROPOSER_HEARTBEAT_VALID_S = 1.1
+#: A voter that was silent for this long is forgotten, in seconds; it counts as
+#: silent since the start of this instance.
+VOTER_KEPT_S = 60.0
 #: Interval between checks for missing links, and pause after a successful dial
 #: before the address is dialled again, in seconds.
 REDIAL_DELAY_S = 0.3
@@ -65,6 +68,10 @@
         self._config = config
         self._hello = hello
         self._now = now
+        #: Monotonic time of the last heartbeat of each voter, in seconds. It
+        #: outlives the link, which may be reset while the voter runs.
+        self._heard_at: dict[str, float] = {}
+        self._created_at = now()
         self._links = Links(Codec('', config.name), self, meter)
         self._seeds: set[Address] = set(config.seeds)
         self._addresses: set[Address] = set(config.seeds)
@@ -138,6 +145,7 @@
         elif isinstance(msg, ControlHeartbeat):
             peer.heartbeat = msg
             peer.heartbeat_at = self._now()
+            self._record_voter(msg.voter)
         elif isinstance(msg, LinkedInstances):
             self.fleet.apply(peer, msg)
             self._addresses |= {endpoint.address for endpoint in msg.controls}
@@ -263,16 +271,12 @@
     def voter_silence_s(self, voter: str) -> float:
         """Return the time since a voter's last heartbeat, in seconds.
 
-        Infinite if no linked instance has sent one as this voter.
+        A voter that was not heard of is silent since the start of this
+        instance.
 
         :param voter: name of the voter.
         """
-        heartbeat_times = [
-            peer.heartbeat_at
-            for peer in self.peers.values()
-            if peer.heartbeat is not None and peer.heartbeat.voter == voter
-        ]
-        return self._now() - max(heartbeat_times, default=float('-inf'))
+        return self._now() - self._heard_at.get(voter, self._created_at)
 
     def reachable_voters(self, own: str) -> set[str]:
         """Return the voters with which heartbeats pass in both directions.
@@ -355,6 +359,16 @@
             leaving=self.fleet.leaving,
         )
 
+    def _record_voter(self, voter: str) -> None:
+        now = self._now()
+        if voter not in self._heard_at:
+            self._heard_at = {
+                name: heard_at
+                for name, heard_at in self._heard_at.items()
+                if now - heard_at < VOTER_KEPT_S
+            }
+        self._heard_at[voter] = now
+
     def _accept_hello(self, link: Link, hello: Hello) -> None:
         previous = self.peers.get(hello.name)
         peer = Peer(hello, link)
