Drop voters that have been replaced

Operators saw: after two planned replacements of control machines and two lost disks no configuration could be read or changed any more, for good. Cause: a voter left only in exchange for an instance that asked to join while it was silent. A planned replacement starts the new machine first, so the old one stayed a voter for ever: eight voters, six machines. Evidence: test_disks_are_lost_after_planned_replacements failed with 'Left contains 2 more items, first extra item: 10.7.0.1'; all six series of test_series_of_disruptions ended with voters that were gone. Change: the active proposer drops a voter that was silent for 3 s while it was active itself, if without it as many voters are heard from as the deployment was founded with (and 2 * tolerated losses + 1). Formats: DeclaredState gets founding_size. An older build ignores the field and writes states without it; it reads as 0, and the bound from the settings holds until a new build decides the next change of voters.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -293,6 +293,7 @@
             self.links,
             self._on_learned,
             rng,
+            config.limits.tolerated_losses,
         )
 
     def _record_order(
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -37,6 +37,7 @@
     :param prefers_own_domain: whether a request stays in the failure domain of
         its entry instance while its answer is in time there.
     :param learns_limits: whether concurrency limits of targets are learned.
+    :param tolerated_losses: control instances that may be lost at once.
     :param allowance_bounds: tolerated excess over the allowances of
         workspaces.
     """
@@ -52,6 +53,7 @@
     key_trust_s: float = 5
     prefers_own_domain: bool = False
     learns_limits: bool = False
+    tolerated_losses: int = 1
     allowance_bounds: AllowanceBounds = AllowanceBounds()
 
 
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -57,6 +57,11 @@
     quota_slack: float = 20
 
 
+class _FaultTolerance(msgspec.Struct, frozen=True):
+    #: Machines with a disk that may be lost at once.
+    machines: int = 1
+
+
 class _Boot(msgspec.Struct, frozen=True):
     #: Name of the machine; at most two processes share one.
     node: str
@@ -82,6 +87,7 @@
     cloud: _Cloud = _Cloud()
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    fault_tolerance: _FaultTolerance = _FaultTolerance()
     #: Whether concurrency limits of targets are learned. The platform does not
     #: set it: limits below the slots cost answers where targets have no knee.
     learn_limits: bool = False
@@ -155,6 +161,7 @@
         key_trust_s=wire.revoke_ms / _MS,
         prefers_own_domain=_SCARCE_LINKS in boot.contracts,
         learns_limits=boot.learn_limits,
+        tolerated_losses=boot.fault_tolerance.machines,
         allowance_bounds=AllowanceBounds(
             wire.quota_window_s, wire.quota_over, wire.quota_slack
         ),
--- a/src/cuminhoist/register/declared_state.py
+++ b/src/cuminhoist/register/declared_state.py
@@ -24,6 +24,11 @@
     name: str
     address: Address
 
+    @property
+    def is_founding(self) -> bool:
+        """Whether it has kept its disk since the deployment's first start."""
+        return self.name == self.address.host
+
 
 class DeclaredState(msgspec.Struct, frozen=True):
     """Everything that operators have declared, and the voters.
@@ -35,6 +40,9 @@
     :param voters: the present voters.
     :param former: in a joint configuration the voters before the change;
         otherwise equal to ``voters``.
+    :param founding_size: largest number of voters so far that have kept their
+        disks since the first start of the deployment; 0 if a build wrote the
+        state that does not know this field.
     """
 
     index: int = 0
@@ -43,6 +51,7 @@
     drained: frozenset[str] = frozenset()
     voters: tuple[Voter, ...] = ()
     former: tuple[Voter, ...] = ()
+    founding_size: int = 0
 
     @classmethod
     def from_founders(cls, founders: tuple[Address, ...]) -> Self:
@@ -53,7 +62,7 @@
         voters = tuple(
             sorted(Voter(founder.host, founder) for founder in founders),
         )
-        return cls(voters=voters, former=voters)
+        return cls(voters=voters, former=voters, founding_size=len(voters))
 
     def without_body(self) -> Self:
         """Return the state without the encoded configuration."""
@@ -135,7 +144,16 @@
     if isinstance(order, ReplaceVoters):
         if not state.voters_settled or order.seen != state.index:
             return state
-        return _next_state(state, voters=tuple(sorted(order.voters)))
+        founding_size = max(
+            state.founding_size,
+            _founding_voters(state.voters),
+            _founding_voters(order.voters),
+        )
+        return _next_state(
+            state,
+            voters=tuple(sorted(order.voters)),
+            founding_size=founding_size,
+        )
     return state
 
 
@@ -147,5 +165,20 @@
     return _next_state(state, former=state.voters)
 
 
+def is_same_state(state: DeclaredState, other: DeclaredState) -> bool:
+    """Tell whether two states are the same, whichever build wrote them.
+
+    :param state: a state.
+    :param other: another one.
+    """
+    return state == msgspec.structs.replace(
+        other, founding_size=state.founding_size
+    )
+
+
+def _founding_voters(voters: tuple[Voter, ...]) -> int:
+    return sum(voter.is_founding for voter in voters)
+
+
 def _next_state(state: DeclaredState, **changes: object) -> DeclaredState:
     return msgspec.structs.replace(state, index=state.index + 1, **changes)
--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -19,6 +19,7 @@
     Voter,
     apply_order,
     finish_voter_change,
+    is_same_state,
 )
 from .messages import (
     Accept,
@@ -277,7 +278,7 @@
         if state.voters_settled:
             for order in orders:
                 state = apply_order(state, order)
-        elif state == joint_state:
+        elif joint_state is not None and is_same_state(state, joint_state):
             state = finish_voter_change(state)
         if await self._run_accept_phase(ballot, state):
             return Chosen(state, applied=phase.state.voters_settled)
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -25,7 +25,7 @@
 )
 from .messages import Join, Learned, Submit, Submitted, VoterReply
 from .proposer import Proposer, VoterClient
-from .voters import next_voters
+from .voters import REPLACE_SILENT_AFTER_S, VoterWatch
 
 #: How often membership and unlearned states are checked, in seconds.
 MEMBERSHIP_INTERVAL_S = 0.3
@@ -35,12 +35,10 @@
 #: An accepted state that has not been announced as chosen for this long
 #: triggers a read, in seconds.
 UNLEARNED_LIMIT_S = 0.5
-#: A voter that was silent for this long may be replaced by a new instance, in
-#: seconds; restarts take less.
-REPLACE_SILENT_AFTER_S = 3.0
-#: A request to join the voters is valid for this long, in seconds.
-JOIN_VALID_S = 1.5
-#: Voters are not replaced for this long after the start of the process, in
+#: The process stood still if a check of the membership is this late, in
+#: seconds. It may then have missed heartbeats of running voters.
+STANDSTILL_S = 1.0
+#: No voter counts as silent for this long after the start of the process, in
 #: seconds: it may not have received heartbeats of all of them yet.
 START_GRACE_S = 6.0
 
@@ -121,6 +119,8 @@
     :param peers: the other control instances.
     :param on_learned: called with each newer chosen state.
     :param rng: source of backoff times.
+    :param tolerated_losses: number of control instances that may be lost at
+        once.
     """
 
     def __init__(
@@ -131,6 +131,7 @@
         peers: ControlPeers,
         on_learned: Callable[[DeclaredState], None],
         rng: random.Random,
+        tolerated_losses: int = 1,
     ) -> None:
         self.latest_chosen = latest_chosen
         self._acceptor = acceptor
@@ -147,7 +148,9 @@
         )
         self._pending_orders: list[_PendingOrder] = []
         self._orders_submitted = asyncio.Event()
-        self._join_times: dict[Voter, float] = {}
+        self._voter_watch = VoterWatch(
+            self._own_voter, peers.voter_silence_s, tolerated_losses
+        )
         self._has_read = False
         self._unlearned_since: float | None = None
 
@@ -258,7 +261,7 @@
         """
         voter = Voter(msg.voter, Address(msg.host, msg.port))
         loop = asyncio.get_running_loop()
-        self._join_times[voter] = loop.time()
+        self._voter_watch.record_join(voter, loop.time())
 
     async def run_proposals(self) -> None:
         """Propose submitted orders; one ballot takes all that wait."""
@@ -284,10 +287,20 @@
     async def run_membership(self) -> None:
         """Learn unannounced states, ask to join the voters, and add others."""
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        self._voter_watch.restart(
+            loop.time() + START_GRACE_S - REPLACE_SILENT_AFTER_S
+        )
         saved_index = -1
+        checked_at = loop.time()
         while True:
             await asyncio.sleep(MEMBERSHIP_INTERVAL_S)
+            if (
+                loop.time() - checked_at > STANDSTILL_S
+                or self._find_active_proposer() != self._own_voter
+            ):
+                # Silences may be those of this instance itself.
+                self._voter_watch.restart(loop.time())
+            checked_at = loop.time()
             await self._learn_unannounced_state(loop.time())
             known = self.latest_chosen
             if known is None:
@@ -299,7 +312,7 @@
             if not self.is_voter:
                 self._ask_to_join()
             elif self._find_active_proposer() == self._own_voter:
-                await self._add_joining_voters(known, loop.time(), started_at)
+                await self._update_voters(known, loop.time())
 
     async def _learn_unannounced_state(self, now: float) -> None:
         accepted = self._acceptor.accepted.state
@@ -330,32 +343,9 @@
         else:
             self._peers.send_to(proposer.address, msg)
 
-    async def _add_joining_voters(
-        self,
-        known: DeclaredState,
-        now: float,
-        started_at: float,
-    ) -> None:
-        candidates = [
-            voter
-            for voter, requested_at in self._join_times.items()
-            if now - requested_at < JOIN_VALID_S and voter not in known.voters
-        ]
-        if not candidates or not known.voters_settled:
-            return
-        voters = next_voters(
-            known.voters,
-            sorted(candidates),
-            [
-                voter
-                for voter in known.voters
-                if now - started_at > START_GRACE_S
-                and voter != self._own_voter
-                and self._peers.voter_silence_s(voter.name)
-                > REPLACE_SILENT_AFTER_S
-            ],
-        )
-        if voters == known.voters:
+    async def _update_voters(self, known: DeclaredState, now: float) -> None:
+        voters = self._voter_watch.next_voters(known, now)
+        if not known.voters_settled or voters == known.voters:
             return
         _log.bind(voters=[voter.name for voter in voters]).info('voters change')
         order = ReplaceVoters(seen=known.index, voters=voters)
--- a/src/cuminhoist/register/voters.py
+++ b/src/cuminhoist/register/voters.py
@@ -1,15 +1,103 @@
-"""Chooses the next voters when instances ask to join.
+"""Chooses the next voters when instances ask to join or are gone.
 
 A new instance takes a silent voter's place where possible, so that the quorum
-does not grow with each replaced instance.
+does not grow with each replaced instance. If the former instance fell silent
+only later, it is dropped then.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Collection, Sequence
 
-from .declared_state import Voter
+from .declared_state import DeclaredState, Voter
 
 #: Upper limit of voters; nine tolerate the failure of any four.
 MAX_VOTERS = 9
+#: A voter that was silent for this long may be replaced or dropped, in seconds;
+#: restarts take less.
+REPLACE_SILENT_AFTER_S = 3.0
+#: A voter whose last heartbeat is at most this old is running, in seconds: two
+#: heartbeats may be late.
+HEARD_WITHIN_S = 1.6
+#: A request to join the voters is valid for this long, in seconds.
+JOIN_VALID_S = 1.5
+
+
+class VoterWatch:
+    """Chooses the next voters by what one control instance hears.
+
+    :param own_voter: this instance.
+    :param silence_s: returns for how long a voter has been silent, in seconds.
+    :param tolerated_losses: number of control instances that may be lost at
+        once.
+    """
+
+    def __init__(
+        self,
+        own_voter: Voter,
+        silence_s: Callable[[str], float],
+        tolerated_losses: int,
+    ) -> None:
+        self._own_voter = own_voter
+        self._silence_s = silence_s
+        #: Fewest voters of which a majority is left after the losses.
+        self._least_voters = min(2 * tolerated_losses + 1, MAX_VOTERS)
+        self._join_times: dict[Voter, float] = {}
+        #: Loop time since which silences are evidence.
+        self._listens_since = float('-inf')
+
+    def record_join(self, voter: Voter, now: float) -> None:
+        """Record that an instance asks to join.
+
+        :param voter: the instance.
+        :param now: loop time in seconds.
+        """
+        self._join_times[voter] = now
+
+    def restart(self, now: float) -> None:
+        """Take no silence before a time as evidence.
+
+        :param now: loop time in seconds.
+        """
+        self._listens_since = max(self._listens_since, now)
+
+    def next_voters(
+        self, known: DeclaredState, now: float
+    ) -> tuple[Voter, ...]:
+        """Return the voters that the register should have.
+
+        :param known: the newest chosen state.
+        :param now: loop time in seconds.
+        """
+        self._join_times = {
+            voter: requested_at
+            for voter, requested_at in self._join_times.items()
+            if now - requested_at < JOIN_VALID_S
+        }
+        joining = self._join_times.keys()
+        silences = {
+            voter: self._silence_s(voter.name)
+            for voter in known.voters
+            if voter != self._own_voter
+        }
+        gone: list[Voter] = []
+        if now - self._listens_since > REPLACE_SILENT_AFTER_S:
+            gone = [
+                voter
+                for voter, silent_s in silences.items()
+                if silent_s > REPLACE_SILENT_AFTER_S
+            ]
+        heard = {
+            voter
+            for voter, silent_s in silences.items()
+            if silent_s <= HEARD_WITHIN_S
+        }
+        return without_gone(
+            next_voters(
+                known.voters, sorted(joining - set(known.voters)), gone
+            ),
+            gone,
+            heard | joining | {self._own_voter},
+            max(known.founding_size, self._least_voters),
+        )
 
 
 def next_voters(
@@ -45,3 +133,24 @@
         if len(updated) < MAX_VOTERS:
             updated.add(voter)
     return tuple(sorted(updated))
+
+
+def without_gone(
+    voters: tuple[Voter, ...],
+    gone: Collection[Voter],
+    heard: Collection[Voter],
+    least: int,
+) -> tuple[Voter, ...]:
+    """Return the voters without those that have been replaced.
+
+    A silent voter may be frozen or cut off only, so it is dropped only if the
+    voters that are heard from are enough without it.
+
+    :param voters: the present voters.
+    :param gone: voters that have been silent for long.
+    :param heard: voters that are running.
+    :param least: number of voters that the deployment needs.
+    """
+    if len(set(voters) & set(heard)) < least:
+        return voters
+    return tuple(voter for voter in voters if voter not in gone)
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -34,6 +34,7 @@
         'quota_slack': 30,
         'unknown': 1,
     },
+    'fault_tolerance': {'machines': 2, 'zones': 1, 'regions': 1},
     'later': {'field': 1},
 }
 
@@ -50,6 +51,7 @@
     assert cfg.request_address is None
     assert cfg.limits.min_retry_budget == 56
     assert cfg.limits.drain_s == 2.5
+    assert cfg.limits.tolerated_losses == 2
     assert cfg.limits.allowance_bounds == AllowanceBounds(4, 0.2, 30)
 
 
