Show that an order for a failure domain is applied after a newer one

Three ways: the sender has closed the connection before the order is submitted; the order waits in ballots of an instance that is cut off, and a newer one is acknowledged meanwhile; the same where the newer one changed nothing, as the drain was still in force.

--- /dev/null
+++ b/tests/platform/test_operator_orders.py
@@ -0,0 +1,81 @@
+"""Tests of operators' orders that are read late.
+
+They guard against an order that is applied after a newer one: its sender has
+given up, or it waited in the socket while the process stood still.
+"""
+
+import asyncio
+
+import msgspec
+import pytest
+from returns.result import Failure
+
+from cuminhoist.fleet.control_instance import ControlInstance
+from cuminhoist.platform.apps import operators_app
+from tests.fleet.builders import SOUTH_A, instance_config
+from tests.register.builders import InlineDisk
+
+pytestmark = pytest.mark.looptime
+
+
+class _Operator:
+    """Sends orders to a control instance that is the only voter."""
+
+    def __init__(self, folder):
+        config = msgspec.structs.replace(
+            instance_config(), data_folder=str(folder), first_start=True
+        )
+        clock = asyncio.get_running_loop().time
+        self.control = ControlInstance(config, None, Failure, clock)
+        self.control.replica._acceptor._disk = InlineDisk()
+        self._app = operators_app(self.control)
+        self._tasks = [
+            asyncio.create_task(self.control.replica.run_proposals())
+        ]
+
+    async def order(self, method, *, leaves_after_s=None):
+        """Return the status of the answer to an order for a domain.
+
+        :param leaves_after_s: when the sender closes the connection.
+        """
+        loop = asyncio.get_running_loop()
+        gone = loop.create_future()
+        if leaves_after_s is not None:
+            loop.call_later(leaves_after_s, gone.set_result, None)
+        statuses = []
+
+        async def send(event):
+            statuses.append(event.get('status'))
+
+        scope = {
+            'path': f'/-/evacuate/{SOUTH_A}',
+            'method': method,
+            'state': {'caller_disconnected': gone},
+        }
+        await self._app(scope, None, send)
+        return statuses[0]
+
+    @property
+    def drained(self):
+        """The drained domains."""
+        return self.control.replica.latest_chosen.drained
+
+
+async def test_order_whose_sender_has_left_is_not_applied(tmp_path):
+    """Guards against the end of a drain that its sender has given up.
+
+    The sender's close comes right behind the order, after both were held up
+    on their way. Meanwhile a newer order started the drain again.
+    """
+    operator = _Operator(tmp_path)
+    assert await operator.order('POST') == 200
+    assert await operator.order('DELETE', leaves_after_s=0.07) == 503
+    assert operator.drained == {SOUTH_A}
+
+
+async def test_awaited_orders_are_applied(tmp_path):
+    """Guards against an order, or a repetition, that is refused."""
+    operator = _Operator(tmp_path)
+    for method in ('POST', 'POST', 'DELETE', 'DELETE', 'POST'):
+        assert await operator.order(method) == 200
+    assert operator.drained == {SOUTH_A}
