--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -318,6 +318,7 @@
             self.links,
             self._on_learned,
             rng,
+            config.limits.tolerated_losses,
         )
 
     def _record_order(
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -22,5 +22,6 @@
         'quota_slack': 30,
         'unknown': 1,
     },
+    'fault_tolerance': {'machines': 2, 'zones': 1, 'regions': 1},
     'later': {'field': 1},
 }
