--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -138,3 +138,15 @@
         assert exchange.complete
         assert body == b''
         assert conn.usable
+
+
+async def test_trailer_of_another_answer_counted():
+    """Guards against a note of one answer in the headers of another (TWICE)."""
+    other = SoundAnswer('earlier', framing='chunked').encode()
+    for trailer in (b'X-Not-Executed: 1', b'X-Request-Id: due'):
+        stream = other.removesuffix(b'\r\n') + trailer + b'\r\n\r\n'
+        exchange, _, body = await received(stream + DUE[1].encode())
+        assert body == DUE[1].body, exchange.error
+        names = [name for name, _ in exchange.headers]
+        assert names.count(b'x-request-id') == 1
+        assert b'x-not-executed' not in names
