Fail a write that takes nothing instead of repeating it

Files of the control log and of the register, and log lines, were written in loops without end if a write took no byte.

For files this is now an I/O error, which their owners handle as any other failed write; both use one function. A log line waits for the next one, as when the reader of standard output does not read.

Evidence: the tests failed with `the write is repeated for ever` and pass now. Found by reading; no such write has been seen.

--- a/src/cuminhoist/json_logs.py
+++ b/src/cuminhoist/json_logs.py
@@ -54,7 +54,7 @@
         self.flush()
 
     def flush(self) -> None:
-        """Write buffered bytes until none is left or a write would block."""
+        """Write buffered bytes until none is left or a write takes none."""
         while self._buffered:
             try:
                 written = self._write(bytes(self._buffered))
@@ -65,6 +65,8 @@
                 # destination.
                 self._buffered.clear()
                 return
+            if not written:
+                return
             del self._buffered[:written]
 
     def _buffer_line(self, line: bytes) -> None:
--- a/src/cuminhoist/register/store.py
+++ b/src/cuminhoist/register/store.py
@@ -19,7 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from ..logging_setup import logger
-from ..storage import DiskError, DiskErrorKind
+from ..storage import DiskError, DiskErrorKind, write_all
 
 _HEADER = struct.Struct('<QII')
 _SUFFIXES = ('a', 'b')
@@ -91,7 +91,7 @@
         is_new = not path.exists()
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
-            _write_all(descriptor, header + header_crc + payload)
+            write_all(descriptor, 0, header + header_crc + payload)
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
@@ -159,12 +159,6 @@
         os.close(descriptor)
 
 
-def _write_all(descriptor: int, content: bytes) -> None:
-    offset = 0
-    while offset < len(content):
-        offset += os.pwrite(descriptor, content[offset:], offset)
-
-
 def _read_record(path: pathlib.Path) -> tuple[int, bytes] | None:
     try:
         content = path.read_bytes()
--- a/src/cuminhoist/storage.py
+++ b/src/cuminhoist/storage.py
@@ -270,17 +270,25 @@
 def _write_and_sync(fd: int, offset: int, content: bytes) -> None:
     os.ftruncate(fd, offset)
     try:
-        _write_all(fd, offset, content)
+        write_all(fd, offset, content)
     except OSError:
         os.ftruncate(fd, offset)
         raise
     os.fsync(fd)
 
 
-def _write_all(fd: int, offset: int, content: bytes) -> None:
+def write_all(fd: int, offset: int, content: bytes) -> None:
+    """Write to a file; raise OSError if that fails.
+
+    :param fd: descriptor of the file.
+    :param offset: position in the file, in bytes.
+    :param content: the bytes.
+    """
     remaining = memoryview(content)
     while remaining:
         written = os.pwrite(fd, remaining, offset)
+        if not written:
+            raise OSError(errno.EIO, 'a write took no byte')
         offset += written
         remaining = remaining[written:]
 
