Apply no order for a failure domain after a newer one

Callers saw: the targets of a drained failure domain got their full share of the requests, until the operator gave another order. Cause: orders to start or end a drain carry no number, and the last one to arrive wins. A control instance that was suspended read an old order whose sender had closed the connection seconds before, and submitted it after a newer one had been acknowledged. Ballots of an instance that was cut off did the same. Change: an order is answered 503 if it was read within a second after a standstill, or if its sender has left 0.1 s later; it names the newest state that its instance knew, and has no effect once a newer order for the domain is decided. Formats: DrainDomain gets seen and DeclaredState drain_indexes, both last and with defaults. An older build ignores both; its orders are applied as before, and a state that it writes has no indexes, so that the orders before it are not compared. The orders of operators move out of the control instance (operator_orders). Looked at for the same: configurations (a version decides), changes of voters (they name the state that they were derived from), orders that another instance forwards (the index travels with them).

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -11,18 +11,13 @@
 import secrets
 from collections.abc import Callable
 
-import msgspec
-from returns.result import Result, Success
+from returns.result import Success
 
 from ..codec import Message
 from ..gateway.routes import RouteTable
 from ..logging_setup import logger
 from ..register.acceptor import Acceptor, AcceptorFiles
-from ..register.declared_state import (
-    DeclaredState,
-    DrainDomain,
-    ReplaceConfiguration,
-)
+from ..register.declared_state import DeclaredState
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
 from .allowance_broadcast import AllowanceBroadcast
@@ -46,6 +41,7 @@
     TargetChanges,
     TargetList,
 )
+from .operator_orders import DecodeConfiguration, OperatorOrders
 from .peer import Peer
 from .poison_broadcast import PoisonBroadcast
 from .region_dispatch import RegionDispatch
@@ -60,30 +56,9 @@
 #: was announced gets it again, in seconds; announcements take one round trip.
 RESEND_DELAY_S = 0.5
 
-DecodeConfiguration = Callable[[bytes], Result[RouteTable, str]]
 _log = logger('control')
 
 
-class Acknowledged(msgspec.Struct, frozen=True):
-    """The order is in force and will not be lost."""
-
-
-class Invalid(msgspec.Struct, frozen=True):
-    """The order failed validation and was not submitted.
-
-    :param reason: the validation error.
-    """
-
-    reason: str
-
-
-class Undecided(msgspec.Struct, frozen=True):
-    """No quorum replied; the order may or may not be in force."""
-
-
-OrderOutcome = Acknowledged | Invalid | Undecided
-
-
 class ControlInstance:
     """Connects the replica, the links, the target feed and the dispatcher.
 
@@ -91,6 +66,8 @@
     :param source: reads the list of targets.
     :param decode: decodes and validates a configuration.
     :param now: returns monotonic time in seconds.
+    :param stall_clock: returns time in seconds, suspensions included; by
+        default the clock of the system.
     """
 
     def __init__(
@@ -99,6 +76,7 @@
         source: TargetSource,
         decode: DecodeConfiguration,
         now: Callable[[], float],
+        stall_clock: Callable[[], float] | None = None,
     ) -> None:
         self._config = config
         self._decode = decode
@@ -122,6 +100,13 @@
         )
         self.links = ControlLinks(config, hello, now, meter)
         self.replica = self._open_replica()
+        self.orders = OperatorOrders(
+            self.replica,
+            decode,
+            config.regions,
+            self.metrics,
+            stall_clock,
+        )
         self.feed = TargetFeed(
             source,
             self._read_rank,
@@ -177,6 +162,7 @@
             self.replica.run_membership(),
             self.feed.run(),
             self._run_heartbeats(),
+            self.orders.stalls.run(),
             self._reports(),
         ):
             self._background.spawn(coroutine)
@@ -195,73 +181,6 @@
             self.links.reachable_voters(self.replica.name),
         )
 
-    async def replace_configuration(self, body: bytes) -> OrderOutcome:
-        """Apply a configuration unless a newer one is in force.
-
-        :param body: the encoded configuration.
-        """
-        started_at = self._now()
-        outcome = await self._replace_configuration(body)
-        self._record_order('configuration', outcome, started_at)
-        return outcome
-
-    async def _replace_configuration(self, body: bytes) -> OrderOutcome:
-        decoded = self._decode(body)
-        if not isinstance(decoded, Success):
-            _log.bind(reason=decoded.failure()).info('configuration refused')
-            return Invalid(decoded.failure())
-        version = decoded.unwrap().version
-        state = await self.replica.submit(
-            ReplaceConfiguration(version=version, body=body),
-        )
-        in_force = state is not None and state.version >= version
-        _log.bind(
-            version=version,
-            held=state.version if state else None,
-            acknowledged=in_force,
-        ).info('configuration order')
-        return Acknowledged() if in_force else Undecided()
-
-    async def drain_domain(self, domain: str, *, drained: bool) -> OrderOutcome:
-        """Start or end the drain of a failure domain.
-
-        :param domain: the failure domain.
-        :param drained: whether its targets get no requests.
-        """
-        started_at = self._now()
-        outcome = await self._drain_domain(domain, drained=drained)
-        self._record_order('drain', outcome, started_at)
-        return outcome
-
-    async def _drain_domain(
-        self,
-        domain: str,
-        *,
-        drained: bool,
-    ) -> OrderOutcome:
-        if domain not in self._config.regions:
-            return Invalid(f'unknown failure domain {domain!r}')
-        state = await self.replica.submit(
-            DrainDomain(domain=domain, drained=drained),
-        )
-        in_force = state is not None and (domain in state.drained) == drained
-        _log.bind(
-            domain=domain,
-            drained=drained,
-            acknowledged=in_force,
-        ).info('drain order')
-        return Acknowledged() if in_force else Undecided()
-
-    async def read_configuration(self) -> bytes | None:
-        """Return the configuration in force.
-
-        Returns nothing if there is none yet or no quorum replies.
-        """
-        state = await self.replica.read()
-        if state is None or not state.version:
-            return None
-        return state.body
-
     def lookup(self, region: str, domain: str) -> list[Address]:
         """Return the entry instances that a caller may connect to.
 
@@ -296,17 +215,6 @@
             config.limits.tolerated_losses,
         )
 
-    def _record_order(
-        self,
-        kind: str,
-        outcome: OrderOutcome,
-        started_at: float,
-    ) -> None:
-        name = type(outcome).__name__.lower()
-        self.metrics.orders.labels(kind, name).inc()
-        took_s = self._now() - started_at
-        self.metrics.order_time.labels(kind).observe(took_s)
-
     def _record_state(self) -> None:
         state = self.replica.latest_chosen
         gauge = self.metrics.state_gauge
@@ -362,7 +270,7 @@
             peer.link.send(
                 self.links.fleet.view(
                     peer.hello.region,
-                    self._state_index(),
+                    self.replica.known_index,
                     self._now() - self.feed.read_at,
                     confirmed=self.confirmed,
                 )
@@ -450,7 +358,7 @@
         if changes is not None:
             self.links.broadcast(changes)
         heartbeat = self.links.build_heartbeat(
-            self._state_index(),
+            self.replica.known_index,
             self.replica.name,
             self._demand,
             confirmed=self.confirmed,
@@ -463,7 +371,7 @@
 
     def _send_views(self) -> None:
         self.links.send_views(
-            self._state_index(),
+            self.replica.known_index,
             self._now() - self.feed.read_at,
             confirmed=self.confirmed,
         )
@@ -495,7 +403,3 @@
                 and peer.heartbeat_at > self._learned_at + RESEND_DELAY_S / 2
             ):
                 peer.link.send(Learned(state=state))
-
-    def _state_index(self) -> int:
-        state = self.replica.latest_chosen
-        return state.index if state else -1
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -27,7 +27,6 @@
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.slot_lending import DispatchContext, usable_entries
 from .background import BackgroundTasks, UpdateLimiter
-from .control_instance import DecodeConfiguration
 from .entry_allowances import EntryAllowances
 from .entry_links import EntryLinks
 from .fleet_view import apply_changes
@@ -47,6 +46,7 @@
     TargetList,
     View,
 )
+from .operator_orders import DecodeConfiguration
 from .subscription import Progress
 from .target_feed import TargetFeed, TargetSource, entry_read_rank
 
--- a/src/cuminhoist/platform/apps.py
+++ b/src/cuminhoist/platform/apps.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
-from ..fleet.control_instance import (
+from ..fleet.instance_config import Address
+from ..fleet.operator_orders import (
     Acknowledged,
-    ControlInstance,
     Invalid,
+    OperatorOrders,
     OrderOutcome,
 )
-from ..fleet.instance_config import Address
 from ..gateway.answers import Send
 from ..gateway.bodies import CallerDisconnected, Receive
 
@@ -86,26 +86,28 @@
     return answer
 
 
-def operators_app(control: ControlInstance) -> App:
+def operators_app(orders: OperatorOrders) -> App:
     """Return the application for operators' orders.
 
-    :param control: the control instance that executes the orders.
+    :param orders: submits the orders.
     """
 
     async def answer(scope: Any, receive: Receive, send: Send) -> None:
         path, method = scope['path'], scope['method']
         if path == _CONFIG_PATH and method == 'PUT':
             body = await _read_body(receive)
-            outcome = await control.replace_configuration(body)
+            outcome = await orders.replace_configuration(body)
             await _send_outcome(send, outcome)
         elif path == _CONFIG_PATH and method == 'GET':
-            content = await control.read_configuration()
+            content = await orders.read_configuration()
             status = 503 if content is None else 200
             await _send_answer(send, status, content or b'', _JSON)
         elif path.startswith(_DRAIN_PATH) and method in {'POST', 'DELETE'}:
-            domain = path.removeprefix(_DRAIN_PATH)
-            outcome = await control.drain_domain(
-                domain, drained=method == 'POST'
+            gone = scope['state']['caller_disconnected']
+            outcome = await orders.drain_domain(
+                path.removeprefix(_DRAIN_PATH),
+                drained=method == 'POST',
+                is_awaited=lambda: not gone.done(),
             )
             await _send_outcome(send, outcome)
         else:
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -105,7 +105,7 @@
         if control is None:
             return
         await control.start()
-        self._start_server(cfg.operator_address, operators_app(control))
+        self._start_server(cfg.operator_address, operators_app(control.orders))
         ttl_s = cfg.limits.lookup_ttl_s
         self._start_server(
             cfg.lookup_address, lookup_app(control.lookup, ttl_s)
--- a/src/cuminhoist/register/declared_state.py
+++ b/src/cuminhoist/register/declared_state.py
@@ -43,6 +43,9 @@
     :param founding_size: largest number of voters so far that have kept their
         disks since the first start of the deployment; 0 if a build wrote the
         state that does not know this field.
+    :param drain_indexes: for each failure domain, index of the state that its
+        newest order led to; without those that a build decided that does not
+        know this field.
     """
 
     index: int = 0
@@ -52,6 +55,7 @@
     voters: tuple[Voter, ...] = ()
     former: tuple[Voter, ...] = ()
     founding_size: int = 0
+    drain_indexes: dict[str, int] = {}
 
     @classmethod
     def from_founders(cls, founders: tuple[Address, ...]) -> Self:
@@ -102,10 +106,19 @@
 
 @register_message
 class DrainDomain(Message, frozen=True):
-    """Starts or ends the drain of a failure domain."""
+    """Starts or ends the drain of a failure domain.
+
+    :param domain: the failure domain.
+    :param drained: whether its targets get no requests.
+    :param seen: index of the newest state that the instance knew when the
+        order arrived there. The order changes nothing if a newer order for
+        the domain has been decided since. None if a build sent it that does
+        not know this field.
+    """
 
     domain: str
     drained: bool
+    seen: int | None = None
 
 
 @register_message
@@ -135,12 +148,7 @@
             return state
         return _next_state(state, version=order.version, body=order.body)
     if isinstance(order, DrainDomain):
-        drained = state.drained - {order.domain}
-        if order.drained:
-            drained |= {order.domain}
-        if drained == state.drained:
-            return state
-        return _next_state(state, drained=drained)
+        return _apply_drain(state, order)
     if isinstance(order, ReplaceVoters):
         if not state.voters_settled or order.seen != state.index:
             return state
@@ -157,6 +165,21 @@
     return state
 
 
+def _apply_drain(state: DeclaredState, order: DrainDomain) -> DeclaredState:
+    drained = state.drained - {order.domain}
+    if order.drained:
+        drained |= {order.domain}
+    is_in_force = drained == state.drained
+    if order.seen is None:
+        return state if is_in_force else _next_state(state, drained=drained)
+    newest = state.drain_indexes.get(order.domain, order.seen)
+    if newest > order.seen and not is_in_force:
+        return state
+    # An order that changes nothing is newer than one that is still on its way.
+    indexes = {**state.drain_indexes, order.domain: state.index + 1}
+    return _next_state(state, drained=drained, drain_indexes=indexes)
+
+
 def finish_voter_change(state: DeclaredState) -> DeclaredState:
     """Return the state that ends a joint configuration.
 
@@ -172,7 +195,9 @@
     :param other: another one.
     """
     return state == msgspec.structs.replace(
-        other, founding_size=state.founding_size
+        other,
+        founding_size=state.founding_size,
+        drain_indexes=state.drain_indexes,
     )
 
 
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -19,6 +19,7 @@
 from .acceptor import Acceptor
 from .declared_state import (
     DeclaredState,
+    DrainDomain,
     ReplaceConfiguration,
     ReplaceVoters,
     Voter,
@@ -159,6 +160,11 @@
         """Name of this instance as a voter."""
         return self._own_voter.name
 
+    @property
+    def known_index(self) -> int:
+        """Index of the latest known state; -1 for none."""
+        return -1 if self.latest_chosen is None else self.latest_chosen.index
+
     @property
     def is_voter(self) -> bool:
         """Whether the latest known state lists this instance as a voter."""
@@ -180,13 +186,16 @@
         """Return a chosen state after an order, or none if it is not certain.
 
         The order goes to the active proposer. If none is known, this instance
-        proposes it.
+        proposes it. A drain that does not say what was known when it arrived
+        has arrived just now.
 
         :param order: the order.
         """
         known = self.latest_chosen
         if known is not None and _is_outdated(order, known):
             return known
+        if isinstance(order, DrainDomain) and order.seen is None:
+            order = msgspec.structs.replace(order, seen=self.known_index)
         proposer = self._find_active_proposer()
         if proposer is None or proposer == self._own_voter:
             return await self._submit_locally(order)
@@ -316,8 +325,7 @@
 
     async def _learn_unannounced_state(self, now: float) -> None:
         accepted = self._acceptor.accepted.state
-        known_index = self.latest_chosen.index if self.latest_chosen else -1
-        behind = accepted is not None and accepted.index > known_index
+        behind = accepted is not None and accepted.index > self.known_index
         if not behind:
             self._unlearned_since = None
         elif self._unlearned_since is None:
--- a/tests/platform/test_operator_orders.py
+++ b/tests/platform/test_operator_orders.py
@@ -26,11 +26,20 @@
             instance_config(), data_folder=str(folder), first_start=True
         )
         clock = asyncio.get_running_loop().time
-        self.control = ControlInstance(config, None, Failure, clock)
+        #: Time for which the process has stood still, in seconds.
+        self.stood_still_s = 0
+        self.control = ControlInstance(
+            config,
+            None,
+            Failure,
+            clock,
+            lambda: clock() + self.stood_still_s,
+        )
         self.control.replica._acceptor._disk = InlineDisk()
-        self._app = operators_app(self.control)
+        self._app = operators_app(self.control.orders)
         self._tasks = [
-            asyncio.create_task(self.control.replica.run_proposals())
+            asyncio.create_task(self.control.replica.run_proposals()),
+            asyncio.create_task(self.control.orders.stalls.run()),
         ]
 
     async def order(self, method, *, leaves_after_s=None):
@@ -79,3 +88,17 @@
     for method in ('POST', 'POST', 'DELETE', 'DELETE', 'POST'):
         assert await operator.order(method) == 200
     assert operator.drained == {SOUTH_A}
+
+
+async def test_order_read_after_a_standstill_is_not_applied(tmp_path):
+    """Guards against an order that waited in the socket of a frozen process.
+
+    Its sender may have gone on, and a newer order may have been decided.
+    """
+    operator = _Operator(tmp_path)
+    assert await operator.order('POST') == 200
+    operator.stood_still_s = 4
+    assert await operator.order('DELETE') == 503
+    assert operator.drained == {SOUTH_A}
+    await asyncio.sleep(1.5)
+    assert await operator.order('DELETE') == 200
--- a/tests/register/test_declared_state.py
+++ b/tests/register/test_declared_state.py
@@ -8,6 +8,7 @@
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.register.declared_state import (
     DeclaredState,
+    DrainDomain,
     ReplaceVoters,
     apply_order,
     is_same_state,
@@ -16,8 +17,9 @@
 FOUNDERS = tuple(Address(f'10.{number}.0.1', 7000) for number in range(6))
 STATE = DeclaredState.from_founders(FOUNDERS)
 _FIELDS = msgspec.msgpack.decode(msgspec.msgpack.encode(STATE))
-_FIELDS.pop('founding_size')
-#: The same state, as a build writes it that does not know the founding size.
+for _name in ('founding_size', 'drain_indexes'):
+    _FIELDS.pop(_name)
+#: The same state, as a build writes it that does not know these fields.
 OLDER = msgspec.msgpack.decode(
     msgspec.msgpack.encode(_FIELDS), type=DeclaredState
 )
@@ -39,3 +41,26 @@
     """Guards against a deployment whose size is lost with an older build."""
     order = ReplaceVoters(seen=0, voters=OLDER.voters[1:])
     assert apply_order(OLDER, order).founding_size == 6
+
+
+class _OlderDrainDomain(msgspec.Struct, frozen=True, array_like=True):
+    """An order as builds read and write it that do not know its age."""
+
+    domain: str
+    drained: bool
+
+
+def test_drain_of_an_older_build_is_applied():
+    """Guards against orders that are lost while two builds run."""
+    frame = msgspec.msgpack.encode(_OlderDrainDomain('a', drained=True))
+    order = msgspec.msgpack.decode(frame, type=DrainDomain)
+    assert apply_order(STATE, order).drained == {'a'}
+
+
+def test_older_build_reads_a_drain():
+    """Guards against an order that an older build cannot decode."""
+    frame = msgspec.msgpack.encode(
+        DrainDomain(domain='a', drained=True, seen=7)
+    )
+    older = msgspec.msgpack.decode(frame, type=_OlderDrainDomain)
+    assert older == _OlderDrainDomain('a', drained=True)
