Show that a late change ends a newer drain of the product's own tool

A change that ends a drain names the version that its author had read. If the author gave it up and announced the drain again, a copy that arrives late is accepted all the same. Found by looking for late orders elsewhere. Not fixed: a check in apply would make replicas of two builds differ.

--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -40,6 +40,23 @@
     assert state.apply(drain('new', 8)) == Accepted(version=9)
 
 
+def test_late_end_of_a_drain_does_not_end_a_newer_one():
+    """Guards against an order that is applied after a newer one.
+
+    Its author gave it up, and then announced the drain again.
+    """
+    state = ControlState()
+    assert state.apply(drain('d0', 0)) == Accepted(version=1)
+    late = Change(
+        change_id='late',
+        base_version=1,
+        undrain=Drain(scope=DrainScope.upstream, name='u1'),
+    )
+    assert state.apply(drain('d1', 1)) == Accepted(version=2)
+    assert not isinstance(state.apply(late), Accepted)
+    assert [entry.name for entry in state.config.drains] == ['u1']
+
+
 def test_conflicts_alone_expire_nothing_new():
     """Guards against many conflicts that make all new changes expire."""
     state = ControlState(max_applied=3)
