--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -11,18 +11,13 @@
 import secrets
 from collections.abc import Awaitable, Callable
 
-import msgspec
-from returns.result import Result, Success
+from returns.result import Success
 
 from ..codec import Message
 from ..gateway.routes import RouteTable
 from ..logging_setup import logger
 from ..register.acceptor import Acceptor, AcceptorFiles
-from ..register.declared_state import (
-    DeclaredState,
-    DrainDomain,
-    ReplaceConfiguration,
-)
+from ..register.declared_state import DeclaredState
 from ..register.messages import Join, Learned
 from ..register.replica import RegisterReplica
 from .allowance_broadcast import AllowanceBroadcast
@@ -46,6 +41,7 @@
     TargetChanges,
     TargetList,
 )
+from .operator_orders import DecodeConfiguration, OperatorOrders
 from .peer import Peer
 from .poison_broadcast import PoisonBroadcast
 from .region_dispatch import RegionDispatch
@@ -59,34 +55,12 @@
 #: A control instance that reports an older declared state this long after it
 #: was announced gets it again, in seconds; announcements take one round trip.
 RESEND_DELAY_S = 0.5
-
 #: Name of the task that proposes orders.
 _PROPOSALS = 'proposals'
 
-DecodeConfiguration = Callable[[bytes], Result[RouteTable, str]]
 _log = logger('control')
 
 
-class Acknowledged(msgspec.Struct, frozen=True):
-    """The order is in force and will not be lost."""
-
-
-class Invalid(msgspec.Struct, frozen=True):
-    """The order failed validation and was not submitted.
-
-    :param reason: the validation error.
-    """
-
-    reason: str
-
-
-class Undecided(msgspec.Struct, frozen=True):
-    """No quorum replied; the order may or may not be in force."""
-
-
-OrderOutcome = Acknowledged | Invalid | Undecided
-
-
 class ControlInstance:
     """Connects the replica, the links, the target feed and the dispatcher.
 
@@ -96,6 +70,8 @@
     :param now: returns monotonic time in seconds.
     :param check_order: does the same for one that an operator orders; by
         default ``decode``.
+    :param stall_clock: returns time in seconds, suspensions included; by
+        default the clock of the system.
     """
 
     def __init__(
@@ -105,10 +81,10 @@
         decode: DecodeConfiguration,
         now: Callable[[], float],
         check_order: DecodeConfiguration | None = None,
+        stall_clock: Callable[[], float] | None = None,
     ) -> None:
         self._config = config
         self._decode = decode
-        self._check_order = check_order or decode
         self._now = now
         self._created_at = now()
         self._routes: RouteTable | None = None
@@ -129,6 +105,13 @@
         )
         self.links = ControlLinks(config, hello, now, meter)
         self.replica = self._open_replica()
+        self.orders = OperatorOrders(
+            self.replica,
+            check_order or decode,
+            config.regions,
+            self.metrics,
+            stall_clock,
+        )
         self.feed = TargetFeed(
             source,
             self._read_rank,
@@ -185,6 +168,7 @@
             ('membership', self.replica.run_membership),
             ('target list', self.feed.run),
             ('heartbeats', self._run_heartbeats),
+            ('stalls', self.orders.stalls.run),
             ('reports', self._reports),
         ):
             self.supervise(name, factory)
@@ -220,73 +204,6 @@
             self.links.reachable_voters(self.replica.name),
         )
 
-    async def replace_configuration(self, body: bytes) -> OrderOutcome:
-        """Apply a configuration unless a newer one is in force.
-
-        :param body: the encoded configuration.
-        """
-        started_at = self._now()
-        outcome = await self._replace_configuration(body)
-        self._record_order('configuration', outcome, started_at)
-        return outcome
-
-    async def _replace_configuration(self, body: bytes) -> OrderOutcome:
-        decoded = self._check_order(body)
-        if not isinstance(decoded, Success):
-            _log.bind(reason=decoded.failure()).info('configuration refused')
-            return Invalid(decoded.failure())
-        version = decoded.unwrap().version
-        state = await self.replica.submit(
-            ReplaceConfiguration(version=version, body=body),
-        )
-        in_force = state is not None and state.version >= version
-        _log.bind(
-            version=version,
-            held=state.version if state else None,
-            acknowledged=in_force,
-        ).info('configuration order')
-        return Acknowledged() if in_force else Undecided()
-
-    async def drain_domain(self, domain: str, *, drained: bool) -> OrderOutcome:
-        """Start or end the drain of a failure domain.
-
-        :param domain: the failure domain.
-        :param drained: whether its targets get no requests.
-        """
-        started_at = self._now()
-        outcome = await self._drain_domain(domain, drained=drained)
-        self._record_order('drain', outcome, started_at)
-        return outcome
-
-    async def _drain_domain(
-        self,
-        domain: str,
-        *,
-        drained: bool,
-    ) -> OrderOutcome:
-        if domain not in self._config.regions:
-            return Invalid(f'unknown failure domain {domain!r}')
-        state = await self.replica.submit(
-            DrainDomain(domain=domain, drained=drained),
-        )
-        in_force = state is not None and (domain in state.drained) == drained
-        _log.bind(
-            domain=domain,
-            drained=drained,
-            acknowledged=in_force,
-        ).info('drain order')
-        return Acknowledged() if in_force else Undecided()
-
-    async def read_configuration(self) -> bytes | None:
-        """Return the configuration in force.
-
-        Returns nothing if there is none yet or no quorum replies.
-        """
-        state = await self.replica.read()
-        if state is None or not state.version:
-            return None
-        return state.body
-
     def lookup(self, region: str, domain: str) -> list[Address]:
         """Return the entry instances that a caller may connect to.
 
@@ -321,17 +238,6 @@
             config.limits.tolerated_losses,
         )
 
-    def _record_order(
-        self,
-        kind: str,
-        outcome: OrderOutcome,
-        started_at: float,
-    ) -> None:
-        name = type(outcome).__name__.lower()
-        self.metrics.orders.labels(kind, name).inc()
-        took_s = self._now() - started_at
-        self.metrics.order_time.labels(kind).observe(took_s)
-
     def _record_state(self) -> None:
         state = self.replica.latest_chosen
         gauge = self.metrics.state_gauge
@@ -387,7 +293,7 @@
             peer.link.send(
                 self.links.fleet.view(
                     peer.hello.region,
-                    self._state_index(),
+                    self.replica.known_index,
                     self._now() - self.feed.read_at,
                     confirmed=self.confirmed,
                 )
@@ -475,7 +381,7 @@
         if changes is not None:
             self.links.broadcast(changes)
         heartbeat = self.links.build_heartbeat(
-            self._state_index(),
+            self.replica.known_index,
             self.replica.name,
             self._demand,
             confirmed=self.confirmed,
@@ -488,7 +394,7 @@
 
     def _send_views(self) -> None:
         self.links.send_views(
-            self._state_index(),
+            self.replica.known_index,
             self._now() - self.feed.read_at,
             confirmed=self.confirmed,
         )
@@ -520,7 +426,3 @@
                 and peer.heartbeat_at > self._learned_at + RESEND_DELAY_S / 2
             ):
                 peer.link.send(Learned(state=state))
-
-    def _state_index(self) -> int:
-        state = self.replica.latest_chosen
-        return state.index if state else -1
