--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -6,6 +6,7 @@
 
 import json
 
+import pytest
 from returns.result import Failure
 
 from cuminhoist.fleet.instance_config import Address
@@ -115,3 +116,41 @@
     limits = load_settings(path).unwrap().limits
     assert limits.prefers_own_domain
     assert limits.learns_limits
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        json.dumps({**SETTINGS, 'later': 0}).replace(
+            '"later": 0', f'"later": {"[" * 5000}{"]" * 5000}'
+        ),
+        json.dumps({**SETTINGS, 'internal_ports': [0, 7555]}),
+        json.dumps({**SETTINGS, 'internal_ports': [7540, 2**64]}),
+        json.dumps({**SETTINGS, 'seeds': ['10.1.0.8:85_44']}),
+        json.dumps({**SETTINGS, 'seeds': ['10.1.0.8:\u0668\u0660']}),
+        json.dumps({**SETTINGS, 'seeds': ['10.1.0.8:85440']}),
+        json.dumps({**SETTINGS, 'seeds': [None]}),
+        json.dumps({**SETTINGS, 'ip': '\ud800'}),
+        json.dumps({**SETTINGS, 'limits': {'link_mbps': float('nan')}}),
+        json.dumps({**SETTINGS, 'limits': {'memory_mb': 10**400}}),
+        json.dumps({**SETTINGS, 'node': 'core'}).replace('core"', 'co\x02re"'),
+    ],
+    ids=[
+        'deep',
+        'port 0',
+        'port of 64 bits',
+        'underscore',
+        'other digits',
+        'port out of range',
+        'no address',
+        'surrogate',
+        'NaN',
+        'number out of range',
+        'control byte',
+    ],
+)
+def test_odd_settings_are_a_value(tmp_path, text):
+    """Guards against the end of the task that watches the settings."""
+    path = tmp_path / 'node.json'
+    path.write_text(text)
+    assert isinstance(load_settings(path), Failure)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -233,3 +233,9 @@
     """Guards against lines about targets that send no load."""
     for headers in ([], [(b'x-server-load', b'3, 1, 9, 80')]):
         assert not PlatformWire().read_metadata(200, headers).odd_load
+
+
+def test_deadline_with_an_underscore_is_none():
+    """Guards against a number that only this language reads as one."""
+    req = PlatformWire().decode_request(_scope((b'x-deadline-ms', b'1_0')))
+    assert req.left_s is None
--- a/tests/test_json_logs.py
+++ b/tests/test_json_logs.py
@@ -59,3 +59,20 @@
         sink(_log_message(second=second, text='x' * 500))
     assert sink.dropped
     assert len(sink._buffered) <= MAX_BUFFERED_BYTES
+
+
+def test_field_without_encoding_is_logged_in_another_form():
+    """Guards against an error in the code that writes a log line.
+
+    A line may tell of what others have sent, such as a number over 64 bits.
+    """
+    lines = []
+    sink = JsonLogSink(lambda text: lines.append(text) or len(text))
+    deep = current = []
+    for _ in range(2000):
+        current.append([])
+        current = current[0]
+    sink(_log_message(text='\ud800', version=2**64, name='\udce9', deep=deep))
+    fields = json.loads(lines[0])
+    assert str(2**64) in str(fields['version'])
+    assert sink.dropped == 0
