Take deep nesting and odd numbers as errors that are values

A settings file, a file of an operator, a load report of a target or the platform's list with deeply nested content raised RecursionError where a decoding error is a value: it ended the task that watches the settings, polls the list or probes targets. A port such as 0, 85_44, 85440 or one in Arabic digits was taken. A log line with a number over 64 bits or a surrogate, of what others had sent, raised an error in the code that wrote it.

All sites that decode JSON take RecursionError as a decoding error, ports are decimal numbers in range, and a field of a log line that has no encoding is written as its shortened text.

Looked at: every decode of JSON and msgpack, int(), float() and isdigit() in the package. Lengths of bodies are checked by the parser (20 digits, a sign or an underscore are refused), loads of targets have nine ASCII digits, Retry-After and Keep-Alive are ASCII digits and may overflow to infinity, which is bounded or compared only. X-Deadline-Ms took 1_0 as 10. Numbers of the product's own callers are checked for length and ASCII.

--- a/src/cuminhoist/hop_signing.py
+++ b/src/cuminhoist/hop_signing.py
@@ -136,7 +136,7 @@
             return Failure(HopError('wrong tag', forged=True))
         try:
             hop = msgspec.json.decode(body, type=Hop)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return Failure(HopError('malformed', forged=True))
         return self._check_hop(hop)
 
--- a/src/cuminhoist/instance_list.py
+++ b/src/cuminhoist/instance_list.py
@@ -85,6 +85,6 @@
             return Failure(f'status {reply.status_code}')
         try:
             reply_list = msgspec.json.decode(reply.content, type=_ListReply)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return Failure(str(exc))
         return Success(PlatformList(reply_list.live, reply_list.leaving))
--- a/src/cuminhoist/json_logs.py
+++ b/src/cuminhoist/json_logs.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import reprlib
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -20,6 +21,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 
 _STDOUT_FD = 1
+#: Raised for numbers over 64 bits, texts with surrogates and deep nesting, of
+#: what others have sent.
+_ENCODING_ERRORS = (ValueError, OverflowError, RecursionError)
 
 
 class JsonLogSink:
@@ -100,8 +104,24 @@
     if record['exception'] is not None:
         fields['exception'] = repr(record['exception'].value)
         fields['where'] = _format_traceback(record['exception'].traceback)
-    encoded = msgspec.json.encode(fields, enc_hook=str)
-    return b'%b\n' % encoded
+    return b'%b\n' % _encode_fields(fields)
+
+
+def _encode_fields(fields: dict[str, Any]) -> bytes:
+    try:
+        return msgspec.json.encode(fields, enc_hook=str)
+    except _ENCODING_ERRORS:
+        readable = {name: _readable(field) for name, field in fields.items()}
+        return msgspec.json.encode(readable, enc_hook=str)
+
+
+def _readable(field: object) -> object:
+    """Return a field, or its shortened text if it has no encoding."""
+    try:
+        msgspec.json.encode(field, enc_hook=str)
+    except _ENCODING_ERRORS:
+        return reprlib.repr(field)
+    return field
 
 
 def _format_traceback(traceback: Any) -> str:
--- a/src/cuminhoist/operator_api.py
+++ b/src/cuminhoist/operator_api.py
@@ -140,7 +140,7 @@
         """
         try:
             change = msgspec.json.decode(body, type=Change)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return _invalid((field_error_from('body', exc, Change),))
         dependencies = self._dependencies
         errors = check_change(
--- a/src/cuminhoist/operatorclient.py
+++ b/src/cuminhoist/operatorclient.py
@@ -175,7 +175,7 @@
             answer.content,
             type=ChangeOutcome,
         )
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return Failure(_describe(answer))
     return Success(outcome)
 
@@ -189,7 +189,7 @@
     text_start = answer.text[:200]
     try:
         error = msgspec.json.decode(answer.content, type=_ErrorBody)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         error = _ErrorBody()
     text = error.reason or error.detail or text_start
     return f'{answer.url}: HTTP status {answer.status_code}: {text}'
@@ -201,7 +201,7 @@
 ) -> Result[_AnswerBody, str]:
     try:
         return Success(msgspec.json.decode(answer.content, type=answer_type))
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return Failure(f'{answer.url}: unexpected answer: {exc}')
 
 
--- a/src/cuminhoist/peer_client.py
+++ b/src/cuminhoist/peer_client.py
@@ -115,7 +115,7 @@
     try:
         body = await _read_problem(answer)
         problem = msgspec.json.decode(body, type=ProblemDetails)
-    except (ForwardingError, msgspec.DecodeError):
+    except (ForwardingError, msgspec.DecodeError, RecursionError):
         return peer_lost
     finally:
         answer.abort()
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -2,13 +2,18 @@
 
 import os
 import pathlib
-from typing import Any
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from ..exceptions import FieldError
-from ..fleet.instance_config import Address, DeploymentLimits, InstanceConfig
+from ..fleet.instance_config import (
+    MAX_PORT,
+    Address,
+    DeploymentLimits,
+    InstanceConfig,
+)
 from ..steering.allowance_sizes import AllowanceBounds
 
 #: Environment variable with the path of the settings file.
@@ -23,6 +28,9 @@
 _BYTES_PER_MB = 1_000_000
 
 
+_Port = Annotated[int, msgspec.Meta(gt=0, le=MAX_PORT)]
+
+
 class _Listen(msgspec.Struct, frozen=True):
     front: str = ''
     ready: str = ''
@@ -67,7 +75,7 @@
     zones: dict[str, str]
     listen: _Listen
     #: First and last port that are free for traffic between instances.
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[_Port, _Port]
     #: Listen address for other instances if they connect through another
     #: address, such as that of a proxy in a test. The platform does not
     #: set it.
@@ -105,7 +113,8 @@
         return Success(_instance_config(boot))
     except OSError as exc:
         return Failure(FieldError(str(path), '$', f'cannot read: {exc}'))
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (ValueError, RecursionError) as exc:
+        # The decoding errors of msgspec are subclasses of ValueError.
         return Failure(FieldError(str(path), '$', str(exc)))
 
 
@@ -122,8 +131,7 @@
         target_source_host=boot.targets_source,
         # All machines of a deployment use the same internal ports.
         seeds=tuple(
-            Address(_parse_address(seed).host, first_port)
-            for seed in boot.seeds
+            Address(Address.parse(seed).host, first_port) for seed in boot.seeds
         ),
         first_start=boot.bootstrap,
         data_folder=boot.data_dir or '',
@@ -132,7 +140,7 @@
         operator_address=_optional_address(listen.control),
         lookup_address=_optional_address(listen.directory),
         metrics_address=Address(boot.ip, last_port),
-        target_list_address=_parse_address(boot.cloud.address),
+        target_list_address=Address.parse(boot.cloud.address),
         list_calls_per_s=boot.cloud.rate_per_s,
         limits=_deployment_limits(boot),
         link_bytes_per_s=boot.limits.link_mbps * _BYTES_PER_MBIT
@@ -161,10 +169,5 @@
     )
 
 
-def _parse_address(text: Any) -> Address:
-    host, _, port = str(text).rpartition(':')
-    return Address(host, int(port))
-
-
 def _optional_address(text: str) -> Address | None:
-    return _parse_address(text) if text else None
+    return Address.parse(text) if text else None
--- a/src/cuminhoist/platform/requests.py
+++ b/src/cuminhoist/platform/requests.py
@@ -231,7 +231,8 @@
 
 def _deadline_s(text: bytes | None) -> float | None:
     try:
-        left_ms = float(text or b'nan')
+        # An underscore between digits is no part of a number here.
+        left_ms = float((text or b'nan').replace(b'_', b'?'))
     except ValueError:
         return None
     return left_ms / _MS if math.isfinite(left_ms) else None
--- a/src/cuminhoist/probes.py
+++ b/src/cuminhoist/probes.py
@@ -88,7 +88,7 @@
             return ProbeResult(healthy=False)
         try:
             report = msgspec.json.decode(answer.content, type=_LoadReport)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             report = _LoadReport()
         return ProbeResult(
             healthy=answer.status_code == httpx.codes.OK,
--- a/src/cuminhoist/queries.py
+++ b/src/cuminhoist/queries.py
@@ -56,7 +56,7 @@
         return Failure(FieldError(path, '$', f'cannot read: {exc.strerror}'))
     try:
         return Success(msgspec.json.decode(content, type=struct_type))
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return Failure(field_error_from(path, exc, struct_type))
 
 
--- a/src/cuminhoist/settings.py
+++ b/src/cuminhoist/settings.py
@@ -309,7 +309,7 @@
         return Failure(FieldError(str(path), '$', f'cannot read: {exc}'))
     try:
         return Success(msgspec.json.decode(content, type=struct_type))
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         message, _, field = str(exc).partition(' - at ')
         return Failure(FieldError(str(path), field.strip('`') or '$', message))
 
--- a/src/cuminhoist/validation.py
+++ b/src/cuminhoist/validation.py
@@ -156,7 +156,7 @@
 
 def field_error_from(
     file: str,
-    exc: msgspec.DecodeError,
+    exc: Exception,
     json_type: type[msgspec.Struct],
 ) -> FieldError:
     """Return the validation error for JSON that cannot be decoded.
--- a/tests/test_deep_content.py
+++ b/tests/test_deep_content.py
@@ -51,5 +51,6 @@
 
 def test_answer_to_an_operator():
     """Guards against a stack trace in place of an error message."""
-    answer = httpx.Response(200, content=DEEP)
+    req = httpx.Request('GET', 'http://list.example')
+    answer = httpx.Response(200, content=DEEP, request=req)
     assert isinstance(_decode(answer, msgspec.Raw), Failure)
