Take an address out of range as one that cannot be dialled

A control instance or an entry of the list of control instances can tell an address with a port out of range. The dial raised OverflowError in a task of its own, again with each round of dials, and each wrote a stack trace.

Evidence: test_dial_of_an_address_out_of_range_is_a_value failed with 'OverflowError: connect(): port must be 0-65535', found by the fuzz of messages between instances.

--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -386,7 +386,9 @@
             link.round_trip_s = loop.time() - started_at
             return link
 
-        with contextlib.suppress(OSError, TimeoutError):
+        # Another instance may tell an address that is none: a port out of
+        # range, or a host that cannot be a name.
+        with contextlib.suppress(OSError, OverflowError, UnicodeError):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
                     create_dialled_link,
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+import pytest
+
 from cuminhoist.codec import Codec
 from cuminhoist.fleet.control_links import ControlLinks
 from cuminhoist.fleet.instance_config import Address, InstanceConfig
@@ -84,6 +86,15 @@
     assert await links.dial(Address('127.0.0.1', 1)) is None
 
 
+@pytest.mark.parametrize(
+    'address', [Address('127.0.0.1', 2**63), Address('127.0.0.1', -1)], ids=str
+)
+async def test_dial_of_an_address_out_of_range_is_a_value(address):
+    """Guards against an error for an address that another instance told."""
+    links = Links(Codec('', 'a'), RecordingHandler())
+    assert await links.dial(address) is None
+
+
 def _instance_config(name, port, seeds):
     own = Address('127.0.0.1', port)
     return InstanceConfig(
--- a/tests/platform/odd_entries.py
+++ b/tests/platform/odd_entries.py
@@ -40,7 +40,10 @@
     )
     content = f'{{"instances":{{{instances}}},'
     content += f'"next_page_token":{json.dumps(token)}}}'
-    return content.encode('utf-8', 'surrogateescape')
+    try:
+        return content.encode('utf-8', 'surrogateescape')
+    except UnicodeEncodeError:
+        return content.encode('utf-8', 'surrogatepass')
 
 
 #: Entries of which none names a target, by what is odd about them.
