--- a/tests/platform/test_operator_orders.py
+++ b/tests/platform/test_operator_orders.py
@@ -33,7 +33,7 @@
             None,
             Failure,
             clock,
-            lambda: clock() + self.stood_still_s,
+            stall_clock=lambda: clock() + self.stood_still_s,
         )
         self.control.replica._acceptor._disk = InlineDisk()
         self._app = operators_app(self.control.orders)
