Fail an answer in time that a stop would not let begin

A stop had no limit for an answer whose head had arrived. One that is read whole before it begins, since requests behind it run, could hold up the ready answers behind it until the process ended, and all of them were lost.

Evidence: test_stop_answers_requests_behind_an_answer_that_is_read_whole failed with 'TimeoutError': neither the answer nor the one behind it came before the process ends.

An answer of a target now has a phase of its own from its head until its body has arrived or its first byte is sent. In this phase the limit of a running request applies (StopWindow.answers_until): the caller gets a 504 with an unknown outcome, and the answers behind are sent in the time that is left. Answers that have arrived or begun still end with the process only. A request that is cancelled before any of its answer is sent no longer ends the connection; its limit answers it, or its caller has gone.

--- a/src/cuminhoist/gateway/answer_body.py
+++ b/src/cuminhoist/gateway/answer_body.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from ..caller_memory import Purpose
 from ..pipelined_request import PipelinedRequest
@@ -27,6 +27,7 @@
     :param req: the request, with its turn; its memory counts the bytes that
         are held.
     :param limits: until when the answer may arrive.
+    :param on_ready: called once the whole body has arrived.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         answer: TargetAnswer,
         req: PipelinedRequest,
         limits: AnswerLimits,
+        on_ready: Callable[[], None],
     ) -> None:
         self._exchange = answer.exchange
         self._complete = answer.body_complete
@@ -42,11 +44,14 @@
         self._memory = req.memory
         self._limits = limits
         self._time_limit: asyncio.Timeout | None = None
+        self._on_ready = on_ready
         self._hold(answer.body)
         # What a caller does not read fills the buffer of the exchange, too.
         self._memory.add(Purpose.passing_answers, answer.exchange.buffered)
         answer.exchange.on_buffered = self._count_buffered
         answer.exchange.on_complete = self._note_arrival
+        if self._has_arrived:
+            on_ready()
 
     async def read_until_start(self) -> None:
         """Read ahead until the answer may be begun.
@@ -136,6 +141,7 @@
         self._memory.add(Purpose.passing_answers, change)
 
     def _note_arrival(self) -> None:
+        self._on_ready()
         self._req.release_later()
         if self._time_limit is not None and not self._time_limit.expired():
             self._time_limit.reschedule(None)
--- a/src/cuminhoist/gateway/answer_sender.py
+++ b/src/cuminhoist/gateway/answer_sender.py
@@ -20,6 +20,7 @@
 from .pacing import LinkPacer
 from .refusals import refusal_of_incomplete_answer
 from .request_state import RequestState
+from .stop_limits import StopLimits
 from .wire import WireFormat
 
 
@@ -29,14 +30,21 @@
     :param wire: drops the headers that concern one connection only.
     :param pacer: paces large answers on a slow link.
     :param now: returns monotonic time in seconds.
+    :param stop_limits: limits answers that have not been begun if the
+        instance stops.
     """
 
     def __init__(
-        self, wire: WireFormat, pacer: LinkPacer, now: Callable[[], float]
+        self,
+        wire: WireFormat,
+        pacer: LinkPacer,
+        now: Callable[[], float],
+        stop_limits: StopLimits,
     ) -> None:
         self._wire = wire
         self._pacer = pacer
         self._now = now
+        self._stop_limits = stop_limits
 
     async def pass_on(
         self,
@@ -58,13 +66,22 @@
         :param send: sends to the caller.
         :returns: a failure, with how the request ended, if the caller was not
             sent the whole answer.
+        :raises CancelledError: if it is cancelled before any of it is sent.
         """
         pipelined: PipelinedRequest = scope['state']['pipelined_request']
-        body = AnswerBody(answer, pipelined, state.answer_limits(self._now()))
+        body = AnswerBody(
+            answer,
+            pipelined,
+            state.answer_limits(self._now()),
+            lambda: self._stop_limits.start_answer(state),
+        )
         try:
-            await self._send(answer, body, send)
+            await self._send(state, answer, body, send)
         except (Exception, asyncio.CancelledError) as exc:
             abort(answer.exchange)
+            if _is_cancelled_unbegun(exc, pipelined):
+                # The limit of a stop answers it, or its caller has gone.
+                raise
             if pipelined.answer_begun or not _is_of_target(exc):
                 scope['state']['abort']()
                 state.trail.append(f'answer cut: {exc!r}')
@@ -91,14 +108,23 @@
         )
 
     async def _send(
-        self, answer: TargetAnswer, body: AnswerBody, send: Send
+        self,
+        state: RequestState,
+        answer: TargetAnswer,
+        body: AnswerBody,
+        send: Send,
     ) -> None:
         await body.read_until_start()
+        self._stop_limits.start_answer(state)
         headers = headers_for_caller(self._wire, answer)
         async with body.limit_time():
             await send_answer(answer, headers, body.chunks(), send, self._pacer)
 
 
+def _is_cancelled_unbegun(exc: BaseException, req: PipelinedRequest) -> bool:
+    return isinstance(exc, asyncio.CancelledError) and not req.answer_begun
+
+
 def _is_of_target(exc: BaseException) -> bool:
     """Tell whether the target has not given all of its answer."""
     return isinstance(exc, (TimeoutError, ProtocolError))
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -100,7 +100,6 @@
         )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
-        self._answer_sender = AnswerSender(wire, connections.pacer, now)
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
@@ -116,6 +115,9 @@
             self.routing_state, self._authenticator, now
         )
         self.stop_limits = self._acceptance.stop_limits
+        self._answer_sender = AnswerSender(
+            wire, connections.pacer, now, self.stop_limits
+        )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one request of a caller.
@@ -470,7 +472,7 @@
         send: Send,
     ) -> str:
         succeeded = answer.status < _MIN_SERVER_ERROR
-        self.stop_limits.start_answer(state, served=succeeded)
+        self.stop_limits.start_reading(state, served=succeeded)
         ended = await self._answer_sender.pass_on(state, answer, scope, send)
         if not isinstance(ended, Success):
             return ended.failure()
--- a/src/cuminhoist/gateway/stop_limits.py
+++ b/src/cuminhoist/gateway/stop_limits.py
@@ -16,7 +16,9 @@
     waiting = enum.auto()
     #: A target may be at work on it.
     running = enum.auto()
-    #: Its answer is passed on.
+    #: The answer of a target arrives; nothing of it has been sent.
+    reading = enum.auto()
+    #: Its answer is sent, or is ready to be sent.
     answering = enum.auto()
 
 
@@ -72,15 +74,26 @@
         """
         self.limits[state].enter(_Phase.waiting)
 
-    def start_answer(self, state: RequestState, *, served: bool) -> None:
-        """Note that an answer is passed on; it ends with the process only.
+    def start_reading(self, state: RequestState, *, served: bool) -> None:
+        """Note that the answer of a target has begun to arrive.
 
         :param state: the request.
         :param served: whether a target has served it.
         """
         limit = self.limits[state]
         limit.served = served
-        limit.enter(_Phase.answering)
+        limit.enter(_Phase.reading)
+
+    def start_answer(self, state: RequestState) -> None:
+        """Note that an answer is ready or begun.
+
+        It ends with the process only.
+
+        :param state: the request; nothing happens once its limit has ended.
+        """
+        limit = self.limits.get(state)
+        if limit is not None:
+            limit.enter(_Phase.answering)
 
     def latest_start(self, state: RequestState, window: StopWindow) -> float:
         """Return until when a request may be sent to a target.
@@ -141,8 +154,8 @@
         others = self._task.uncancel() - self._cancelling
         if others > 0 or exc_type is not asyncio.CancelledError:
             return False
-        running = self.phase is _Phase.running
-        state.may_have_run = state.may_have_run or running
+        ran = self.phase in {_Phase.running, _Phase.reading}
+        state.may_have_run = state.may_have_run or ran
         return True
 
     def enter(self, phase: _Phase) -> None:
@@ -156,7 +169,7 @@
             return
         if phase is _Phase.answering:
             self._set_timer(None)
-        elif phase is _Phase.running:
+        elif phase in {_Phase.running, _Phase.reading}:
             self._set_timer(owner.window.answers_until)
         else:
             self._set_timer(owner.latest_start(self._state, owner.window))
--- a/tests/gateway/test_answer_sender.py
+++ b/tests/gateway/test_answer_sender.py
@@ -16,12 +16,19 @@
 from cuminhoist.gateway.answer_sender import AnswerSender
 from cuminhoist.gateway.answers import TargetAnswer
 from cuminhoist.gateway.pacing import LinkPacer
+from cuminhoist.gateway.stop_limits import StopLimits
 from cuminhoist.gateway.request_state import MIN_PASSING_S
 from cuminhoist.platform.requests import PlatformWire
 
 pytestmark = [pytest.mark.looptime]
 
 
+class _State(types.SimpleNamespace):
+    """State of a request, identified by itself."""
+
+    __hash__ = object.__hash__
+
+
 class _Exchange:
     """An exchange whose answer has no further bytes."""
 
@@ -59,8 +66,10 @@
     async def send(_event) -> None:
         await asyncio.sleep(MIN_PASSING_S)
 
-    sender = AnswerSender(PlatformWire(), LinkPacer(float('inf'), now), now)
-    state = types.SimpleNamespace(
+    sender = AnswerSender(
+        PlatformWire(), LinkPacer(float('inf'), now), now, StopLimits(now)
+    )
+    state = _State(
         answer_limits=lambda _now: AnswerLimits(
             now() - 1, now() + MIN_PASSING_S
         ),
