Do not limit answers of our own by a stop while they are sent

A stop cancelled requests in the phase of waiting at their latest start, also those whose stored failure or refusal was being sent. The connection ended within that answer, and the requests behind it were lost.

Evidence: test_stop_does_not_cut_a_failure_that_is_being_sent failed with '2500 bytes read on a total of 4800 expected bytes'.

Each answer that needs no target any more is noted as begun before it is sent: stored failures, refusals, and the 502 or 504 in place of an incomplete answer. Looked at for the same fault: refusals of bodies that are too large and of requests that cannot be sent are sent after the limit has ended.

--- a/src/cuminhoist/gateway/answer_sender.py
+++ b/src/cuminhoist/gateway/answer_sender.py
@@ -93,6 +93,7 @@
         finally:
             body.discard()
         refusal = refusal_of_incomplete_answer(timed_out=timed_out)
+        self._stop_limits.start_answer(state)
         await send_refusal(refusal, send)
         return Failure(f'failed-{refusal.reason}')
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -276,8 +276,7 @@
             )
         if self.crash_detector.is_poison(state, body):
             refusal = refusals.refusal_of_poison(state)
-            await send_refusal(refusal, send)
-            return f'refused-{refusal.reason}'
+            return await self._refuse(state, refusal, send)
         if self.reachability.is_cut:
             return await self._pass_on(state, body, scope, send)
         return ''
@@ -315,8 +314,7 @@
             refusal = refusals.refusal_of_cut_instance(state, outcome)
         else:
             refusal = refusals.refusal_of_caller(state, refusal)
-        await send_refusal(refusal, send)
-        return f'refused-{refusal.reason}'
+        return await self._refuse(state, refusal, send)
 
     def _may_be_sent(self, state: RequestState, decision: Granted) -> bool:
         """Tell whether a granted target may still get a request.
@@ -446,8 +444,15 @@
     ) -> str:
         failed = state.failed_answer
         if failed is not None and failed.body_complete:
+            self.stop_limits.start_answer(state)
             await self._answer_sender.send_buffered(failed, send)
             return f'answered-{failed.status}'
+        return await self._refuse(state, refusal, send)
+
+    async def _refuse(
+        self, state: RequestState, refusal: Refusal, send: Send
+    ) -> str:
+        self.stop_limits.start_answer(state)
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
 
@@ -461,6 +466,7 @@
             state.service, state.allowed_regions
         )
         refusal = refusals.refusal_after_attempt(state, outcome, paused_s)
+        self.stop_limits.start_answer(state)
         await send_refusal(refusal, send)
         return f'failed-{refusal.reason}'
 
