Count the first answer of a connection by itself while it is read whole

Answers that were read ahead used up the memory of their connection. The answer in front was then begun before it was whole although they were ready, and took them along when its target stalled.

Evidence: test_waiting_answers_do_not_make_the_one_before_them_begin failed with '70000 bytes read on a total of 900000 expected bytes'.

The first answer is bounded by its own bytes, up to the bound of a connection, so a connection holds twice the bound at most. The bounds of the process are as before and still count it.

--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -48,7 +48,8 @@
     :param low_bytes: below this, requests are accepted again.
     :param waiting_answers_bytes: bound for all answers that wait for their
         turn.
-    :param connection_bytes: bound for those of one connection.
+    :param connection_bytes: bound for those of one connection. The first
+        answer may take as much again.
     """
 
     high_bytes: float = math.inf
@@ -214,11 +215,15 @@
         if size < 0:
             self._released.set()
 
-    @property
-    def has_room(self) -> bool:
-        """Whether more of an answer may be read before it is sent."""
+    def has_room_for_first(self, held: int) -> bool:
+        """Tell whether more of the first answer may be read before it is sent.
+
+        The answers behind it do not count: it would be begun before it is
+        whole, and could take them along.
+
+        :param held: bytes of this answer that are held.
+        """
         bound = self.process.limits.connection_bytes
-        held = self._held.get(Purpose.waiting_answers, 0)
         return held < bound and self.process.has_room
 
     async def wait_for_room(self) -> None:
--- a/src/cuminhoist/gateway/answer_body.py
+++ b/src/cuminhoist/gateway/answer_body.py
@@ -43,6 +43,8 @@
         self._req = req
         self._memory = req.memory
         self._limits = limits
+        #: Bytes of the body that are held.
+        self._held = 0
         self._time_limit: asyncio.Timeout | None = None
         self._on_ready = on_ready
         self._hold(answer.body)
@@ -64,7 +66,7 @@
             await self._read_until_turn()
             # The time in which other answers went first does not count.
             self._limits = limits.delayed(self._req.turn_wait_s)
-        while self._must_be_read_whole and self._memory.has_room:
+        while self._must_be_read_whole and self._has_room:
             await self._read()
         if not self._has_arrived:
             self._req.hold_later()
@@ -88,14 +90,12 @@
             if not self._chunks:
                 await self._read()
                 continue
-            chunk = self._chunks.popleft()
-            self._memory.add_answer_bytes(-len(chunk))
-            yield chunk
+            yield self._release_chunk()
 
     def discard(self) -> None:
         """Release the bytes that are still held."""
         while self._chunks:
-            self._memory.add_answer_bytes(-len(self._chunks.popleft()))
+            self._release_chunk()
         self._exchange.on_buffered = _ignore_bytes
         self._exchange.on_complete = _ignore_arrival
         self._memory.add(Purpose.passing_answers, -self._exchange.buffered)
@@ -109,6 +109,10 @@
     def _must_be_read_whole(self) -> bool:
         return not self._has_arrived and self._req.has_later_started
 
+    @property
+    def _has_room(self) -> bool:
+        return self._memory.has_room_for_first(self._held)
+
     async def _read_until_turn(self) -> None:
         turn = asyncio.create_task(self._req.wait_for_turn())
         reading = asyncio.create_task(self._read_ahead())
@@ -135,8 +139,15 @@
     def _hold(self, chunk: bytes) -> None:
         if chunk:
             self._chunks.append(chunk)
+            self._held += len(chunk)
             self._memory.add_answer_bytes(len(chunk))
 
+    def _release_chunk(self) -> bytes:
+        chunk = self._chunks.popleft()
+        self._held -= len(chunk)
+        self._memory.add_answer_bytes(-len(chunk))
+        return chunk
+
     def _count_buffered(self, change: int) -> None:
         self._memory.add(Purpose.passing_answers, change)
 
