Send no length with an answer that has no body

A 304 or 204 of a target with a content-length ended the connection of the caller after the head, and the requests behind it were lost: the listener expects as many bytes as the header says.

Evidence: test_status_without_body_but_with_a_length_ends_no_connection failed for both with '0 bytes read on a total of undefined expected bytes'.

The length is dropped from both. A 204 must not have one (RFC 9110, section 8.6); in a 304 it is optional and the listener cannot express it. Answers to HEAD keep theirs: the listener expects no bytes for them.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -24,7 +24,7 @@
 #: chunk extension or a trailer without end.
 MAX_FRAMING_BYTES = 64 * 1024
 
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS_STATUS = 101
 
@@ -259,7 +259,7 @@
         exchange.status = status
         self._note_framing(exchange)
         exchange.mark_head_received()
-        if status in _STATUSES_WITHOUT_BODY or exchange.head.method == b'HEAD':
+        if status in STATUSES_WITHOUT_BODY or exchange.head.method == b'HEAD':
             self._body_ends_at_eof = False
             self._answer_complete = True
 
--- a/src/cuminhoist/gateway/attempt.py
+++ b/src/cuminhoist/gateway/attempt.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..client_connection import ClientConnection
+from ..client_connection import STATUSES_WITHOUT_BODY, ClientConnection
 from ..exceptions import (
     ConnectionLostError,
     LocalProtocolError,
@@ -289,4 +289,8 @@
     :param wire: drops the headers that concern one connection only.
     :param answer: the answer of a target.
     """
-    return wire.answer_headers(answer.headers)
+    headers = wire.answer_headers(answer.headers)
+    if answer.status not in STATUSES_WITHOUT_BODY:
+        return headers
+    # The listener would wait for as many bytes (RFC 9110, section 8.6).
+    return [header for header in headers if header[0] != b'content-length']
