Answer a request after an unexpected error if nothing was sent yet

An unexpected error while the answer of a target was passed on ended the connection although nothing of that answer had been sent, and the requests behind it were lost.

Evidence: test_unexpected_error_before_an_answer_is_begun_ends_no_connection failed with '0 bytes read on a total of undefined expected bytes'.

The error is passed up to the proxy, which logs it and answers 502 with an unknown outcome, as for errors at any other place.

--- a/src/cuminhoist/gateway/answer_sender.py
+++ b/src/cuminhoist/gateway/answer_sender.py
@@ -66,7 +66,8 @@
         :param send: sends to the caller.
         :returns: a failure, with how the request ended, if the caller was not
             sent the whole answer.
-        :raises CancelledError: if it is cancelled before any of it is sent.
+        :raises Exception: an error that is not of the target, also a
+            cancellation, if nothing of the answer was sent.
         """
         pipelined: PipelinedRequest = scope['state']['pipelined_request']
         body = AnswerBody(
@@ -79,13 +80,13 @@
             await self._send(state, answer, body, send)
         except (Exception, asyncio.CancelledError) as exc:
             abort(answer.exchange)
-            if _is_cancelled_unbegun(exc, pipelined):
-                # The limit of a stop answers it, or its caller has gone.
-                raise
-            if pipelined.answer_begun or not _is_of_target(exc):
+            if pipelined.answer_begun:
                 scope['state']['abort']()
                 state.trail.append(f'answer cut: {exc!r}')
                 return Failure('cut')
+            if not _is_of_target(exc):
+                # The request is answered by who ends it or sees the error.
+                raise
             state.trail.append(f'answer incomplete: {exc!r}')
             timed_out = isinstance(exc, TimeoutError)
         else:
@@ -122,10 +123,6 @@
             await send_answer(answer, headers, body.chunks(), send, self._pacer)
 
 
-def _is_cancelled_unbegun(exc: BaseException, req: PipelinedRequest) -> bool:
-    return isinstance(exc, asyncio.CancelledError) and not req.answer_begun
-
-
 def _is_of_target(exc: BaseException) -> bool:
     """Tell whether the target has not given all of its answer."""
     return isinstance(exc, (TimeoutError, ProtocolError))
