--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -100,7 +100,6 @@
         )
         self._wire = wire
         self._attempt_sender = AttemptSender(wire, connections)
-        self._answer_sender = AnswerSender(wire, connections.pacer, now)
         self._placement_client = placement_client
         self._metrics = metrics
         self._now = now
@@ -116,6 +115,9 @@
             self.routing_state, self._authenticator, now
         )
         self.stop_limits = self._acceptance.stop_limits
+        self._answer_sender = AnswerSender(
+            wire, connections.pacer, now, self.stop_limits
+        )
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one request of a caller.
@@ -274,8 +276,7 @@
             )
         if self.crash_detector.is_poison(state, body):
             refusal = refusals.refusal_of_poison(state)
-            await send_refusal(refusal, send)
-            return f'refused-{refusal.reason}'
+            return await self._refuse(state, refusal, send)
         if self.reachability.is_cut:
             return await self._pass_on(state, body, scope, send)
         return ''
@@ -313,8 +314,7 @@
             refusal = refusals.refusal_of_cut_instance(state, outcome)
         else:
             refusal = refusals.refusal_of_caller(state, refusal)
-        await send_refusal(refusal, send)
-        return f'refused-{refusal.reason}'
+        return await self._refuse(state, refusal, send)
 
     def _may_be_sent(self, state: RequestState, decision: Granted) -> bool:
         """Tell whether a granted target may still get a request.
@@ -444,8 +444,15 @@
     ) -> str:
         failed = state.failed_answer
         if failed is not None and failed.body_complete:
+            self.stop_limits.start_answer(state)
             await self._answer_sender.send_buffered(failed, send)
             return f'answered-{failed.status}'
+        return await self._refuse(state, refusal, send)
+
+    async def _refuse(
+        self, state: RequestState, refusal: Refusal, send: Send
+    ) -> str:
+        self.stop_limits.start_answer(state)
         await send_refusal(refusal, send)
         return f'refused-{refusal.reason}'
 
@@ -459,6 +466,7 @@
             state.service, state.allowed_regions
         )
         refusal = refusals.refusal_after_attempt(state, outcome, paused_s)
+        self.stop_limits.start_answer(state)
         await send_refusal(refusal, send)
         return f'failed-{refusal.reason}'
 
@@ -470,7 +478,7 @@
         send: Send,
     ) -> str:
         succeeded = answer.status < _MIN_SERVER_ERROR
-        self.stop_limits.start_answer(state, served=succeeded)
+        self.stop_limits.start_reading(state, served=succeeded)
         ended = await self._answer_sender.pass_on(state, answer, scope, send)
         if not isinstance(ended, Success):
             return ended.failure()
