Bound how long an answer that drips holds up those behind it

A target that sent some bytes now and then held up the ready answers behind its own until the deadline of the caller, far past the limit of the route.

An answer that is read whole since requests behind it run has until 0.25 s past the limit of its route, or past its turn if that is later. Then a 504 takes its place. One with nothing behind it is delivered late, as before.

--- a/src/cuminhoist/gateway/answer_body.py
+++ b/src/cuminhoist/gateway/answer_body.py
@@ -66,8 +66,7 @@
             await self._read_until_turn()
             # The time in which other answers went first does not count.
             self._limits = limits.delayed(self._req.turn_wait_s)
-        while self._must_be_read_whole and self._has_room:
-            await self._read()
+        await self._read_whole()
         if not self._has_arrived:
             self._req.hold_later()
 
@@ -113,6 +112,14 @@
     def _has_room(self) -> bool:
         return self._memory.has_room_for_first(self._held)
 
+    async def _read_whole(self) -> None:
+        """Read on while requests behind it run, as far as there is room."""
+        limits = self._limits
+        self._limits = limits.for_holding(asyncio.get_running_loop().time())
+        while self._must_be_read_whole and self._has_room:
+            await self._read()
+        self._limits = limits
+
     async def _read_until_turn(self) -> None:
         turn = asyncio.create_task(self._req.wait_for_turn())
         reading = asyncio.create_task(self._read_ahead())
--- a/src/cuminhoist/gateway/answer_limits.py
+++ b/src/cuminhoist/gateway/answer_limits.py
@@ -11,6 +11,10 @@
 #: over, in seconds: some round trips between regions. Callers and the answers
 #: behind it wait no longer for a target that has stalled.
 MAX_SILENCE_S = 0.2
+#: Longest time past the limit of the route, or past its turn if that is later,
+#: for which an answer that arrives holds up those behind it, in seconds. From
+#: a quarter of a second on, a request counts as held too long.
+MAX_HOLDING_S = 0.25
 
 
 class AnswerLimits(msgspec.Struct, frozen=True):
@@ -43,6 +47,16 @@
         """
         return msgspec.structs.replace(self, whole_by=self.whole_by + delay_s)
 
+    def for_holding(self, now: float) -> Self:
+        """Return the limits of an answer that holds up those behind it.
+
+        :param now: loop time from which it holds them up, in seconds.
+        """
+        holds_until = max(self.head_by, now) + MAX_HOLDING_S
+        return msgspec.structs.replace(
+            self, whole_by=min(self.whole_by, holds_until)
+        )
+
     def next_bytes_by(self, now: float) -> float:
         """Return until when the next bytes of the body may arrive.
 
--- a/tests/gateway/test_held_answers.py
+++ b/tests/gateway/test_held_answers.py
@@ -8,14 +8,13 @@
 
 import pytest
 
+from cuminhoist.gateway.answer_limits import MAX_HOLDING_S
+
 from .builders_steps import ALL, BODY, TIMEOUT_S, StepTarget, slow_link
 
 pytestmark = [pytest.mark.looptime]
 
 SOUND = (200, b'whole')
-#: Longest time past the limit of the route for which an answer that arrives
-#: may hold up those behind it, in seconds.
-MAX_HOLDING_S = 0.25
 #: Bytes that arrive now and then, but never for longer than a silence.
 DRIP = [(0.15, 6000 + 200 * piece) for piece in range(12)]
 
