Go by the end of the whole answer in a stop

Callers of a stopping entry instance could be cut without an answer: a request whose time limit ends before the process was always taken, but since a body that has begun to arrive goes on until the caller's deadline. Requests that may run once were also taken on run times of late, so that a service that turns slow left their outcome unknown.

The deadline that counts is now that of the whole answer, and a request that may run once and arrives after SIGTERM needs one that is in time. All others are refused at once, as not run.

tests/gateway/test_stopping_instance.py failed before: 9,600 of 30,720 bytes of an answer, and a 200 in place of the refusal.

--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -127,12 +127,20 @@
         """
         self._body_ends_at = ends_at
 
+    @property
+    def answer_ends_at(self) -> float:
+        """Monotonic time at which its answer ends at the latest, in seconds.
+
+        Later than ``ends_at``, by which only the head has to be there.
+        """
+        return max(self._body_ends_at, self.ends_at)
+
     def answer_limits(self, now: float) -> AnswerLimits:
         """Return until when its answer may arrive.
 
         :param now: monotonic time in seconds.
         """
-        whole_by = max(self._body_ends_at, self.ends_at, now + MIN_PASSING_S)
+        whole_by = max(self.answer_ends_at, now + MIN_PASSING_S)
         return AnswerLimits.from_left(self.ends_at - now, whole_by - now)
 
     @property
--- a/src/cuminhoist/gateway/stop_limits.py
+++ b/src/cuminhoist/gateway/stop_limits.py
@@ -6,6 +6,7 @@
 from typing import Any, Self
 
 from .request_state import RequestState
+from .routes import RepeatPolicy
 from .stop_window import AnswerTimes, RequestKind, StopWindow
 
 
@@ -102,8 +103,13 @@
         :param window: times of the stop.
         :returns: monotonic time in seconds, or infinity.
         """
-        needed_s = self.times.needed_s(_kind(state), self.now())
-        return window.latest_start(state.ends_at, needed_s)
+        # One that waited as the stop began would lose its place in the queue.
+        is_new = state.arrived_at > window.began_at
+        return window.latest_start(
+            state.answer_ends_at,
+            self.times.needed_s(_kind(state), self.now()),
+            needs_certainty=is_new and state.route.repeat is RepeatPolicy.once,
+        )
 
 
 class RequestLimit:
--- a/src/cuminhoist/gateway/stop_window.py
+++ b/src/cuminhoist/gateway/stop_window.py
@@ -33,11 +33,13 @@
 class StopWindow(msgspec.Struct, frozen=True):
     """Times of a stop, in monotonic seconds.
 
+    :param began_at: when the stop began.
     :param estimates_until: end of the time in which run times of late count.
     :param answers_until: time by which requests must be answered.
     :param exits_at: time at which the process ends.
     """
 
+    began_at: float
     estimates_until: float
     answers_until: float
     exits_at: float
@@ -50,24 +52,35 @@
         :param now: monotonic time in seconds.
         """
         return cls(
+            now,
             now + grace_s * ESTIMATES_FRACTION,
             now + grace_s * ANSWERS_FRACTION,
             now + grace_s * EXIT_FRACTION,
         )
 
-    def latest_start(self, deadline: float, needed_s: float) -> float:
+    def latest_start(
+        self,
+        deadline: float,
+        needed_s: float,
+        *,
+        needs_certainty: bool = False,
+    ) -> float:
         """Return until when a request may be sent to a target.
 
         A request that ends by its own deadline in time may be sent always.
 
         :param deadline: monotonic time at which the request ends at the
-            latest.
+            latest, with the body of its answer.
         :param needed_s: time in which requests of its kind are answered;
             infinite if it is not known.
+        :param needs_certainty: whether only the deadline counts, because a
+            caller that gets no answer can't send the request again.
         :returns: monotonic time; plus or minus infinity for always or never.
         """
         if deadline <= self.answers_until:
             return float('inf')
+        if needs_certainty:
+            return -float('inf')
         return min(self.estimates_until, self.answers_until - needed_s)
 
 
