Read nothing behind an answer that may outlast a stop

A request that was sent behind an answer that had begun before SIGTERM was read and ended with the connection if the process stopped within that answer: its caller got neither an answer nor a refusal, and could not know that it was never passed on.

In a stop, a connection is not read while such an answer is being written. Once it has ended, the next request is read and decided on as any other; if the process ends first, the connection closes without having read it.

test_nothing_is_read_behind_an_answer_that_may_outlast_the_stop failed before (two requests in the gateway in place of one).

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -270,6 +270,7 @@
         if last is not None and not last.cycle.response_started:
             last.cycle.keep_alive = False
             self._drop_unparsed()
+        self._update_reading()
 
     def shutdown(self) -> None:
         """Close the connection if it is idle."""
@@ -288,7 +289,8 @@
     @property
     def _has_read_ahead(self) -> bool:
         return (
-            len(self._pipeline) >= self._limits.max_unanswered
+            self._defers_requests
+            or len(self._pipeline) >= self._limits.max_unanswered
             or self._pipeline.body_bytes >= MAX_BODIES_AHEAD_BYTES
         )
 
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -211,18 +211,36 @@
         """Pause or resume reading, by the bytes that wait to be taken.
 
         A disconnect is not noticed while reading is paused, so reading goes
-        on while only few bytes wait.
+        on while only few bytes wait, and in a stop until an answer is being
+        written, whose next bytes notice it.
         """
         self._count_requests()
         waiting = len(self._unparsed)
         cycle = self.cycle
         if cycle is not None and cycle.more_body:
             waiting += 0 if cycle.response_complete else len(cycle.body)
-        if waiting > HIGH_WATER_LIMIT and not self._reading_ended:
+        pauses = waiting > HIGH_WATER_LIMIT or self._defers_requests
+        if pauses and not self._reading_ended:
             self.flow.pause_reading()
         else:
             self.flow.resume_reading()
 
+    @property
+    def _defers_requests(self) -> bool:
+        """Whether the next request is not read before this answer ends.
+
+        In a stop, the process may end within the answer, and a request that
+        was read behind it would get none.
+        """
+        last = self._pipeline.last
+        return (
+            getattr(self.server_state, 'draining', False)
+            and last is not None
+            and last.body_arrived
+            and last.answer_begun
+            and last.cycle.keep_alive
+        )
+
     def _count_requests(self) -> None:
         self._memory.set(Purpose.unread_requests, len(self._unparsed))
         self._memory.set(Purpose.request_bodies, self._pipeline.body_bytes)
--- a/tests/gateway/test_stopping_instance.py
+++ b/tests/gateway/test_stopping_instance.py
@@ -18,6 +18,7 @@
 pytestmark = [pytest.mark.looptime]
 
 GRACE_S = 6.0
+SOUND = (200, b'whole')
 #: An answer that is passed on as it arrives, for longer than the grace period.
 DRIP = [(0.1, 6000 + 200 * piece) for piece in range(100)]
 
@@ -46,6 +47,35 @@
         assert not target.heads
 
 
+async def test_nothing_is_read_behind_an_answer_that_may_outlast_the_stop():
+    """Guards against requests that are cut together with the one in front."""
+    target = StepTarget({'/a/0': [*DRIP, (0.1, ALL)]})
+    async with slow_link(target, timeout_s=20.0) as (harness, caller):
+        caller.request(0)
+        await caller.read_head()
+        window = _stop(harness)
+        caller.request(1)
+        await asyncio.sleep(window.exits_at - asyncio.get_running_loop().time())
+        assert target.paths == ['/a/0']
+        assert harness.proxy.running_requests == 1
+
+
+async def test_request_behind_an_answer_that_ends_in_time_is_answered():
+    """Guards against a connection that is not read after its answer."""
+    target = StepTarget({'/a/0': [*DRIP[:20], (0.1, ALL)]})
+    async with slow_link(target, timeout_s=1.5) as (harness, caller):
+        caller.request(0)
+        head = await caller.read_head()
+        _stop(harness)
+        caller.request(1)
+        await asyncio.sleep(1.0)
+        assert target.paths == ['/a/0']
+        length = int(head.partition(b'content-length: ')[2].split()[0])
+        await caller.reader.readexactly(length)
+        assert b'connection: close' in await caller.read_head()
+        assert await caller.read_rest() == SOUND[1]
+
+
 @pytest.mark.parametrize(
     ('repeat', 'status'),
     [(RepeatPolicy.once, b' 503 '), (RepeatPolicy.idempotent, b' 200 ')],
