Sync the name of a file whose first write failed

An instance can vote twice: a write on a full disk fails after it has created the file, and the next one finds the file and does not sync the folder. A power loss may then remove the whole file, with a promise or an accepted state that was replied to.

A file now remembers whether its name is durable, from the sync of the folder at the start or from its own.

--- a/src/cuminhoist/register/acceptor.py
+++ b/src/cuminhoist/register/acceptor.py
@@ -82,7 +82,10 @@
             none at later starts.
         :param rng: source of the random suffix of new names.
         """
-        prepare_folder(self.folder)
+        if prepare_folder(self.folder):
+            for durable in (self.identity, self.promised, self.accepted):
+                durable.trust_names()
+            self.learned.trust_names()
         damaged = self._damaged_files()
         identity = self.identity.load()
         if identity is not None and not damaged:
--- a/src/cuminhoist/register/store.py
+++ b/src/cuminhoist/register/store.py
@@ -7,7 +7,6 @@
 
 import abc
 import asyncio
-import contextlib
 import os
 import pathlib
 import struct
@@ -49,6 +48,17 @@
         self._value_type = value_type
         self._sequence = 0
         self._write_index = 0
+        #: Indexes of the files whose names outlast a power loss.
+        self._durable_names: set[int] = set()
+
+    def trust_names(self) -> None:
+        """Take the names of the present files as durable.
+
+        The folder has been synced since they were created.
+        """
+        self._durable_names = {
+            index for index, path in enumerate(self._paths) if path.exists()
+        }
 
     def load(self) -> _Value | None:
         """Return the newest intact value, or none if there is none."""
@@ -88,15 +98,17 @@
         header = _HEADER.pack(sequence, len(payload), zlib.crc32(payload))
         header_crc = struct.pack('<I', zlib.crc32(header))
         path = self._paths[self._write_index]
-        is_new = not path.exists()
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             write_all(descriptor, 0, header + header_crc + payload)
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
-        if is_new:
+        if self._write_index not in self._durable_names:
+            # A former write may have created the file and failed, so that it
+            # is there without a durable name.
             sync_folder(path.parent)
+            self._durable_names.add(self._write_index)
         self._sequence = sequence
         self._write_index = 1 - self._write_index
 
@@ -137,14 +149,19 @@
             )
 
 
-def prepare_folder(folder: pathlib.Path) -> None:
+def prepare_folder(folder: pathlib.Path) -> bool:
     """Create a directory for durable files and sync it.
 
     :param folder: its path.
+    :returns: whether the names of the files in it are durable.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    with contextlib.suppress(OSError):
+    try:
         sync_folder(folder)
+    except OSError as exc:
+        _log.warning('folder not synced', error=str(exc))
+        return False
+    return True
 
 
 def sync_folder(folder: pathlib.Path) -> None:
--- a/tests/register/test_store.py
+++ b/tests/register/test_store.py
@@ -4,11 +4,14 @@
 """
 
 import os
+import random
 
 import pytest
 
 from cuminhoist.register.store import AlternatingFile
 
+from .builders_disks import FULL_FOR, FullDisk
+
 
 def test_name_of_a_new_file_is_synced(tmp_path, monkeypatch):
     """Guards against a new file whose name a power loss removes."""
@@ -29,6 +32,45 @@
     assert AlternatingFile(tmp_path, 'value', int).load() == 3
 
 
+@pytest.mark.parametrize('fails', ['write', 'sync', 'name'])
+def test_name_is_synced_after_a_full_disk(tmp_path, monkeypatch, fails):
+    """Guards against a power loss that removes a file made on a full disk.
+
+    The failed write has created the file, so that the next one finds it.
+    """
+    disk = FullDisk(monkeypatch, tmp_path)
+    value = AlternatingFile(tmp_path, 'value', int)
+    disk.full_for = fails
+    with pytest.raises(OSError):
+        value.save(1)
+    disk.full_for = ''
+    disk.synced.clear()
+    value.save(1)
+    assert disk.synced == [str(tmp_path / 'value.a'), str(tmp_path)]
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_value_survives_full_disks_and_restarts(tmp_path, monkeypatch, seed):
+    """Guards against a value that a failed write, or its repetition, loses."""
+    rng = random.Random(seed)
+    disk = FullDisk(monkeypatch, tmp_path)
+    value = AlternatingFile(tmp_path, 'value', int)
+    saved: int | None = None
+    tried: set[int] = set()
+    for number in range(60):
+        disk.full_for = rng.choice(['', '', *FULL_FOR])
+        try:
+            value.save(number)
+        except OSError:
+            tried.add(number)
+        else:
+            saved, tried = number, set()
+        if rng.random() < 0.2:
+            value = AlternatingFile(tmp_path, 'value', int)
+            assert value.load() in {saved, *tried}
+            assert not value.is_damaged()
+
+
 def test_write_that_takes_nothing_fails(tmp_path, monkeypatch):
     """Guards against a process that repeats such a write for ever."""
     calls = []
