Let a replica of the control log use its disk again after a failed write

Long after the last of several disks that were full in turn had room again, changes could be refused for good: an error of the cleanup hid ENOSPC, and a write that took no byte was reported as EIO. Either made the replica inactive until its process restarted, one replica with each full disk, until no majority was left. A replica that started on a full disk never took part.

The first error counts now, and a write that takes no byte is a full disk. A start on a failing disk is repeated.

--- a/src/cuminhoist/consensus.py
+++ b/src/cuminhoist/consensus.py
@@ -102,24 +102,23 @@
     async def start(self) -> None:
         """Read the files and join the cluster.
 
-        If the files cannot be read, the replica reports the fault and stays
-        inactive.
+        If the files are damaged, the replica reports the fault and stays
+        inactive. If the disk fails, it tries again until it succeeds.
         """
-        ctx = self._ctx
         opened = await self._open_log()
-        if isinstance(opened, Failure):
-            ctx.fault = str(opened.failure())
-            _log.error('Control replica did not start: {}.', ctx.fault)
+        if isinstance(opened, Success):
+            self._attach(opened.unwrap())
         else:
-            ctx.attach(opened.unwrap())
-            self._tasks.append(ctx.spawn(self._run_elections()))
-            self._tasks.append(ctx.spawn(self._join_until_voter()))
+            self._report_start_fault(opened.failure())
+            if opened.failure().kind is not DiskErrorKind.corrupt:
+                self._tasks.append(self._ctx.spawn(self._retry_start()))
         self._register()
 
     async def stop(self) -> None:
         """Stop once the disk operation in progress has ended."""
         async with self._ctx.lock:
             self._ctx.fault = 'stopped'
+            self._ctx.write_failed = False
             for task in self._tasks:
                 task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -232,6 +231,41 @@
             fault=ctx.fault,
         )
 
+    def _attach(self, log: DurableLog) -> None:
+        """Take part in the cluster with a log that was read from disk."""
+        ctx = self._ctx
+        ctx.attach(log)
+        for work in (
+            self._run_elections(),
+            self._join_until_voter(),
+            self._repair_disk(),
+        ):
+            self._tasks.append(ctx.spawn(work))
+
+    def _report_start_fault(self, error: DiskError) -> None:
+        self._ctx.fault = str(error)
+        _log.error('Control replica did not start: {}.', error)
+
+    async def _retry_start(self) -> None:
+        while True:
+            await asyncio.sleep(self._ctx.timings.disk_full_pause_s)
+            opened = await self._open_log()
+            if isinstance(opened, Success):
+                self._attach(opened.unwrap())
+                return
+            self._report_start_fault(opened.failure())
+            if opened.failure().kind is DiskErrorKind.corrupt:
+                return
+
+    async def _repair_disk(self) -> None:
+        """Use a disk again that failed a write once it takes writes."""
+        ctx = self._ctx
+        while True:
+            await asyncio.sleep(ctx.timings.disk_full_pause_s)
+            if ctx.write_failed:
+                async with ctx.lock:
+                    await ctx.repair()
+
     async def _open_log(self) -> Result[DurableLog, DiskError]:
         opened = await DurableLog.open(self._disk, self._new_id())
         if (
--- a/src/cuminhoist/durable_log.py
+++ b/src/cuminhoist/durable_log.py
@@ -201,6 +201,18 @@
                 self._insert(entry)
         return saved
 
+    async def rewrite(self) -> _WriteResult:
+        """Write what is known to be durable to new files.
+
+        The snapshot is left out: a failed write never changes its file in
+        place, and the log goes with the present one and with a newer one.
+        """
+        saved = await self.save_hard_state(self.hard_state)
+        if isinstance(saved, Failure):
+            return saved
+        entries = self.entries(self.base.index + 1, self.last.index)
+        return await self._replace_log_file(self.base, entries)
+
     async def _replace_log_file(
         self, base: LogPosition, kept: tuple[LogEntry, ...]
     ) -> _WriteResult:
--- a/src/cuminhoist/replica_context.py
+++ b/src/cuminhoist/replica_context.py
@@ -47,7 +47,8 @@
         their clocks differ by up to 10%.
     :param join_interval_s: pause between join requests of a learner.
     :param disk_full_pause_s: delay of the next election after a failed
-        write, so that a replica with a full disk does not lead again soon.
+        write, so that a replica with a full disk does not lead again soon,
+        and interval of the tries to use a failed disk again.
     :param compact_after_entries: entries after which the log is compacted.
     """
 
@@ -103,6 +104,8 @@
         #: None until the files were read.
         self.durable_log: DurableLog | None = None
         self.fault = 'not started'
+        #: Whether the fault is a failed write, which may succeed later.
+        self.write_failed = False
         self.leader = ''
         self.leading = False
         self.campaigning = False
@@ -230,7 +233,8 @@
     def check_write(self, result: Result[None, DiskError]) -> bool:
         """Tell whether a write succeeded; step down if it failed.
 
-        A failure other than a full disk makes the replica inactive.
+        A failure other than a full disk makes the replica inactive until
+        :meth:`repair` succeeds.
 
         :param result: result of the write.
         """
@@ -242,12 +246,28 @@
             # After a failed fsync the kernel may drop the data and report
             # the next fsync as successful, so the file is not used again.
             self.fault = str(error)
+            self.write_failed = True
         self.step_down(str(error))
         self.election_timer_start = (
             self.clock.now() + self.timings.disk_full_pause_s
         )
         return False
 
+    async def repair(self) -> None:
+        """Write new files after a failed write, and take part again.
+
+        The caller holds the lock.
+        """
+        rewritten = await self.log.rewrite()
+        if isinstance(rewritten, Success):
+            _log.info('The disk takes writes again after: {}.', self.fault)
+            self.fault = ''
+            self.write_failed = False
+            self.leader_contact_at = self.clock.now()
+            self.election_timer_start = self.leader_contact_at
+        else:
+            _log.error('Cannot write to disk: {}.', rewritten.failure())
+
     def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Start a task whose failure makes this replica inactive.
 
@@ -266,6 +286,7 @@
             'Control replica stopped after an internal error.'
         )
         self.fault = f'internal error: {exc!r}'
+        self.write_failed = False
         self.step_down(self.fault)
 
     def step_down(self, reason: str) -> None:
--- a/src/cuminhoist/storage.py
+++ b/src/cuminhoist/storage.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import contextlib
 import enum
 import errno
 import os
@@ -272,7 +273,10 @@
     try:
         write_all(fd, offset, content)
     except OSError:
-        os.ftruncate(fd, offset)
+        # The next write truncates the file as well; an error here must not
+        # hide that the disk is full.
+        with contextlib.suppress(OSError):
+            os.ftruncate(fd, offset)
         raise
     os.fsync(fd)
 
@@ -288,7 +292,7 @@
     while remaining:
         written = os.pwrite(fd, remaining, offset)
         if not written:
-            raise OSError(errno.EIO, 'a write took no byte')
+            raise OSError(errno.ENOSPC, 'a write took no byte')
         offset += written
         remaining = remaining[written:]
 
@@ -299,7 +303,8 @@
     try:
         _write_and_sync(fd, 0, content)
     except OSError:
-        temp_path.unlink()
+        with contextlib.suppress(OSError):
+            temp_path.unlink()
         raise
     finally:
         os.close(fd)
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -71,6 +71,8 @@
         self.files: dict[str, bytes] = {}
         self.subfolders: dict[str, dict[str, bytes]] = {}
         self.full = False
+        #: How writes fail while the disk is full.
+        self.error_kind = DiskErrorKind.full
         self.delay_s = 0.002
         self._rng = rng
         self._incarnation = 0
@@ -130,7 +132,7 @@
     ) -> Result[None, DiskError]:
         incarnation = self._incarnation
         if self.full:
-            return Failure(DiskError(DiskErrorKind.full, name, 'no space'))
+            return Failure(DiskError(self.error_kind, name, 'no space'))
         self._unsynced = write_partially
         await asyncio.sleep(self._rng.uniform(0, self.delay_s))
         node = current_node.get()
--- a/tests/test_consensus_files.py
+++ b/tests/test_consensus_files.py
@@ -10,6 +10,7 @@
 
 from cuminhoist.config_model import Accepted, Unavailable
 from cuminhoist.replica_context import CorruptionPolicy, ReplicaOptions
+from cuminhoist.storage import DiskErrorKind
 
 from . import builders
 from .control_steps import accept, followers_of, leader_of
@@ -79,6 +80,61 @@
     )
 
 
+@pytest.mark.parametrize('kind', [DiskErrorKind.full, DiskErrorKind.failed])
+def test_disks_that_are_full_in_turn(world, kind):
+    """Guards against replicas that a full disk excludes until a restart.
+
+    Not each error of a full disk names it. Long after the last disk had room
+    again, no majority was left that took changes.
+    """
+    for number, node in enumerate(tuple(world.nodes.values()) * 2):
+        node.disk.error_kind = kind
+        node.disk.full = True
+        world.decide(node.name, builders.plans_change(f'full-{number}', 0))
+        world.advance(4)
+        node.disk.full = False
+        world.advance(20)
+    accept(world, 'after')
+    assert world.complete()
+
+
+def test_failed_write_is_not_read_after_the_repair(world):
+    """Guards against an entry that was never synced, and is found on disk."""
+    version = accept(world, 'kept')
+    node = followers_of(world)[0]
+    node.disk.error_kind = DiskErrorKind.failed
+    node.disk.full = True
+    assert accept(world, 'missed') == version + 1
+    world.advance(1)
+    assert node.replica.status().fault
+    node.disk.full = False
+    node.disk.files['log'] += b'written, but never synced'
+    world.advance(10)
+    assert not node.replica.status().fault
+    node.crash()
+    node.start()
+    world.advance(10)
+    assert not node.replica.status().fault
+    assert node.replica.committed_config().version == version + 1
+
+
+def test_start_on_a_full_disk(world):
+    """Guards against a replica that stays inactive after such a start."""
+    node = followers_of(world)[0]
+    node.crash()
+    node.disk.files.clear()
+    node.disk.full = True
+    node.start()
+    world.advance(6)
+    assert 'no space' in node.replica.status().fault
+    node.disk.full = False
+    world.advance(20)
+    assert not node.replica.status().fault
+    version = accept(world, 'after')
+    world.advance(2)
+    assert node.replica.committed_config().version == version
+
+
 @pytest.mark.parametrize('policy', list(CorruptionPolicy))
 def test_damaged_files(policy):
     """Guards against a replica that reads damaged files as its state."""
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -208,6 +208,37 @@
     assert {path.name for path in tmp_path.iterdir()} == REQUIRED_FILES
 
 
+@pytest.mark.asyncio
+@pytest.mark.parametrize('cleanup', ['ftruncate', 'unlink'])
+async def test_full_disk_that_fails_the_cleanup(tmp_path, monkeypatch, cleanup):
+    """Guards against a full disk that is taken for a broken one.
+
+    A replica with a broken disk is inactive for longer.
+    """
+    log = await open_log(tmp_path)
+
+    def no_space(*_args):
+        raise OSError(errno.ENOSPC, 'no space')
+
+    calls = []
+    real_cleanup = getattr(os, cleanup)
+
+    def broken(*args, **options):
+        calls.append(args)
+        if cleanup == 'unlink' or len(calls) > 1:
+            raise OSError(errno.EIO, 'input/output error')
+        return real_cleanup(*args, **options)
+
+    monkeypatch.setattr(storage.os, 'pwrite', no_space)
+    monkeypatch.setattr(storage.os, cleanup, broken)
+    if cleanup == 'unlink':
+        written = await log.save_hard_state(log.hard_state)
+    else:
+        written = await log.append(entries(1, 1))
+    assert calls
+    assert failure_kind(written) is DiskErrorKind.full
+
+
 @pytest.mark.asyncio
 async def test_write_that_takes_nothing_fails(tmp_path, monkeypatch):
     """Guards against a process that repeats such a write for ever."""
@@ -220,7 +251,7 @@
         return 0
 
     monkeypatch.setattr(storage.os, 'pwrite', take_nothing)
-    assert isinstance(await log.append(entries(1, 1)), Failure)
+    assert failure_kind(await log.append(entries(1, 1))) is DiskErrorKind.full
 
 
 @pytest.mark.asyncio
