--- a/tests/platform/test_operator_orders.py
+++ b/tests/platform/test_operator_orders.py
@@ -102,3 +102,30 @@
     assert operator.drained == {SOUTH_A}
     await asyncio.sleep(1.5)
     assert await operator.order('DELETE') == 200
+
+
+async def test_order_read_in_late_turns_is_not_applied(tmp_path):
+    """Guards against an order that waited through several short standstills.
+
+    It is accepted, read and handled in turns of their own, so that each of
+    them may be too short to count.
+    """
+    operator = _Operator(tmp_path)
+    assert await operator.order('POST') == 200
+    for _ in range(3):
+        operator.stood_still_s += 0.4
+        await asyncio.sleep(0.1)
+    assert await operator.order('DELETE') == 503
+    assert operator.drained == {SOUTH_A}
+    await asyncio.sleep(1.5)
+    assert await operator.order('DELETE') == 200
+
+
+async def test_turns_that_are_hardly_late_refuse_nothing(tmp_path):
+    """Guards against orders that a slow machine never takes."""
+    operator = _Operator(tmp_path)
+    for _ in range(30):
+        operator.stood_still_s += 0.09
+        await asyncio.sleep(0.1)
+    assert await operator.order('POST') == 200
+    assert operator.drained == {SOUTH_A}
