Drop voters that say that they stop, where the others are enough

After planned replacements the former voters counted until they had been silent for 3 s, and longer after a change of the active proposer. Two disks lost in that time left four of eight voters: no order was acknowledged and the configuration could not be read, for good. A removed machine does not count as lost once its successor has had its time, so that the loss has to be borne.

An instance that stops says so in its heartbeats. It is now dropped at once if as many other voters run as the deployment needs, and stays until that has happened. Silences count from 2 s on at any instance that exchanges heartbeats with a quorum, not only at one that has been the active proposer all the while. Requests to join that were read before a standstill are forgotten.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -50,6 +50,9 @@
 #: Time between the leaving heartbeat and the end of the tasks, in seconds, so
 #: that the other instances learn that this one leaves.
 LEAVE_DELAY_S = 0.8
+#: Longest such time, in seconds, if the others have to drop it from the voters:
+#: two ballots between regions, repeated once.
+LEAVE_LIMIT_S = 2.5
 #: Time after the start until the first links are expected, in seconds.
 FIRST_LINKS_S = 0.5
 #: A control instance that reports an older declared state this long after it
@@ -184,10 +187,11 @@
         self._background.supervise(name, factory)
 
     async def stop(self) -> None:
-        """Send a leaving heartbeat, wait ``LEAVE_DELAY_S``, end all tasks."""
+        """Send a leaving heartbeat, leave the voters, end all tasks."""
         self.links.fleet.leaving = True
         self._send_heartbeats()
-        await asyncio.sleep(LEAVE_DELAY_S)
+        limit_s = min(LEAVE_LIMIT_S, self._config.limits.stop_grace_s / 2)
+        await self.replica.leave(LEAVE_DELAY_S, limit_s)
         await self._background.stop()
 
     @property
--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -278,6 +278,14 @@
         """
         return self._now() - self._heard_at.get(voter, self._created_at)
 
+    def leaving_voters(self) -> set[str]:
+        """Return the voters whose last heartbeat says that they stop."""
+        return {
+            peer.heartbeat.voter
+            for peer in self.peers.values()
+            if peer.heartbeat is not None and peer.heartbeat.leaving
+        }
+
     def reachable_voters(self, own: str) -> set[str]:
         """Return the voters with which heartbeats pass in both directions.
 
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -43,6 +43,9 @@
 #: seconds: it may not have received heartbeats of all of them yet.
 START_GRACE_S = 6.0
 
+#: Interval of the checks whether a stopping instance was dropped, in seconds.
+LEAVE_POLL_S = 0.05
+
 _log = logger('register')
 
 
@@ -99,6 +102,10 @@
         :param voter: name of the voter.
         """
 
+    @abc.abstractmethod
+    def leaving_voters(self) -> set[str]:
+        """Return the voters that say that they are about to stop."""
+
 
 class _PendingOrder(msgspec.Struct):
     """An order that waits for the next ballot.
@@ -150,9 +157,13 @@
         self._pending_orders: list[_PendingOrder] = []
         self._orders_submitted = asyncio.Event()
         self._voter_watch = VoterWatch(
-            self._own_voter, peers.voter_silence_s, tolerated_losses
+            self._own_voter,
+            peers.voter_silence_s,
+            peers.leaving_voters,
+            tolerated_losses,
         )
         self._has_read = False
+        self._leaving = False
         self._unlearned_since: float | None = None
 
     @property
@@ -173,6 +184,29 @@
             and self._own_voter in self.latest_chosen.voters
         )
 
+    async def leave(self, least_s: float, most_s: float) -> None:
+        """Leave the voters, if the others are enough, before a stop.
+
+        The others drop this instance once they have heard that it stops. It
+        stays for that long if there are more voters than necessary.
+
+        :param least_s: shortest time until it may stop, in seconds.
+        :param most_s: longest time, in seconds.
+        """
+        self._leaving = True
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        await asyncio.sleep(least_s)
+        while loop.time() - began_at < most_s and self._may_be_dropped:
+            await asyncio.sleep(LEAVE_POLL_S)
+
+    @property
+    def _may_be_dropped(self) -> bool:
+        known = self.latest_chosen
+        if known is None or self._own_voter not in known.all_voters():
+            return False
+        return len(known.all_voters()) > known.founding_size
+
     def reaches_quorum(self, reachable: set[str]) -> bool:
         """Tell whether this instance reaches a quorum of the voters.
 
@@ -298,7 +332,9 @@
             await asyncio.sleep(MEMBERSHIP_INTERVAL_S)
             if (
                 loop.time() - checked_at > STANDSTILL_S
-                or self._find_active_proposer() != self._own_voter
+                or not self.reaches_quorum(
+                    self._peers.reachable_voters(self.name)
+                )
             ):
                 # Silences may be those of this instance itself.
                 self._voter_watch.restart(loop.time())
@@ -311,6 +347,8 @@
             if known.index > saved_index:
                 saved = await self._acceptor.save_learned(known)
                 saved_index = known.index if saved else saved_index
+            if self._leaving:
+                continue
             if not self.is_voter:
                 self._ask_to_join()
             elif self._find_active_proposer() == self._own_voter:
--- a/src/cuminhoist/register/voters.py
+++ b/src/cuminhoist/register/voters.py
@@ -5,15 +5,18 @@
 only later, it is dropped then.
 """
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from .declared_state import DeclaredState, Voter
 
 #: Upper limit of voters; nine tolerate the failure of any four.
 MAX_VOTERS = 9
-#: A voter that was silent for this long may be replaced or dropped, in seconds;
-#: restarts take less.
+#: A voter that was silent for this long may be replaced by an instance that
+#: joins, in seconds; restarts take less.
 REPLACE_SILENT_AFTER_S = 3.0
+#: A voter that was silent for this long may be dropped if the others are
+#: enough, in seconds; one that is dropped by mistake joins again.
+DROP_SILENT_AFTER_S = 2.0
 #: A voter whose last heartbeat is at most this old is running, in seconds: two
 #: heartbeats may be late.
 HEARD_WITHIN_S = 1.6
@@ -26,6 +29,7 @@
 
     :param own_voter: this instance.
     :param silence_s: returns for how long a voter has been silent, in seconds.
+    :param leaving: returns the names of the voters that say that they stop.
     :param tolerated_losses: number of control instances that may be lost at
         once.
     """
@@ -34,10 +38,12 @@
         self,
         own_voter: Voter,
         silence_s: Callable[[str], float],
+        leaving: Callable[[], Collection[str]],
         tolerated_losses: int,
     ) -> None:
         self._own_voter = own_voter
         self._silence_s = silence_s
+        self._leaving = leaving
         #: Fewest voters of which a majority is left after the losses.
         self._least_voters = min(2 * tolerated_losses + 1, MAX_VOTERS)
         self._join_times: dict[Voter, float] = {}
@@ -53,10 +59,11 @@
         self._join_times[voter] = now
 
     def restart(self, now: float) -> None:
-        """Take no silence before a time as evidence.
+        """Take no silence and no request before a time as evidence.
 
         :param now: loop time in seconds.
         """
+        self._join_times.clear()
         self._listens_since = max(self._listens_since, now)
 
     def next_voters(
@@ -78,27 +85,36 @@
             for voter in known.voters
             if voter != self._own_voter
         }
-        gone: list[Voter] = []
-        if now - self._listens_since > REPLACE_SILENT_AFTER_S:
-            gone = [
-                voter
-                for voter, silent_s in silences.items()
-                if silent_s > REPLACE_SILENT_AFTER_S
-            ]
-        heard = {
+        leaving = self._leaving()
+        running = {
             voter
             for voter, silent_s in silences.items()
-            if silent_s <= HEARD_WITHIN_S
+            if silent_s <= HEARD_WITHIN_S and voter.name not in leaving
         }
         return without_gone(
             next_voters(
-                known.voters, sorted(joining - set(known.voters)), gone
+                known.voters,
+                sorted(joining - set(known.voters)),
+                self._silent(silences, REPLACE_SILENT_AFTER_S, now),
             ),
-            gone,
-            heard | joining | {self._own_voter},
+            [
+                *self._silent(silences, DROP_SILENT_AFTER_S, now),
+                *(voter for voter in silences if voter.name in leaving),
+            ],
+            running | joining | {self._own_voter},
             max(known.founding_size, self._least_voters),
         )
 
+    def _silent(
+        self, silences: Mapping[Voter, float], limit_s: float, now: float
+    ) -> list[Voter]:
+        """Return the voters whose silence is over a limit, in seconds."""
+        if now - self._listens_since <= limit_s:
+            return []
+        return [
+            voter for voter, silent_s in silences.items() if silent_s > limit_s
+        ]
+
 
 def next_voters(
     voters: tuple[Voter, ...],
@@ -138,19 +154,19 @@
 def without_gone(
     voters: tuple[Voter, ...],
     gone: Collection[Voter],
-    heard: Collection[Voter],
+    running: Collection[Voter],
     least: int,
 ) -> tuple[Voter, ...]:
     """Return the voters without those that have been replaced.
 
-    A silent voter may be frozen or cut off only, so it is dropped only if the
-    voters that are heard from are enough without it.
+    A silent voter may be frozen or cut off only, and one that stops may start
+    again, so that either is dropped only if the others are enough.
 
     :param voters: the present voters.
-    :param gone: voters that have been silent for long.
-    :param heard: voters that are running.
+    :param gone: voters that have been silent for long, or stop.
+    :param running: voters that are running and do not stop.
     :param least: number of voters that the deployment needs.
     """
-    if len(set(voters) & set(heard)) < least:
+    if len(set(voters) & set(running)) < least:
         return voters
     return tuple(voter for voter in voters if voter not in gone)
--- a/tests/register/builders.py
+++ b/tests/register/builders.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from cuminhoist.codec import Codec, Message
+from cuminhoist.fleet.control_instance import LEAVE_DELAY_S, LEAVE_LIMIT_S
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.register.acceptor import Acceptor, AcceptorFiles
 from cuminhoist.register.declared_state import (
@@ -48,16 +49,20 @@
         self.folder = cluster.folder / host
         self.disk = InlineDisk()
         self.wiped = False
+        self.leaving = False
         self.replica: RegisterReplica | None = None
         #: States that each incarnation has learned, in order.
         self.learned_states: list[list[DeclaredState]] = []
         self._heard_at: dict[str, float] = {}
+        #: When each voter was last seen as the active proposer.
+        self._active_at: dict[str, float] = {}
         self._started_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self, *, first_start: bool) -> None:
         """Start a process with the present contents of the disk."""
         self.learned_states.append([])
+        self.leaving = False
         self._heard_at = {}
         self._started_at = asyncio.get_running_loop().time()
         files = AcceptorFiles(self.folder)
@@ -91,6 +96,12 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.replica = None
 
+    async def stop(self) -> None:
+        """End the process as after SIGTERM: the others know it before."""
+        self.leaving = True
+        await self.replica.leave(LEAVE_DELAY_S, LEAVE_LIMIT_S)
+        await self.kill()
+
     async def wipe(self) -> None:
         """End the process and empty its disk."""
         await self.kill()
@@ -126,13 +137,32 @@
         }
 
     def is_active_proposer(self, voter: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        is_active = self._is_active_now(voter)
+        if is_active:
+            self._active_at[voter] = now
+        known_for_s = self.cluster.proposer_known_for_s
+        return is_active or (
+            voter not in self.leaving_voters()
+            and now - self._active_at.get(voter, float('-inf')) < known_for_s
+        )
+
+    def _is_active_now(self, voter: str) -> bool:
         return any(
             other.replica is not None
+            and not other.leaving
             and other.replica.name == voter
             and other.replica.reaches_quorum(other.reachable_voters(voter))
             for other in self.cluster.reachable(self)
         )
 
+    def leaving_voters(self) -> set[str]:
+        return {
+            other.replica.name
+            for other in self.cluster.reachable(self)
+            if other.leaving
+        }
+
     def voter_silence_s(self, voter: str) -> float:
         now = asyncio.get_running_loop().time()
         return now - self._heard_at.get(voter, self._started_at)
@@ -162,6 +192,8 @@
         self.rng = random.Random(seed)
         self.loss_fraction = 0.0
         self.cut_links: set[frozenset[str]] = set()
+        #: For how long a proposer that is gone is taken for active.
+        self.proposer_known_for_s = 0.0
         #: Set when the machine goes on, by host of each frozen machine.
         self.frozen: dict[str, asyncio.Event] = {}
         self.machines = {
--- a/tests/register/test_voters.py
+++ b/tests/register/test_voters.py
@@ -8,6 +8,11 @@
 
 import pytest
 
+from cuminhoist.fleet.control_links import PROPOSER_HEARTBEAT_VALID_S
+from cuminhoist.fleet.instance_config import Address
+from cuminhoist.register.declared_state import DeclaredState, Voter
+from cuminhoist.register.voters import VoterWatch
+
 from .builders import EmulatedCluster, configuration
 
 pytestmark = [pytest.mark.looptime]
@@ -59,6 +64,74 @@
     assert cluster.voting_hosts == cluster.running_hosts
 
 
+#: Time after its start in which a new machine counts as lost, in seconds
+#: (``catch_up_s`` of the deployments).
+NEW_MACHINE_S = 4.0
+#: Time after a sudden loss in which another machine takes the place.
+SUCCESSOR_AFTER_S = 1.0
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_disks_are_lost_right_after_planned_replacements(tmp_path, seed):
+    """Guards against voters that have stopped and still count for a while.
+
+    A machine that was removed counts as lost no longer once its successor has
+    had its time, so that two disks may be lost as soon as it has stopped.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, seed)
+    await cluster.form()
+    await asyncio.sleep(CATCH_UP_S)
+    cluster.add_machine()
+    cluster.add_machine()
+    await asyncio.sleep(NEW_MACHINE_S)
+    hosts = cluster.rng.sample(cluster.hosts[:6], 4)
+    replica = cluster.machines[cluster.hosts[7]].replica
+    await asyncio.gather(*(cluster.machines[host].stop() for host in hosts[:2]))
+    assert await replica.submit(configuration(1))
+    await _lose_disks(cluster, hosts[2:])
+    await _check_control(cluster, 1)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_disks_are_lost_right_after_sudden_replacements(tmp_path, seed):
+    """Guards against voters that are gone and still count for too long.
+
+    The loss of two machines is borne once their successors have had their
+    time; the active proposer may be one of them.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, seed)
+    cluster.proposer_known_for_s = PROPOSER_HEARTBEAT_VALID_S
+    await cluster.form()
+    await asyncio.sleep(CATCH_UP_S)
+    others = cluster.rng.sample(cluster.hosts[1:6], 3)
+    for host in (cluster.hosts[0], others[0]):
+        await cluster.machines[host].wipe()
+    await asyncio.sleep(SUCCESSOR_AFTER_S)
+    cluster.add_machine()
+    replica = cluster.add_machine().replica
+    await asyncio.sleep(NEW_MACHINE_S)
+    assert await replica.submit(configuration(1))
+    await _lose_disks(cluster, others[1:])
+    await _check_control(cluster, 1)
+
+
+async def test_late_requests_to_join_do_not_count():
+    """Guards against a voter that is long gone, after a standstill.
+
+    Its request to join lay in a socket while the proposer stood still.
+    """
+    names = ('a', 'b', 'c', 'd')
+    own, *others = (Voter(name, Address(name, 1)) for name in names)
+    known = DeclaredState(
+        voters=(own, *others[:2]), former=(own, *others[:2]), founding_size=3
+    )
+    watch = VoterWatch(own, lambda _name: 0, frozenset, 1)
+    watch.record_join(others[2], now=10)
+    assert watch.next_voters(known, now=10.1) == (own, *others)
+    watch.restart(now=10.2)
+    assert watch.next_voters(known, now=10.3) == known.voters
+
+
 @pytest.mark.parametrize('is_frozen', [True, False])
 async def test_silent_machine_keeps_its_place(tmp_path, is_frozen):
     """Guards against a machine that is taken for gone without a successor.
