--- a/tests/gateway/test_stopping_fuzz.py
+++ b/tests/gateway/test_stopping_fuzz.py
@@ -13,7 +13,7 @@
 from cuminhoist.gateway.routes import RepeatPolicy
 from cuminhoist.gateway.stop_window import StopWindow
 
-from .builders import HOST, gateway, header
+from .builders import HOST, gateway
 from .builders_steps import ALL, BODY, STALL, StepTarget
 
 pytestmark = [pytest.mark.looptime]
