--- a/tests/register/test_voters.py
+++ b/tests/register/test_voters.py
@@ -69,6 +69,8 @@
 NEW_MACHINE_S = 4.0
 #: Time after a sudden loss in which another machine takes the place.
 SUCCESSOR_AFTER_S = 1.0
+#: Time within which operators get an acknowledgement, in seconds.
+ACK_LIMIT_S = 4.0
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -186,6 +188,32 @@
     assert cluster.newest_state() == before
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_planned_restarts_in_turn_with_machines_to_spare(tmp_path, seed):
+    """Guards against orders that no quorum takes while voters come and go.
+
+    Each machine that stops is dropped, as the others are enough, and joins
+    again.
+    """
+    cluster = EmulatedCluster(tmp_path, 6, seed)
+    await cluster.form()
+    cluster.add_machine()
+    cluster.add_machine()
+    await asyncio.sleep(CATCH_UP_S)
+    version = 0
+    for machine in cluster.machines.values():
+        await machine.stop()
+        machine.start(first_start=False)
+        await asyncio.sleep(cluster.rng.uniform(0.2, 2))
+        version += 1
+        replica = cluster.machines[cluster.running_hosts[0]].replica
+        async with asyncio.timeout(ACK_LIMIT_S):
+            while await replica.submit(configuration(version)) is None:
+                await asyncio.sleep(0.1)
+    await _check_control(cluster, version)
+    assert cluster.voting_hosts == cluster.running_hosts
+
+
 class _Series:
     """Draws disruptions that the deployment has to bear, one after another.
 
