Refuse what comes on a connection accepted as a stop ends

A connection that had just been accepted is known a turn of the event loop later: its request was read and passed on while the process ended.

Once nothing runs, all that still comes is refused as not run, and the process ends when no connection is left, within its time.

test_connection_accepted_at_the_end_is_not_served failed before.

--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -211,11 +211,17 @@
         while time.monotonic() < window.exits_at:
             if time.monotonic() >= window.answers_until:
                 proxy.routing_state.refuses_requests = True
-            is_idle = not proxy.running_requests and not server.has_connections
-            if is_idle and time.monotonic() >= listens_until:
+            if _is_idle(entry, server) and time.monotonic() >= listens_until:
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
+        proxy.routing_state.refuses_requests = True
         server.close_idle()
+        # A connection that was accepted just before is not known yet.
+        while time.monotonic() < window.exits_at:
+            await asyncio.sleep(_DRAIN_POLL_S)
+            if _is_idle(entry, server):
+                break
+            server.close_idle()
 
     def _start_request_server(
         self, address: Address | None, app: Any
@@ -273,6 +279,10 @@
                 _log.bind(fault=fault).warning('cannot read the settings file')
 
 
+def _is_idle(entry: EntryInstance, server: HttpServer) -> bool:
+    return not (entry.request_proxy.running_requests or server.has_connections)
+
+
 def _modified_ns(path: pathlib.Path) -> int:
     """Return when a file was modified, in ns; 0 if it cannot be read."""
     try:
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -181,3 +181,38 @@
     assert came_early
     assert received.startswith(b'HTTP/1.1 503')
     assert b'"reason":"draining"' in received
+
+
+async def test_connection_accepted_at_the_end_is_not_served(monkeypatch):
+    """Guards against a request that is taken as the process ends.
+
+    Its connection was accepted just before, and is not known to the listener
+    when that finds nothing to wait for.
+    """
+    target = ScriptedTarget(answer)
+    async with gateway(target) as harness:
+        server = harness.server
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', harness.port
+        )
+        await eventually(lambda: server.has_connections)
+        connections, close_idle = server._connections, server.close_idle
+
+        def close_and_receive():
+            close_idle()
+            monkeypatch.setattr(server, '_connections', connections)
+            monkeypatch.setattr(server, 'close_idle', close_idle)
+            writer.write(
+                f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\n'
+                'X-Request-Id: id1\r\n\r\n'.encode()
+            )
+
+        monkeypatch.setattr(server, '_connections', list)
+        monkeypatch.setattr(server, 'close_idle', close_and_receive)
+        async with _stopping(harness, grace_s=0.5) as drain:
+            await drain
+            assert not server.has_connections
+        received = await reader.read()
+        writer.close()
+    assert received.startswith(b'HTTP/1.1 503')
+    assert not target.heads
