Close idle connections of a stopping instance after 55% of the time

Each entry instance that stopped stayed until its kill: the drain ended once no connection was open, but closed connections only after its own end, and callers keep theirs for longer than the grace period.

From 55% of the grace period on, which was meant as the end of a stop in which nothing runs, the instance doesn't listen and closes idle connections. What runs is answered as before.

test_resting_connection_does_not_hold_up_the_stop failed before. The daemon takes a clock, so that the test needs no real time.

--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -38,9 +38,9 @@
 #: Interval at which the settings file is checked for changes, in seconds; it
 #: may change without a SIGHUP.
 SETTINGS_POLL_S = 1.0
-#: Fraction of the time between SIGTERM and SIGKILL in which the process stays
-#: although nothing runs, because callers keep look-up answers for some
-#: seconds.
+#: Fraction of the time between SIGTERM and SIGKILL in which the process
+#: listens and keeps idle connections although nothing runs, because callers
+#: keep look-up answers for some seconds.
 LISTENING_FRACTION = 0.55
 #: Interval of tries to write the identity of a new voter to disk, in seconds;
 #: without an identity the instance cannot vote.
@@ -77,10 +77,16 @@
     """One process, with an entry or a control instance.
 
     :param cfg: configuration of the instance.
+    :param now: returns monotonic time in seconds.
     """
 
-    def __init__(self, cfg: InstanceConfig) -> None:
+    def __init__(
+        self,
+        cfg: InstanceConfig,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._cfg = cfg
+        self._now = now
         self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
         self._servers: list[HttpServer] = []
         self._background = BackgroundTasks()
@@ -138,7 +144,7 @@
         while not self._stopping.is_set():
             try:
                 return ControlInstance(
-                    cfg, source, decode_routes, time.monotonic, check_order
+                    cfg, source, decode_routes, self._now, check_order
                 )
             except OSError as exc:
                 fault = str(exc)
@@ -155,7 +161,7 @@
             source,
             decode_routes,
             PlatformWire(),
-            time.monotonic,
+            self._now,
         )
         server = self._start_request_server(
             cfg.request_address, entry.request_proxy
@@ -203,21 +209,24 @@
         """
         grace_s = self._cfg.limits.stop_grace_s
         proxy = entry.request_proxy
-        began_at = time.monotonic()
+        began_at = self._now()
         window = StopWindow.from_grace(grace_s, began_at)
         listens_until = began_at + grace_s * LISTENING_FRACTION
         server.start_drain()
         proxy.stop_limits.begin(window)
-        while time.monotonic() < window.exits_at:
-            if time.monotonic() >= window.answers_until:
+        while self._now() < window.exits_at:
+            if self._now() >= window.answers_until:
                 proxy.routing_state.refuses_requests = True
-            if _is_idle(entry, server) and time.monotonic() >= listens_until:
-                break
+            if self._now() >= listens_until:
+                # Callers keep connections for longer than the process lives.
+                server.close_idle()
+                if _is_idle(entry, server):
+                    break
             await asyncio.sleep(_DRAIN_POLL_S)
         proxy.routing_state.refuses_requests = True
         server.close_idle()
         # A connection that was accepted just before is not known yet.
-        while time.monotonic() < window.exits_at:
+        while self._now() < window.exits_at:
             await asyncio.sleep(_DRAIN_POLL_S)
             if _is_idle(entry, server):
                 break
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 import types
 
 import pytest
@@ -25,6 +26,7 @@
     answer,
     gateway,
 )
+from tests.gateway.builders_steps import ALL, StepTarget
 from tests.waiting import eventually
 
 #: Longer than most grace periods of these tests, in milliseconds.
@@ -32,7 +34,7 @@
 _LATE = {'timeout_s': 8.0, 'objective_s': 6.0}
 
 
-def _daemon(grace_s: float) -> Daemon:
+def _daemon(grace_s: float, now=time.monotonic) -> Daemon:
     unused = Address('127.0.0.1', 1)
     return Daemon(
         InstanceConfig(
@@ -52,15 +54,17 @@
             target_list_address=unused,
             list_calls_per_s=1,
             limits=DeploymentLimits(stop_grace_s=grace_s),
-        )
+        ),
+        now,
     )
 
 
 @contextlib.asynccontextmanager
-async def _stopping(harness, grace_s: float):
+async def _stopping(harness, grace_s: float, now=time.monotonic):
     """Drain a gateway as after a SIGTERM, and yield the task of the drain."""
     entry = types.SimpleNamespace(request_proxy=harness.proxy)
-    drain = asyncio.create_task(_daemon(grace_s)._drain(entry, harness.server))
+    daemon = _daemon(grace_s, now)
+    drain = asyncio.create_task(daemon._drain(entry, harness.server))
     await asyncio.sleep(0)
     try:
         yield drain
@@ -102,20 +106,23 @@
     assert received.startswith(b'HTTP/1.1 200')
 
 
+def _request() -> bytes:
+    return (
+        f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: id1\r\n\r\n'
+    ).encode()
+
+
 async def test_request_on_a_kept_connection_is_refused_or_not_read():
     """Guards against requests on open connections that are broken off."""
     target = ScriptedTarget(answer)
-    request = (
-        f'GET /a/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: id1\r\n\r\n'
-    ).encode()
     async with gateway(target, **_LATE) as harness:
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', harness.port
         )
-        writer.write(request)
+        writer.write(_request())
         answered = await reader.readuntil(b'whole')
         async with _stopping(harness, grace_s=3):
-            writer.write(request * 2)
+            writer.write(_request() * 2)
             received = await reader.read()
         writer.close()
     assert answered.startswith(b'HTTP/1.1 200')
@@ -216,3 +223,51 @@
         writer.close()
     assert received.startswith(b'HTTP/1.1 503')
     assert not target.heads
+
+
+@pytest.mark.looptime
+async def test_resting_connection_does_not_hold_up_the_stop():
+    """Guards against processes that only the kill at the end can stop.
+
+    Callers keep connections open for longer than the grace period, and send
+    nothing more on them once a look-up names other instances.
+    """
+    loop = asyncio.get_running_loop()
+    target = ScriptedTarget(answer)
+    async with gateway(target, now=loop.time) as harness:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', harness.port
+        )
+        writer.write(_request())
+        await reader.readuntil(b'whole')
+        grace_s = 6
+        kill_at = loop.time() + grace_s
+        async with _stopping(harness, grace_s, loop.time) as drain:
+            received = await reader.read()
+            await drain
+        writer.close()
+    assert not received
+    assert loop.time() < kill_at - grace_s / 3
+
+
+@pytest.mark.looptime
+async def test_running_request_is_answered_after_resting_ones_are_closed():
+    """Guards against a stop that ends before a request that can be served."""
+    loop = asyncio.get_running_loop()
+    target = StepTarget({'/a/x': [(4.0, ALL)]})
+    options = {'timeout_s': 4.5, 'now': loop.time}
+    async with gateway(target, **options) as harness:
+        resting, running = [
+            await asyncio.open_connection('127.0.0.1', harness.port)
+            for _ in range(2)
+        ]
+        running[1].write(_request())
+        await eventually(lambda: bool(target.heads))
+        async with _stopping(harness, 6, loop.time) as drain:
+            assert not await resting[0].read()
+            assert not drain.done()
+            received = await running[0].read()
+            await drain
+        for _, writer in (resting, running):
+            writer.close()
+    assert received.startswith(b'HTTP/1.1 200')
