Sync a value of the register when it is read at a start

A voter could come back from a power loss without a promise or an accepted state that it had acted on. A process that is killed between a write and its sync leaves bytes that the next process reads; it answered proposers with them and wrote the next value to the other of its two files. A power loss in that write could take both. If the voters of one ballot are killed together and lose power together, a state that was acknowledged can be gone.

AlternatingFile.load syncs the file that it trusts. A start on a disk that refuses the sync fails and is tried again, as for the other disk errors.

--- a/src/cuminhoist/register/store.py
+++ b/src/cuminhoist/register/store.py
@@ -18,7 +18,7 @@
 from returns.result import Failure, Result, Success
 
 from ..logging_setup import logger
-from ..storage import DiskError, DiskErrorKind, write_all
+from ..storage import DiskError, DiskErrorKind, sync_path, write_all
 
 _HEADER = struct.Struct('<QII')
 _SUFFIXES = ('a', 'b')
@@ -61,7 +61,13 @@
         }
 
     def load(self) -> _Value | None:
-        """Return the newest intact value, or none if there is none."""
+        """Return the newest intact value, or none if there is none.
+
+        It is synced first: a process that was killed between a write and its
+        sync leaves bytes that can be read and that a power loss takes away.
+
+        :raises OSError: if it can't be read or synced.
+        """
         newest: tuple[int, int, bytes] | None = None
         for index, path in enumerate(self._paths):
             record = _read_record(path)
@@ -69,6 +75,7 @@
                 newest = (record[0], index, record[1])
         if newest is None:
             return None
+        sync_path(self._paths[newest[1]])
         self._sequence = newest[0]
         self._write_index = 1 - newest[1]
         payload = newest[2]
@@ -107,7 +114,7 @@
         if self._write_index not in self._durable_names:
             # A former write may have created the file and failed, so that it
             # is there without a durable name.
-            sync_folder(path.parent)
+            sync_path(path.parent)
             self._durable_names.add(self._write_index)
         self._sequence = sequence
         self._write_index = 1 - self._write_index
@@ -157,25 +164,13 @@
     """
     folder.mkdir(parents=True, exist_ok=True)
     try:
-        sync_folder(folder)
+        sync_path(folder)
     except OSError as exc:
         _log.warning('folder not synced', error=str(exc))
         return False
     return True
 
 
-def sync_folder(folder: pathlib.Path) -> None:
-    """Make created names durable; raise OSError if that fails.
-
-    :param folder: the directory of the created files.
-    """
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
 def _read_record(path: pathlib.Path) -> tuple[int, bytes] | None:
     try:
         content = path.read_bytes()
--- a/src/cuminhoist/storage.py
+++ b/src/cuminhoist/storage.py
@@ -233,7 +233,7 @@
 
     def _file_names(self) -> tuple[str, ...]:
         self._folder.mkdir(parents=True, exist_ok=True)
-        _sync_folder(self._folder.parent)
+        sync_path(self._folder.parent)
         return tuple(
             path.name for path in self._folder.iterdir() if path.is_file()
         )
@@ -309,12 +309,12 @@
     finally:
         os.close(fd)
     temp_path.replace(path)
-    _sync_folder(path.parent)
+    sync_path(path.parent)
 
 
 def _remove(path: pathlib.Path) -> None:
     path.unlink(missing_ok=True)
-    _sync_folder(path.parent)
+    sync_path(path.parent)
 
 
 def _move_to_subfolder(folder: pathlib.Path, label: str) -> None:
@@ -323,12 +323,17 @@
     for path in tuple(folder.iterdir()):
         if path.is_file():
             path.rename(subfolder / path.name)
-    _sync_folder(subfolder)
-    _sync_folder(folder)
+    sync_path(subfolder)
+    sync_path(folder)
 
 
-def _sync_folder(folder: pathlib.Path) -> None:
-    fd = os.open(folder, os.O_RDONLY)
+def sync_path(path: pathlib.Path) -> None:
+    """Make the content of a file, or names in a folder, durable.
+
+    :param path: the file or the folder.
+    :raises OSError: if it can't be synced.
+    """
+    fd = os.open(path, os.O_RDONLY)
     try:
         os.fsync(fd)
     finally:
--- a/tests/register/test_store.py
+++ b/tests/register/test_store.py
@@ -3,6 +3,7 @@
 They guard against a durable value that a power loss takes away.
 """
 
+import contextlib
 import os
 import random
 
@@ -10,7 +11,7 @@
 
 from cuminhoist.register.store import AlternatingFile
 
-from .builders_disks import FULL_FOR, FullDisk
+from .builders_disks import FULL_FOR, FullDisk, Killed, UnsyncedDisk
 
 
 def test_name_of_a_new_file_is_synced(tmp_path, monkeypatch):
@@ -67,10 +68,41 @@
             saved, tried = number, set()
         if rng.random() < 0.2:
             value = AlternatingFile(tmp_path, 'value', int)
+            if disk.full_for == 'sync':
+                # What may not be durable is not acted on.
+                with contextlib.suppress(OSError):
+                    assert value.load() is saved is None
+                disk.full_for = ''
             assert value.load() in {saved, *tried}
             assert not value.is_damaged()
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_value_that_was_read_outlasts_a_power_loss(tmp_path, monkeypatch, seed):
+    """Guards against a value that is acted on after a kill and then lost.
+
+    A process that is killed between a write and its sync leaves bytes that
+    the next process reads, and that a power loss takes away.
+    """
+    rng = random.Random(seed)
+    disk = UnsyncedDisk(monkeypatch, tmp_path, rng)
+    value = AlternatingFile(tmp_path, 'value', int)
+    known = -1
+    for number in range(80):
+        disk.kills = rng.random() < 0.4
+        with contextlib.suppress(Killed):
+            value.save(number)
+            known = number
+        disk.kills = False
+        if rng.random() < 0.3:
+            disk.lose_power()
+        value = AlternatingFile(tmp_path, 'value', int)
+        loaded = value.load()
+        assert known == -1 or loaded >= known
+        known = known if loaded is None else loaded
+        assert known == -1 or not value.is_damaged()
+
+
 def test_write_that_takes_nothing_fails(tmp_path, monkeypatch):
     """Guards against a process that repeats such a write for ever."""
     calls = []
