Sync the files and names of the control log when they are read

The same fault as in the register: a replica of the control log counted records that its former process had written and not synced, and names that it had changed without a sync of the folder. A power loss could take entries away that the replica had confirmed to the leader.

FileDisk.read syncs the file, and FileDisk.file_names the folder. test_what_was_read_is_synced and test_names_that_were_read_are_synced failed before.

--- a/src/cuminhoist/storage.py
+++ b/src/cuminhoist/storage.py
@@ -186,9 +186,12 @@
     async def read(self, name: str) -> Result[bytes, DiskError]:
         """Return the content of a file.
 
+        It is synced first: a process that was killed between a write and its
+        sync leaves bytes that can be read and that a power loss takes away.
+
         :param name: name of the file.
         """
-        return await self._run(name, (self._folder / name).read_bytes)
+        return await self._run(name, _read_synced, self._folder / name)
 
     async def write_at(
         self,
@@ -234,6 +237,8 @@
     def _file_names(self) -> tuple[str, ...]:
         self._folder.mkdir(parents=True, exist_ok=True)
         sync_path(self._folder.parent)
+        # A process may have been killed between a rename and its sync.
+        sync_path(self._folder)
         return tuple(
             path.name for path in self._folder.iterdir() if path.is_file()
         )
@@ -327,6 +332,11 @@
     sync_path(folder)
 
 
+def _read_synced(path: pathlib.Path) -> bytes:
+    sync_path(path)
+    return path.read_bytes()
+
+
 def sync_path(path: pathlib.Path) -> None:
     """Make the content of a file, or names in a folder, durable.
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -308,3 +308,35 @@
         assert last.last == LogPosition(2, end + 1)
 
     asyncio.run(run(tmp_path_factory.mktemp('torn')))
+
+
+def _record_syncs(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    synced: list[str] = []
+    fsync = os.fsync
+
+    def record(descriptor: int) -> None:
+        synced.append(os.readlink(f'/proc/self/fd/{descriptor}'))
+        fsync(descriptor)
+
+    monkeypatch.setattr(storage.os, 'fsync', record)
+    return synced
+
+
+async def test_what_was_read_is_synced(tmp_path, monkeypatch):
+    """Guards against entries that are acted on after a kill and then lost.
+
+    A process that is killed between a write and its sync leaves bytes that
+    the next process reads, and that a power loss takes away.
+    """
+    (tmp_path / 'log').write_bytes(b'unsynced')
+    synced = _record_syncs(monkeypatch)
+    assert await FileDisk(tmp_path).read('log') == Success(b'unsynced')
+    assert synced == [str(tmp_path / 'log')]
+
+
+async def test_names_that_were_read_are_synced(tmp_path, monkeypatch):
+    """Guards against a rename before a kill that a power loss takes back."""
+    (tmp_path / 'log').write_bytes(b'')
+    synced = _record_syncs(monkeypatch)
+    assert await FileDisk(tmp_path).file_names() == Success(('log',))
+    assert str(tmp_path) in synced
