--- a/src/cuminhoist/storage.py
+++ b/src/cuminhoist/storage.py
@@ -186,9 +186,12 @@
     async def read(self, name: str) -> Result[bytes, DiskError]:
         """Return the content of a file.
 
+        It is synced first: a process that was killed between a write and its
+        sync leaves bytes that can be read and that a power loss takes away.
+
         :param name: name of the file.
         """
-        return await self._run(name, (self._folder / name).read_bytes)
+        return await self._run(name, _read_synced, self._folder / name)
 
     async def write_at(
         self,
@@ -233,7 +236,9 @@
 
     def _file_names(self) -> tuple[str, ...]:
         self._folder.mkdir(parents=True, exist_ok=True)
-        _sync_folder(self._folder.parent)
+        sync_path(self._folder.parent)
+        # A process may have been killed between a rename and its sync.
+        sync_path(self._folder)
         return tuple(
             path.name for path in self._folder.iterdir() if path.is_file()
         )
@@ -309,12 +314,12 @@
     finally:
         os.close(fd)
     temp_path.replace(path)
-    _sync_folder(path.parent)
+    sync_path(path.parent)
 
 
 def _remove(path: pathlib.Path) -> None:
     path.unlink(missing_ok=True)
-    _sync_folder(path.parent)
+    sync_path(path.parent)
 
 
 def _move_to_subfolder(folder: pathlib.Path, label: str) -> None:
@@ -323,12 +328,22 @@
     for path in tuple(folder.iterdir()):
         if path.is_file():
             path.rename(subfolder / path.name)
-    _sync_folder(subfolder)
-    _sync_folder(folder)
+    sync_path(subfolder)
+    sync_path(folder)
+
+
+def _read_synced(path: pathlib.Path) -> bytes:
+    sync_path(path)
+    return path.read_bytes()
 
 
-def _sync_folder(folder: pathlib.Path) -> None:
-    fd = os.open(folder, os.O_RDONLY)
+def sync_path(path: pathlib.Path) -> None:
+    """Make the content of a file, or names in a folder, durable.
+
+    :param path: the file or the folder.
+    :raises OSError: if it can't be synced.
+    """
+    fd = os.open(path, os.O_RDONLY)
     try:
         os.fsync(fd)
     finally:
