Hold requests until the first list of targets

Callers repeat once, so the second refusal was final, and they all returned at the same moment. It is not known then that the request can't be served.

A dispatcher, the region's or that of an entry instance, lets requests wait for its first list, until their objective ends and for 2.2 s after the start at most. Requests for a service that the list lacks are refused as before.

The three tests of waiting for the first list failed before.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -48,7 +48,12 @@
 )
 from .operator_orders import DecodeConfiguration
 from .subscription import Progress
-from .target_feed import TargetFeed, TargetSource, entry_read_rank
+from .target_feed import (
+    FIRST_LIST_S,
+    TargetFeed,
+    TargetSource,
+    entry_read_rank,
+)
 
 #: Number of entry instances that is assumed without a view.
 ASSUMED_ENTRY_COUNT = 8
@@ -135,6 +140,7 @@
         self.feed.report_rejected(self.metrics.registry)
         self.links.leaving_notice = self.feed.leaving_notice
         local = self.placement_client.local_dispatcher
+        local.first_list_until = now() + FIRST_LIST_S
         self.links.limits = local.limits.in_force
         self._allowances = EntryAllowances.from_config(config, local.allowances)
         self.request_proxy.relay.find_peers = lambda regions: relay_peers(
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -32,6 +32,7 @@
     WithdrawNotice,
 )
 from .peer import Peer
+from .target_feed import FIRST_LIST_S
 
 #: Interval between decisions on waiting requests, in seconds.
 TICK_INTERVAL_S = 0.005
@@ -67,6 +68,7 @@
     ) -> None:
         self._metrics = metrics
         self.dispatcher = Dispatcher(shift_limit, learns_limits=learns_limits)
+        self.dispatcher.first_list_until = now() + FIRST_LIST_S
         all_regions = {region, *regions.values()}
         #: Shares of this region in the allowances of workspaces.
         self.allowances = RegionAllowances(
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -27,6 +27,9 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
+#: Time after the start of an instance in which requests wait for its first
+#: list, in seconds: the first reader and the next two have tried by then.
+FIRST_LIST_S = READ_INTERVAL_S + 2 * TAKEOVER_DELAY_S
 #: Age from which a list counts as stale, in seconds: several reads have failed
 #: or have not arrived.
 STALE_LIST_S = 3.0
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -76,6 +76,9 @@
         #: What workspaces may still send.
         self.allowances = Allowances()
         self.shift_limiter = RegionShiftLimiter(shift_limit)
+        #: Until when requests wait for the first list of targets, in monotonic
+        #: seconds.
+        self.first_list_until = float('-inf')
         self._selector = TargetSelector(
             self._services, self.shift_limiter, self.pauses
         )
@@ -133,6 +136,8 @@
             if targets.get(name) is not former:
                 former.forget_objects()
         queue.recheck_requests_without(targets, now)
+        if targets:
+            self._end_first_list(now)
         queue.placement = Placement(targets, region, queue.placement.history)
         queue.waiting.update_all_slots()
         for target in targets.values():
@@ -524,12 +529,25 @@
 
     def _refuse_without_option(
         self, queue: ServiceQueue, waiting: WaitingRequest, now: float
-    ) -> Refused:
+    ) -> Refused | None:
         number = waiting.request.number
         left_s = self._shortest_pause_s(queue, waiting, now)
-        if left_s == float('inf'):
-            return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
-        return Refused(number, RefusalReason.overload, left_s, left_s)
+        if left_s < float('inf'):
+            return Refused(number, RefusalReason.overload, left_s, left_s)
+        waits_until = min(self.first_list_until, waiting.objective_ends_at)
+        if now < waits_until:
+            queue.waiting.wait_for_targets(waiting, waits_until)
+            return None
+        return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
+
+    def _end_first_list(self, now: float) -> None:
+        """Have the requests that waited for the first list placed."""
+        if self.first_list_until == float('-inf'):
+            return
+        self.first_list_until = float('-inf')
+        for queue in self._services.values():
+            for waiting in queue.waiting:
+                queue.waiting.recheck(waiting, now)
 
     def _refuse(
         self,
--- a/src/cuminhoist/steering/waiting_requests.py
+++ b/src/cuminhoist/steering/waiting_requests.py
@@ -75,6 +75,15 @@
         self.update_slots(target)
         self.recheck(waiting, self._recheck_at(waiting, option, now))
 
+    def wait_for_targets(self, waiting: WaitingRequest, until: float) -> None:
+        """Have a request wait although no target is known.
+
+        :param waiting: the request.
+        :param until: when it is placed anew, in monotonic seconds.
+        """
+        self._register(waiting)
+        self.recheck(waiting, until)
+
     def leave_target(self, waiting: WaitingRequest) -> None:
         """Have a request no longer wait for the slot of its target.
 
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -407,6 +407,52 @@
     assert decision.reason is RefusalReason.no_target
 
 
+def _starting_dispatcher() -> Dispatcher:
+    dispatcher = Dispatcher()
+    dispatcher.first_list_until = 2
+    return dispatcher
+
+
+def test_request_waits_for_the_first_list_of_targets():
+    """Guards against refusing all callers after a restart of all instances.
+
+    Each came back before the list did, and had used up its only repetition.
+    """
+    dispatcher = _starting_dispatcher()
+    assert dispatcher.decide_or_queue('e', request(1), 0) is None
+    dispatcher.set_targets('other', {}, REGION, 0.1)
+    assert dispatcher.decide_waiting(0.1) == []
+    dispatcher.set_targets(
+        SERVICE, {'t0': TrackedTarget(target('t0'), REGION)}, REGION, 0.2
+    )
+    assert [
+        (entry_instance, type(decision))
+        for entry_instance, decision in dispatcher.decide_waiting(0.2)
+    ] == [('e', Granted)]
+    assert not dispatcher.has_waiting()
+
+
+def test_request_waits_for_the_first_list_until_its_objective_ends():
+    """Guards against a refusal that leaves the caller no time to return."""
+    dispatcher = _starting_dispatcher()
+    assert dispatcher.decide_or_queue('e', request(1), 0) is None
+    assert dispatcher.decide_waiting(0.24) == []
+    (_, decision), *_ = dispatcher.decide_waiting(0.25)
+    assert decision.reason is RefusalReason.no_target
+
+
+def test_service_that_the_first_list_lacks_is_refused_at_once():
+    """Guards against holding requests that are known to have no target."""
+    dispatcher = _starting_dispatcher()
+    assert dispatcher.decide_or_queue('e', request(1), 0) is None
+    dispatcher.set_targets(
+        'other', {'t0': TrackedTarget(target('t0'), REGION)}, REGION, 0.1
+    )
+    (_, waited), *_ = dispatcher.decide_waiting(0.1)
+    arrived = dispatcher.decide_or_queue('e', request(2), 0.1)
+    assert waited.reason is arrived.reason is RefusalReason.no_target
+
+
 def test_first_request_with_little_time_left():
     """Guards against run times that are guessed too low and never learned.
 
