Read the first list of targets once the rank among readers is known

After a restart of all instances the list was read 0.6 s after their start: a control instance without links has rank 1, and slept for the delay of that rank although the first links came within some 0.1 s.

Without a list the rank is looked at each 0.05 s. A control instance knows its place once most of the voters are linked, so that not all read the list.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -256,7 +256,7 @@
         # An instance that is leaving is not in the list and reads the target
         # list after all others. One that has just started waits for links, as
         # it does not know its place yet.
-        if not self.links.links_to_controls() and self._has_just_started():
+        if self._has_just_started() and not self._knows_most_controls():
             return 1
         names = [control.name for control in self.links.fleet.controls()]
         return (
@@ -265,6 +265,12 @@
             else len(names)
         )
 
+    def _knows_most_controls(self) -> bool:
+        """Tell whether most of the voters are linked, or any if unknown."""
+        state = self.replica.latest_chosen
+        known = len(self.links.links_to_controls()) + 1
+        return known > (len(state.voters) / 2 if state else 1)
+
     def _has_just_started(self) -> bool:
         return self._now() - self._created_at < FIRST_LINKS_S
 
--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -27,6 +27,9 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
+#: Interval in which an instance without a list checks its rank, in seconds:
+#: ranks are known once the first links are.
+FIRST_RANK_POLL_S = 0.05
 #: Time after the start of an instance in which requests wait for its first
 #: list, in seconds: the first reader and the next two have tried by then.
 FIRST_LIST_S = READ_INTERVAL_S + 2 * TAKEOVER_DELAY_S
@@ -165,7 +168,9 @@
                 + TAKEOVER_DELAY_S * self._rank()
             )
             if self._now() < due_at:
-                await asyncio.sleep(min(due_at - self._now(), TAKEOVER_DELAY_S))
+                has_list = self.read_at > started_at
+                poll_s = TAKEOVER_DELAY_S if has_list else FIRST_RANK_POLL_S
+                await asyncio.sleep(min(due_at - self._now(), poll_s))
                 continue
             reading_since = self._now()
             result = await self._source.read()
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -162,3 +162,21 @@
     assert feed.stop_last_targets()
     assert feed.entries[0].state is TargetState.draining
     assert not feed.stop_last_targets()
+
+
+async def test_first_list_is_read_once_the_rank_is_known():
+    """Guards against a start that waits for the list longer than necessary.
+
+    All instances start together; their ranks are known when they are linked.
+    """
+    source = CountingSource()
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+
+    def rank() -> int:
+        return 0 if loop.time() - started_at > 0.1 else 1
+
+    feed = TargetFeed(source, rank, loop.time, lambda feed: None)
+    await _run(feed, for_s=0.5)
+    assert source.calls == 1
+    assert feed.read_at - started_at < 0.2
