Look at the rank among readers often only in the first 0.6 s

Entry instances draw their ranks anew each time that they look at them. Looked at each 0.05 s, the lowest rank was drawn within 0.3 s by all, so that they would have read the list together where no control instance sends it.

Only the first 0.6 s, in which links come up, have the short interval. test_rank_of_a_later_reader_is_looked_at_rarely failed before (45 draws in 2.4 s, 5 allowed).

--- a/src/cuminhoist/fleet/target_feed.py
+++ b/src/cuminhoist/fleet/target_feed.py
@@ -27,8 +27,8 @@
 #: Additional time for each rank that an instance waits for a list before it
 #: reads the list itself, in seconds.
 TAKEOVER_DELAY_S = 0.6
-#: Interval in which an instance without a list checks its rank, in seconds:
-#: ranks are known once the first links are.
+#: Interval in which an instance that has just started checks its rank, in
+#: seconds: ranks are known once the first links are.
 FIRST_RANK_POLL_S = 0.05
 #: Time after the start of an instance in which requests wait for its first
 #: list, in seconds: the first reader and the next two have tried by then.
@@ -160,17 +160,16 @@
         At the start only the first instance reads it at once; the others wait
         for its list as long as they would for any later one.
         """
-        started_at = self._now() - READ_INTERVAL_S
+        started_at = self._now()
         while True:
             due_at = (
-                max(self.read_at, started_at)
-                + READ_INTERVAL_S
+                max(self.read_at + READ_INTERVAL_S, started_at)
                 + TAKEOVER_DELAY_S * self._rank()
             )
             if self._now() < due_at:
-                has_list = self.read_at > started_at
-                poll_s = TAKEOVER_DELAY_S if has_list else FIRST_RANK_POLL_S
-                await asyncio.sleep(min(due_at - self._now(), poll_s))
+                await asyncio.sleep(
+                    min(due_at - self._now(), self._poll_s(started_at))
+                )
                 continue
             reading_since = self._now()
             result = await self._source.read()
@@ -184,6 +183,22 @@
                 self._set_available(available=False, reason=result.failure())
                 await asyncio.sleep(TAKEOVER_DELAY_S)
 
+    def _poll_s(self, started_at: float) -> float:
+        """Return after which time the rank is looked at again, in seconds.
+
+        A rank may be drawn anew each time, so that one that is looked at more
+        often is due sooner.
+
+        :param started_at: when the feed was started, in monotonic seconds.
+        """
+        is_starting = self._now() - started_at < TAKEOVER_DELAY_S
+        has_list = self.read_at > float('-inf')
+        return (
+            FIRST_RANK_POLL_S
+            if is_starting and not has_list
+            else TAKEOVER_DELAY_S
+        )
+
     def _replace(
         self, entries: tuple[TargetEntry, ...], read_at: float
     ) -> None:
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -13,6 +13,7 @@
 from cuminhoist.fleet.messages import TargetList
 from cuminhoist.fleet.target_feed import (
     READ_INTERVAL_S,
+    TAKEOVER_DELAY_S,
     ListReading,
     TargetFeed,
     TargetSource,
@@ -180,3 +181,23 @@
     await _run(feed, for_s=0.5)
     assert source.calls == 1
     assert feed.read_at - started_at < 0.2
+
+
+async def test_rank_of_a_later_reader_is_looked_at_rarely():
+    """Guards against entry instances that all read the list at once.
+
+    They draw their ranks anew each time, so that many draws take the spread
+    away.
+    """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    looked_at: list[float] = []
+
+    def rank() -> int:
+        looked_at.append(loop.time() - started_at)
+        return 6
+
+    feed = TargetFeed(CountingSource(), rank, loop.time, lambda feed: None)
+    await _run(feed, for_s=3)
+    late = [at for at in looked_at if at > TAKEOVER_DELAY_S + 0.1]
+    assert len(late) <= 3 / TAKEOVER_DELAY_S
