Place a request locally with the time that it has left

A request that the region's dispatcher held or lost was handed to the local dispatcher with the times of its first sending, so that it could wait past its deadline: for a first list of targets until 1.9 s with a deadline of 1.2 s.

--- a/src/cuminhoist/gateway/placement_client.py
+++ b/src/cuminhoist/gateway/placement_client.py
@@ -144,9 +144,16 @@
         if self._domain:
             req = msgspec.structs.replace(req, domain=self._domain)
         if self._remote.is_available() and self._now() >= self._paused_until:
+            sent_at = self._now()
             decision = await self._place_remote(req)
             if decision is not None:
                 return decision, 'dispatcher'
+            waited_s = self._now() - sent_at
+            req = msgspec.structs.replace(
+                req,
+                left_s=req.left_s - waited_s,
+                objective_left_s=req.objective_left_s - waited_s,
+            )
         return await self._place_local(req), 'local'
 
     def handle_decision(self, decision: Decision) -> None:
--- a/tests/gateway/test_placement_client.py
+++ b/tests/gateway/test_placement_client.py
@@ -240,3 +240,24 @@
         return local.allowances.find('acme').tokens(loop.time())
 
     assert asyncio.run(scenario()) == pytest.approx(2, abs=0.1)
+
+
+@pytest.mark.looptime
+async def test_request_of_a_lost_dispatcher_is_not_held_past_its_deadline():
+    """Guards against a wait for the first list that begins anew.
+
+    The region's dispatcher holds a request for the first list and is lost;
+    the local one, which has no list either, decides on it in its place.
+    """
+    loop = asyncio.get_running_loop()
+    dispatcher, local = _DelayedDispatcher(), Dispatcher()
+    dispatcher.unanswered = {1}
+    local.first_list_until = loop.time() + 2.2
+    client = PlacementClient(dispatcher, local, loop.time)
+    dispatcher.client = client
+    ends_at = loop.time() + 1.2
+    loop.call_later(0.9, client.handle_dispatcher_loss)
+    held = request(1, objective_left_s=1, left_s=1.2)
+    decision, decider = await client.request_placement(held)
+    assert (decision.reason, decider) == (RefusalReason.no_target, 'local')
+    assert loop.time() <= ends_at + 0.1
