End the wait for the first list with any list, and at the deadline

Requests waited on although the list had been read, if it was without a usable target, and past their deadline if their objective ended later.

The wait ends as a list with entries is assigned, whether or not any can be used, and at the deadline.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -397,7 +397,7 @@
         }
         assign_targets(
             local,
-            usable,
+            self.feed.entries,
             self._demand,
             context,
             self._now(),
--- a/src/cuminhoist/steering/assignment.py
+++ b/src/cuminhoist/steering/assignment.py
@@ -26,8 +26,9 @@
     :param dispatcher_count: number of dispatchers that share the slots of
         the region equally.
     """
+    listed = tuple(entries)
     by_service: dict[str, list[TargetEntry]] = {}
-    for entry in usable_entries(entries, context.drained_domains):
+    for entry in usable_entries(listed, context.drained_domains):
         by_service.setdefault(entry.service, []).append(entry)
     needs: dict[str, dict[str, float]] = {}
     for need in demand:
@@ -45,3 +46,5 @@
         for pool in pools:
             pool.slots /= dispatcher_count
         dispatcher.set_targets(service, targets, context.region, now)
+    if listed:
+        dispatcher.end_first_list(now)
--- a/src/cuminhoist/steering/dispatcher.py
+++ b/src/cuminhoist/steering/dispatcher.py
@@ -136,13 +136,23 @@
             if targets.get(name) is not former:
                 former.forget_objects()
         queue.recheck_requests_without(targets, now)
-        if targets:
-            self._end_first_list(now)
         queue.placement = Placement(targets, region, queue.placement.history)
         queue.waiting.update_all_slots()
         for target in targets.values():
             self.limits.set_rate(target, region, now)
 
+    def end_first_list(self, now: float) -> None:
+        """Have the requests placed that waited for the first list of targets.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.first_list_until == float('-inf'):
+            return
+        self.first_list_until = float('-inf')
+        for queue in self._services.values():
+            for waiting in queue.waiting:
+                queue.waiting.recheck(waiting, now)
+
     def decide_or_queue(
         self, entry_instance: str, request: PlacementRequest, now: float
     ) -> Decision | None:
@@ -534,21 +544,14 @@
         left_s = self._shortest_pause_s(queue, waiting, now)
         if left_s < float('inf'):
             return Refused(number, RefusalReason.overload, left_s, left_s)
-        waits_until = min(self.first_list_until, waiting.objective_ends_at)
+        waits_until = min(
+            self.first_list_until, waiting.objective_ends_at, waiting.ends_at
+        )
         if now < waits_until:
             queue.waiting.wait_for_targets(waiting, waits_until)
             return None
         return Refused(number, RefusalReason.no_target, NO_TARGET_RETRY_S)
 
-    def _end_first_list(self, now: float) -> None:
-        """Have the requests that waited for the first list placed."""
-        if self.first_list_until == float('-inf'):
-            return
-        self.first_list_until = float('-inf')
-        for queue in self._services.values():
-            for waiting in queue.waiting:
-                queue.waiting.recheck(waiting, now)
-
     def _refuse(
         self,
         queue: ServiceQueue,
--- a/tests/steering/test_dispatcher.py
+++ b/tests/steering/test_dispatcher.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from cuminhoist.steering.assignment import assign_targets
 from cuminhoist.steering.decisions import (
     AttemptReport,
     Ending,
@@ -18,6 +19,7 @@
     REPORT_GRACE_S,
     Dispatcher,
 )
+from cuminhoist.steering.slot_lending import DispatchContext
 from cuminhoist.steering.tracked_target import SlotPool, TrackedTarget
 
 from .builders import (
@@ -413,6 +415,11 @@
     return dispatcher
 
 
+def _assign(dispatcher, entries, now, drained=frozenset()):
+    context = DispatchContext(REGION, {'south-a': REGION}, drained, {}, {}, {})
+    assign_targets(dispatcher, entries, [], context, now)
+
+
 def test_request_waits_for_the_first_list_of_targets():
     """Guards against refusing all callers after a restart of all instances.
 
@@ -420,11 +427,9 @@
     """
     dispatcher = _starting_dispatcher()
     assert dispatcher.decide_or_queue('e', request(1), 0) is None
-    dispatcher.set_targets('other', {}, REGION, 0.1)
+    _assign(dispatcher, [], 0.1)
     assert dispatcher.decide_waiting(0.1) == []
-    dispatcher.set_targets(
-        SERVICE, {'t0': TrackedTarget(target('t0'), REGION)}, REGION, 0.2
-    )
+    _assign(dispatcher, [target('t0')], 0.2)
     assert [
         (entry_instance, type(decision))
         for entry_instance, decision in dispatcher.decide_waiting(0.2)
@@ -433,7 +438,7 @@
 
 
 def test_request_waits_for_the_first_list_until_its_objective_ends():
-    """Guards against a refusal that leaves the caller no time to return."""
+    """Guards against holding a request that can't be in time any more."""
     dispatcher = _starting_dispatcher()
     assert dispatcher.decide_or_queue('e', request(1), 0) is None
     assert dispatcher.decide_waiting(0.24) == []
@@ -441,13 +446,34 @@
     assert decision.reason is RefusalReason.no_target
 
 
+def test_request_is_not_held_past_its_deadline_for_the_first_list():
+    """Guards against a refusal that comes after the caller has left.
+
+    The first request of a route counts as not repeated, so that its objective
+    may end after its deadline.
+    """
+    dispatcher = _starting_dispatcher()
+    urgent = request(1, objective_left_s=0.8, left_s=0.3)
+    assert dispatcher.decide_or_queue('e', urgent, 0) is None
+    decisions = dispatcher.decide_waiting(0.3)
+    assert [decision.reason for _, decision in decisions] == [
+        RefusalReason.no_target
+    ]
+
+
+def test_first_list_without_usable_targets_ends_the_wait():
+    """Guards against holding requests although the list has been read."""
+    dispatcher = _starting_dispatcher()
+    assert dispatcher.decide_or_queue('e', request(1), 0) is None
+    _assign(dispatcher, [target('t0')], 0.1, drained=frozenset({'south-a'}))
+    assert len(dispatcher.decide_waiting(0.1)) == 1
+
+
 def test_service_that_the_first_list_lacks_is_refused_at_once():
     """Guards against holding requests that are known to have no target."""
     dispatcher = _starting_dispatcher()
     assert dispatcher.decide_or_queue('e', request(1), 0) is None
-    dispatcher.set_targets(
-        'other', {'t0': TrackedTarget(target('t0'), REGION)}, REGION, 0.1
-    )
+    _assign(dispatcher, [target('t0', service='other')], 0.1)
     (_, waited), *_ = dispatcher.decide_waiting(0.1)
     arrived = dispatcher.decide_or_queue('e', request(2), 0.1)
     assert waited.reason is arrived.reason is RefusalReason.no_target
