Read the first list once all known voters are linked

Instances that start within 0.3 s of each other took themselves for the first reader as soon as most voters were linked: with 990 targets on 20 pages four of them read at once, 80 calls in the first second where 44 are allowed.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -55,6 +55,10 @@
 LEAVE_LIMIT_S = 2.5
 #: Time after the start until the first links are expected, in seconds.
 FIRST_LINKS_S = 0.5
+#: Time without a new link after which an instance that has just started knows
+#: its place among the control instances, in seconds; they start within some
+#: 0.3 s of each other.
+LINKS_SETTLE_S = 0.3
 #: A control instance that reports an older declared state this long after it
 #: was announced gets it again, in seconds; announcements take one round trip.
 RESEND_DELAY_S = 0.5
@@ -152,6 +156,8 @@
         self._entry_updates.send_notices = self._send_notices
         self._dispatch_update = UpdateLimiter(self._update_dispatch, now)
         self._learned_at = float('-inf')
+        self._linked_controls: set[Address] = set()
+        self._links_changed_at = now()
         self._started = False
 
     async def start(self) -> None:
@@ -256,7 +262,7 @@
         # An instance that is leaving is not in the list and reads the target
         # list after all others. One that has just started waits for links, as
         # it does not know its place yet.
-        if self._has_just_started() and not self._knows_most_controls():
+        if self._has_just_started() and not self._knows_place():
             return 1
         names = [control.name for control in self.links.fleet.controls()]
         return (
@@ -265,11 +271,26 @@
             else len(names)
         )
 
-    def _knows_most_controls(self) -> bool:
-        """Tell whether most of the voters are linked, or any if unknown."""
+    def _knows_place(self) -> bool:
+        """Tell whether all known voters are linked, or no link is new.
+
+        While links come up, several instances would take themselves for the
+        first.
+        """
+        linked = {
+            peer.hello.address
+            for peer in self.links.peers.values()
+            if peer.hello.control
+        }
+        if linked != self._linked_controls:
+            self._linked_controls = linked
+            self._links_changed_at = self._now()
         state = self.replica.latest_chosen
-        known = len(self.links.links_to_controls()) + 1
-        return known > (len(state.voters) / 2 if state else 1)
+        voters = {voter.address for voter in state.voters} if state else set()
+        if voters and voters <= {*linked, self._config.peer_address}:
+            return True
+        settled_s = self._now() - self._links_changed_at
+        return bool(linked) and settled_s >= LINKS_SETTLE_S
 
     def _has_just_started(self) -> bool:
         return self._now() - self._created_at < FIRST_LINKS_S
--- a/tests/fleet/test_control_instance.py
+++ b/tests/fleet/test_control_instance.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import msgspec
 import pytest
@@ -197,3 +198,62 @@
 
 async def _nothing():
     """Start no listener."""
+
+
+class _PagedSource(TargetSource):
+    """Serves 990 targets on 20 pages, a page in 20 ms."""
+
+    def __init__(self):
+        self.page_times = []
+
+    async def read(self):
+        for _ in range(20):
+            self.page_times.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.02)
+        return Success(ListReading((target('a'),)))
+
+
+async def _start_linked(names, source, folder):
+    """Start instances 60 ms apart, linked to the former 30 ms later."""
+    loop, ticks = asyncio.get_running_loop(), itertools.count()
+    started, reads = {}, []
+
+    def now():
+        # It never stands still just before a time that is due.
+        return loop.time() + next(ticks) * 1e-8
+
+    seeds = tuple(hello(name).address for name in sorted(names)[:3])
+    for name in names:
+        config = msgspec.structs.replace(
+            instance_config(name),
+            data_folder=str(folder / name),
+            first_start=True,
+            seeds=seeds,
+        )
+        control = ControlInstance(config, source, Failure, now)
+        reads.append(asyncio.create_task(control.feed.run()))
+        await asyncio.sleep(0.03)
+        for other_name, other in started.items():
+            add_peer(control.links, hello(other_name, control=True))
+            add_peer(other.links, hello(name, control=True))
+        started[name] = control
+        await asyncio.sleep(0.03)
+    return reads
+
+
+@pytest.mark.parametrize('order', [1, -1])
+async def test_first_list_is_read_within_the_call_limit(tmp_path, order):
+    """Guards against a first read by each instance that links are late for.
+
+    All start within 0.3 s in any order. The list allows 44 calls a second,
+    and each read of 990 targets is 20 of them.
+    """
+    source = _PagedSource()
+    names = ['c0', 'c1', 'c2', 'c3', 'c4'][::order]
+    began_at = asyncio.get_running_loop().time()
+    reads = await _start_linked(names, source, tmp_path)
+    await asyncio.sleep(1 - 5 * 0.06)
+    for read in reads:
+        read.cancel()
+    first_second = [at for at in source.page_times if at < began_at + 1]
+    assert len(first_second) <= 44
--- a/tests/fleet/test_target_feed.py
+++ b/tests/fleet/test_target_feed.py
@@ -12,11 +12,13 @@
 from cuminhoist.fleet.instance_config import DeploymentLimits
 from cuminhoist.fleet.messages import TargetList
 from cuminhoist.fleet.target_feed import (
+    OWN_READ_FRACTION,
     READ_INTERVAL_S,
     TAKEOVER_DELAY_S,
     ListReading,
     TargetFeed,
     TargetSource,
+    entry_read_rank,
 )
 from cuminhoist.steering.leaving_targets import LeavingTarget
 from cuminhoist.steering.targets import TargetState
@@ -201,3 +203,47 @@
     await _run(feed, for_s=3)
     late = [at for at in looked_at if at > TAKEOVER_DELAY_S + 0.1]
     assert len(late) <= 3 / TAKEOVER_DELAY_S
+
+
+class _EntrySource(TargetSource):
+    """Notes when it is read; the first read never ends.
+
+    :param read_times: times of the reads of all instances.
+    """
+
+    def __init__(self, read_times) -> None:
+        self._read_times = read_times
+
+    async def read(self):
+        loop = asyncio.get_running_loop()
+        self._read_times.append(loop.time())
+        return await loop.create_future()
+
+
+async def test_first_own_reads_of_entry_instances_are_spread():
+    """Guards against entry instances that all read the list at once.
+
+    Each draws its pause; the more often it draws before the first list, the
+    sooner the shortest pause applies to all of them.
+    """
+    loop, calls_per_s, count = asyncio.get_running_loop(), 44, 100
+    read_times = []
+    tasks = []
+    for _ in range(count):
+        feed = TargetFeed(
+            _EntrySource(read_times),
+            lambda: entry_read_rank(0, count, calls_per_s),
+            loop.time,
+            lambda feed: None,
+        )
+        tasks.append(asyncio.create_task(feed.run()))
+        await asyncio.sleep(0.003)
+    await asyncio.sleep(15)
+    for task in tasks:
+        task.cancel()
+    assert len(read_times) == count
+    most = max(
+        sum(1 for at in read_times if since <= at < since + 1)
+        for since in read_times
+    )
+    assert most <= OWN_READ_FRACTION * calls_per_s
