Start the daemon's long-lived tasks again after an error

Cause: Node started its tasks once, as coroutines, and only logged their failure. An instance went on without its configuration, heartbeats or probes, and no interface showed it. The platform's instances start theirs again.

Change: Node runs them with BackgroundTasks.supervise, from factories. Each new start counts in the statsd counter task_restarts.NAME; the status, which is what the daemon has in place of a readiness address, names tasks that stay down. A stop still ends the server's task first, then cancels all. Ownership quarantines slots before it counts a target as its own, so that a start after an error in between uses no slot in which requests may run. EntryRole.tasks returns factories by name; the simulated fleet of the tests calls them.

--- a/src/cuminhoist/entry_role.py
+++ b/src/cuminhoist/entry_role.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import secrets
-from collections.abc import Coroutine
-from typing import Any, Self
+from collections.abc import Awaitable, Callable
+from typing import Self
 
 import msgspec
 
@@ -147,8 +147,8 @@
         )
         return cls(context, membership)
 
-    def tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return the long-lived tasks of the entry role."""
+    def tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return what starts the long-lived tasks, by their names."""
         context = self._context
         borrower = Borrower(
             self._rates,
@@ -168,15 +168,15 @@
             context.topology.platform_url,
             self.membership.replace_platform_list,
         )
-        return (
-            self.ownership.run(),
-            self.ownership.run_partner_heartbeats(),
-            self.grant_client.run(),
-            borrower.run(),
-            prober.run(),
-            poller.run(),
-            self._poll_freed_slots(),
-        )
+        return {
+            'ownership': self.ownership.run,
+            'partner heartbeats': self.ownership.run_partner_heartbeats,
+            'grants': self.grant_client.run,
+            'borrowing': borrower.run,
+            'probes': prober.run,
+            'platform list': poller.run,
+            'freed slots': self._poll_freed_slots,
+        }
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/cuminhoist/fleet/background.py
+++ b/src/cuminhoist/fleet/background.py
@@ -86,12 +86,16 @@
 
 
 class BackgroundTasks:
-    """Starts tasks, logs their failures and cancels them together."""
+    """Starts tasks, logs their failures and cancels them together.
 
-    def __init__(self) -> None:
+    :param on_restart: called with the name of a task before each new start;
+        None for no call.
+    """
+
+    def __init__(self, on_restart: Callable[[str], None] | None = None) -> None:
         self._tasks: list[asyncio.Task[Any]] = []
         self._supervised: dict[str, SupervisedTask] = {}
-        self._on_restart: Callable[[str], None] = _ignore_restart
+        self._on_restart = on_restart or _ignore_restart
 
     @classmethod
     def from_registry(cls, registry: CollectorRegistry) -> Self:
@@ -99,20 +103,19 @@
 
         :param registry: registry of the metrics.
         """
-        tasks = cls()
         restarts = Counter(
             'cuminhoist_task_restarts',
             'Starts of long-lived tasks after an error, by task.',
             ('task',),
             registry=registry,
         )
+        tasks = cls(lambda name: restarts.labels(name).inc())
         down = Gauge(
             'cuminhoist_tasks_down',
             'Long-lived tasks that fail again and again.',
             registry=registry,
         )
         down.set_function(tasks.count_down)
-        tasks._on_restart = lambda name: restarts.labels(name).inc()
         return tasks
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
@@ -152,9 +155,13 @@
         """
         return any(self.is_down(name) for name in names)
 
+    def names_down(self) -> tuple[str, ...]:
+        """Return the names of the supervised tasks that are down."""
+        return tuple(name for name in self._supervised if self.is_down(name))
+
     def count_down(self) -> int:
         """Return how many supervised tasks are down."""
-        return sum(one.is_down for one in self._supervised.values())
+        return len(self.names_down())
 
     async def stop(self) -> None:
         """Cancel all tasks and wait until they have ended."""
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -8,8 +8,6 @@
 import asyncio
 import pathlib
 import secrets
-from collections.abc import Coroutine
-from typing import Any
 
 from litestar import Litestar
 
@@ -20,9 +18,11 @@
 from .config_in_force import ConfigInForce
 from .consensus import LogReplica
 from .entry_role import EntryRole, InstanceContext
+from .fleet.background import BackgroundTasks
 from .httperrors import exception_handlers
 from .httpserver import DRAIN_TIMEOUT_S, HttpServer
 from .logging_setup import logger
+from .metrics import metrics_from_config
 from .openapi import openapi_config
 from .operator_api import (
     OperatorApi,
@@ -62,6 +62,10 @@
             topology.instance(cfg.name),
             topology.instances,
         )
+        self._metrics = metrics_from_config(cfg.statsd)
+        self._background = BackgroundTasks(
+            lambda name: self._metrics.count(f'task_restarts.{name}')
+        )
         self.entry = self._build_entry()
         self.replica = self._build_replica()
         self._delivery = ConfigDelivery(
@@ -80,18 +84,22 @@
             cfg.http_port,
             _drain_timeout_s(topology),
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._server_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start all listeners and tasks."""
         await self._transport.start()
         if self.replica is not None:
             await self.replica.start()
-        self._spawn(self._delivery.run())
-        self._spawn(self.control.instance_querier.run_account_sync())
-        for coroutine in self.entry.tasks() if self.entry else ():
-            self._spawn(coroutine)
-        self._spawn(self._server.serve())
+        factories = {
+            'delivery': self._delivery.run,
+            'account sync': self.control.instance_querier.run_account_sync,
+            **(self.entry.tasks() if self.entry else {}),
+        }
+        for name, factory in factories.items():
+            self._background.supervise(name, factory)
+        self._server_task = asyncio.create_task(self._server.serve())
+        self._server_task.add_done_callback(_log_failure)
         while not self._server.started:
             await asyncio.sleep(START_POLL_S)
         _log.info('Serving requests on port {}.', self._cfg.http_port)
@@ -130,16 +138,15 @@
 
     async def _shut_down(self) -> None:
         self._server.begin_stop()
-        server_task = self._tasks.pop()
-        await asyncio.gather(server_task, return_exceptions=True)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server_task is not None:
+            await asyncio.gather(self._server_task, return_exceptions=True)
+        await self._background.stop()
         if self.replica is not None:
             await self.replica.stop()
         if self.entry is not None:
             await self.entry.close()
         await self._transport.stop()
+        self._metrics.close()
 
     def _live_instances(self) -> frozenset[str]:
         # An instance leaves the delivery tree only if it announced its stop,
@@ -152,11 +159,6 @@
             or not self.entry.membership.is_leaving_or_silent(instance.name)
         )
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
-
     def _build_entry(self) -> EntryRole | None:
         if Role.entry not in self._cfg.roles:
             return None
@@ -198,6 +200,7 @@
                 transport=self._transport,
                 control_log=self.replica,
                 accounts=self.entry.accounts if self.entry else None,
+                tasks_down=self._background.names_down,
             ),
         )
 
--- a/src/cuminhoist/operator_api.py
+++ b/src/cuminhoist/operator_api.py
@@ -6,6 +6,7 @@
 """
 
 import hmac
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -77,6 +78,7 @@
         milliseconds; -1 if it never was.
     :param control: state of its control replica, None without that role.
     :param controls: all control instances of the deployment.
+    :param tasks_down: its long-lived tasks that fail again and again.
     """
 
     name: str
@@ -90,6 +92,7 @@
     drains: tuple[Drain, ...]
     control: ReplicaStatus | None
     controls: tuple[ControlAddress, ...]
+    tasks_down: tuple[str, ...] = ()
 
 
 class Initialised(msgspec.Struct, frozen=True):
@@ -104,6 +107,7 @@
     :param incarnation: id of the present start of the instance's process.
     :param control_log: its control replica, None without that role.
     :param accounts: its accounts, None if it keeps none.
+    :param tasks_down: returns its tasks that fail again and again.
     """
 
     cfg: Settings
@@ -114,6 +118,7 @@
     transport: Transport
     control_log: ControlLog | None = None
     accounts: AccountSource | None = None
+    tasks_down: Callable[[], tuple[str, ...]] = tuple
 
 
 class OperatorApi:
@@ -186,6 +191,7 @@
                 ControlAddress(control.name, address_of(control))
                 for control in dependencies.topology.control_instances()
             ),
+            tasks_down=dependencies.tasks_down(),
         )
 
     async def report(self) -> Report:
--- a/src/cuminhoist/ownership.py
+++ b/src/cuminhoist/ownership.py
@@ -374,9 +374,10 @@
             handover = Handover(0, 0)
         for reply in replies:
             handover = reply.handovers.get(name, handover)
+        # The quarantine comes first: the rounds go on after an error in it.
+        self._slots.take_over(name, handover)
         self._claims.pop(name)
         self._owned.add(name)
-        self._slots.take_over(name, handover)
         _log.info(
             'Took over target {}; {} slots are quarantined for {:.1f} s.',
             name,
--- a/src/cuminhoist/queries.py
+++ b/src/cuminhoist/queries.py
@@ -216,6 +216,8 @@
             f'{control.leader or "unknown"}, voters '
             f'{", ".join(control.voters)} {control.fault}'.rstrip(),
         )
+    if own.tasks_down:
+        lines.append(f'tasks down: {", ".join(own.tasks_down)}')
     return Output(
         ok=all(line.held is not None for line in all_instances.instances),
         lines=tuple(lines),
--- a/tests/steering_fleet.py
+++ b/tests/steering_fleet.py
@@ -92,8 +92,8 @@
         )
         with mock.patch('secrets.randbits', return_value=7):
             self.entry = EntryRole(base, membership, clients)
-        for coroutine in self.entry.tasks():
-            self.spawn(coroutine)
+        for factory in self.entry.tasks().values():
+            self.spawn(factory())
 
     def spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -94,6 +94,16 @@
     assert json.loads(text)['lines'][0]['count'] == 12
 
 
+def test_status_shows_tasks_that_are_down(apps, capsys):
+    """Guards against an instance that looks sound without one of its tasks."""
+    assert 'tasks down' not in _run_command(capsys, 'status')[1]
+    for control in apps.controls.values():
+        control._dependencies = msgspec.structs.replace(
+            control._dependencies, tasks_down=lambda: ('probes', 'grants')
+        )
+    assert 'tasks down: probes, grants' in _run_command(capsys, 'status')[1]
+
+
 @pytest.mark.parametrize(
     ('arguments', 'message'),
     [
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -305,6 +305,32 @@
             task.cancel()
 
 
+@pytest.mark.looptime
+async def test_slots_stay_unused_after_a_failed_takeover(monkeypatch):
+    """Guards against use of slots in which requests may still run.
+
+    An error in the quarantine ends the loop, and the daemon starts it again.
+    """
+    take_over, failures = SlotTable.take_over, [OverflowError('unforeseen')]
+
+    def fail_once(table, *takeover):
+        if failures:
+            raise failures.pop()
+        take_over(table, *takeover)
+
+    monkeypatch.setattr(SlotTable, 'take_over', fail_once)
+    node = LoopNode(single_domain_topology(1, 1, 8000), 'e0', {})
+    with pytest.raises(ExceptionGroup):
+        await node.tasks[0]
+    started_again = asyncio.create_task(node.ownership.run())
+    await asyncio.sleep(2)
+    assert node.ownership.owns('t0')
+    assert node.table.free_slots('svc') == 0
+    await asyncio.sleep(DEADLINE_S + DEADLINE_MARGIN_S)
+    assert node.table.free_slots('svc') > 0
+    started_again.cancel()
+
+
 #: Seed of the generated examples. Without it hypothesis derives the seed
 #: from the source text of the class, so that any rewording changes them.
 EXAMPLES_SEED = int(
