Keep callers that read steadily when memory is short

While memory for callers was short, a caller that read 250 or 50 KB/s without a pause was closed after 360 KB of an answer of 12 MB. The request behind it, which had been passed on, was lost with it.

A stall began when writing was paused and ended only below the low mark of the transport. The kernel tells of room only once a large part of its send buffer is free, so that writing stays paused for longer than a second although bytes are taken all the time.

While writing is paused, the bytes that a caller has not taken, in the transport and in the kernel, are now looked at four times a second; 10 KB of progress let the stall begin anew. Callers that take nothing, or 1 KB/s, are closed as before, by a test that passed before, too.

Which stalled connection goes first is unchanged. That users saw this fault is not shown.

--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -19,10 +19,14 @@
 WAITING_FRACTION = 0.5
 #: Fraction of the high mark for those of one connection.
 CONNECTION_FRACTION = 1 / 64
-#: A connection may be closed for memory if its caller has read so little for
-#: so long that its writing stayed paused, in seconds. A caller that reads
-#: takes some 10 KB in much less.
+#: A connection may be closed for memory if its writing stayed paused for so
+#: long and its caller took less than ``PROGRESS_BYTES``, in seconds.
 STALL_S = 1.0
+#: A caller that reads takes as many in much less time, also on a slow link
+#: that it shares with others.
+PROGRESS_BYTES = 10 * 1024
+#: Time between two looks at what stalled callers have taken, in seconds.
+LOOK_S = STALL_S / 4
 
 
 class Purpose(enum.StrEnum):
@@ -74,6 +78,17 @@
         )
 
 
+class Stall(msgspec.Struct):
+    """A connection whose writing is paused.
+
+    :param since: loop time since which its caller has made no progress.
+    :param unsent: bytes that its caller had not taken then.
+    """
+
+    since: float
+    unsent: int
+
+
 class CallerMemory:
     """Bytes that a process holds for all its callers.
 
@@ -89,11 +104,12 @@
         #: Connections that were closed for memory.
         self.closed_connections = 0
         self._total = 0
-        self._stalled: dict[ConnectionMemory, float] = {}
+        self._stalled: dict[ConnectionMemory, Stall] = {}
         self._waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
         self._relief: asyncio.TimerHandle | None = None
+        self._look: asyncio.TimerHandle | None = None
 
     @property
     def has_room(self) -> bool:
@@ -134,11 +150,34 @@
         :param conn: the connection.
         :param stalled: whether writing to it is paused.
         """
-        if stalled:
-            now = asyncio.get_running_loop().time()
-            self._stalled.setdefault(conn, now)
-        else:
+        if not stalled:
             self._stalled.pop(conn, None)
+        elif conn not in self._stalled:
+            now = asyncio.get_running_loop().time()
+            self._stalled[conn] = Stall(now, conn.count_unsent())
+            self._plan_look()
+
+    def _plan_look(self) -> None:
+        if self._look is None:
+            loop = asyncio.get_running_loop()
+            self._look = loop.call_later(LOOK_S, self._note_progress)
+
+    def _note_progress(self) -> None:
+        """Let the stalls of callers that read begin anew.
+
+        Writing may stay paused for seconds although a caller reads: large
+        pieces are written at once, and the kernel tells of room only once a
+        large part of its buffer is free.
+        """
+        self._look = None
+        now = asyncio.get_running_loop().time()
+        for conn, stall in self._stalled.items():
+            unsent = conn.count_unsent()
+            if stall.unsent - unsent >= PROGRESS_BYTES:
+                stall.since = now
+                stall.unsent = unsent
+        if self._stalled:
+            self._plan_look()
 
     def _plan_relief(self, delay_s: float) -> None:
         if self._relief is None:
@@ -153,8 +192,8 @@
         now = asyncio.get_running_loop().time()
         closable = [
             conn
-            for conn, since in self._stalled.items()
-            if now - since >= STALL_S
+            for conn, stall in self._stalled.items()
+            if now - stall.since >= STALL_S
         ]
         closable.sort(key=lambda conn: conn.total)
         left = self._total
@@ -172,13 +211,19 @@
 
     :param process: counts the bytes of all connections.
     :param close: closes the connection at once.
+    :param count_unsent: returns how many written bytes its caller has not
+        taken, also those that the kernel holds.
     """
 
     def __init__(
-        self, process: CallerMemory, close: Callable[[], None]
+        self,
+        process: CallerMemory,
+        close: Callable[[], None],
+        count_unsent: Callable[[], int] = int,
     ) -> None:
         self.process = process
         self.close = close
+        self.count_unsent = count_unsent
         self._held: dict[Purpose, int] = {}
         self._released = asyncio.Event()
 
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -19,6 +19,7 @@
     RequestTransport,
 )
 from .request_pipeline import RequestPipeline
+from .unacknowledged_bytes import unacknowledged_bytes
 from .withdrawals import WithdrawalCause
 
 #: Time for a caller to read an answer that was sent before the request body
@@ -45,6 +46,7 @@
         self._memory = ConnectionMemory(
             cast(CallerMemory, getattr(self.server_state, 'memory')),
             self._close_for_memory,
+            self._count_unsent,
         )
         self._number = next(_connection_numbers)
         self._request_numbers = itertools.count(1)
@@ -109,6 +111,10 @@
     def _close_for_memory(self) -> None:
         self._abort_for(WithdrawalCause.memory)
 
+    def _count_unsent(self) -> int:
+        unsent: int = self.transport.get_write_buffer_size()
+        return unsent + unacknowledged_bytes(self.transport)
+
     def _abort_for(self, cause: WithdrawalCause) -> None:
         if self.transport is not None:
             self._end_cause = cause
