Test disks that are lost while all others lose power

Cause: the users' term that all other machines may lose power as disks are lost was covered by tests of single files only. No test lost the power of a whole register, with kills before and writes in progress.

The emulated machines can now have disks whose writes take time, are interrupted by the end of a process, and lose what was not synced with the power. Delays of messages can be set; the defaults are as before.

--- a/tests/register/builders.py
+++ b/tests/register/builders.py
@@ -21,6 +21,8 @@
 from cuminhoist.register.store import DiskExecutor
 from cuminhoist.storage import DiskError, DiskErrorKind
 
+from .builders_disks import PoweredDisk, UnsyncedDisk
+
 PORT = 7000
 #: Interval between heartbeats, in seconds.
 HEARTBEAT_S = 0.5
@@ -47,7 +49,7 @@
         self.host = host
         self.address = Address(host, PORT)
         self.folder = cluster.folder / host
-        self.disk = InlineDisk()
+        self.disk: InlineDisk | PoweredDisk = InlineDisk()
         self.wiped = False
         self.leaving = False
         self.replica: RegisterReplica | None = None
@@ -65,6 +67,9 @@
         self.leaving = False
         self._heard_at = {}
         self._started_at = asyncio.get_running_loop().time()
+        if self.cluster.unsynced is not None:
+            rng = random.Random(self.cluster.rng.getrandbits(32))
+            self.disk = PoweredDisk(self.cluster.unsynced, rng)
         files = AcceptorFiles(self.folder)
         founders = (
             DeclaredState.from_founders(self.cluster.founders)
@@ -81,6 +86,7 @@
             self,
             self._on_learned,
             random.Random(self.cluster.rng.getrandbits(32)),
+            self.cluster.tolerated_losses,
         )
         self._tasks = [
             asyncio.create_task(self.replica.run_proposals()),
@@ -91,6 +97,8 @@
 
     async def kill(self) -> None:
         """End the process; the disk stays."""
+        if isinstance(self.disk, PoweredDisk):
+            self.disk.end()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -107,6 +115,8 @@
         await self.kill()
         self.wiped = True
         shutil.rmtree(self.folder)
+        if self.cluster.unsynced is not None:
+            self.cluster.unsynced.forget(self.folder)
 
     async def call(
         self,
@@ -191,7 +201,12 @@
         self.folder = folder
         self.rng = random.Random(seed)
         self.loss_fraction = 0.0
+        #: Longest delay of a message, in seconds.
+        self.max_delay_s = 0.07
         self.cut_links: set[frozenset[str]] = set()
+        self.tolerated_losses = 1
+        #: What a power loss leaves of the disks; none if no power is lost.
+        self.unsynced: UnsyncedDisk | None = None
         #: For how long a proposer that is gone is taken for active.
         self.proposer_known_for_s = 0.0
         #: Set when the machine goes on, by host of each frozen machine.
@@ -261,6 +276,34 @@
         ]
         return max(states, key=lambda state: state.index)
 
+    async def kill_all(self, hosts: list[str]) -> None:
+        """End several processes at the same moment."""
+        await asyncio.gather(*(self.machines[host].kill() for host in hosts))
+
+    async def lose_power(self, hosts: list[str], wiped: list[str]) -> None:
+        """End all processes; some disks are lost, the others lose power.
+
+        :param hosts: machines that lose power or their disks.
+        :param wiped: those of them that lose their disks.
+        """
+        await self.kill_all(hosts)
+        for host in hosts:
+            if host in wiped:
+                await self.machines[host].wipe()
+            else:
+                self.unsynced.lose_power(self.machines[host].folder)
+
+    async def start_all(self, hosts: list[str], within_s: float) -> None:
+        """Start machines again in any order within some time."""
+        delays_s = sorted(self.rng.uniform(0, within_s) for _ in hosts)
+        waited_s = 0.0
+        for host, delay_s in zip(
+            self.rng.sample(hosts, len(hosts)), delays_s, strict=True
+        ):
+            await asyncio.sleep(delay_s - waited_s)
+            waited_s = delay_s
+            self.machines[host].start(first_start=False)
+
     async def wait_for_votes(self) -> None:
         """Wait up to 40 s until all running instances are voters."""
         for _ in range(400):
@@ -345,7 +388,7 @@
 
     async def _passes(self, sender: Machine, receiver: Machine) -> bool:
         """Wait for a message's delay; tell whether it arrives."""
-        await asyncio.sleep(self.rng.uniform(0.001, 0.07))
+        await asyncio.sleep(self.rng.uniform(0.001, self.max_delay_s))
         for host in (sender.host, receiver.host):
             if host in self.frozen:
                 await self.frozen[host].wait()
