--- a/tests/register/test_power_loss.py
+++ b/tests/register/test_power_loss.py
@@ -119,7 +119,7 @@
 
 
 @pytest.mark.parametrize('count', [6, 9])
-@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('seed', [*range(8), 13, 16])
 async def test_acknowledged_outlasts_lost_disks_and_power(
     tmp_path, monkeypatch, count, seed
 ):
