Give the stall of a test the form that it has

test_withdrawal_for_memory sets the stall of a connection by a private name. What it expects is unchanged.

--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cuminhoist.caller_memory import MemoryLimits
+from cuminhoist.caller_memory import MemoryLimits, Stall
 from cuminhoist.withdrawals import Withdrawal, WithdrawalCause
 
 from .builders_pipelining import OverlapApp, calling, get, started
@@ -69,7 +69,7 @@
         memory.limits = MemoryLimits(high_bytes=1, low_bytes=1)
         for conn in server.server_state.connections:
             # The caller has not read for longer than is tolerated.
-            memory._stalled[conn._memory] = float('-inf')
+            memory._stalled[conn._memory] = Stall(float('-inf'), 0)
         memory.add('unsent-bytes', 1)
         await eventually(lambda: bool(app.withdrawals))
         memory.add('unsent-bytes', -1)
