Log why a change of voters or a ballot has no effect

Cause: the lines of the register could not tell a change of voters that was void from one whose ballots failed, or whose joint configuration was not finished: each try logged 'voters change' and nothing after it.

Change: the end of each try is logged with its outcome (in force, void, no quorum), each accepted joint configuration and its end, and each failed phase of a ballot with who granted and who refused it.

Measured: tests/register pass.

--- a/src/cuminhoist/register/proposer.py
+++ b/src/cuminhoist/register/proposer.py
@@ -111,6 +111,8 @@
         #: In the order of the calls, so that a fixed seed repeats a run.
         self.open_calls: list[asyncio.Task[VoterReply | None]] = []
         self.highest_round = 0
+        #: The reply that refused the request, if any.
+        self.refusal: VoterReply | None = None
         self._latest_chosen = latest_chosen
         self._client = client
         self._build_request = build_request
@@ -144,8 +146,13 @@
             accepted == {self._accepted_ballot},
         )
 
+    @property
+    def granted_by(self) -> set[str]:
+        """Names of the voters that granted the request."""
+        return set(self._replies)
+
     def _has_quorum(self) -> bool:
-        replied = set(self._replies)
+        replied = self.granted_by
         known_quorum = self._latest_chosen.has_quorum(replied)
         return known_quorum and self._accepted_state.has_quorum(replied)
 
@@ -175,6 +182,8 @@
             if state and reply.accepted > self._accepted_ballot:
                 self._accepted_state = state
                 self._accepted_ballot = reply.accepted
+        else:
+            self.refusal = reply
         return reply.granted
 
 
@@ -240,6 +249,7 @@
         known = self._latest_chosen()
         accepted = self._accepted()
         phase = await self._collect_quorum(
+            'inquire',
             lambda voter: Inquire(voter=voter.name, known=accepted.ballot),
             accepted,
         )
@@ -267,6 +277,7 @@
         ballot = Ballot(self._round, self._name)
         accepted = self._accepted()
         phase = await self._collect_quorum(
+            'prepare',
             lambda voter: Prepare(
                 voter=voter.name, ballot=ballot, known=accepted.ballot
             ),
@@ -280,9 +291,16 @@
                 state = apply_order(state, order)
         elif joint_state is not None and is_same_state(state, joint_state):
             state = finish_voter_change(state)
-        if await self._run_accept_phase(ballot, state):
-            return Chosen(state, applied=phase.state.voters_settled)
-        return None
+        if not await self._run_accept_phase(ballot, state):
+            return None
+        if not (state.voters_settled and phase.state.voters_settled):
+            _log.bind(
+                index=state.index,
+                ballot=ballot.round,
+                voters=[voter.name for voter in state.voters],
+                former=[voter.name for voter in state.former],
+            ).info('voters change accepted')
+        return Chosen(state, applied=phase.state.voters_settled)
 
     async def _run_accept_phase(
         self, ballot: Ballot, state: DeclaredState
@@ -305,16 +323,19 @@
                     continue
                 self._round = max(self._round, reply.promised.round)
                 if not reply.granted:
+                    _log_failed_phase('accept', names, reply)
                     return False
                 names.add(reply.voter)
                 if state.has_quorum(names):
                     return True
         finally:
             self._log_late_failures(calls)
+        _log_failed_phase('accept', names)
         return False
 
     async def _collect_quorum(
         self,
+        name: str,
         build_request: Callable[[Voter], Message],
         known: AcceptedState,
     ) -> PhaseResult | None:
@@ -322,10 +343,13 @@
             self._latest_chosen(), self._client, build_request, known
         )
         try:
-            return await collector.run()
+            phase = await collector.run()
         finally:
             self._round = max(self._round, collector.highest_round)
             self._log_late_failures(collector.open_calls)
+        if phase is None:
+            _log_failed_phase(name, collector.granted_by, collector.refusal)
+        return phase
 
     def _log_late_failures(
         self, calls: list[asyncio.Task[VoterReply | None]]
@@ -337,6 +361,18 @@
                 call.add_done_callback(_log_failure)
 
 
+def _log_failed_phase(
+    phase: str, granted_by: set[str], refusal: VoterReply | None = None
+) -> None:
+    """Log whether another ballot or silent voters made a phase fail."""
+    _log.bind(
+        phase=phase,
+        granted_by=sorted(granted_by),
+        refused_by=refusal.voter if refusal else None,
+        promised=refusal.promised if refusal else None,
+    ).info('ballot phase failed')
+
+
 def _log_failure(call: asyncio.Task[VoterReply | None]) -> None:
     if not call.cancelled() and call.exception() is not None:
         _log.warning('voter call failed', error=repr(call.exception()))
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -414,9 +414,16 @@
         voters = self._voter_watch.next_voters(known, now)
         if not known.voters_settled or voters == known.voters:
             return
-        _log.bind(voters=[voter.name for voter in voters]).info('voters change')
+        log = _log.bind(voters=[voter.name for voter in voters])
+        log.bind(index=known.index).info('voters change')
         order = ReplaceVoters(seen=known.index, voters=voters)
-        await self._submit_locally(order)
+        state = await self._submit_locally(order)
+        outcome = 'no quorum'
+        if state is not None:
+            outcome = 'in force' if state.voters == voters else 'void'
+        log.bind(
+            index=state.index if state else None, outcome=outcome
+        ).info('voters change ended')
 
     def _find_active_proposer(self) -> Voter | None:
         if self.latest_chosen is None:
