Admit voters whatever orders arrive

Cause: a change of voters named the index of the state that it was derived from and had no effect on any other. Every order raises the index, and the change stands behind the orders that wait in its own batch, so it was void as long as orders kept coming. Nothing bounded that.

Change: the order names the voters that it was derived from in place of the index. Other orders do not change them, so the first ballot after the request starts the joint configuration and the next one ends it. It is derived and proposed by the same instance and was never sent or stored, so builds that run side by side do not meet it; it is no message any more.

In test_founding_size_is_found_again the order names the voters, as its field has changed; it checks the same.

--- a/src/cuminhoist/register/declared_state.py
+++ b/src/cuminhoist/register/declared_state.py
@@ -121,16 +121,18 @@
     seen: int | None = None
 
 
-@register_message
 class ReplaceVoters(Message, frozen=True):
     """Starts a change of voters; no effect in a joint configuration.
 
-    :param seen: index of the state that the new voters were derived from; the
-        order has no effect on any other state.
+    Other orders do not affect it. The instance that derives it also proposes
+    it, so it is never sent.
+
+    :param former: the voters that the new ones were derived from; the order
+        has no effect if the voters are others.
     :param voters: the new voters.
     """
 
-    seen: int
+    former: tuple[Voter, ...]
     voters: tuple[Voter, ...]
 
 
@@ -150,7 +152,7 @@
     if isinstance(order, DrainDomain):
         return _apply_drain(state, order)
     if isinstance(order, ReplaceVoters):
-        if not state.voters_settled or order.seen != state.index:
+        if not state.voters_settled or order.former != state.voters:
             return state
         founding_size = max(
             state.founding_size,
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -416,7 +416,7 @@
             return
         log = _log.bind(voters=[voter.name for voter in voters])
         log.bind(index=known.index).info('voters change')
-        order = ReplaceVoters(seen=known.index, voters=voters)
+        order = ReplaceVoters(former=known.voters, voters=voters)
         state = await self._submit_locally(order)
         outcome = 'no quorum'
         if state is not None:
--- a/tests/register/builders.py
+++ b/tests/register/builders.py
@@ -52,6 +52,7 @@
         self.disk: InlineDisk | PoweredDisk = InlineDisk()
         self.wiped = False
         self.leaving = False
+        self.acceptor: Acceptor | None = None
         self.replica: RegisterReplica | None = None
         #: States that each incarnation has learned, in order.
         self.learned_states: list[list[DeclaredState]] = []
@@ -79,8 +80,9 @@
         identity = files.load_or_create_identity(
             self.host, founders, self.cluster.rng
         )
+        self.acceptor = Acceptor.from_files(identity.voter, files, self.disk)
         self.replica = RegisterReplica(
-            Acceptor.from_files(identity.voter, files, self.disk),
+            self.acceptor,
             files.learned.load() or identity.founders,
             self.address,
             self,
--- a/tests/register/test_declared_state.py
+++ b/tests/register/test_declared_state.py
@@ -4,13 +4,16 @@
 """
 
 import msgspec
+import pytest
 
 from cuminhoist.fleet.instance_config import Address
 from cuminhoist.register.declared_state import (
     DeclaredState,
     DrainDomain,
+    ReplaceConfiguration,
     ReplaceVoters,
     apply_order,
+    finish_voter_change,
     is_same_state,
 )
 
@@ -39,10 +42,37 @@
 
 def test_founding_size_is_found_again():
     """Guards against a deployment whose size is lost with an older build."""
-    order = ReplaceVoters(seen=0, voters=OLDER.voters[1:])
+    order = ReplaceVoters(former=OLDER.voters, voters=OLDER.voters[1:])
     assert apply_order(OLDER, order).founding_size == 6
 
 
+@pytest.mark.parametrize(
+    'other_order',
+    [
+        ReplaceConfiguration(version=1, body=b'{}'),
+        DrainDomain(domain='a', drained=True, seen=0),
+    ],
+)
+def test_change_of_voters_behind_another_order(other_order):
+    """Guards against a change of voters that other orders make void."""
+    order = ReplaceVoters(former=STATE.voters, voters=STATE.voters[1:])
+    state = apply_order(apply_order(STATE, other_order), order)
+    assert state.voters == STATE.voters[1:]
+    assert state.former == STATE.voters
+
+
+def test_change_of_other_voters_has_no_effect():
+    """Guards against voters that were derived from those of another time.
+
+    A second change would undo the first, or start in its joint configuration.
+    """
+    order = ReplaceVoters(former=STATE.voters, voters=STATE.voters[1:])
+    joint = apply_order(STATE, order)
+    assert apply_order(joint, order) == joint
+    finished = finish_voter_change(joint)
+    assert apply_order(finished, order) == finished
+
+
 class _OlderDrainDomain(msgspec.Struct, frozen=True, array_like=True):
     """An order as builds read and write it that do not know its age."""
 
