Refuse an answer with fields without end

Cause: the head of an answer was bounded by its bytes, after each read.

Change: a head with more than 256 fields fails at once and its fields are dropped.

Test: test_fields_without_end_were_kept failed before. The tests of statuses such as 000 passed before: no path takes one for an answer.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -20,6 +20,9 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 #: An answer whose head is larger fails.
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
+#: An answer whose head has more fields fails: fields of a few bytes take many
+#: times their size in memory.
+MAX_ANSWER_FIELDS = 256
 #: An answer with more bytes in a row that belong to no body fails, such as a
 #: chunk extension or a trailer without end.
 MAX_FRAMING_BYTES = 64 * 1024
@@ -222,8 +225,16 @@
         if self._skipping_answer:
             # This is a trailer.
             return
-        if self._exchange is not None and not self._exchange.status:
-            self._exchange.headers.append((name.lower(), value.rstrip(b' \t')))
+        exchange = self._exchange
+        if exchange is None or exchange.status or exchange.ended:
+            return
+        if len(exchange.headers) >= MAX_ANSWER_FIELDS:
+            exchange.headers.clear()
+            exchange.abort(
+                RemoteProtocolError('head of the answer has too many fields')
+            )
+            return
+        exchange.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
         """Evaluate the head of an answer (callback of the parser).
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from cuminhoist.client_connection import MAX_ANSWER_FIELDS
+from cuminhoist.exceptions import ConnectionLostError, RemoteProtocolError
+
 from .builders_answers import (
     SoundAnswer,
     exchange_of,
@@ -150,3 +153,38 @@
         names = [name for name, _ in exchange.headers]
         assert names.count(b'x-request-id') == 1
         assert b'x-not-executed' not in names
+
+
+@pytest.mark.parametrize('status', [b'000', b'0', b'099', b'600', b'999'])
+@pytest.mark.parametrize('is_behind_interim', [False, True])
+async def test_status_outside_the_protocol_was_taken(status, is_behind_interim):
+    """Guards against a status that no server may send (MIXED)."""
+    whole = DUE[1].encode().replace(b' 200 ', b' %b ' % status, 1)
+    if is_behind_interim:
+        whole = b'HTTP/1.1 103 Early Hints\r\n\r\n' + whole
+    exchange, _, _ = await received(whole)
+    assert not exchange.status
+    assert isinstance(exchange.error, RemoteProtocolError)
+
+
+@pytest.mark.parametrize('status', [b'100', b'103', b'199'])
+async def test_interim_status_was_taken_for_a_final_one(status):
+    """Guards against an answer that ends with an interim status (MIXED)."""
+    exchange, _, _ = await received(b'HTTP/1.1 %b Wait\r\n\r\n' % status)
+    assert not exchange.status
+    assert isinstance(exchange.error, ConnectionLostError)
+
+
+async def test_fields_without_end_were_kept():
+    """Guards against a head of few bytes that takes megabytes (LOST)."""
+    conn, transport = opened_connection()
+    exchange = exchange_of('due')
+    conn.start(exchange)
+    most = SoundAnswer('due').encode().split(b'\r\n\r\n')[0]
+    count = most.count(b'\r\n')
+    transport.feed(most + b'\r\na: b' * (MAX_ANSWER_FIELDS - count))
+    assert not exchange.ended
+    transport.feed(b'\r\na: b\r\na: b\r\n')
+    assert isinstance(exchange.error, RemoteProtocolError)
+    assert not exchange.headers
+    assert transport.closed
