Keep small chunks of an answer from taking the event loop

Callers saw: while a target sent chunks of one byte without end, requests to sound services on the same entry instance got no answer for seconds.

Cause: one read took up to 256 KB, 43,000 chunks, and each chunk was queued and woke a reader that passed one byte on.

--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -13,6 +13,7 @@
 import httptools
 
 from .answer_head import HEAD_END, find_head_fault
+from .chunk_budget import ChunkBudget
 from .exceptions import ConnectionLostError, RemoteProtocolError
 from .exchange import AnswerOwner, Exchange
 
@@ -23,6 +24,10 @@
 #: An answer whose head has more fields fails: fields of a few bytes take many
 #: times their size in memory.
 MAX_ANSWER_FIELDS = 256
+#: Bytes that one read takes; other connections get their turn after it.
+READ_BYTES = 32 * 1024
+#: The same on a connection whose last read used up the budget of small chunks.
+SLOW_READ_BYTES = 4 * 1024
 #: An answer with more bytes in a row that belong to no body fails, such as a
 #: chunk extension or a trailer without end.
 MAX_FRAMING_BYTES = 64 * 1024
@@ -32,13 +37,19 @@
 _SWITCHING_PROTOCOLS_STATUS = 101
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A TCP connection to one server.
 
     :param on_close: called once, when an established connection is closed.
+    :param budget: shared by the connections of a process; by default one of
+        its own.
     """
 
-    def __init__(self, on_close: Callable[['ClientConnection'], None]) -> None:
+    def __init__(
+        self,
+        on_close: Callable[['ClientConnection'], None],
+        budget: ChunkBudget | None = None,
+    ) -> None:
         self.idle_since: float = 0
         self.closed_while_idle = False
         self._aborted = False
@@ -58,7 +69,14 @@
         self._skipped_bytes: int | None = None
         self._head_bytes = 0
         self._framing_bytes = 0
+        #: Pieces of the body that the present read has brought.
+        self._body_pieces: list[bytes] = []
+        self._budget = budget or ChunkBudget()
+        self._read_buffer = bytearray()
+        self._read_bytes = READ_BYTES
         self._reading = True
+        self._buffer_full = False
+        self._pause: asyncio.TimerHandle | None = None
         self._closed = False
         self._reusable = True
         self._writable = asyncio.Event()
@@ -151,11 +169,25 @@
         :param buffered: unread body bytes in the buffer.
         """
         exchange = self._exchange
-        if exchange is None or self._reading:
+        if exchange is None or not self._buffer_full:
             return
         if buffered <= exchange.high_water_bytes // 2:
-            self._reading = True
-            self._require_transport().resume_reading()
+            self._buffer_full = False
+            self._update_reading()
+
+    def get_buffer(self, _sizehint: int) -> bytearray:
+        """Return the buffer for the next bytes."""
+        self._read_buffer = bytearray(self._read_bytes)
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read into the buffer.
+
+        :param nbytes: their number.
+        """
+        received = bytes(memoryview(self._read_buffer)[:nbytes])
+        self._read_buffer = bytearray()
+        self.data_received(received)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of an answer.
@@ -171,14 +203,11 @@
         if not exchange.status:
             self._head_bytes += len(data)
         self._framing_bytes += len(data)
-        try:
-            self._parse(exchange, data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            if not self._answer_complete:
-                exchange.abort(RemoteProtocolError(f'malformed answer: {exc}'))
-                return
-            # The bytes after a complete answer do not belong to it.
-            self._reusable = False
+        fault = self._parse(exchange, data)
+        self._pass_body_on(exchange)
+        if fault and not self._answer_complete:
+            exchange.abort(RemoteProtocolError(fault))
+            return
         if not exchange.status and self._head_bytes > MAX_ANSWER_HEAD_BYTES:
             exchange.abort(
                 RemoteProtocolError('head of the answer is too large')
@@ -205,6 +234,7 @@
         :param exc: the error, if there was one.
         """
         self._closed = True
+        self._end_pause()
         self.closed_while_idle = self._exchange is None and not self._aborted
         self._writable.set()
         if self._exchange is not None:
@@ -285,9 +315,8 @@
         self._framing_bytes = 0
         if exchange is None or self._answer_complete:
             self._reusable = False
-        elif exchange.feed(body) and self._reading:
-            self._reading = False
-            self._require_transport().pause_reading()
+        else:
+            self._body_pieces.append(body)
 
     def on_message_begin(self) -> None:
         """Bar reuse after a second answer (callback of the parser)."""
@@ -302,12 +331,59 @@
         elif self._exchange is not None and self._exchange.status:
             self._answer_complete = True
 
+    def _pass_body_on(self, exchange: Exchange) -> None:
+        """Pass the pieces of the body to the reader as one."""
+        pieces = self._body_pieces
+        if not pieces:
+            return
+        self._body_pieces = []
+        if exchange.feed(b''.join(pieces)):
+            self._buffer_full = True
+        pause_s = self._budget.spend(len(pieces))
+        self._read_bytes = SLOW_READ_BYTES if pause_s else READ_BYTES
+        if pause_s:
+            self._end_pause()
+            loop = asyncio.get_running_loop()
+            self._pause = loop.call_later(pause_s, self._resume)
+        self._update_reading()
+
+    def _resume(self) -> None:
+        """Read on after a pause."""
+        self._end_pause()
+        self._update_reading()
+
+    def _end_pause(self) -> None:
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
+
+    def _update_reading(self) -> None:
+        """Read only while there is room and no pause."""
+        reading = not self._buffer_full and self._pause is None
+        if reading == self._reading:
+            return
+        self._reading = reading
+        if reading:
+            self._require_transport().resume_reading()
+        else:
+            self._require_transport().pause_reading()
+
     def _begin_head(self) -> None:
         self._head.clear()
         self._head_evaluated = False
         self._parser = httptools.HttpResponseParser(self)
 
-    def _parse(self, exchange: Exchange, data: bytes) -> None:
+    def _parse(self, exchange: Exchange, data: bytes) -> str:
+        """Parse received bytes; return why they are no answer, if so."""
+        try:
+            self._parse_answers(exchange, data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            # Bytes after a complete answer do not belong to it.
+            self._reusable = False
+            return f'malformed answer: {exc}'
+        return ''
+
+    def _parse_answers(self, exchange: Exchange, data: bytes) -> None:
         """Parse the answers before the one that is due apart from each other.
 
         Each head ends a piece that the parser gets, so that the bytes of the
@@ -390,9 +466,9 @@
 
     def _release(self, exchange: Exchange) -> None:
         self._exchange = None
-        if not self._reading:
-            self._reading = True
-            self._require_transport().resume_reading()
+        self._buffer_full = False
+        self._end_pause()
+        self._update_reading()
         if not self._reusable or not exchange.upload_complete:
             self.abort()
 
--- a/src/cuminhoist/connection_pool.py
+++ b/src/cuminhoist/connection_pool.py
@@ -12,6 +12,7 @@
 import httpx
 import msgspec
 
+from .chunk_budget import ChunkBudget
 from .client_connection import ClientConnection
 from .clock import Clock, SystemClock
 from .exceptions import LocalProtocolError, RemoteProtocolError
@@ -59,8 +60,10 @@
         limits: ConnectionLimits,
         clock: Clock,
         on_close: OnClose,
+        chunk_budget: ChunkBudget,
     ) -> None:
         self._on_close = on_close
+        self._chunk_budget = chunk_budget
         self.address = address
         self.limits = limits
         self.open_count = 0
@@ -111,7 +114,7 @@
     async def _connect(self, connect_timeout_s: float) -> ClientConnection:
         self.open_count += 1
         self.peak_open_count = max(self.peak_open_count, self.open_count)
-        conn = ClientConnection(self._handle_close)
+        conn = ClientConnection(self._handle_close, self._chunk_budget)
         try:
             async with asyncio.timeout(connect_timeout_s):
                 await asyncio.get_running_loop().create_connection(
@@ -200,6 +203,7 @@
         self._limits = limits
         self._clock = clock or SystemClock()
         self._pools: dict[Address, _ServerPool] = {}
+        self._chunk_budget = ChunkBudget()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     @classmethod
@@ -303,6 +307,7 @@
                 self._limits,
                 self._clock,
                 self._on_close,
+                self._chunk_budget,
             )
             self._pools[address] = pool
         return pool
--- a/src/cuminhoist/gateway/target_connections.py
+++ b/src/cuminhoist/gateway/target_connections.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..chunk_budget import ChunkBudget
 from ..client_connection import ClientConnection
 from ..exchange import Exchange
 from ..steering.targets import TargetEntry
@@ -70,6 +71,7 @@
         self._source_host = source_host
         self._now = now
         self._pools: dict[str, _Pool] = {}
+        self._chunk_budget = ChunkBudget()
 
     async def acquire(
         self,
@@ -157,7 +159,7 @@
     ) -> ConnectOutcome:
         address = (target.address.host, target.address.port)
         loop = asyncio.get_running_loop()
-        conn = ClientConnection(_ignore_close)
+        conn = ClientConnection(_ignore_close, self._chunk_budget)
         with contextlib.ExitStack() as cleanup:
             try:
                 sock = cleanup.enter_context(self._open_socket())
--- a/tests/builders_answers.py
+++ b/tests/builders_answers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cuminhoist.chunk_budget import ChunkBudget
 from cuminhoist.client_connection import ClientConnection
 from cuminhoist.exchange import Echo, Exchange, RequestHead
 
@@ -74,6 +75,7 @@
         super().__init__()
         self.on_write: Callable[[bytes], None] = lambda _sent: None
         self.closed = False
+        self.paused = False
         self._conn = conn
         conn.connection_made(self)
 
@@ -90,10 +92,12 @@
         self.write(b''.join(list_of_data))
 
     def pause_reading(self):
-        """Go on: the bodies of these answers are short."""
+        """Note the pause; what is fed arrives all the same."""
+        self.paused = True
 
     def resume_reading(self):
-        """Go on: the bodies of these answers are short."""
+        """Note the end of the pause."""
+        self.paused = False
 
     def abort(self):
         self.lose(None)
@@ -104,6 +108,14 @@
             if part and not self.closed:
                 self._conn.data_received(part)
 
+    def feed_read(self, stream: bytes) -> int:
+        """Let the connection read once; return how many bytes it took."""
+        buffer = self._conn.get_buffer(-1)
+        size = min(len(buffer), len(stream))
+        buffer[:size] = stream[:size]
+        self._conn.buffer_updated(size)
+        return size
+
     @property
     def has_exchange(self) -> bool:
         """Whether the connection is open and waits for an answer."""
@@ -122,9 +134,11 @@
             self._conn.connection_lost(exc)
 
 
-def opened_connection() -> tuple[ClientConnection, FedTransport]:
+def opened_connection(
+    budget: ChunkBudget | None = None,
+) -> tuple[ClientConnection, FedTransport]:
     """Return an established connection and its transport."""
-    conn = ClientConnection(lambda _conn: None)
+    conn = ClientConnection(lambda _conn: None, budget)
     return conn, FedTransport(conn)
 
 
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -188,3 +188,13 @@
     assert isinstance(exchange.error, RemoteProtocolError)
     assert not exchange.headers
     assert transport.closed
+
+
+async def test_small_chunks_were_read_one_by_one():
+    """Guards against a body whose reader wakes for each of its bytes."""
+    conn, transport = opened_connection()
+    exchange = exchange_of('due')
+    conn.start(exchange)
+    whole = SoundAnswer('due', 200, b'', 'chunked').encode()
+    transport.feed(whole.removesuffix(b'0\r\n\r\n') + b'1\r\na\r\n' * 1000)
+    assert await exchange.read() == b'a' * 1000
