Refuse orders until the first start has added enough voters

Cause: the three seeds are the first voters, two of them a quorum, whatever losses the settings name.

Change: until there are 2 * losses + 1 voters, orders get no outcome, as an acknowledged one might be lost.

--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -167,6 +167,8 @@
         )
         self._has_read = False
         self._leaving = False
+        #: Loop time of the start; none before it.
+        self._started_at: float | None = None
         self._unlearned_since: float | None = None
 
     @property
@@ -231,6 +233,9 @@
         known = self.latest_chosen
         if known is not None and _is_outdated(order, known):
             return known
+        if self._is_forming:
+            _log.info('order refused: voters are still being added')
+            return None
         if isinstance(order, DrainDomain) and order.seen is None:
             order = msgspec.structs.replace(order, seen=self.known_index)
         proposer = self._find_active_proposer()
@@ -328,6 +333,7 @@
     async def run_membership(self) -> None:
         """Learn unannounced states, ask to join the voters, and add others."""
         loop = asyncio.get_running_loop()
+        self._started_at = loop.time()
         self._voter_watch.restart(
             loop.time() + START_GRACE_S - REPLACE_SILENT_AFTER_S
         )
@@ -476,7 +482,34 @@
         self._orders_submitted.set()
         return await fut
 
+    @property
+    def _is_forming(self) -> bool:
+        """Whether the first start still adds voters that losses ask for.
+
+        An order that is acknowledged before might be lost with fewer disks
+        than the deployment may lose. Where too few instances start for that,
+        orders are taken once none of them is left to be added.
+        """
+        known = self.latest_chosen
+        if known is None:
+            return False
+        least = self._voter_watch.least_voters
+        if max(known.founding_size, len(known.voters)) >= least:
+            return False
+        names = {voter.name for voter in known.voters}
+        if not self._peers.reachable_voters(self.name) <= names:
+            return True
+        # Others may not be linked yet.
+        running_s = (
+            0
+            if self._started_at is None
+            else asyncio.get_running_loop().time() - self._started_at
+        )
+        return not known.version and running_s < START_GRACE_S
+
     async def _on_submit(self, msg: Submit) -> Submitted:
+        if self._is_forming:
+            return Submitted()
         orders = [self._codec.decode(frame) for frame in msg.orders]
         states = await asyncio.gather(
             *(
--- a/src/cuminhoist/register/voters.py
+++ b/src/cuminhoist/register/voters.py
@@ -45,7 +45,7 @@
         self._silence_s = silence_s
         self._leaving = leaving
         #: Fewest voters of which a majority is left after the losses.
-        self._least_voters = min(2 * tolerated_losses + 1, MAX_VOTERS)
+        self.least_voters = min(2 * tolerated_losses + 1, MAX_VOTERS)
         self._join_times: dict[Voter, float] = {}
         #: Loop time since which silences are evidence.
         self._listens_since = float('-inf')
@@ -102,7 +102,7 @@
                 *(voter for voter in silences if voter.name in leaving),
             ],
             running | joining | {self._own_voter},
-            max(known.founding_size, self._least_voters),
+            max(known.founding_size, self.least_voters),
         )
 
     def _silent(
