Bound the answers to health checks and the lists of targets

Cause: they were read whole. A body without end filled the memory until the time-out of a health check, and for ever in a list that is read from one source and whose time-out counts anew with each byte.

Change: 64 KB for the answer to a health check, 4 MiB and 5 s for a page of the list of targets, 4 MiB and 2 s for that of the product's own daemon.

--- a/src/cuminhoist/instance_list.py
+++ b/src/cuminhoist/instance_list.py
@@ -11,10 +11,13 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .bounded_read import get_bounded
 from .logging_setup import logger
 
 POLL_INTERVAL_S = 1.0
 POLL_TIMEOUT_S = 2.0
+#: A longer list fails.
+MAX_LIST_BYTES = 4 * 1024 * 1024
 
 _log = logger('platform')
 
@@ -78,7 +81,9 @@
         self, client: httpx.AsyncClient
     ) -> Result[PlatformList, str]:
         try:
-            reply = await client.get(self._url, timeout=POLL_TIMEOUT_S)
+            reply = await get_bounded(
+                client, self._url, POLL_TIMEOUT_S, MAX_LIST_BYTES
+            )
         except httpx.HTTPError as exc:
             return Failure(repr(exc))
         if reply.status_code != httpx.codes.OK:
--- a/src/cuminhoist/platform/target_list.py
+++ b/src/cuminhoist/platform/target_list.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..bounded_read import get_bounded
 from ..fleet.instance_config import Address
 from ..fleet.rejected_entries import RejectedEntry
 from ..fleet.target_feed import ListReading, TargetSource
@@ -26,8 +27,13 @@
 )
 from .json_split import split_object
 
-#: Timeout for one page, in seconds; the next poll reads the list again.
+#: Longest silence within one page, in seconds; the next poll reads the list
+#: again.
 PAGE_TIMEOUT_S = 1.0
+#: Longest time for one page, in seconds.
+PAGE_LIMIT_S = 5.0
+#: A longer page fails; pages have some ten kilobytes.
+MAX_PAGE_BYTES = 4 * 1024 * 1024
 #: Limit on the pages of one list, as pages may refer to each other in a
 #: cycle.
 MAX_PAGES = 200
@@ -122,7 +128,9 @@
     async def _read_page(self, token: str) -> Result[Page, str]:
         query = {'page_token': token} if token else None
         try:
-            answer = await self._client.get(self._url, params=query)
+            answer = await get_bounded(
+                self._client, self._url, PAGE_LIMIT_S, MAX_PAGE_BYTES, query
+            )
         except (httpx.HTTPError, httpx.InvalidURL) as exc:
             # No address can hold a token of many kilobytes.
             return Failure(f'{type(exc).__name__}: {exc}')
--- a/src/cuminhoist/probes.py
+++ b/src/cuminhoist/probes.py
@@ -11,6 +11,7 @@
 import httpx
 import msgspec
 
+from .bounded_read import get_bounded
 from .clock import Clock
 from .connection_pool import ConnectionLimits, PoolTransport
 from .membership import Membership
@@ -26,6 +27,8 @@
 PROBE_COST_FACTOR = 100
 PROBE_TIMEOUT_S = 0.2
 PROBE_CONCURRENCY = 2
+#: A probe whose answer is larger fails.
+MAX_REPORT_BYTES = 64 * 1024
 PROBE_TICK_S = 0.25
 #: No probe is sent for this long after the end of a request.
 IDLE_BEFORE_PROBE_S = 2.0
@@ -86,9 +89,10 @@
         """
         url = f'http://{target.host}:{target.port}{self._path}'
         try:
-            async with asyncio.timeout(timeout_s):
-                answer = await self._http.get(url, timeout=timeout_s)
-        except (httpx.HTTPError, TimeoutError):
+            answer = await get_bounded(
+                self._http, url, timeout_s, MAX_REPORT_BYTES
+            )
+        except httpx.HTTPError:
             return ProbeResult(healthy=False)
         try:
             report = msgspec.json.decode(answer.content, type=_LoadReport)
