--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -317,13 +317,26 @@
     async def send(self, *fields: str, path: str = '/a/x') -> bytes:
         """Send the head of a request and return the answer.
 
+        :param fields: further lines of the head.
+        """
+        self.begin(*fields, path=path)
+        return await self.receive()
+
+    def begin(
+        self, *fields: str, path: str = '/a/x', request_id: str = 'id1'
+    ) -> None:
+        """Send the head of a request.
+
         :param fields: further lines of the head.
         """
         further = ''.join(f'{line}\r\n' for line in fields)
         self.write(
             f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{further}'
-            'X-Request-Id: id1\r\n\r\n'.encode()
+            f'X-Request-Id: {request_id}\r\n\r\n'.encode()
         )
+
+    async def receive(self) -> bytes:
+        """Return the next answer."""
         head = await self._reader.readuntil(b'\r\n\r\n')
         return head + await self._reader.readexactly(_length(head))
 
