Wait for all four requests in the test of the bounds

Cause: the test waited for the moment at which three of four requests are at the target.

Change: it waits for all four, which is where the state settles. This asks for more: the fourth must be sent, too. The bounds stay.

--- a/tests/gateway/test_pipelined_requests.py
+++ b/tests/gateway/test_pipelined_requests.py
@@ -168,7 +168,7 @@
         callers = [await _connect(harness) for _ in range(2)]
         for _, writer in callers:
             writer.write(_get(0) + _get(1))
-        await eventually(lambda: len(target.heads) == 3)
+        await eventually(lambda: len(target.heads) == 4)
         await asyncio.sleep(0.3)
         # Each reader may go beyond the bound by the chunk that it reads.
         held = memory.held
