--- a/src/cuminhoist/client_connection.py
+++ b/src/cuminhoist/client_connection.py
@@ -332,7 +332,10 @@
             self._answer_complete = True
 
     def _pass_body_on(self, exchange: Exchange) -> None:
-        """Pass the pieces of the body to the reader as one."""
+        """Pass the pieces of the body to the reader as one.
+
+        If there were many, the connection pauses as the budget says.
+        """
         pieces = self._body_pieces
         if not pieces:
             return
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -167,8 +167,8 @@
         )
         self._has_read = False
         self._leaving = False
-        #: Loop time of the start; none before it.
-        self._started_at: float | None = None
+        #: Loop time of the start; infinite before it.
+        self._started_at = float('inf')
         self._unlearned_since: float | None = None
 
     @property
@@ -500,11 +500,7 @@
         if not self._peers.reachable_voters(self.name) <= names:
             return True
         # Others may not be linked yet.
-        running_s = (
-            0
-            if self._started_at is None
-            else asyncio.get_running_loop().time() - self._started_at
-        )
+        running_s = asyncio.get_running_loop().time() - self._started_at
         return not known.version and running_s < START_GRACE_S
 
     async def _on_submit(self, msg: Submit) -> Submitted:
