Keep the form of the order that changes voters

Cause: took the order out of the messages and replaced a field, so that frames of the builds in production could not be read (test_golden_formats.py, 4 failed). No build sends it, but its form is recorded.

Change: it has the form of earlier builds with the former voters as a further field. Without them it means what it does there: no effect on any other state than that of the index. test_founding_size_is_found_again is as it was before.

Test: test_change_of_voters_of_an_older_build; test_golden_formats.py.

--- a/src/cuminhoist/register/declared_state.py
+++ b/src/cuminhoist/register/declared_state.py
@@ -121,19 +121,21 @@
     seen: int | None = None
 
 
+@register_message
 class ReplaceVoters(Message, frozen=True):
     """Starts a change of voters; no effect in a joint configuration.
 
-    Other orders do not affect it. The instance that derives it also proposes
-    it, so it is never sent.
-
-    :param former: the voters that the new ones were derived from; the order
-        has no effect if the voters are others.
+    :param seen: index of the state that the new voters were derived from.
     :param voters: the new voters.
+    :param former: the voters of that state; the order has no effect if the
+        voters are others, and orders of operators do not affect it. None if a
+        build made it that does not know this field; it then has no effect on
+        any other state than that of ``seen``.
     """
 
-    former: tuple[Voter, ...]
+    seen: int
     voters: tuple[Voter, ...]
+    former: tuple[Voter, ...] | None = None
 
 
 Order = ReplaceConfiguration | DrainDomain | ReplaceVoters
@@ -152,7 +154,7 @@
     if isinstance(order, DrainDomain):
         return _apply_drain(state, order)
     if isinstance(order, ReplaceVoters):
-        if not state.voters_settled or order.former != state.voters:
+        if not state.voters_settled or _is_overtaken(order, state):
             return state
         founding_size = max(
             state.founding_size,
@@ -167,6 +169,13 @@
     return state
 
 
+def _is_overtaken(order: ReplaceVoters, state: DeclaredState) -> bool:
+    """Tell whether the voters may be others than those it was derived from."""
+    if order.former is None:
+        return order.seen != state.index
+    return order.former != state.voters
+
+
 def _apply_drain(state: DeclaredState, order: DrainDomain) -> DeclaredState:
     drained = state.drained - {order.domain}
     if order.drained:
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -446,7 +446,9 @@
             return
         log = _log.bind(voters=[voter.name for voter in voters])
         log.bind(index=known.index).info('voters change')
-        order = ReplaceVoters(former=known.voters, voters=voters)
+        order = ReplaceVoters(
+            seen=known.index, voters=voters, former=known.voters
+        )
         state = await self._submit_locally(order)
         outcome = 'no quorum'
         if state is not None:
--- a/tests/register/test_declared_state.py
+++ b/tests/register/test_declared_state.py
@@ -42,7 +42,7 @@
 
 def test_founding_size_is_found_again():
     """Guards against a deployment whose size is lost with an older build."""
-    order = ReplaceVoters(former=OLDER.voters, voters=OLDER.voters[1:])
+    order = ReplaceVoters(seen=0, voters=OLDER.voters[1:])
     assert apply_order(OLDER, order).founding_size == 6
 
 
@@ -55,7 +55,7 @@
 )
 def test_change_of_voters_behind_another_order(other_order):
     """Guards against a change of voters that other orders make void."""
-    order = ReplaceVoters(former=STATE.voters, voters=STATE.voters[1:])
+    order = ReplaceVoters(seen=0, voters=STATE.voters[1:], former=STATE.voters)
     state = apply_order(apply_order(STATE, other_order), order)
     assert state.voters == STATE.voters[1:]
     assert state.former == STATE.voters
@@ -66,13 +66,21 @@
 
     A second change would undo the first, or start in its joint configuration.
     """
-    order = ReplaceVoters(former=STATE.voters, voters=STATE.voters[1:])
+    order = ReplaceVoters(seen=0, voters=STATE.voters[1:], former=STATE.voters)
     joint = apply_order(STATE, order)
     assert apply_order(joint, order) == joint
     finished = finish_voter_change(joint)
     assert apply_order(finished, order) == finished
 
 
+def test_change_of_voters_of_an_older_build():
+    """Guards against another meaning of an order while two builds run."""
+    order = ReplaceVoters(seen=STATE.index, voters=STATE.voters[1:])
+    assert apply_order(STATE, order).voters == STATE.voters[1:]
+    newer = apply_order(STATE, DrainDomain(domain='a', drained=True, seen=0))
+    assert apply_order(newer, order) == newer
+
+
 class _OlderDrainDomain(msgspec.Struct, frozen=True, array_like=True):
     """An order as builds read and write it that do not know its age."""
 
