--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -540,3 +540,17 @@
     assert server.rest == b'4\r\npart\r\n'
     assert result.failure().ran == Ran.unknown
     assert outcomes == [SlotOutcome.unknown]
+
+
+@pytest.mark.parametrize('status', [b'000', b'0', b'099', b'600', b'999'])
+@pytest.mark.parametrize('before', [b'', b'HTTP/1.1 103 Hints\r\n\r\n'])
+async def test_status_outside_the_protocol_is_no_answer(status, before):
+    """Guards against a status that no server may send (MIXED)."""
+    odd = before + ANSWER_OK.replace(b' 200 ', b' %b ' % status)
+    outcomes = RecordedOutcomes()
+    async with RawServer(answer_each_request(odd)) as server:
+        client = HttpxTargetClient()
+        refusal = (await send_attempt(client, server, outcomes)).failure()
+        await client.close()
+    assert (refusal.ran, refusal.reason) == (Ran.unknown, Reason.target_lost)
+    assert outcomes == [SlotOutcome.unknown]
