Parse a bounded number of pieces in one turn of the event loop

Callers got no answer from an instance while some clients sent empty lines, chunks of one byte or trailers without end, and mostly not afterwards.

Cause: all bytes of one read, up to 256 KB, were parsed in one turn. Empty lines took a step for four bytes, and each small chunk copied the rest of the read. Ruled out: the applications; the same happens for bodies that nobody reads.

The parser now gets 4 KiB at a time and yields after 512 steps; steps beyond 128 in a turn are paid from a budget that all listeners of the process share. Empty lines and trailers may have as many bytes as a head. So the share of the loop does not depend on what one client sends.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -26,6 +26,7 @@
     record_refusal,
 )
 from .logging_setup import logger
+from .parsing_pace import SLICE_BYTES
 from .pipelined_connection import PipelinedConnection
 from .pipelined_request import PipelinedRequest
 from .problems import Refusal
@@ -57,6 +58,10 @@
         self._head = HeadCounter()
         self._method = MethodReader()
         self._body = find_framing([])
+        #: Bytes of empty lines since the last request.
+        self._empty_line_bytes = 0
+        #: Bytes of trailers of the present request.
+        self._trailer_bytes = 0
         #: Why the head that was parsed last is refused.
         self._head_refusal: Refusal | None = None
         #: Loop time since which no request runs or since which a head has
@@ -83,7 +88,8 @@
 
         :param data: the bytes.
         """
-        if self._unparsed:
+        waits = self._unparsed or self._pace.is_paused
+        if waits and not self._reading_ended:
             self._unparsed += data
         else:
             self._parse(data)
@@ -94,21 +100,15 @@
             if self._head.expected and not self._takes_requests:
                 self._reading_ended = True
                 break
-            if self._between_requests and self._has_read_ahead:
+            if self._between_requests:
+                data = self._drop_empty_lines(data)
+            if self._must_wait:
                 self._unparsed = data
                 break
-            piece, rest = self._cut(data)
-            if len(rest) >= len(data):
-                self._end_unreadable()
-                return
-            data = rest
-            # The base class stops the timer.
-            self._received = piece
-            HttpToolsProtocol.data_received(self, piece)
-            self._received = b''
+            data = self._parse_slice(data)
             if self.transport.is_closing():
                 return
-            self._count_head()
+        self._pace.end_turn()
         if data and self._reading_ended:
             self._expects_more = True
         if self._head.begun:
@@ -116,6 +116,46 @@
         else:
             self._start_waiting()
 
+    @property
+    def _must_wait(self) -> bool:
+        """Whether the next bytes are not parsed in this turn."""
+        return self._pace.turn_is_used or (
+            self._between_requests and self._has_read_ahead
+        )
+
+    def _drop_empty_lines(self, data: bytes) -> bytes:
+        """Return received bytes from the beginning of a request on.
+
+        :param data: received bytes between two requests.
+        """
+        rest = data.lstrip(b'\r\n')
+        self._empty_line_bytes += len(data) - len(rest)
+        if self._empty_line_bytes > self._limits.max_head_bytes:
+            self._refuse(malformed('Too many empty lines before a request.'))
+        if rest:
+            self._empty_line_bytes = 0
+        return rest
+
+    def _parse_slice(self, data: bytes) -> bytes:
+        """Parse some bytes of one request at most; return the others.
+
+        :param data: received bytes.
+        """
+        received = data[:SLICE_BYTES]
+        if not received:
+            return data
+        piece, rest = self._cut(received)
+        if len(rest) >= len(received):
+            self._end_unreadable()
+            return data
+        # The base class stops the timer.
+        self._received = piece
+        HttpToolsProtocol.data_received(self, piece)
+        self._received = b''
+        if not self.transport.is_closing():
+            self._count_head()
+        return data[len(received) - len(rest) :]
+
     def _count_head(self) -> None:
         if self._head.begun:
             if self._head.size > self._limits.max_head_bytes:
@@ -137,15 +177,22 @@
 
         :param name: name of the header.
         :param value: value of the header.
+        :raises ValueError: if trailers are longer than a head may be.
         """
+        self._pace.count_step()
         if self._head.expected:
             super().on_header(name, value)
+            return
+        self._trailer_bytes += len(name) + len(value)
+        if self._trailer_bytes > self._limits.max_head_bytes:
+            raise ValueError('the trailers are too large')
 
     def on_headers_complete(self) -> None:
         """Hand the request to the application (callback of the parser)."""
         self._check_head()
         self._head.end_head()
         self._body = find_framing(self.headers)
+        self._trailer_bytes = 0
         # The base class reads targets in origin form only.
         authority, target = split_target(self.url)
         self.url = target
@@ -178,6 +225,7 @@
 
         :param body: the bytes.
         """
+        self._pace.count_step()
         super().on_body(body)
         if self._request is not None:
             self._request.add_body_bytes(len(body))
--- a/src/cuminhoist/chunk_budget.py
+++ b/src/cuminhoist/chunk_budget.py
@@ -1,8 +1,9 @@
-"""Bounds the share of the event loop that small pieces of bodies take.
+"""Bounds the share of the event loop that small pieces of messages take.
 
-A server that sends its body in chunks of one byte makes a few kilobytes cost as
-much as megabytes. All connections of a process share one budget, so that
-such servers slow down their own answers and not those of the others.
+A peer that sends its body in chunks of one byte makes a few kilobytes cost as
+much as megabytes. All connections of a process to peers of one kind share one
+budget, so that such peers slow down their own messages and not those of the
+others.
 """
 
 import asyncio
@@ -20,19 +21,29 @@
 
 
 class ChunkBudget:
-    """The budget that the connections of a process share."""
-
-    def __init__(self) -> None:
+    """The budget that the connections of a process share.
+
+    :param free_pieces: pieces in one read that cost nothing.
+    :param max_pause_s: longest pause, in seconds.
+    """
+
+    def __init__(
+        self,
+        free_pieces: int = FREE_PIECES,
+        max_pause_s: float = MAX_PAUSE_S,
+    ) -> None:
+        self._free_pieces = free_pieces
+        self._max_pause_s = max_pause_s
         self._used_until = float('-inf')
 
     def spend(self, pieces: int) -> float:
         """Return how long a connection must not read, in seconds.
 
-        :param pieces: pieces of a body that came with its last read.
+        :param pieces: pieces of a message that came with its last read.
         """
-        if pieces <= FREE_PIECES:
+        if pieces <= self._free_pieces:
             return 0
         now = asyncio.get_running_loop().time()
         used_until = max(self._used_until, now) + pieces * PIECE_COST_S
-        self._used_until = min(used_until, now + BURST_S + MAX_PAUSE_S)
+        self._used_until = min(used_until, now + BURST_S + self._max_pause_s)
         return max(self._used_until - BURST_S - now, 0)
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -13,7 +13,9 @@
 
 from .caller_connection import CallerConnection
 from .caller_memory import CallerMemory, MemoryLimits
+from .chunk_budget import ChunkBudget
 from .listener_limits import ListenerLimits
+from .parsing_pace import callers_budget
 from .types import Reason
 
 #: Idle connections stay open this long after a stop begins, so that a request
@@ -45,6 +47,7 @@
         *,
         overlaps_requests: bool = False,
         memory: CallerMemory | None = None,
+        parsing_budget: ChunkBudget | None = None,
     ) -> 'HttpServer':
         """Build a server for an ASGI application.
 
@@ -59,6 +62,9 @@
             run concurrently (:class:`~.pipelined_request.PipelinedRequest`).
         :param memory: counts what the process holds for callers; None for a
             count of its own.
+        :param parsing_budget: share of the event loop for requests in many
+            small pieces, of all listeners of the process; None for one of its
+            own.
         """
         server = cls(
             uvicorn.Config(
@@ -79,6 +85,9 @@
         server.server_state.memory = (  # type: ignore[attr-defined]
             memory or CallerMemory(MemoryLimits())
         )
+        server.server_state.parsing_budget = (  # type: ignore[attr-defined]
+            parsing_budget or callers_budget()
+        )
         server.server_state.overlaps_requests = (  # type: ignore[attr-defined]
             overlaps_requests
         )
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -12,6 +12,8 @@
 )
 
 from .caller_memory import CallerMemory, ConnectionMemory, Purpose
+from .chunk_budget import ChunkBudget
+from .parsing_pace import ParsingPace
 from .pipelined_request import (
     PipelinedRequest,
     RequestFlow,
@@ -48,6 +50,10 @@
             self._close_for_memory,
             self._count_unsent,
         )
+        self._pace = ParsingPace(
+            cast(ChunkBudget, getattr(self.server_state, 'parsing_budget')),
+            self._resume_parsing,
+        )
         self._number = next(_connection_numbers)
         self._request_numbers = itertools.count(1)
         #: Why the requests are withdrawn once the connection is lost.
@@ -70,6 +76,7 @@
         """
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
+        self._pace.close()
         self._unparsed = b''
         self._pipeline.withdraw_all(self._end_cause)
         self._memory.process.note_stall(self._memory, stalled=False)
@@ -208,6 +215,11 @@
         if self.transport.is_closing() or self._reading_ended:
             return
         self._start_waiting()
+        if not self._pace.is_paused:
+            self._resume_parsing()
+
+    def _resume_parsing(self) -> None:
+        """Parse the received bytes that had to wait."""
         unparsed = self._unparsed
         self._unparsed = b''
         self._parse(unparsed)
@@ -225,7 +237,11 @@
         cycle = self.cycle
         if cycle is not None and cycle.more_body:
             waiting += 0 if cycle.response_complete else len(cycle.body)
-        pauses = waiting > HIGH_WATER_LIMIT or self._defers_requests
+        pauses = (
+            waiting > HIGH_WATER_LIMIT
+            or self._defers_requests
+            or self._pace.is_paused
+        )
         if pauses and not self._reading_ended:
             self.flow.pause_reading()
         else:
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -26,6 +26,7 @@
 from ..json_logs import configure_json_logs
 from ..listener_limits import UNCONFIGURED_LIMITS
 from ..logging_setup import logger
+from ..parsing_pace import callers_budget
 from .apps import (
     lookup_app,
     metrics_app,
@@ -89,6 +90,7 @@
         self._cfg = cfg
         self._now = now
         self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
+        self._parsing_budget = callers_budget()
         self._servers: list[HttpServer] = []
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
@@ -259,6 +261,7 @@
             address.port,
             overlaps_requests=overlaps_requests,
             memory=memory,
+            parsing_budget=self._parsing_budget,
         )
         self._servers.append(server)
         self._background.spawn(server.serve())
--- a/tests/builders_connection.py
+++ b/tests/builders_connection.py
@@ -12,6 +12,7 @@
 
 from cuminhoist.caller_connection import CallerConnection
 from cuminhoist.caller_memory import CallerMemory, MemoryLimits
+from cuminhoist.parsing_pace import callers_budget
 
 #: Turns of the loop within which the application answers a request.
 _TURNS = 12
@@ -102,6 +103,7 @@
     """Return a connection to the echo, and its transport; needs a loop."""
     server_state = ServerState()
     server_state.memory = CallerMemory(MemoryLimits())
+    server_state.parsing_budget = callers_budget()
     server_state.overlaps_requests = True
     conn = SteppedConnection(
         uvicorn.Config(echo, interface='asgi3', log_config=None),
