Count the heads of requests as memory, and keep their fields in one buffer

A process ran out of memory while clients sent heads of many short fields within max_header_bytes.

Cause: each field became two objects and a pair as it arrived, and neither heads nor the state of a request counted as held memory. Ruled out: bodies and answers; the crowd sends none and reads none.

Fields stay in one buffer until the head is complete. An unanswered request counts with its text, 160 bytes a field and 32 KiB. No number of fields is forbidden.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -17,12 +17,14 @@
 
 from .caller_round_trip import round_trip_s
 from .head_counter import HeadCounter
+from .head_fields import HeadFields
 from .listener_limits import ListenerLimits
 from .listener_refusals import (
     encode_refusal,
     head_timed_out,
     head_too_large,
     malformed,
+    memory_exhausted,
     record_refusal,
 )
 from .logging_setup import logger
@@ -56,6 +58,7 @@
         #: Bytes that the parser is reading.
         self._received = b''
         self._head = HeadCounter()
+        self._fields = HeadFields()
         self._method = MethodReader()
         self._body = find_framing([])
         #: Bytes of empty lines since the last request.
@@ -166,6 +169,7 @@
     def on_message_begin(self) -> None:
         """Start counting the head of a request (callback of the parser)."""
         super().on_message_begin()
+        self._fields.clear()
         self._method.begin()
         self._begin_head()
 
@@ -182,6 +186,7 @@
         self._pace.count_step()
         if self._head.expected:
             super().on_header(name, value)
+            self._fields.add(*self.headers.pop())
             return
         self._trailer_bytes += len(name) + len(value)
         if self._trailer_bytes > self._limits.max_head_bytes:
@@ -189,6 +194,8 @@
 
     def on_headers_complete(self) -> None:
         """Hand the request to the application (callback of the parser)."""
+        self._check_memory()
+        self.headers.extend(self._fields.take())
         self._check_head()
         self._head.end_head()
         self._body = find_framing(self.headers)
@@ -202,13 +209,15 @@
             self._memory,
             self._next_place(),
         )
+        text_bytes = len(self.url) + _size_bytes(self.headers)
+        req.count_head(text_bytes, len(self.headers))
         # The application reaches this connection through the ASGI scope.
         self.scope['state'] = {
             'caller_disconnected': req.withdrawn,
             'pipelined_request': req,
             'abort': lambda: self._abort_answer(req),
             'omit_date_header': lambda: _omit_date(req.cycle),
-            'header_bytes': len(self.url) + _size_bytes(self.headers),
+            'header_bytes': text_bytes,
             'authority': authority,
             'request_target': target,
             'round_trip_s': round_trip_s(self.transport),
@@ -219,6 +228,7 @@
         if getattr(self.server_state, 'draining', False):
             self.cycle.keep_alive = False
         self._pipeline.add(req)
+        self._count_requests()
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of a request body on (callback of the parser).
@@ -339,6 +349,7 @@
         return (
             self._defers_requests
             or len(self._pipeline) >= self._limits.max_unanswered
+            or (self._running and not self._memory.process.allows_reading_ahead)
             or self._pipeline.body_bytes >= MAX_BODIES_AHEAD_BYTES
         )
 
@@ -384,6 +395,15 @@
             return self._limits.head_timeout_s
         return self._limits.idle_timeout_s + IDLE_MARGIN_S
 
+    def _check_memory(self) -> None:
+        """Raise if there is no memory for another head.
+
+        That ends the parsing as in :meth:`_check_head`.
+        """
+        if self._memory.process.is_exhausted:
+            self._head_refusal = memory_exhausted()
+            raise ValueError(self._head_refusal.detail)
+
     def _check_head(self) -> None:
         """Raise if the request must not be passed on.
 
--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -17,6 +17,12 @@
 #: Fraction of the high mark for answers that wait for their turn, so that
 #: they alone never cause refusals.
 WAITING_FRACTION = 0.5
+#: Fraction of the high mark from which on no request is read ahead of another
+#: one on its connection.
+READ_AHEAD_FRACTION = 0.5
+#: Multiple of the high mark from which on the listener refuses requests before
+#: it keeps their heads. The application has refused others by then.
+EXHAUSTED_FACTOR = 1.25
 #: Fraction of the high mark for those of one connection.
 CONNECTION_FRACTION = 1 / 64
 #: A connection may be closed for memory if its writing stayed paused for so
@@ -40,6 +46,8 @@
     unsent_bytes = 'unsent-bytes'
     #: Bodies of unanswered requests.
     request_bodies = 'request-bodies'
+    #: Unanswered requests: their heads and what the program keeps for each.
+    requests = 'requests'
     #: Received bytes of requests behind those that are read ahead.
     unread_requests = 'unread-requests'
 
@@ -111,6 +119,17 @@
         self._relief: asyncio.TimerHandle | None = None
         self._look: asyncio.TimerHandle | None = None
 
+    @property
+    def allows_reading_ahead(self) -> bool:
+        """Whether a request may be read behind one without an answer."""
+        bound = self.limits.high_bytes * READ_AHEAD_FRACTION
+        return self._total < bound and not self.is_full
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether not even the head of another request may be kept."""
+        return self._total >= self.limits.high_bytes * EXHAUSTED_FACTOR
+
     @property
     def has_room(self) -> bool:
         """Whether more of answers that wait for their turn may be read."""
--- a/src/cuminhoist/listener_refusals.py
+++ b/src/cuminhoist/listener_refusals.py
@@ -4,14 +4,16 @@
 import sys
 from collections.abc import Callable
 
+from .caller_memory import STALL_S
 from .listener_limits import ListenerLimits
 from .logging_setup import logger
-from .problems import PROBLEM_TYPE, Refusal, encode_problem
+from .problems import Refusal, encode_problem, problem_headers
 from .request_head import Headers
 from .types import Ran, Reason
 
 #: Bytes of a malformed request's target and header names that are logged.
 _LOGGED_BYTES = 200
+_MS = 1000
 
 _log = logger('listener')
 
@@ -38,6 +40,16 @@
     )
 
 
+def memory_exhausted() -> Refusal:
+    """Return the refusal of a request that there is no memory for."""
+    return Refusal(
+        ran=Ran.not_run,
+        reason=Reason.memory_full,
+        detail='The instance holds too much for other callers.',
+        retry_after_ms=round(STALL_S * _MS),
+    )
+
+
 def head_timed_out(limits: ListenerLimits) -> Refusal:
     """Return the refusal of a request with a slow head.
 
@@ -59,9 +71,11 @@
     """
     body = encode_problem(refusal)
     status = http.HTTPStatus(refusal.status)
+    fields = ''.join(
+        f'{name}: {text}\r\n' for name, text in problem_headers(refusal)
+    )
     head = (
-        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-        f'content-type: {PROBLEM_TYPE}\r\n'
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n{fields}'
         f'content-length: {len(body)}\r\n'
         'x-cuminhoist-refusal: 1\r\n'
         'connection: close\r\n\r\n'
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -266,6 +266,7 @@
     def _count_requests(self) -> None:
         self._memory.set(Purpose.unread_requests, len(self._unparsed))
         self._memory.set(Purpose.request_bodies, self._pipeline.body_bytes)
+        self._memory.set(Purpose.requests, self._pipeline.kept_bytes)
 
     def _stop_reading(self) -> None:
         self._reading_ended = True
--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -14,6 +14,11 @@
 #: Most bytes of one body that count as held; the application buffers at most
 #: as many for a retry and passes the others on.
 MAX_COUNTED_BODY_BYTES = 256 * 1024
+#: What a process keeps for a request beside the text of its head and its body:
+#: tasks, decisions, the connection to a target.
+REQUEST_BYTES = 32 * 1024
+#: What it keeps for a field beside its text: a pair of objects.
+FIELD_BYTES = 160
 
 
 class RequestPlace(msgspec.Struct, frozen=True):
@@ -91,6 +96,8 @@
         self.cycle: RequestResponseCycle = None  # type: ignore[assignment]
         #: Body bytes that have been received and may still be held.
         self.body_bytes = 0
+        #: Estimate of what is kept for it beside its body.
+        self.kept_bytes = REQUEST_BYTES
         self.on_turn: Callable[[], None] | None = None
         self._loop = loop
         self._order = order
@@ -130,6 +137,14 @@
         """Let requests behind it start: its answer has arrived."""
         self._order.release_behind(self)
 
+    def count_head(self, text_bytes: int, field_count: int) -> None:
+        """Count what is kept of the head.
+
+        :param text_bytes: bytes of its target and its fields.
+        :param field_count: number of its fields.
+        """
+        self.kept_bytes += text_bytes + FIELD_BYTES * field_count
+
     def add_body_bytes(self, size: int) -> None:
         """Count received bytes of the body.
 
--- a/src/cuminhoist/request_pipeline.py
+++ b/src/cuminhoist/request_pipeline.py
@@ -47,6 +47,11 @@
         """Body bytes of all unanswered requests."""
         return sum(req.body_bytes for req in self._requests)
 
+    @property
+    def kept_bytes(self) -> int:
+        """What is kept for all unanswered requests beside their bodies."""
+        return sum(req.kept_bytes for req in self._requests)
+
     def add(self, req: PipelinedRequest) -> None:
         """Add a request that was read behind the others.
 
--- a/tests/test_parsing_pace.py
+++ b/tests/test_parsing_pace.py
@@ -71,3 +71,15 @@
     conn.receive(content)
     await asyncio.sleep(10)
     assert transport.ended
+
+
+@pytest.mark.looptime
+async def test_short_fields_are_kept_in_one_buffer():
+    """Guards against a head that takes a multiple of its bytes."""
+    conn, transport = connect()
+    conn.receive(b'GET /1 HTTP/1.1\r\nhost: h\r\n' + b'a: b\r\n' * 600)
+    assert conn.headers == []
+    conn.receive(b'\r\n')
+    await asyncio.sleep(1)
+    assert conn.headers == [(b'host', b'h'), *[(b'a', b'b')] * 600]
+    assert b'200' in transport.written
