Bound what the kernel keeps unread, and count memory on all listeners

A process passed the memory limit of its machine although it held less itself: the kernel kept up to megabytes for each connection that was not read.

Cause: listening sockets set no receive buffer, and only the listeners for requests counted memory. Listeners now set a buffer of 64 KiB, or a share of the memory limit for each connection that may be open, 16 KiB at least; all of them count against the bounds of their process. The number of connections comes from limits.max_fds, which the settings had and the product did not read.

--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -106,6 +106,8 @@
     :param limits: limits that the deployment sets.
     :param link_bytes_per_s: bandwidth of its network link, in bytes a second.
     :param memory_bytes: memory of its machine; 0 if it is not limited.
+    :param descriptors: descriptors that its process may have open; 0 if they
+        are not limited.
     :param target_source_host: IP address from which connections to targets
         are opened; empty to let the system choose.
     """
@@ -128,6 +130,7 @@
     limits: DeploymentLimits = DeploymentLimits()
     link_bytes_per_s: float = float('inf')
     memory_bytes: float = 0
+    descriptors: float = 0
     peer_listen_address: Address | None = None
     target_source_host: str = ''
 
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -25,6 +26,10 @@
 #: longer deadlines.
 DRAIN_TIMEOUT_S = 30.0
 
+#: Received bytes that the kernel keeps for one connection, unless the memory
+#: of the process is limited; otherwise it keeps megabytes for a fast sender.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+
 _POLL_INTERVAL_S = 0.02
 
 
@@ -36,6 +41,7 @@
     """
 
     drain_timeout_s: float = DRAIN_TIMEOUT_S
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
 
     @classmethod
     def from_app(
@@ -48,6 +54,7 @@
         overlaps_requests: bool = False,
         memory: CallerMemory | None = None,
         parsing_budget: ChunkBudget | None = None,
+        receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
     ) -> 'HttpServer':
         """Build a server for an ASGI application.
 
@@ -65,6 +72,8 @@
         :param parsing_budget: share of the event loop for requests in many
             small pieces, of all listeners of the process; None for one of its
             own.
+        :param receive_buffer_bytes: bytes that the kernel keeps for one
+            connection until they are read.
         """
         server = cls(
             uvicorn.Config(
@@ -82,6 +91,7 @@
             ),
         )
         server.drain_timeout_s = drain_timeout_s
+        server.receive_buffer_bytes = receive_buffer_bytes
         server.server_state.memory = (  # type: ignore[attr-defined]
             memory or CallerMemory(MemoryLimits())
         )
@@ -141,6 +151,21 @@
         for conn in self._connections():
             conn.shutdown()
 
+    async def startup(self, sockets: Any = None) -> None:
+        """Listen, with a bound on what the kernel keeps for connections.
+
+        :param sockets: listening sockets, if there are any.
+        """
+        await super().startup(sockets)
+        for server in self.servers:
+            for sock in server.sockets:
+                # Accepted connections inherit it.
+                sock.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_RCVBUF,
+                    self.receive_buffer_bytes,
+                )
+
     async def shutdown(self, sockets: Any = None) -> None:
         """Stop accepting connections and let running requests finish.
 
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -48,6 +48,8 @@
     link_mbps: float = 0
     #: Memory of the machine; 0 if it is not limited.
     memory_mb: float = 0
+    #: Descriptors of one process; 0 if they are not limited.
+    max_fds: float = 0
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -152,6 +154,7 @@
         link_bytes_per_s=boot.limits.link_mbps * _BYTES_PER_MBIT
         or float('inf'),
         memory_bytes=boot.limits.memory_mb * _BYTES_PER_MB,
+        descriptors=boot.limits.max_fds,
     )
 
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -14,7 +14,12 @@
 
 from returns.result import Result, Success
 
-from ..caller_memory import CallerMemory, MemoryLimits
+from ..caller_memory import (
+    CallerMemory,
+    MemoryLimits,
+    receive_buffer_bytes,
+)
+from ..descriptor_limits import DescriptorLimits
 from ..fleet.background import BackgroundTasks
 from ..fleet.control_instance import ControlInstance
 from ..fleet.entry_instance import EntryInstance
@@ -91,6 +96,7 @@
         self._now = now
         self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
         self._parsing_budget = callers_budget()
+        self._descriptors = DescriptorLimits.from_descriptors(cfg.descriptors)
         self._servers: list[HttpServer] = []
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
@@ -238,9 +244,7 @@
     def _start_request_server(
         self, address: Address | None, app: Any
     ) -> HttpServer | None:
-        server = self._start_server(
-            address, app, overlaps_requests=True, memory=self._memory
-        )
+        server = self._start_server(address, app, overlaps_requests=True)
         if server is not None:
             server.apply_limits(UNCONFIGURED_LIMITS)
         return server
@@ -251,17 +255,20 @@
         app: Any,
         *,
         overlaps_requests: bool = False,
-        memory: CallerMemory | None = None,
     ) -> HttpServer | None:
         if address is None:
             return None
+        clients = max(self._descriptors.requests, self._descriptors.operators)
         server = HttpServer.from_app(
             app,
             address.host,
             address.port,
             overlaps_requests=overlaps_requests,
-            memory=memory,
+            memory=self._memory,
             parsing_budget=self._parsing_budget,
+            receive_buffer_bytes=receive_buffer_bytes(
+                self._cfg.memory_bytes, clients
+            ),
         )
         self._servers.append(server)
         self._background.spawn(server.serve())
