Bound the connections of each listener, and close those that serve nobody

Ordinary clients waited or got nothing while others held more connections than the process has descriptors; a crowd on one port kept clients of all ports out.

Cause: no listener bounded its connections, so that all of them competed for the descriptors. Ruled out: memory (50 MB).

Each listener has a share of the descriptors. At its bound it closes connections without a request, the longest silence first, then those within a head or body and those with requests behind one without an answer; one with a single whole request is never closed. Accepting in small steps keeps the excess below 32.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -7,7 +7,8 @@
 import asyncio
 import math
 import sys
-from typing import Any
+from collections.abc import Collection
+from typing import Any, cast
 
 import httptools
 from uvicorn.protocols.http.httptools_impl import (
@@ -16,6 +17,12 @@
 )
 
 from .caller_round_trip import round_trip_s
+from .connection_limit import (
+    LimitedConnection,
+    Occupation,
+    Place,
+    make_room,
+)
 from .head_counter import HeadCounter
 from .head_fields import HeadFields
 from .listener_limits import ListenerLimits
@@ -25,6 +32,7 @@
     head_too_large,
     malformed,
     memory_exhausted,
+    note_closed,
     record_refusal,
 )
 from .logging_setup import logger
@@ -50,7 +58,7 @@
 _log = logger('listener')
 
 
-class CallerConnection(PipelinedConnection):
+class CallerConnection(PipelinedConnection, LimitedConnection):
     """A caller's connection with size limits, disconnect notice and drain."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
@@ -61,6 +69,8 @@
         self._fields = HeadFields()
         self._method = MethodReader()
         self._body = find_framing([])
+        #: Loop time at which bytes were received last.
+        self._received_at = self.loop.time()
         #: Bytes of empty lines since the last request.
         self._empty_line_bytes = 0
         #: Bytes of trailers of the present request.
@@ -85,12 +95,34 @@
         """
         super().connection_made(transport)
         self._start_waiting()
+        closed = make_room(
+            self,
+            cast(Collection[LimitedConnection], self.connections),
+            getattr(self.server_state, 'max_connections', math.inf),
+        )
+        if closed:
+            note_closed(closed)
+
+    @property
+    def place(self) -> Place:
+        """Why and since when the connection is open."""
+        last = self._pipeline.last
+        if self._head.begun or (last is not None and not last.body_arrived):
+            return Place(Occupation.arriving, self._received_at)
+        if self._unparsed or len(self._pipeline) > 1:
+            return Place(Occupation.ahead, self._received_at)
+        if last is not None:
+            return Place(Occupation.serving, self._received_at)
+        used = self._has_answered
+        occupation = Occupation.idle if used else Occupation.unused
+        return Place(occupation, self._received_at)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of requests.
 
         :param data: the bytes.
         """
+        self._received_at = self.loop.time()
         waits = self._unparsed or self._pace.is_paused
         if waits and not self._reading_ended:
             self._unparsed += data
--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -23,11 +23,6 @@
 #: Multiple of the high mark from which on the listener refuses requests before
 #: it keeps their heads. The application has refused others by then.
 EXHAUSTED_FACTOR = 1.25
-#: Fraction of the memory limit for what the kernel keeps unread, if every
-#: connection that may be open sends more than is read.
-UNREAD_FRACTION = 1 / 16
-MIN_RECEIVE_BUFFER_BYTES = 16 * 1024
-MAX_RECEIVE_BUFFER_BYTES = 64 * 1024
 #: Fraction of the high mark for those of one connection.
 CONNECTION_FRACTION = 1 / 64
 #: A connection may be closed for memory if its writing stayed paused for so
@@ -91,18 +86,6 @@
         )
 
 
-def receive_buffer_bytes(memory_bytes: float, connections: float) -> int:
-    """Return the size of the kernel's receive buffer of one connection.
-
-    :param memory_bytes: the limit of the process; 0 if there is none.
-    :param connections: number of connections that may be open.
-    """
-    if not memory_bytes:
-        return MAX_RECEIVE_BUFFER_BYTES
-    share = round(memory_bytes * UNREAD_FRACTION / connections)
-    return min(max(share, MIN_RECEIVE_BUFFER_BYTES), MAX_RECEIVE_BUFFER_BYTES)
-
-
 class Stall(msgspec.Struct):
     """A connection whose writing is paused.
 
--- a/src/cuminhoist/httpserver.py
+++ b/src/cuminhoist/httpserver.py
@@ -14,7 +14,7 @@
 
 from .caller_connection import CallerConnection
 from .caller_memory import CallerMemory, MemoryLimits
-from .chunk_budget import ChunkBudget
+from .listener_bounds import RECEIVE_BUFFER_BYTES, ListenerBounds
 from .listener_limits import ListenerLimits
 from .parsing_pace import callers_budget
 from .types import Reason
@@ -26,9 +26,11 @@
 #: longer deadlines.
 DRAIN_TIMEOUT_S = 30.0
 
-#: Received bytes that the kernel keeps for one connection, unless the memory
-#: of the process is limited; otherwise it keeps megabytes for a fast sender.
-RECEIVE_BUFFER_BYTES = 64 * 1024
+#: Connections that wait in the kernel until they are accepted.
+BACKLOG = 2048
+#: Connections that are accepted in one turn of the event loop: so many may be
+#: open beyond the limit until it is applied.
+ACCEPTED_IN_TURN = 32
 
 _POLL_INTERVAL_S = 0.02
 
@@ -53,8 +55,7 @@
         *,
         overlaps_requests: bool = False,
         memory: CallerMemory | None = None,
-        parsing_budget: ChunkBudget | None = None,
-        receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
+        bounds: ListenerBounds = ListenerBounds(),
     ) -> 'HttpServer':
         """Build a server for an ASGI application.
 
@@ -69,11 +70,7 @@
             run concurrently (:class:`~.pipelined_request.PipelinedRequest`).
         :param memory: counts what the process holds for callers; None for a
             count of its own.
-        :param parsing_budget: share of the event loop for requests in many
-            small pieces, of all listeners of the process; None for one of its
-            own.
-        :param receive_buffer_bytes: bytes that the kernel keeps for one
-            connection until they are read.
+        :param bounds: what it may use of the process.
         """
         server = cls(
             uvicorn.Config(
@@ -87,16 +84,20 @@
                 lifespan='off',
                 access_log=False,
                 log_level='warning',
+                backlog=ACCEPTED_IN_TURN,
                 server_header=False,
             ),
         )
         server.drain_timeout_s = drain_timeout_s
-        server.receive_buffer_bytes = receive_buffer_bytes
+        server.receive_buffer_bytes = bounds.receive_buffer_bytes
         server.server_state.memory = (  # type: ignore[attr-defined]
             memory or CallerMemory(MemoryLimits())
         )
         server.server_state.parsing_budget = (  # type: ignore[attr-defined]
-            parsing_budget or callers_budget()
+            bounds.parsing_budget or callers_budget()
+        )
+        server.server_state.max_connections = (  # type: ignore[attr-defined]
+            bounds.max_connections
         )
         server.server_state.overlaps_requests = (  # type: ignore[attr-defined]
             overlaps_requests
@@ -152,7 +153,7 @@
             conn.shutdown()
 
     async def startup(self, sockets: Any = None) -> None:
-        """Listen, with a bound on what the kernel keeps for connections.
+        """Listen, with bounds on what the kernel keeps for connections.
 
         :param sockets: listening sockets, if there are any.
         """
@@ -165,6 +166,8 @@
                     socket.SO_RCVBUF,
                     self.receive_buffer_bytes,
                 )
+                with sock.dup() as listening:
+                    listening.listen(BACKLOG)
 
     async def shutdown(self, sockets: Any = None) -> None:
         """Stop accepting connections and let running requests finish.
--- a/src/cuminhoist/listener_refusals.py
+++ b/src/cuminhoist/listener_refusals.py
@@ -64,6 +64,14 @@
     )
 
 
+def note_closed(count: int) -> None:
+    """Log that connections were closed to make room for others.
+
+    :param count: their number.
+    """
+    _log.bind(count=count).warning('too many connections; closed some')
+
+
 def encode_refusal(refusal: Refusal) -> bytes:
     """Return the answer with a refusal that closes the connection.
 
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -14,11 +14,7 @@
 
 from returns.result import Result, Success
 
-from ..caller_memory import (
-    CallerMemory,
-    MemoryLimits,
-    receive_buffer_bytes,
-)
+from ..caller_memory import CallerMemory, MemoryLimits
 from ..descriptor_limits import DescriptorLimits
 from ..fleet.background import BackgroundTasks
 from ..fleet.control_instance import ControlInstance
@@ -29,9 +25,9 @@
 from ..gateway.stop_window import StopWindow
 from ..httpserver import HttpServer
 from ..json_logs import configure_json_logs
+from ..listener_bounds import ListenerBounds
 from ..listener_limits import UNCONFIGURED_LIMITS
 from ..logging_setup import logger
-from ..parsing_pace import callers_budget
 from .apps import (
     lookup_app,
     metrics_app,
@@ -95,8 +91,11 @@
         self._cfg = cfg
         self._now = now
         self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
-        self._parsing_budget = callers_budget()
         self._descriptors = DescriptorLimits.from_descriptors(cfg.descriptors)
+        self._bounds = ListenerBounds.from_memory(
+            cfg.memory_bytes,
+            max(self._descriptors.requests, self._descriptors.operators),
+        )
         self._servers: list[HttpServer] = []
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
@@ -122,13 +121,21 @@
         if control is None:
             return
         await control.start()
-        self._start_server(cfg.operator_address, operators_app(control.orders))
-        ttl_s = cfg.limits.lookup_ttl_s
+        limits = self._descriptors
+        self._start_server(
+            cfg.operator_address,
+            operators_app(control.orders),
+            limits.operators,
+        )
         self._start_server(
-            cfg.lookup_address, lookup_app(control.lookup, ttl_s)
+            cfg.lookup_address,
+            lookup_app(control.lookup, cfg.limits.lookup_ttl_s),
+            limits.operators,
         )
         self._start_server(
-            cfg.metrics_address, metrics_app(control.metrics.render)
+            cfg.metrics_address,
+            metrics_app(control.metrics.render),
+            limits.probes,
         )
         control.supervise(
             'settings',
@@ -172,21 +179,29 @@
             PlatformWire(),
             self._now,
         )
+        limits = self._descriptors
         server = self._start_request_server(
-            cfg.request_address, entry.request_proxy
+            cfg.request_address, entry.request_proxy, limits.requests
         )
         self._start_request_server(
-            cfg.peer_address, relay_app(entry.request_proxy)
+            cfg.peer_address, relay_app(entry.request_proxy), limits.relays
         )
         if server is not None:
             self._connect_listener(entry, server)
         self._start_server(
-            cfg.readiness_address, readiness_app(lambda: entry.ready)
+            cfg.readiness_address,
+            readiness_app(lambda: entry.ready),
+            limits.probes,
         )
-        ttl_s = cfg.limits.lookup_ttl_s
-        self._start_server(cfg.lookup_address, lookup_app(entry.lookup, ttl_s))
         self._start_server(
-            cfg.metrics_address, metrics_app(entry.metrics.render)
+            cfg.lookup_address,
+            lookup_app(entry.lookup, cfg.limits.lookup_ttl_s),
+            limits.lookups,
+        )
+        self._start_server(
+            cfg.metrics_address,
+            metrics_app(entry.metrics.render),
+            limits.probes,
         )
         await entry.start()
         entry.supervise(
@@ -242,9 +257,11 @@
             server.close_idle()
 
     def _start_request_server(
-        self, address: Address | None, app: Any
+        self, address: Address | None, app: Any, max_connections: float
     ) -> HttpServer | None:
-        server = self._start_server(address, app, overlaps_requests=True)
+        server = self._start_server(
+            address, app, max_connections, overlaps_requests=True
+        )
         if server is not None:
             server.apply_limits(UNCONFIGURED_LIMITS)
         return server
@@ -253,22 +270,19 @@
         self,
         address: Address | None,
         app: Any,
+        max_connections: float,
         *,
         overlaps_requests: bool = False,
     ) -> HttpServer | None:
         if address is None:
             return None
-        clients = max(self._descriptors.requests, self._descriptors.operators)
         server = HttpServer.from_app(
             app,
             address.host,
             address.port,
             overlaps_requests=overlaps_requests,
             memory=self._memory,
-            parsing_budget=self._parsing_budget,
-            receive_buffer_bytes=receive_buffer_bytes(
-                self._cfg.memory_bytes, clients
-            ),
+            bounds=self._bounds.with_connections(max_connections),
         )
         self._servers.append(server)
         self._background.spawn(server.serve())
