Bound frames and number of links whose other end is unknown

A control instance ran out of memory while connections to its port for other instances announced long frames, and out of descriptors beside silent ones.

Cause: a link kept up to 64 MiB for any sender. Its frames now have 64 KiB at most until the other end has sent a valid message, and the number of such accepted links is bounded; one more closes the oldest. An instance sends its hello at once, in a few hundred bytes.

--- a/src/cuminhoist/fleet/link.py
+++ b/src/cuminhoist/fleet/link.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import socket
 import struct
 from collections.abc import Iterable
@@ -38,6 +39,10 @@
 #: reading cannot exhaust the memory.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 
+#: Longest frame of a link whose other end has sent none that is valid: enough
+#: for what an instance says of itself.
+MAX_FIRST_FRAME_BYTES = 64 * 1024
+
 _LENGTH_PREFIX = struct.Struct('<I')
 _log = logger('link')
 
@@ -132,6 +137,8 @@
         self._liveness_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.ended = False
+        #: Whether the other end has sent a valid message.
+        self.is_known = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the keep-alives and announce the link to the handler.
@@ -139,6 +146,9 @@
         :param transport: transport of the connection.
         """
         self._transport = cast(asyncio.Transport, transport)
+        if self.ended:
+            self._transport.abort()
+            return
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._received_at = self._loop.time()
@@ -154,7 +164,7 @@
         self._buffer += data
         while len(self._buffer) >= _LENGTH_PREFIX.size and not self.ended:
             length = _LENGTH_PREFIX.unpack_from(self._buffer)[0]
-            if length > MAX_FRAME_BYTES:
+            if length > self._max_frame_bytes:
                 self.close()
                 return
             end = _LENGTH_PREFIX.size + length
@@ -243,6 +253,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _max_frame_bytes(self) -> int:
+        return MAX_FRAME_BYTES if self.is_known else MAX_FIRST_FRAME_BYTES
+
     def _encode(self, msg: Message) -> bytes:
         """Return the frame of a message; empty if it has none."""
         return encode_or_report(self._codec, self._meter, msg)
@@ -261,6 +275,7 @@
         if not isinstance(decoded, Success):
             self._reject(decoded.failure())
             return
+        self.is_known = True
         msg = decoded.unwrap().message
         if isinstance(msg, Call):
             task = self._loop.create_task(self._answer(msg))
@@ -347,6 +362,8 @@
     :param codec: encodes and decodes messages.
     :param handler: receives the messages and calls of all links.
     :param meter: counts the sent bytes of all links.
+    :param max_unknown: most accepted links whose other end has sent no valid
+        message; one more closes the oldest.
     """
 
     def __init__(
@@ -354,10 +371,13 @@
         codec: Codec,
         handler: LinkHandler,
         meter: LinkMeter | None = None,
+        max_unknown: float = math.inf,
     ) -> None:
         self._codec = codec
         self._handler = handler
         self._meter = meter or NoMeter()
+        self._max_unknown = max_unknown
+        self._unknown: list[Link] = []
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -367,7 +387,7 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._create_link,
+            self._accept_link,
             address.host,
             address.port,
             reuse_address=True,
@@ -415,5 +435,16 @@
         if self._server is not None:
             self._server.close()
 
+    def _accept_link(self) -> Link:
+        self._unknown = [
+            link for link in self._unknown if not (link.is_known or link.ended)
+        ]
+        if len(self._unknown) >= self._max_unknown:
+            self._unknown.pop(0).close()
+            _log.warning('too many unknown links; closed the oldest')
+        link = self._create_link()
+        self._unknown.append(link)
+        return link
+
     def _create_link(self) -> Link:
         return Link(self._codec, self._handler, self._meter)
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -11,7 +11,12 @@
 from cuminhoist.codec import Codec
 from cuminhoist.fleet.control_links import ControlLinks
 from cuminhoist.fleet.instance_config import Address, InstanceConfig
-from cuminhoist.fleet.link import Link, LinkHandler, Links
+from cuminhoist.fleet.link import (
+    MAX_FIRST_FRAME_BYTES,
+    Link,
+    LinkHandler,
+    Links,
+)
 from cuminhoist.fleet.messages import Hello, ReadinessNotice
 from tests.waiting import eventually
 
@@ -183,3 +188,40 @@
     assert not link.ended
     link.close()
     listening.stop()
+
+
+async def test_long_first_frame_closes_the_link():
+    """Guards against unknown senders that fill the memory."""
+    server, _, link, listening = await _linked_pair()
+    port = listening._server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write((MAX_FIRST_FRAME_BYTES + 1).to_bytes(4, 'little'))
+    # It ends with the connection.
+    await reader.read()
+    writer.close()
+    link.send(ReadinessNotice(ready=True))
+    await eventually(lambda: server.received)
+    link.close()
+    listening.stop()
+
+
+async def test_unknown_links_make_room():
+    """Guards against unknown senders that keep instances out."""
+    server = RecordingHandler()
+    listening = Links(Codec('', 'a'), server, max_unknown=2)
+    await listening.listen(Address('127.0.0.1', 0))
+    port = listening._server.sockets[0].getsockname()[1]
+    link = await Links(Codec('', 'b'), RecordingHandler()).dial(
+        Address('127.0.0.1', port)
+    )
+    link.send(ReadinessNotice(ready=True))
+    await eventually(lambda: server.received)
+    writers = []
+    for _ in range(5):
+        writers.append((await asyncio.open_connection('127.0.0.1', port))[1])
+    await eventually(lambda: server.closed_count == 3)
+    assert not server.links[0].ended
+    for writer in writers:
+        writer.close()
+    link.close()
+    listening.stop()
