Bound the bodies of operators' orders

A control instance ran out of memory while some connections sent an order without end, and a body that stopped held its connection for ever.

Cause: the body was kept whole without a limit on its length, on the length of all, or on time. Each body now has a sixteenth of the memory limit at most, all together an eighth; past that the longest gives way, so that ordinary orders arrive. After 5 s of silence a body is given up. None of these orders was submitted, and the answers say so (413, 503, 408).

While no request may be read ahead, 4 KiB of a connection may wait unparsed instead of 64 KiB.

--- a/src/cuminhoist/listener_bounds.py
+++ b/src/cuminhoist/listener_bounds.py
@@ -14,7 +14,7 @@
 MIN_RECEIVE_BUFFER_BYTES = 16 * 1024
 #: Fraction of the memory limit for what the kernel keeps unread, if every
 #: connection that may be open sends more than is read.
-UNREAD_FRACTION = 1 / 16
+UNREAD_FRACTION = 1 / 32
 
 
 class ListenerBounds(msgspec.Struct, frozen=True):
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -30,6 +30,9 @@
 #: The application waits above this many unsent bytes. Less than the usual
 #: 64 KiB, since unsent bytes below it are not counted.
 WRITE_HIGH_WATER_BYTES = 16 * 1024
+#: Received bytes of a connection that may wait to be taken while memory is
+#: scarce. Reading goes on below it, so that a disconnect is noticed.
+SCARCE_WATER_BYTES = 4 * 1024
 
 _connection_numbers = itertools.count(1)
 
@@ -245,8 +248,9 @@
         cycle = self.cycle
         if cycle is not None and cycle.more_body:
             waiting += 0 if cycle.response_complete else len(cycle.body)
+        reads_ahead = self._memory.process.allows_reading_ahead
         pauses = (
-            waiting > HIGH_WATER_LIMIT
+            waiting > (HIGH_WATER_LIMIT if reads_ahead else SCARCE_WATER_BYTES)
             or self._defers_requests
             or self._pace.is_paused
         )
--- a/src/cuminhoist/platform/apps.py
+++ b/src/cuminhoist/platform/apps.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs
 
 import msgspec
+from returns.result import Result, Success
 
 from ..fleet.instance_config import Address
 from ..fleet.operator_orders import (
@@ -14,7 +15,8 @@
     OrderOutcome,
 )
 from ..gateway.answers import Send
-from ..gateway.bodies import CallerDisconnected, Receive
+from ..gateway.bodies import Receive
+from ..order_bodies import BodyFault, OrderBodies
 
 _READY_PATH = '/-/ready'
 _LOOKUP_PATH = '/-/resolve'
@@ -23,6 +25,11 @@
 _DRAIN_PATH = '/-/evacuate/'
 
 _JSON = b'application/json'
+_STATUS_BY_FAULT = {
+    BodyFault.too_large: 413,
+    BodyFault.stopped: 408,
+    BodyFault.crowded: 503,
+}
 _TEXT = b'text/plain; version=0.0.4'
 #: How long a look-up answer is valid, in seconds; some callers keep it three
 #: times as long, and a stopping instance serves for six seconds.
@@ -86,18 +93,20 @@
     return answer
 
 
-def operators_app(orders: OperatorOrders) -> App:
+def operators_app(orders: OperatorOrders, memory_bytes: float = 0) -> App:
     """Return the application for operators' orders.
 
     :param orders: submits the orders.
+    :param memory_bytes: memory limit of the process; 0 if there is none.
     """
+    bodies = OrderBodies.from_memory(memory_bytes)
 
     async def answer(scope: Any, receive: Receive, send: Send) -> None:
         path, method = scope['path'], scope['method']
         if path == _CONFIG_PATH and method == 'PUT':
-            body = await _read_body(receive)
-            outcome = await orders.replace_configuration(body)
-            await _send_outcome(send, outcome)
+            await _replace_configuration(
+                orders, await bodies.read(scope, receive), send
+            )
         elif path == _CONFIG_PATH and method == 'GET':
             content = await orders.read_configuration()
             status = 503 if content is None else 200
@@ -116,15 +125,16 @@
     return answer
 
 
-async def _read_body(receive: Receive) -> bytes:
-    parts = []
-    while True:
-        event = await receive()
-        if event['type'] != 'http.request':
-            raise CallerDisconnected
-        parts.append(event.get('body', b''))
-        if not event.get('more_body', False):
-            return b''.join(parts)
+async def _replace_configuration(
+    orders: OperatorOrders, read: Result[bytes, BodyFault], send: Send
+) -> None:
+    """Submit an order, or refuse one whose body was not read."""
+    if isinstance(read, Success):
+        outcome = await orders.replace_configuration(read.unwrap())
+        await _send_outcome(send, outcome)
+    elif read.failure() is not BodyFault.disconnected:
+        status = _STATUS_BY_FAULT[read.failure()]
+        await _send_answer(send, status, b'', closes=True)
 
 
 async def _send_outcome(send: Send, outcome: OrderOutcome) -> None:
@@ -142,11 +152,15 @@
     status: int,
     body: bytes,
     content_type: bytes = _JSON,
+    *,
+    closes: bool = False,
 ) -> None:
     headers = [
         (b'content-type', content_type),
         (b'content-length', b'%d' % len(body)),
     ]
+    if closes:
+        headers.append((b'connection', b'close'))
     await send(
         {'type': 'http.response.start', 'status': status, 'headers': headers},
     )
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -124,7 +124,7 @@
         limits = self._descriptors
         self._start_server(
             cfg.operator_address,
-            operators_app(control.orders),
+            operators_app(control.orders, cfg.memory_bytes),
             limits.operators,
         )
         self._start_server(
