Drop the rest of a body with the answer

Memory rose beside clients whose bodies nobody reads, and did not fall.

Cause: answered requests last until the garbage collector runs, because they and their cycles refer to each other, and each kept the unread part of its body. Found by counting objects in the process: 1,722 requests, 241 of them unanswered, 13 MB counted and 106 MB resident. Ruled out: the thresholds of the allocator (113 MB with others) and the size of reads (106 MB with 16 KiB).

--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -155,6 +155,14 @@
         """
         self.body_bytes = min(self.body_bytes + size, MAX_COUNTED_BODY_BYTES)
 
+    def release_body(self) -> None:
+        """Drop what the application has not read of the body.
+
+        The request and its cycle refer to each other, so that they last until
+        the garbage collector runs.
+        """
+        self.cycle.body = bytearray()
+
     def allow_start(self) -> None:
         """Let the request run."""
         self._may_start.set()
@@ -180,6 +188,7 @@
             return
         self.withdrawn.set_result(withdrawal)
         self.cycle.disconnected = True
+        self.release_body()
         self.cycle.message_event.set()
         # Wakes the application; what it sends from now on is dropped.
         self._may_start.set()
