Share the connections to targets between services

Callers of all services got no answer while some clients sent requests to a service whose target does not answer: the entry instance had no descriptor left to accept them.

Cause: each running request has a connection, and nothing bounded them for the process. Ruled out: the order of waiting requests; the other service had free slots.

A service may use as many connections as are free, so that one has half of them at most. A request that gets none is refused at once as not run. Idle connections have a bound of their own.

--- a/src/cuminhoist/fleet/control_links.py
+++ b/src/cuminhoist/fleet/control_links.py
@@ -12,7 +12,6 @@
 from returns.result import Success
 
 from ..codec import Codec, Message
-from ..descriptor_limits import DescriptorLimits
 from ..logging_setup import logger
 from ..register.replica import ControlPeers
 from ..steering.demand import Demand
@@ -73,9 +72,11 @@
         #: outlives the link, which may be reset while the voter runs.
         self._heard_at: dict[str, float] = {}
         self._created_at = now()
-        limits = DescriptorLimits.from_descriptors(config.descriptors)
         self._links = Links(
-            Codec('', config.name), self, meter, limits.unknown_links
+            Codec('', config.name),
+            self,
+            meter,
+            config.descriptor_limits.unknown_links,
         )
         self._seeds: set[Address] = set(config.seeds)
         self._addresses: set[Address] = set(config.seeds)
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -118,6 +118,7 @@
             now,
             LinkPacer(config.link_bytes_per_s, now),
             config.target_source_host,
+            config.descriptor_limits.targets,
         )
         self.request_proxy = RequestProxy(
             wire,
--- a/src/cuminhoist/fleet/instance_config.py
+++ b/src/cuminhoist/fleet/instance_config.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..descriptor_limits import DescriptorLimits
 from ..steering.allowance_sizes import AllowanceBounds
 
 
@@ -134,6 +135,11 @@
     peer_listen_address: Address | None = None
     target_source_host: str = ''
 
+    @property
+    def descriptor_limits(self) -> DescriptorLimits:
+        """Most open connections of each kind."""
+        return DescriptorLimits.from_descriptors(self.descriptors)
+
     @property
     def is_control(self) -> bool:
         """Whether this is a control instance."""
--- a/src/cuminhoist/gateway/refusals.py
+++ b/src/cuminhoist/gateway/refusals.py
@@ -25,6 +25,15 @@
     )
 
 
+def refusal_without_connection() -> Refusal:
+    """Return the refusal of a request that no connection to a target is for."""
+    return not_run_refusal(
+        Reason.no_slot,
+        'Requests of this service use all its connections to targets.',
+        NOT_READY_RETRY_S,
+    )
+
+
 def refusal_of_stopping_instance(*, may_have_run: bool = False) -> Refusal:
     """Return the refusal of a request that outlasts this instance.
 
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -8,13 +8,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from ..exceptions import LocalProtocolError
 from ..logging_setup import logger
 from ..problems import Refusal
 from ..steering.decisions import (
     AttemptReport,
+    Decision,
     Ending,
     Granted,
     PlacementRequest,
@@ -99,6 +100,7 @@
             now,
         )
         self._wire = wire
+        self._connection_shares = connections.shares
         self._attempt_sender = AttemptSender(wire, connections)
         self._placement_client = placement_client
         self._metrics = metrics
@@ -205,7 +207,10 @@
                 raise CallerDisconnected
             if state.req.has_body:
                 await body.fill_buffer(state.req.body_bytes or 0)
-            return await self._place_and_send(state, body, scope, send)
+            try:
+                return await self._place_and_send(state, body, scope, send)
+            finally:
+                state.release_connection(self._connection_shares)
         if pipelined.cycle.response_started:
             scope['state']['abort']()
             return 'cut'
@@ -228,13 +233,15 @@
             if ended_as:
                 return ended_as
             req = self._placement_request(state)
-            decision, decider = await self._placement_client.request_placement(
+            answer, decider = await self._placement_client.request_placement(
                 req
             )
-            if isinstance(decision, Refused):
-                state.trail.append(f'{decider}: {_describe_refusal(decision)}')
-                refusal = refusals.refusal_without_target(state, decision)
-                return await self._answer_without_target(state, refusal, send)
+            granted = self._granted(state, answer, decider)
+            if not isinstance(granted, Success):
+                return await self._answer_without_target(
+                    state, granted.failure(), send
+                )
+            decision = granted.unwrap()
             target = self.routing_state.targets.get(decision.target)
             state.waited_s += decision.waited_s
             if (
@@ -327,6 +334,20 @@
         regions = state.allowed_regions
         return not regions or decision.region in regions
 
+    def _granted(
+        self, state: RequestState, decision: Decision, decider: str
+    ) -> Result[Granted, Refusal]:
+        """Return the target for a request, or why it is sent to none."""
+        if isinstance(decision, Refused):
+            state.trail.append(f'{decider}: {_describe_refusal(decision)}')
+            return Failure(refusals.refusal_without_target(state, decision))
+        if state.claim_connection(self._connection_shares):
+            return Success(decision)
+        self._report_attempt(
+            state, decision, AttemptOutcome(Ending.withdrawn), 0
+        )
+        return Failure(refusals.refusal_without_connection())
+
     def _is_paused(
         self, state: RequestState, target: TargetEntry, decider: str
     ) -> bool:
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .connection_shares import ConnectionShares
 from ..listener_limits import ListenerLimits
 from ..steering.poison_requests import Fingerprint
 from ..steering.targets import TargetEntry
@@ -90,6 +91,7 @@
         #: Targets that were granted but could not be sent the request.
         self.skipped_targets: list[str] = []
         self.may_have_run = False
+        self._holds_connection = False
         self._was_sent = False
         self._body_ends_at = float(0)
         self.waited_s = float(0)
@@ -148,6 +150,24 @@
         """Whether it was sent to a target or to another entry instance."""
         return self._was_sent
 
+    def claim_connection(self, shares: ConnectionShares) -> bool:
+        """Tell whether it may use a connection to a target, also for retries.
+
+        :param shares: counts the connections of its service.
+        """
+        if not self._holds_connection:
+            self._holds_connection = shares.claim(self.service)
+        return self._holds_connection
+
+    def release_connection(self, shares: ConnectionShares) -> None:
+        """Stop using a connection to a target.
+
+        :param shares: counts the connections of its service.
+        """
+        if self._holds_connection:
+            self._holds_connection = False
+            shares.release(self.service)
+
     def mark_sent(self) -> None:
         """Note that it is sent to a target or to another entry instance."""
         self._was_sent = True
--- a/src/cuminhoist/gateway/target_connections.py
+++ b/src/cuminhoist/gateway/target_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import math
 import socket
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 from ..client_connection import ClientConnection
 from ..exchange import Exchange
 from ..steering.targets import TargetEntry
+from .connection_shares import ConnectionShares
 from .pacing import LinkPacer
 
 #: Timeout for a new connection, in seconds: three round trips between
@@ -26,6 +28,9 @@
 #: Margin below the target's own idle timeout, in seconds, because the
 #: timeout may expire while a request is in flight.
 IDLE_MARGIN_S = 1.5
+#: Fraction of all connections to targets that may be in use at a time; the
+#: others may be idle.
+USED_FRACTION = 0.6
 
 
 class _Pool:
@@ -59,6 +64,7 @@
     :param pacer: paces answers on the link of this instance.
     :param source_host: IP address from which connections are opened; empty to
         let the system choose.
+    :param most: most connections that may be open at a time.
     """
 
     def __init__(
@@ -66,8 +72,11 @@
         now: Callable[[], float],
         pacer: LinkPacer,
         source_host: str = '',
+        most: float = math.inf,
     ) -> None:
         self.pacer = pacer
+        self.shares = ConnectionShares(most * USED_FRACTION)
+        self._most_idle = most * (1 - USED_FRACTION)
         self._source_host = source_host
         self._now = now
         self._pools: dict[str, _Pool] = {}
@@ -130,6 +139,18 @@
             conn.abort()
             return
         pool.idle.append((conn, self._now()))
+        self._bound_idle()
+
+    def _bound_idle(self) -> None:
+        """Close those that are idle for longest, if there are too many."""
+        idle_count = sum(len(pool.idle) for pool in self._pools.values())
+        while idle_count > self._most_idle:
+            oldest = min(
+                (pool for pool in self._pools.values() if pool.idle),
+                key=lambda pool: pool.idle[0][1],
+            )
+            oldest.idle.popleft()[0].abort()
+            idle_count -= 1
 
     def set_idle_timeout(
         self, target: TargetEntry, idle_timeout_s: float
--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -15,7 +15,6 @@
 from returns.result import Result, Success
 
 from ..caller_memory import CallerMemory, MemoryLimits
-from ..descriptor_limits import DescriptorLimits
 from ..fleet.background import BackgroundTasks
 from ..fleet.control_instance import ControlInstance
 from ..fleet.entry_instance import EntryInstance
@@ -91,7 +90,7 @@
         self._cfg = cfg
         self._now = now
         self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
-        self._descriptors = DescriptorLimits.from_descriptors(cfg.descriptors)
+        self._descriptors = cfg.descriptor_limits
         self._bounds = ListenerBounds.from_memory(
             cfg.memory_bytes,
             max(self._descriptors.requests, self._descriptors.operators),
