Bound memory and connections of the product's own daemon

cuminhoistd ran out of memory and descriptors beside clients that keep to no limit: its listener had no bounds of its process, as its settings named none.

memory_mb in the settings, 128 by default, gives the bounds that an instance on the platform's machines has; the connections follow from the limit of the process on open files. max_fds of the platform's settings must leave some connections of each kind, or the settings are refused.

--- a/src/cuminhoist/config_validation.py
+++ b/src/cuminhoist/config_validation.py
@@ -35,6 +35,8 @@
 MIN_WEIGHT = 0.001
 MAX_RATE_PER_S = 1_000_000_000
 MAX_DURATION_S = 3600
+#: One terabyte.
+MAX_MEMORY_MB = 1_000_000
 MIN_LOOKUP_LIFETIME_S = 1
 MAX_LOOKUP_LIFETIME_S = 300
 MAX_DEADLINE_MS = 600_000
@@ -109,6 +111,7 @@
         MIN_LOOKUP_LIFETIME_S,
         MAX_LOOKUP_LIFETIME_S,
     )
+    validator.check_range('memory_mb', cfg.memory_mb, 0, MAX_MEMORY_MB)
     if not cfg.probe_path.startswith('/'):
         validator.add(
             'probe_path', f'{cfg.probe_path[:64]!r} must begin with "/"'
--- a/src/cuminhoist/descriptor_limits.py
+++ b/src/cuminhoist/descriptor_limits.py
@@ -1,12 +1,15 @@
 """Shares the descriptors of a process between its kinds of connections."""
 
 import math
+import resource
 from typing import Self
 
 import msgspec
 
 #: Descriptors that are left for files.
 FILE_DESCRIPTORS = 200
+#: With fewer, some kind of connection would get none.
+MIN_DESCRIPTORS = FILE_DESCRIPTORS + 32
 #: Shares of the others, which are less than the whole together on an instance
 #: of either role; the rest serves links between instances.
 REQUEST_FRACTION = 0.5
@@ -39,6 +42,14 @@
     operators: float = math.inf
     unknown_links: float = math.inf
 
+    @classmethod
+    def of_process(cls) -> Self:
+        """Derive the limits from what the system allows this process."""
+        most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return cls.from_descriptors(
+            0 if most == resource.RLIM_INFINITY else most
+        )
+
     @classmethod
     def from_descriptors(cls, descriptors: float) -> Self:
         """Derive the limits from that of the process.
@@ -48,10 +59,10 @@
         """
         if not descriptors:
             return cls()
-        left = descriptors - FILE_DESCRIPTORS
+        left = max(descriptors, MIN_DESCRIPTORS) - FILE_DESCRIPTORS
         return cls(
             *(
-                max(math.floor(left * fraction), 1)
+                math.floor(left * fraction)
                 for fraction in (
                     REQUEST_FRACTION,
                     TARGET_FRACTION,
--- a/src/cuminhoist/node.py
+++ b/src/cuminhoist/node.py
@@ -12,15 +12,18 @@
 from litestar import Litestar
 
 from .caller_api import explain_handler, lookup_handler, services_handler
+from .caller_memory import CallerMemory, MemoryLimits
 from .clock import SystemClock
 from .codec import Codec
 from .config_delivery import ConfigDelivery, ConfigDeliveryOptions
 from .config_in_force import ConfigInForce
 from .consensus import LogReplica
+from .descriptor_limits import DescriptorLimits
 from .entry_role import EntryRole, InstanceContext
 from .fleet.background import BackgroundTasks
 from .httperrors import exception_handlers
 from .httpserver import DRAIN_TIMEOUT_S, HttpServer
+from .listener_bounds import ListenerBounds
 from .logging_setup import logger
 from .metrics import metrics_from_config
 from .openapi import openapi_config
@@ -41,6 +44,7 @@
 STOP_IDLE_S = 1.0
 #: Time for the answer to a request that has reached its deadline.
 DEADLINE_ANSWER_S = 0.5
+_BYTES_PER_MB = 1_000_000
 
 _log = logger('node')
 
@@ -78,11 +82,17 @@
             ConfigDeliveryOptions.from_topology(topology, self._live_instances),
         )
         self.control = self._build_control()
+        memory_bytes = cfg.memory_mb * _BYTES_PER_MB
+        max_connections = DescriptorLimits.of_process().requests
         self._server = HttpServer.from_app(
             self._build_app(),
             cfg.host,
             cfg.http_port,
             _drain_timeout_s(topology),
+            memory=CallerMemory(MemoryLimits.from_memory(memory_bytes)),
+            bounds=ListenerBounds.from_memory(
+                memory_bytes, max_connections
+            ).with_connections(max_connections),
         )
         self._server_task: asyncio.Task[None] | None = None
 
--- a/src/cuminhoist/platform/boot.py
+++ b/src/cuminhoist/platform/boot.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..descriptor_limits import MIN_DESCRIPTORS
 from ..exceptions import FieldError
 from ..fleet.instance_config import (
     MAX_PORT,
@@ -128,6 +129,8 @@
 
 def _instance_config(boot: _Boot) -> InstanceConfig:
     first_port, last_port = boot.internal_ports
+    if 0 < boot.limits.max_fds < MIN_DESCRIPTORS:
+        raise ValueError(f'max_fds must be at least {MIN_DESCRIPTORS}')
     listen = boot.listen
     return InstanceConfig(
         name=boot.node,
--- a/src/cuminhoist/settings.py
+++ b/src/cuminhoist/settings.py
@@ -247,6 +247,8 @@
         damaged: ``stop`` taking part, or ``rejoin`` as a new incarnation.
     :param lookup_lifetime_s: how long clients may cache look-ups, in seconds.
     :param probe_path: HTTP path at which targets report health and load.
+    :param memory_mb: memory that the process may use, in megabytes; callers
+        may occupy a part of it. 0 for no limit.
     """
 
     name: InstanceName
@@ -263,6 +265,7 @@
     on_corruption: CorruptionPolicy = CorruptionPolicy.stop
     lookup_lifetime_s: float = 10.0
     probe_path: str = '/load'
+    memory_mb: float = 128.0
     logs: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
 
