Close connections whose bodies stop once memory is short

Clients that begin a body and stop would keep ordinary callers out until their deadlines: at the high mark, only connections whose callers do not read were closed, so that the refusals went on. Read in the code; no crowd of the real programs has shown it.

A connection that is read and has sent nothing of its body for a second may be closed now, too, those that hold most first. Pauses of our own are no silence.

Evidence: the new test, with a controlled clock; it calls a method that did not exist before.

--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -113,6 +113,9 @@
         self.closed_connections = 0
         self._total = 0
         self._stalled: dict[ConnectionMemory, Stall] = {}
+        #: Connections with an incomplete request, and the loop time of its
+        #: last bytes; the longest silence first.
+        self._arriving: dict[ConnectionMemory, float] = {}
         self._waiting: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
@@ -176,6 +179,20 @@
             self._stalled[conn] = Stall(now, conn.count_unsent())
             self._plan_look()
 
+    def note_arriving(
+        self, conn: 'ConnectionMemory', *, arriving: bool
+    ) -> None:
+        """Note whether more of a request is due from the caller.
+
+        :param conn: the connection; it has received bytes, or reads on.
+        :param arriving: whether a head or a body is not complete, and reading
+            is not paused.
+        """
+        self._arriving.pop(conn, None)
+        if arriving:
+            now = asyncio.get_running_loop().time()
+            self._arriving[conn] = now
+
     def _plan_look(self) -> None:
         if self._look is None:
             loop = asyncio.get_running_loop()
@@ -204,7 +221,7 @@
             self._relief = loop.call_later(delay_s, self._relieve)
 
     def _relieve(self) -> None:
-        """Close stalled connections, those that hold most first."""
+        """Close connections without progress, those that hold most first."""
         self._relief = None
         if not self.is_full:
             return
@@ -214,12 +231,18 @@
             for conn, stall in self._stalled.items()
             if now - stall.since >= STALL_S
         ]
+        closable += [
+            conn
+            for conn, received_at in self._arriving.items()
+            if now - received_at >= STALL_S
+        ]
         closable.sort(key=lambda conn: conn.total)
         left = self._total
         while closable and left >= self.limits.low_bytes:
             conn = closable.pop()
             left -= conn.total
             self._stalled.pop(conn, None)
+            self._arriving.pop(conn, None)
             self.closed_connections += 1
             conn.close()
         self._plan_relief(STALL_S / 4)
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -85,6 +85,7 @@
         self._unparsed = b''
         self._pipeline.withdraw_all(self._end_cause)
         self._memory.process.note_stall(self._memory, stalled=False)
+        self._memory.process.note_arriving(self._memory, arriving=False)
         self._memory.set(Purpose.unsent_bytes, 0)
         self._count_requests()
 
@@ -255,10 +256,20 @@
             or self._defers_requests
             or self._pace.is_paused
         )
-        if pauses and not self._reading_ended:
+        pauses = pauses and not self._reading_ended
+        if pauses:
             self.flow.pause_reading()
         else:
             self.flow.resume_reading()
+        self._memory.process.note_arriving(
+            self._memory, arriving=self._is_arriving and not pauses
+        )
+
+    @property
+    def _is_arriving(self) -> bool:
+        """Whether the caller has more to send of a request."""
+        last = self._pipeline.last
+        return last is not None and not last.body_arrived
 
     @property
     def _defers_requests(self) -> bool:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -6,7 +6,10 @@
 
 import asyncio
 
+import pytest
+
 from cuminhoist.caller_memory import (
+    STALL_S,
     CallerMemory,
     ConnectionMemory,
     MemoryLimits,
@@ -123,3 +126,21 @@
         await eventually(lambda: memory.held[Purpose.request_bodies] == 40_000)
         writer.transport.abort()
         await eventually(lambda: not memory.held[Purpose.request_bodies])
+
+
+@pytest.mark.looptime
+async def test_bodies_that_stop_hold_the_memory():
+    """Guards against refusals of all callers while some bodies stop."""
+    memory = CallerMemory(MemoryLimits(high_bytes=100, low_bytes=50))
+    closed = []
+    stopped, sending = (
+        ConnectionMemory(memory, lambda name=name: closed.append(name))
+        for name in ('stopped', 'sending')
+    )
+    for conn in (stopped, sending):
+        conn.set(Purpose.request_bodies, 60)
+        memory.note_arriving(conn, arriving=True)
+    await asyncio.sleep(STALL_S * 0.9)
+    memory.note_arriving(sending, arriving=True)
+    await asyncio.sleep(STALL_S * 0.5)
+    assert closed == ['stopped']
