Count heads that arrive, and bound them before the first configuration

An instance without a configuration ran out of memory beside long heads: they may have 1 MiB and take any time then, and the bytes of a head that was arriving counted nowhere. With 1,950 connections that would be 2 GB of 300 MB.

The bytes count as held now. Once memory is exhausted, a head longer than 16 KiB is refused as not run while it arrives; heads that have stopped for a second may be closed like bodies.

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -51,6 +51,9 @@
 #: bytes; one read from the socket brings at most as many.
 MAX_BODIES_AHEAD_BYTES = 256 * 1024
 
+#: A head that is arriving may have so many bytes although memory is exhausted.
+SHORT_HEAD_BYTES = 16 * 1024
+
 #: Idle connections stay open this long after the limit, because a request
 #: that was sent within the limit may still be on its way.
 IDLE_MARGIN_S = 1.0
@@ -193,8 +196,12 @@
 
     def _count_head(self) -> None:
         if self._head.begun:
-            if self._head.size > self._limits.max_head_bytes:
+            size = self._head.size
+            self._count_requests()
+            if size > self._limits.max_head_bytes:
                 self._refuse(head_too_large(self._limits))
+            elif size > SHORT_HEAD_BYTES and self._memory.process.is_exhausted:
+                self._refuse(memory_exhausted())
         elif self._head.expected:
             self._head.reset()
 
@@ -367,6 +374,10 @@
         if not self.busy:
             self.transport.close()
 
+    @property
+    def _head_bytes(self) -> int:
+        return self._head.size if self._head.begun else 0
+
     @property
     def _takes_requests(self) -> bool:
         # A connection that closes after the last answer takes no others.
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -269,7 +269,13 @@
     def _is_arriving(self) -> bool:
         """Whether the caller has more to send of a request."""
         last = self._pipeline.last
-        return last is not None and not last.body_arrived
+        body_arrives = last is not None and not last.body_arrived
+        return body_arrives or self._head_bytes > 0
+
+    @property
+    @abc.abstractmethod
+    def _head_bytes(self) -> int:
+        """Bytes of a head that is not complete."""
 
     @property
     def _defers_requests(self) -> bool:
@@ -290,7 +296,9 @@
     def _count_requests(self) -> None:
         self._memory.set(Purpose.unread_requests, len(self._unparsed))
         self._memory.set(Purpose.request_bodies, self._pipeline.body_bytes)
-        self._memory.set(Purpose.requests, self._pipeline.kept_bytes)
+        self._memory.set(
+            Purpose.requests, self._pipeline.kept_bytes + self._head_bytes
+        )
 
     def _stop_reading(self) -> None:
         self._reading_ended = True
--- a/tests/crowds/builders.py
+++ b/tests/crowds/builders.py
@@ -108,8 +108,11 @@
             for number, role in enumerate(('control', 'entry'), 1)
         )
 
-    async def start(self) -> None:
-        """Start the programs and wait until they serve."""
+    async def start(self, *, configured: bool = True) -> None:
+        """Start the programs and wait until they serve.
+
+        :param configured: whether to send a configuration.
+        """
         for server in (self._list, *self._upstreams):
             await server.start()
         for instance in (self.control, self.entry):
@@ -119,6 +122,9 @@
                 resource.RLIMIT_NOFILE,
                 (MAX_SOCKETS + FILES, MAX_SOCKETS + FILES),
             )
+        if not configured:
+            assert await self.is_served('metrics')
+            return
         async with asyncio.timeout(_STARTUP_S):
             while not await self.configure(1):
                 await asyncio.sleep(0.1)
@@ -209,11 +215,11 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(folder):
+async def deployment(folder, *, configured=True):
     """Start a deployment and end it."""
     world = Deployment(folder)
     try:
-        await world.start()
+        await world.start(configured=configured)
         yield world
     finally:
         await world.stop()
--- a/tests/test_parsing_pace.py
+++ b/tests/test_parsing_pace.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from cuminhoist.caller_memory import MemoryLimits, Purpose
 from cuminhoist.listener_limits import ListenerLimits
 from cuminhoist.parsing_pace import (
     MAX_STEPS_IN_TURN,
@@ -83,3 +84,16 @@
     await asyncio.sleep(1)
     assert conn.headers == [(b'host', b'h'), *[(b'a', b'b')] * 600]
     assert b'200' in transport.written
+
+
+@pytest.mark.looptime
+async def test_heads_that_arrive_count_as_memory():
+    """Guards against long heads on many connections that end nowhere."""
+    conn, transport = connect()
+    memory = conn.server_state.memory
+    memory.limits = MemoryLimits(high_bytes=16_000, low_bytes=10_000)
+    conn.receive(b'GET /1 HTTP/1.1\r\na: ' + b'x' * 10_000)
+    assert memory.held[Purpose.requests] >= 10_000
+    conn.receive(b'x' * 15_000)
+    assert transport.written.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in transport.written
