Give the request of a test the place that the listener gives it

A request is asked for its place on its connection since the estimate of late retries skips requests that were sent ahead; the stand-in of this test had none. The checks are the same; tests/fleet passes again.

--- a/tests/fleet/test_key_changes.py
+++ b/tests/fleet/test_key_changes.py
@@ -27,6 +27,7 @@
 from cuminhoist.fleet.entry_links import VIEW_VALID_S
 from cuminhoist.fleet.instance_config import Address, DeploymentLimits
 from cuminhoist.fleet.messages import View
+from cuminhoist.pipelined_request import RequestPlace
 from cuminhoist.platform.configuration import decode_routes
 from cuminhoist.platform.requests import PlatformWire
 from cuminhoist.register.declared_state import DeclaredState
@@ -73,7 +74,8 @@
 
 def _scope():
     memory = ConnectionMemory(CallerMemory(MemoryLimits()), lambda: None)
-    pipelined = types.SimpleNamespace(memory=memory)
+    place = RequestPlace(connection=1, number=1, ahead=0)
+    pipelined = types.SimpleNamespace(memory=memory, place=place)
     return {'state': {'pipelined_request': pipelined}}
 
 
