Close callers that do not read when they keep connections to targets

Ordinary requests to a service were refused with no-slot while answers that nobody read kept all connections that the service may use.

Cause: callers that do not read are closed only while memory is short, and the bound on connections to targets is reached before that. Ruled out: slots of the target (30 of 50 used) and memory (62 of 100 MB).

A refusal for want of a connection now closes the stalled connection that holds most, by the measure that memory uses.

--- a/src/cuminhoist/caller_memory.py
+++ b/src/cuminhoist/caller_memory.py
@@ -220,33 +220,51 @@
             loop = asyncio.get_running_loop()
             self._relief = loop.call_later(delay_s, self._relieve)
 
+    def close_stalled(self) -> None:
+        """Close the connection that holds most of those that do not read.
+
+        Its requests use connections to targets that others need. Nothing
+        happens if all callers read.
+        """
+        now = asyncio.get_running_loop().time()
+        stalled = self._stalled_since(now - STALL_S)
+        if stalled:
+            self._close(max(stalled, key=lambda conn: conn.total))
+
     def _relieve(self) -> None:
         """Close connections without progress, those that hold most first."""
         self._relief = None
         if not self.is_full:
             return
-        now = asyncio.get_running_loop().time()
-        closable = [
-            conn
-            for conn, stall in self._stalled.items()
-            if now - stall.since >= STALL_S
-        ]
+        before = asyncio.get_running_loop().time() - STALL_S
+        closable = self._stalled_since(before)
         closable += [
             conn
             for conn, received_at in self._arriving.items()
-            if now - received_at >= STALL_S
+            if received_at <= before
         ]
         closable.sort(key=lambda conn: conn.total)
         left = self._total
         while closable and left >= self.limits.low_bytes:
             conn = closable.pop()
             left -= conn.total
-            self._stalled.pop(conn, None)
-            self._arriving.pop(conn, None)
-            self.closed_connections += 1
-            conn.close()
+            self._close(conn)
         self._plan_relief(STALL_S / 4)
 
+    def _stalled_since(self, before: float) -> list['ConnectionMemory']:
+        """Return the connections whose callers have not read since a time."""
+        return [
+            conn
+            for conn, stall in self._stalled.items()
+            if stall.since <= before
+        ]
+
+    def _close(self, conn: 'ConnectionMemory') -> None:
+        self._stalled.pop(conn, None)
+        self._arriving.pop(conn, None)
+        self.closed_connections += 1
+        conn.close()
+
 
 class ConnectionMemory:
     """Bytes that are held for one connection.
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -238,6 +238,8 @@
             )
             granted = self._granted(state, answer, decider)
             if not isinstance(granted, Success):
+                if granted.failure().reason is Reason.no_slot:
+                    scope['state']['pipelined_request'].close_stalled()
                 return await self._answer_without_target(
                     state, granted.failure(), send
                 )
--- a/src/cuminhoist/pipelined_request.py
+++ b/src/cuminhoist/pipelined_request.py
@@ -155,6 +155,13 @@
         """
         self.body_bytes = min(self.body_bytes + size, MAX_COUNTED_BODY_BYTES)
 
+    def close_stalled(self) -> None:
+        """Close the connection of a caller that reads no answer.
+
+        That frees a connection to a target that this request needs.
+        """
+        self.memory.process.close_stalled()
+
     def release_body(self) -> None:
         """Drop what the application has not read of the body.
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -144,3 +144,24 @@
     memory.note_arriving(sending, arriving=True)
     await asyncio.sleep(STALL_S * 0.5)
     assert closed == ['stopped']
+
+
+@pytest.mark.looptime
+async def test_stalled_caller_that_holds_most_is_closed():
+    """Guards against unread answers that keep connections to targets."""
+    memory = CallerMemory(MemoryLimits())
+    closed = []
+    conns = [
+        ConnectionMemory(memory, lambda size=size: closed.append(size))
+        for size in (10, 30, 20)
+    ]
+    for conn, size in zip(conns, (10, 30, 20), strict=True):
+        conn.set(Purpose.unsent_bytes, size)
+        memory.note_stall(conn, stalled=True)
+    memory.close_stalled()
+    assert not closed
+    await asyncio.sleep(STALL_S)
+    memory.note_stall(conns[2], stalled=False)
+    for _ in range(3):
+        memory.close_stalled()
+    assert closed == [30, 10]
