--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -376,7 +376,8 @@
 
     @property
     def _head_bytes(self) -> int:
-        return self._head.size if self._head.begun else 0
+        arrives = self._head.begun and not self._is_lost
+        return self._head.size if arrives else 0
 
     @property
     def _takes_requests(self) -> bool:
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -65,6 +65,7 @@
         self._request: PipelinedRequest | None = None
         #: Received bytes of requests that are not read yet.
         self._unparsed = b''
+        self._is_lost = False
         #: Whether bytes are being parsed that had to wait.
         self._was_held = False
         #: Whether received bytes are dropped: the connection ends.
@@ -81,6 +82,7 @@
         """
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
+        self._is_lost = True
         self._pace.close()
         self._unparsed = b''
         self._pipeline.withdraw_all(self._end_cause)
--- a/tests/test_parsing_pace.py
+++ b/tests/test_parsing_pace.py
@@ -97,3 +97,5 @@
     conn.receive(b'x' * 15_000)
     assert transport.written.startswith(b'HTTP/1.1 503')
     assert b'retry-after' in transport.written
+    conn.connection_lost(None)
+    assert not sum(memory.held.values())
