Parse nothing behind the refusal of too many empty lines

A request behind too many empty lines in one read ran although its connection had been refused as not run: the bytes behind the lines went on to the parser. Nothing is returned from there now; the new test failed before (two answers).

--- a/src/cuminhoist/caller_connection.py
+++ b/src/cuminhoist/caller_connection.py
@@ -164,12 +164,15 @@
     def _drop_empty_lines(self, data: bytes) -> bytes:
         """Return received bytes from the beginning of a request on.
 
+        There are none if the connection is refused.
+
         :param data: received bytes between two requests.
         """
         rest = data.lstrip(b'\r\n')
         self._empty_line_bytes += len(data) - len(rest)
         if self._empty_line_bytes > self._limits.max_head_bytes:
             self._refuse(malformed('Too many empty lines before a request.'))
+            return b''
         if rest:
             self._empty_line_bytes = 0
         return rest
--- a/src/cuminhoist/pipelined_connection.py
+++ b/src/cuminhoist/pipelined_connection.py
@@ -65,6 +65,7 @@
         self._request: PipelinedRequest | None = None
         #: Received bytes of requests that are not read yet.
         self._unparsed = b''
+        #: Whether the connection has ended, and holds nothing any more.
         self._is_lost = False
         #: Whether bytes are being parsed that had to wait.
         self._was_held = False
@@ -228,7 +229,9 @@
         if self.transport.is_closing() or self._reading_ended:
             return
         self._start_waiting()
-        if not self._pace.is_paused:
+        if self._pace.is_paused:
+            self._update_reading()
+        else:
             self._resume_parsing()
 
     def _resume_parsing(self) -> None:
--- a/tests/test_parsing_pace.py
+++ b/tests/test_parsing_pace.py
@@ -99,3 +99,14 @@
     assert b'retry-after' in transport.written
     conn.connection_lost(None)
     assert not sum(memory.held.values())
+
+
+@pytest.mark.looptime
+async def test_request_behind_too_many_empty_lines_does_not_run():
+    """Guards against a refusal whose request runs all the same."""
+    conn, transport = connect()
+    lines = b'\r\n' * ListenerLimits().max_head_bytes
+    conn.receive(lines + b'GET /1 HTTP/1.1\r\nhost: h\r\n\r\n')
+    await asyncio.sleep(1)
+    assert transport.written.count(b'HTTP/1.1') == 1
+    assert conn.cycle is None
