--- a/review/lab3/lab.py
+++ b/review/lab3/lab.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import json
@@ -193,6 +194,10 @@
         self.record = Record(folder / 'record.txt')
         self.hosts = Hosts()
         self.runs = {}
+        #: Times at which each boot of a target began to run a request.
+        self.run_times = collections.defaultdict(list)
+        #: Reads of the list at its present address.
+        self.list_reads = 0
         self.targets = []
         self.temp = pathlib.Path(tempfile.mkdtemp(prefix='review3-'))
         self._lost = losses
@@ -211,6 +216,7 @@
         ]
         self.processes = {}
         self._tasks = []
+        self._list_writers = set()
         self.seeds = [f'{host}:{OPERATORS}' for _, _, host in self.controls[:3]]
 
     def report(self, text):
@@ -220,6 +226,7 @@
 
     def ran(self, target, request_id, method, path):
         self.runs.setdefault(request_id, []).append(target.identity)
+        self.run_times[target.identity].append(time.monotonic())
         self.record.line(f'run {request_id} {method} {path} {target.identity}')
 
     async def add_targets(self, service, count, zones=None, **options):
@@ -229,11 +236,34 @@
             self.targets.append(target)
 
     async def start(self):
+        await self._start_list()
+        for name, zone, host in (*self.controls, *self.fronts):
+            self.start_process(name, zone, host, bootstrap=True)
+
+    async def _start_list(self):
         self._list = await asyncio.start_server(
             self._serve_list, self.list_host, 8541
         )
+
+    async def move_list(self, overlap_s):
+        """Serve the list at another address and tell all processes.
+
+        The settings files are replaced before SIGHUP is sent, and the former
+        address serves for some time more.
+        """
+        former, former_writers = self._list, self._list_writers
+        self._list_writers = set()
+        self.list_host = self.hosts.take()
+        self.list_reads = 0
+        await self._start_list()
         for name, zone, host in (*self.controls, *self.fronts):
-            self.start_process(name, zone, host, bootstrap=True)
+            self._write_settings(name, zone, host, bootstrap=False)
+            self.signal(name, signal.SIGHUP)
+        self.record.line(f'the list is at {self.list_host} from now on')
+        await asyncio.sleep(overlap_s)
+        former.close()
+        for writer in former_writers:
+            writer.close()
 
     def settings(self, name, zone, host, bootstrap):
         is_core = name.startswith('core')
@@ -315,10 +345,17 @@
             },
         }
 
+    def _write_settings(self, name, zone, host, bootstrap):
+        settings = self.settings(name, zone, host, bootstrap)
+        path = self.temp / f'{name}.json'
+        new_path = path.with_suffix('.new')
+        new_path.write_text(json.dumps(settings))
+        new_path.replace(path)
+        return settings
+
     def start_process(self, name, zone, host, bootstrap=False):
+        settings = self._write_settings(name, zone, host, bootstrap)
         path = self.temp / f'{name}.json'
-        settings = self.settings(name, zone, host, bootstrap)
-        path.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles'][settings['role']]['run'].split()
         log = (self.temp / f'{name}.log').open('ab')
@@ -353,10 +390,12 @@
         shutil.rmtree(self.temp, ignore_errors=True)
 
     async def _serve_list(self, reader, writer):
+        self._list_writers.add(writer)
         with contextlib.suppress(Exception):
             while True:
                 _, headers = await read_head(reader)
                 await read_body(reader, headers)
+                self.list_reads += writer in self._list_writers
                 entries = {
                     target.identity: {
                         'backend': target.service,
