--- a/review/13/case.py
+++ b/review/13/case.py
@@ -19,9 +19,9 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 TARGETS = 20
-#: The disruption, as the site file has it: a zone's targets are down.
+#: The disruption, as a day of the site file has it: a zone's targets are down.
 ZONE = 'north-b'
-DOWN_S = 4.5
+DOWN_S = 4.0
 COLD_S = 3.0
 CRASH_AT_S = 5.0
 #: Steady state: the targets have been back for more than contact_ms and the
--- a/review/lab3/lab.py
+++ b/review/lab3/lab.py
@@ -245,11 +245,13 @@
             self._serve_list, self.list_host, 8541
         )
 
-    async def move_list(self, overlap_s):
+    async def move_list(self, overlap_s, signalled):
         """Serve the list at another address and tell all processes.
 
-        The settings files are replaced before SIGHUP is sent, and the former
-        address serves for some time more.
+        The settings files are replaced before SIGHUP is sent to some of the
+        processes, and the former address serves for some time more.
+
+        :param signalled: how many processes, drawn by lot, get SIGHUP.
         """
         former, former_writers = self._list, self._list_writers
         self._list_writers = set()
@@ -258,6 +260,7 @@
         await self._start_list()
         for name, zone, host in (*self.controls, *self.fronts):
             self._write_settings(name, zone, host, bootstrap=False)
+        for name in random.sample(sorted(self.processes), signalled):
             self.signal(name, signal.SIGHUP)
         self.record.line(f'the list is at {self.list_host} from now on')
         await asyncio.sleep(overlap_s)
