Hold a first configuration whose version is 0

What callers saw: the first configuration r0 was answered with 200, could not be read back from any control instance, and every request got 503.

Cause: version 0 of the declared state also meant that there is no configuration. The order was dropped as outdated (0 <= 0) and the state that came back was taken for an acknowledgement (0 >= 0).

Change: a configuration is in force if the state has its encoded form, which is never empty. The form of stored and sent states is the same, so builds of both kinds read each other's. A state without a configuration acknowledges nothing, whatever build chose it.

--- a/src/cuminhoist/fleet/control_instance.py
+++ b/src/cuminhoist/fleet/control_instance.py
@@ -252,7 +252,7 @@
         state = self.replica.latest_chosen
         gauge = self.metrics.state_gauge
         gauge.labels('state_index').set(state.index if state else -1)
-        gauge.labels('config_version').set(state.version if state else 0)
+        gauge.labels('config_version').set(state.shown_version if state else -1)
         gauge.labels('majority').set(self.confirmed)
         gauge.labels('targets').set(len(self.feed.entries))
         gauge.labels('list_age_s').set(self._now() - self.feed.read_at)
@@ -296,7 +296,7 @@
         return self._now() - self._created_at < FIRST_LINKS_S
 
     def _on_learned(self, state: DeclaredState) -> None:
-        if state.body:
+        if state.has_configuration:
             decoded = self._decode(state.body)
             if isinstance(decoded, Success):
                 self._routes = decoded.unwrap()
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -87,6 +87,8 @@
         self._decode = decode
         self._now = now
         self._declared: DeclaredState | None = None
+        #: Version of the configuration that was decoded last.
+        self._decoded_version: int | None = None
         self.metrics = RequestMetrics()
         meter = PrometheusMeter(
             config.domain, config.region, self.metrics.registry
@@ -305,9 +307,11 @@
             return
         # The body has the keys of all callers, and may be megabytes long.
         self._declared = state.without_body()
-        if state.body and (
-            previous is None or state.version > previous.version
+        if state.has_configuration and (
+            self._decoded_version is None
+            or state.version > self._decoded_version
         ):
+            self._decoded_version = state.version
             decoded = self._decode(state.body)
             if isinstance(decoded, Success):
                 routes = decoded.unwrap()
@@ -319,7 +323,7 @@
                 )
         _log.bind(
             index=state.index,
-            version=state.version,
+            version=state.shown_version,
             drained=sorted(state.drained),
         ).info('state in force')
         self._update_targets()
@@ -421,8 +425,7 @@
     def _record_state(self) -> None:
         routing = self.request_proxy.routing_state
         gauge = self.metrics.state_gauge
-        routes = routing.routes
-        gauge.labels('config_version').set(routes.version if routes else 0)
+        gauge.labels('config_version').set(routing.config_version)
         gauge.labels('targets').set(len(routing.targets))
         gauge.labels('list_age_s').set(
             self._now() - routing.target_list_read_at
--- a/src/cuminhoist/fleet/operator_orders.py
+++ b/src/cuminhoist/fleet/operator_orders.py
@@ -115,7 +115,7 @@
         Returns nothing if there is none yet or no quorum replies.
         """
         state = await self._replica.read()
-        if state is None or not state.version:
+        if state is None or not state.has_configuration:
             return None
         return state.body
 
@@ -128,10 +128,10 @@
         state = await self._replica.submit(
             ReplaceConfiguration(version=version, body=body),
         )
-        in_force = state is not None and state.version >= version
+        in_force = state is not None and state.includes_version(version)
         _log.bind(
             version=version,
-            held=state.version if state else None,
+            held=state.shown_version if state else None,
             acknowledged=in_force,
         ).info('configuration order')
         return Acknowledged() if in_force else Undecided()
--- a/src/cuminhoist/gateway/request_recorder.py
+++ b/src/cuminhoist/gateway/request_recorder.py
@@ -57,7 +57,6 @@
                 state.service, withdrawal.cause, str(state.was_sent).lower()
             ).inc()
         place = pipelined.place
-        routes = self._routing_state.routes
         log_request(
             id=state.req.request_id,
             connection=place.connection,
@@ -76,7 +75,7 @@
             ),
             left_ms=round((state.req.left_s or 0) * _MS_PER_S),
             round_trip_ms=round(state.round_trip_s * _MS_PER_S),
-            config_version=routes.version if routes else 0,
+            config_version=self._routing_state.config_version,
             list_age_ms=self._list_age_ms(),
             waited_ms=round(state.waited_s * _MS_PER_S),
             start_wait_ms=round(pipelined.start_wait_s * _MS_PER_S),
@@ -93,13 +92,12 @@
         :param refusal: the refusal.
         """
         self._metrics.count_refusal(refusal.reason)
-        routes = self._routing_state.routes
         log_request(
             id=req.request_id,
             host=req.host,
             host_header=dict(req.headers).get(b'host', b'').decode('latin-1'),
             path=req.path,
-            config_version=routes.version if routes else 0,
+            config_version=self._routing_state.config_version,
             outcome=f'refused-{refusal.reason}',
             detail=refusal.detail,
         )
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -52,6 +52,11 @@
     trusts_keys: Callable[[], bool] = _always
     apply_limits: Callable[[ListenerLimits], None] = _ignore_limits
 
+    @property
+    def config_version(self) -> int:
+        """Version of the routes for logs and metrics; -1 for none."""
+        return -1 if self.routes is None else self.routes.version
+
     def replace_routes(self, routes: RouteTable) -> None:
         """Put routes and their limits in force.
 
--- a/src/cuminhoist/register/declared_state.py
+++ b/src/cuminhoist/register/declared_state.py
@@ -34,8 +34,11 @@
     """Everything that operators have declared, and the voters.
 
     :param index: number of changes so far; the higher index is newer.
-    :param version: version of the configuration; 0 before the first one.
-    :param body: the configuration as the operator sent it.
+    :param version: version of the configuration. Operators may number from
+        0, which is also the value before the first configuration;
+        ``has_configuration`` tells them apart.
+    :param body: the configuration as the operator sent it; empty before the
+        first one.
     :param drained: failure domains whose targets get no requests.
     :param voters: the present voters.
     :param former: in a joint configuration the voters before the change;
@@ -72,6 +75,23 @@
         """Return the state without the encoded configuration."""
         return msgspec.structs.replace(self, body=b'')
 
+    @property
+    def has_configuration(self) -> bool:
+        """Whether a configuration is in force."""
+        return bool(self.body)
+
+    @property
+    def shown_version(self) -> int:
+        """Version of the configuration for logs and metrics; -1 for none."""
+        return self.version if self.has_configuration else -1
+
+    def includes_version(self, version: int) -> bool:
+        """Tell whether a configuration or a newer one is in force.
+
+        :param version: version of the configuration.
+        """
+        return self.has_configuration and self.version >= version
+
     @property
     def voters_settled(self) -> bool:
         """Whether no joint configuration is in force."""
@@ -148,7 +168,7 @@
     :param order: the order.
     """
     if isinstance(order, ReplaceConfiguration):
-        if order.version <= state.version:
+        if state.includes_version(order.version):
             return state
         return _next_state(state, version=order.version, body=order.body)
     if isinstance(order, DrainDomain):
--- a/src/cuminhoist/register/replica.py
+++ b/src/cuminhoist/register/replica.py
@@ -282,7 +282,7 @@
         self.latest_chosen = state
         _log.bind(
             index=state.index,
-            version=state.version,
+            version=state.shown_version,
             drained=sorted(state.drained),
             voters=[voter.name for voter in state.voters],
         ).info('state learned')
@@ -508,7 +508,7 @@
             return True
         # Others may not be linked yet.
         running_s = asyncio.get_running_loop().time() - self._started_at
-        return not known.version and running_s < START_GRACE_S
+        return not known.has_configuration and running_s < START_GRACE_S
 
     async def _on_submit(self, msg: Submit) -> Submitted:
         if self._is_forming:
@@ -526,7 +526,7 @@
 
 def _is_outdated(order: Message, known: DeclaredState) -> bool:
     if isinstance(order, ReplaceConfiguration):
-        return order.version <= known.version
+        return known.includes_version(order.version)
     return False
 
 
--- a/tests/fleet/test_entry_instance.py
+++ b/tests/fleet/test_entry_instance.py
@@ -268,3 +268,21 @@
     assert not entry.ready
     assert not entry.links.ready
     await entry.stop()
+
+
+async def test_configuration_of_version_zero_is_put_in_force():
+    """Guards against an instance that takes version 0 for none (CONFIG)."""
+    entry = _entry_instance()
+    entry._decode = decode_routes
+    routing = entry.request_proxy.routing_state
+    entry._on_declared_state(DeclaredState(drained=frozenset('a')))
+    assert routing.routes is None
+    first = msgspec.structs.replace(_state(0, 1000), index=1)
+    entry._on_declared_state(first)
+    routes = routing.routes
+    assert routes.version == 0
+    # A change of something else does not decode it again.
+    entry._on_declared_state(msgspec.structs.replace(first, index=2))
+    assert routing.routes is routes
+    entry._on_declared_state(msgspec.structs.replace(_state(1, 1000), index=3))
+    assert routing.routes.version == 1
--- a/tests/platform/test_operator_orders.py
+++ b/tests/platform/test_operator_orders.py
@@ -1,17 +1,20 @@
-"""Tests of operators' orders that are read late.
+"""Tests of operators' orders.
 
-They guard against an order that is applied after a newer one: its sender has
-given up, or it waited in the socket while the process stood still.
+Those of late orders guard against one that is applied after a newer one: its
+sender has given up, or it waited in the socket while the process stood still.
 """
 
 import asyncio
 
 import msgspec
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from cuminhoist.fleet.control_instance import ControlInstance
+from cuminhoist.fleet.operator_orders import Acknowledged, Undecided
+from cuminhoist.gateway.routes import RouteTable
 from cuminhoist.platform.apps import operators_app
+from cuminhoist.register.declared_state import DeclaredState
 from tests.fleet.builders import SOUTH_A, instance_config
 from tests.register.builders import InlineDisk
 
@@ -129,3 +132,36 @@
         await asyncio.sleep(0.1)
     assert await operator.order('POST') == 200
     assert operator.drained == {SOUTH_A}
+
+
+def _numbered_orders(folder):
+    """Return the orders of an instance; a body is the version's number."""
+    orders = _Operator(folder).control.orders
+    orders._decode = lambda body: Success(
+        RouteTable(version=int(body), hosts={}, services={})
+    )
+    return orders
+
+
+async def test_version_zero_is_acknowledged_and_read_back(tmp_path):
+    """Guards against a first configuration that is not held (CONFIG)."""
+    orders = _numbered_orders(tmp_path)
+    assert await orders.read_configuration() is None
+    assert await orders.replace_configuration(b'0') == Acknowledged()
+    assert await orders.read_configuration() == b'0'
+    assert await orders.replace_configuration(b'1') == Acknowledged()
+    assert await orders.replace_configuration(b'0') == Acknowledged()
+    assert await orders.read_configuration() == b'1'
+
+
+async def test_version_zero_that_was_dropped_is_not_acknowledged(
+    tmp_path, monkeypatch
+):
+    """Guards against the reply of a proposer whose build drops version 0."""
+    orders = _numbered_orders(tmp_path)
+
+    async def submit(_order):
+        return DeclaredState()
+
+    monkeypatch.setattr(orders._replica, 'submit', submit)
+    assert await orders.replace_configuration(b'0') == Undecided()
--- a/tests/register/test_declared_state.py
+++ b/tests/register/test_declared_state.py
@@ -102,3 +102,22 @@
     )
     older = msgspec.msgpack.decode(frame, type=_OlderDrainDomain)
     assert older == _OlderDrainDomain('a', drained=True)
+
+
+@pytest.mark.parametrize('drained', [frozenset(), frozenset('a')])
+def test_first_configuration_may_have_version_zero(drained):
+    """Guards against a first configuration that is dropped (CONFIG)."""
+    former = msgspec.structs.replace(STATE, drained=drained)
+    state = apply_order(former, ReplaceConfiguration(version=0, body=b'{}'))
+    assert state.body == b'{}'
+    # The same version again changes nothing, whatever it holds.
+    again = ReplaceConfiguration(version=0, body=b'[]')
+    assert apply_order(state, again) == state
+    newer = apply_order(state, ReplaceConfiguration(version=1, body=b'[]'))
+    assert newer.body == b'[]'
+
+
+def test_older_build_reads_version_zero():
+    """Guards against another form of states without a configuration."""
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(STATE))
+    assert (fields['version'], fields['body']) == (0, b'')
--- a/tests/register/test_replica.py
+++ b/tests/register/test_replica.py
@@ -338,3 +338,20 @@
         if machine.replica is not active
     ]
     assert await others[0].submit(configuration(2**64)) is None
+
+
+async def test_first_configuration_of_version_zero(tmp_path):
+    """Guards against version 0 that is acknowledged and lost (CONFIG)."""
+    cluster = EmulatedCluster(tmp_path, 6, 2)
+    await cluster.form()
+    replica = cluster.machines[cluster.hosts[4]].replica
+    await replica.submit(DrainDomain(domain='a', drained=True))
+    order = configuration(0)
+    assert (await replica.submit(order)).body == order.body
+    for machine in cluster.machines.values():
+        await machine.kill()
+    _start_all(cluster)
+    await asyncio.sleep(START_GRACE_S)
+    for machine in cluster.machines.values():
+        state = await machine.replica.read()
+        assert (state.version, state.body) == (0, order.body)
