Take the loss of a domain for one event, not for ends by a request

What callers saw: after all targets of one zone ended at one moment and were back 4 s later, a one-time request that ran there was refused by all fronts with 503 poison-request, for ten minutes.

Cause: each ended target counted by itself for the request that ran there; answers of requests that were placed before the first end refuted nothing; and as no try was sent any more, no answer could lift the verdict.

Change: when a target has ended, others of its domain are tried; if none accepts a connection, its ends count for no request. The form of records and messages is the same.

--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -32,7 +32,7 @@
 from .fleet_view import apply_changes
 from .instance_config import Address, InstanceConfig
 from .link_meter import PrometheusMeter
-from .lookups import nearest_entries, relay_peers
+from .lookups import nearest_entries, relay_peers, turn
 from .messages import (
     AllowanceShares,
     DecisionNotice,
@@ -152,6 +152,9 @@
         crash_detector = self.request_proxy.crash_detector
         self.links.target_ends = crash_detector.poison_requests.in_force
         crash_detector.on_ends = self.links.report_target_ends
+        crash_detector.trial_rank = lambda content: turn(
+            content, config.name, self._roster
+        )
         self._target_update = UpdateLimiter(self._update_targets, now)
         self._region_entry_count = 1
         self._demand: tuple[Demand, ...] = ()
--- a/src/cuminhoist/fleet/lookups.py
+++ b/src/cuminhoist/fleet/lookups.py
@@ -1,8 +1,9 @@
-"""Choice of entry instances, for look-ups and for requests to pass on."""
+"""Choice of entry instances: for look-ups, requests to pass on and trials."""
 
 import random
 from collections.abc import Iterable
 
+from ..rendezvous import ranked
 from ..steering.targets import TargetEntry, TargetState
 from .instance_config import Address, InstanceConfig
 from .messages import EntryEndpoint
@@ -70,3 +71,15 @@
         )
         for entry in others
     ]
+
+
+def turn(key: str, own: str, roster: Iterable[str]) -> int:
+    """Return the place of an entry instance among all for a key, from 0.
+
+    Instances with the same roster agree, without messages.
+
+    :param key: the key.
+    :param own: name of the instance.
+    :param roster: names of the entry instances that accept requests.
+    """
+    return ranked(key, {own, *roster}).index(own)
--- a/src/cuminhoist/gateway/reachability.py
+++ b/src/cuminhoist/gateway/reachability.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from ..logging_setup import logger
 from ..steering.targets import TargetEntry
@@ -77,6 +77,32 @@
             self._check = asyncio.create_task(self._try_targets())
         return await asyncio.shield(self._check)
 
+    async def reaches_domain(
+        self, domain: str, without: Collection[str]
+    ) -> bool:
+        """Tell whether targets of a failure domain accept connections.
+
+        A few are tried, of different services where possible. Without any
+        that may be tried, nothing says that the domain is lost.
+
+        :param domain: the failure domain.
+        :param without: names of targets that are not tried.
+        """
+        others = [
+            target
+            for target in self._routing_state.targets.values()
+            if target.domain == domain and target.name not in without
+        ]
+        self._rng.shuffle(others)
+        by_service = {target.service: target for target in others}
+        first = list(by_service.values())
+        rest = [target for target in others if target not in first]
+        tried = [*first, *rest][:BATCH_SIZE]
+        connected = await asyncio.gather(
+            *(self._connections.can_connect(target) for target in tried)
+        )
+        return not tried or any(connected)
+
     def _check_if_silent(self) -> None:
         if not self.is_cut and self.is_silent and self._check is None:
             self._check = asyncio.create_task(self._try_targets())
--- a/src/cuminhoist/gateway/request_proxy.py
+++ b/src/cuminhoist/gateway/request_proxy.py
@@ -266,7 +266,7 @@
             if outcome.answer is None or _promises_not_run(state, outcome):
                 return await self._answer_failed_attempt(state, outcome, send)
             return await self._pass_answer_on(
-                state, outcome.answer, scope, send
+                state, outcome.answer, body, scope, send
             )
 
     async def _serve_without_target(
@@ -317,7 +317,7 @@
             self.stop_limits.end_attempt(state)
         if outcome is not None and outcome.answer is not None:
             return await self._pass_answer_on(
-                state, outcome.answer, scope, send
+                state, outcome.answer, body, scope, send
             )
         if refusal is None:
             refusal = refusals.refusal_of_cut_instance(state, outcome)
@@ -465,6 +465,7 @@
     async def _answer_without_target(
         self, state: RequestState, refusal: Refusal, send: Send
     ) -> str:
+        self.crash_detector.cancel_trial(state)
         failed = state.failed_answer
         if failed is not None and failed.body_complete:
             self.stop_limits.start_answer(state)
@@ -497,6 +498,7 @@
         self,
         state: RequestState,
         answer: TargetAnswer,
+        body: RequestBody,
         scope: Any,
         send: Send,
     ) -> str:
@@ -507,7 +509,7 @@
             return ended.failure()
         if succeeded:
             # A target that is busy answers 504 to a request that never ran.
-            self.crash_detector.answered(state)
+            self.crash_detector.answered(state, body)
         return f'answered-{answer.status}'
 
     def _placement_request(self, state: RequestState) -> PlacementRequest:
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -104,6 +104,7 @@
         #: Identity of its content; None unless a connection to a target was
         #: lost or requests are known to end targets.
         self.fingerprint: Fingerprint | None = None
+        self._is_trial = False
         #: Last failed answer that a retry may still replace.
         self.failed_answer: TargetAnswer | None = None
 
@@ -164,6 +165,18 @@
             self._holds_connection = shares.claim(self.service)
         return self._holds_connection
 
+    @property
+    def is_unsent_trial(self) -> bool:
+        """Whether it is a trial that no target has got yet."""
+        return self._is_trial and not self.tried_targets
+
+    def set_trial(self, *, is_trial: bool) -> None:
+        """Set whether it is the single try of a request that is refused else.
+
+        :param is_trial: whether it is a trial.
+        """
+        self._is_trial = is_trial
+
     def release_connection(self, shares: ConnectionShares) -> None:
         """Stop using a connection to a target.
 
--- a/src/cuminhoist/steering/poison_requests.py
+++ b/src/cuminhoist/steering/poison_requests.py
@@ -46,8 +46,8 @@
     :param request: the request.
     :param target: name of the target.
     :param target_started_at_ms: Unix time of its start in milliseconds.
-    :param refuted: whether the request has been answered since, so that it
-        was not the cause.
+    :param refuted: whether the request was not the cause: it has been
+        answered since, or the whole failure domain ended.
     """
 
     request: Fingerprint
@@ -116,6 +116,26 @@
             return ended
         return max(ended, self._by_content.explained(request.content))
 
+    def changed_at(self, request: Fingerprint) -> float:
+        """Return when an end under a request was last recorded or refuted.
+
+        :param request: the request, which is known.
+        :returns: monotonic time in seconds.
+        """
+        return max(
+            self._by_caller.changed_at(request.caller),
+            self._by_content.changed_at(request.content),
+        )
+
+    def targets_ended_under(self, request: Fingerprint) -> set[str]:
+        """Return the names of targets that may have ended by a request.
+
+        :param request: the request.
+        """
+        ends = self._by_content.unrefuted(request.content)
+        ends |= self._by_caller.unrefuted(request.caller)
+        return {target for target, _ in ends}
+
     def in_force(self) -> tuple[TargetEnd, ...]:
         """Return all ends, for instances that may not know them."""
         ends: list[TargetEnd] = []
@@ -168,6 +188,10 @@
         self._requests_by_target.setdefault(ended, set()).add(request)
         return True
 
+    def changed_at(self, request: str) -> float:
+        """Return when a request was last changed, in monotonic seconds."""
+        return self._changed_at.get(request, float('-inf'))
+
     def ends_of(self, request: str) -> list[tuple[_Incarnation, bool]]:
         """Return the ended targets of a request, and if that is refuted."""
         return list(self.ends.get(request, {}).items())
--- a/tests/fleet/test_lookups.py
+++ b/tests/fleet/test_lookups.py
@@ -5,7 +5,11 @@
 """
 
 from cuminhoist.fleet.instance_config import Address
-from cuminhoist.fleet.lookups import MAX_LOOKUP_ENTRIES, nearest_entries
+from cuminhoist.fleet.lookups import (
+    MAX_LOOKUP_ENTRIES,
+    nearest_entries,
+    turn,
+)
 from cuminhoist.fleet.messages import EntryEndpoint
 
 
@@ -37,3 +41,13 @@
     """Guards against answers longer than the platform reads."""
     many = [_entry(f'e{number}', 'a', 'south') for number in range(200)]
     assert len(nearest_entries(many, 'south', 'a')) == MAX_LOOKUP_ENTRIES
+
+
+def test_instances_agree_on_their_turns():
+    """Guards against two instances that try a poison request at once."""
+    names = [entry.name for entry in ENTRIES]
+    for key in ('p', 'q'):
+        turns = {turn(key, name, names) for name in names}
+        assert turns == {0, 1, 2}
+    # One that is not yet on the list has a turn of its own.
+    assert turn('p', 'new', names) in range(4)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -246,12 +246,16 @@
         request_id: str = 'id1',
         cookie: str = '',
         fields: tuple[str, ...] = (),
+        caller: str = '127.0.0.1',
     ) -> bytes:
         """Send a request on a new connection and return all bytes received.
 
         :param fields: further lines of the head.
+        :param caller: address of the caller.
         """
-        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.port, local_addr=(caller, 0)
+        )
         cookies = (f'Cookie: {cookie}',) if cookie else ()
         further = ''.join(f'{line}\r\n' for line in (*cookies, *fields))
         writer.write(
@@ -347,6 +351,7 @@
     remote: DispatcherClient | None = None,
     now: Callable[[], float] = time.monotonic,
     link_bytes_per_s: float = float('inf'),
+    domains: str = 'z',
     **changes,
 ) -> AsyncIterator[GatewayHarness]:
     """Run a gateway in front of targets.
@@ -355,6 +360,8 @@
     :param remote: the dispatcher of the region; None for none.
     :param now: returns monotonic time in seconds.
     :param link_bytes_per_s: bandwidth of its link, in bytes a second.
+    :param domains: failure domain of each target, one letter each; the last
+        one is that of all further targets.
     :param changes: fields of the route that differ from the defaults.
     """
     entries = [
@@ -362,14 +369,16 @@
             name=f't{index}',
             service=SERVICE,
             address=await target.start(),
-            domain='z',
+            domain=domains[min(index, len(domains) - 1)],
             slots=3,
             state=TargetState.ready,
         )
         for index, target in enumerate(targets)
     ]
     local = RecordingDispatcher()
-    terms = DispatchContext('r', {'z': 'r'}, frozenset(), {}, {}, {})
+    terms = DispatchContext(
+        'r', dict.fromkeys(domains, 'r'), frozenset(), {}, {}, {}
+    )
     local.set_targets(
         SERVICE, make_tracked_targets({}, entries, {}, terms, 0), 'r'
     )
