Reserve slots for requests that may not run in their callers' region

What callers saw: a route whose only home was a region with 60 percent of its slots in use was refused to callers of other regions, all with 503.

Cause: slots are lent by demand alone, which counts each request as free to run anywhere. The home had nothing to spare by its headroom, and the other regions missed nothing, so that their dispatchers had no slot there.

Change: demand is measured by the regions that may serve it. Requests that may not run in their callers' region get slots of their own in the others, with the headroom that the home's own callers keep, and in proportion once both need more than there is. A region whose targets are gone is one of these cases. Messages of older builds have no parts and are read as before.

tests/steering/test_slot_lending.py calls region_pools with the measured demand in its new form; its checks are unchanged.

--- a/src/cuminhoist/emulator/simulation.py
+++ b/src/cuminhoist/emulator/simulation.py
@@ -17,7 +17,7 @@
     Granted,
     PlacementRequest,
 )
-from ..steering.demand import DemandMeter
+from ..steering.demand import Demand, DemandMeter
 from ..steering.dispatcher import Dispatcher
 from ..steering.leaving_targets import LeavingTarget
 from ..steering.poison_requests import (
@@ -126,7 +126,7 @@
         self._poison_requests = {
             region.name: PoisonRequests() for region in pattern.regions
         }
-        self._demand: dict[str, float] = {}
+        self._demand: list[Demand] = []
         self.targets = {
             target.entry.name: target for target in self._make_targets()
         }
@@ -626,13 +626,13 @@
         )
 
     def _update_targets(self) -> None:
-        self._demand = {
-            need.region: need.slots
+        self._demand = [
+            need
             for name, meter in self._meters.items()
             for need in meter.measure(
                 self.dispatchers[name].service_loads(), self.now
             )
-        }
+        ]
         for name in self.dispatchers:
             self._update_region_targets(name)
         if self.now < self._pattern.length_s:
--- a/src/cuminhoist/fleet/entry_instance.py
+++ b/src/cuminhoist/fleet/entry_instance.py
@@ -395,6 +395,7 @@
                     self.placement_client.local_dispatcher.queues()
                 )
             },
+            self.request_proxy.routing_state.homes_by_service,
         )
         local = self.placement_client.local_dispatcher
         local.limits.share(self._region_entry_count, self._now())
--- a/src/cuminhoist/fleet/region_dispatch.py
+++ b/src/cuminhoist/fleet/region_dispatch.py
@@ -5,6 +5,7 @@
 
 from ..codec import Message
 from ..gateway.routes import RouteTable
+from ..gateway.service_homes import homes_by_service
 from ..logging_setup import logger
 from ..steering.allowance_shares import ShareRequest
 from ..steering.allowance_sizes import AllowanceBounds, AllowanceSizes
@@ -82,6 +83,8 @@
         self._region = region
         self._regions = regions
         self._now = now
+        self._routes: RouteTable | None = None
+        self._homes_by_service: Mapping[str, frozenset[frozenset[str]]] = {}
         self._entry_peers: dict[str, Peer] = {}
         self._meter = DemandMeter(region, now())
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -164,6 +167,9 @@
         :param demand: demand of all regions.
         :param round_trips_s: round-trip times to other regions, in seconds.
         """
+        if routes is not None and routes is not self._routes:
+            self._routes = routes
+            self._homes_by_service = homes_by_service(routes)
         services = routes.services if routes else {}
         context = DispatchContext(
             self._region,
@@ -175,6 +181,7 @@
                 name: queue.run_times.hit_run_s
                 for name, queue in self.dispatcher.queues()
             },
+            self._homes_by_service,
         )
         self.dispatcher.limits.forget_unlisted(entry.name for entry in entries)
         assign_targets(
@@ -252,7 +259,7 @@
         )
 
     def _on_request(self, entry_id: str, request: PlacementRequest) -> None:
-        self._meter.count_request(request.service)
+        self._meter.count_request(request.service, request.allowed_regions)
         started_at = self._now()
         decision = self.dispatcher.decide_or_queue(
             entry_id, request, started_at
--- a/src/cuminhoist/gateway/request_state.py
+++ b/src/cuminhoist/gateway/request_state.py
@@ -1,6 +1,6 @@
 """Routing state of an entry instance, and the state of one request."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -11,6 +11,7 @@
 from .answer_limits import AnswerLimits
 from .answers import TargetAnswer
 from .routes import Route, RouteTable
+from .service_homes import homes_by_service
 from .wire import IncomingRequest
 from .workspaces import Identity, Workspace
 
@@ -31,6 +32,8 @@
     """Configuration and targets by which an entry instance routes requests.
 
     :param routes: routes in force; None before the first configuration.
+    :param homes_by_service: sets of regions that they allow for requests to
+        each service.
     :param targets: listed targets by name, usable or not.
     :param target_list_read_at: monotonic time at which the list of targets
         was read, in seconds.
@@ -44,6 +47,7 @@
     """
 
     routes: RouteTable | None = None
+    homes_by_service: Mapping[str, frozenset[frozenset[str]]] = {}
     targets: dict[str, TargetEntry] = msgspec.field(default_factory=dict)
     target_list_read_at: float = float('-inf')
     entry_count: int = 1
@@ -63,6 +67,7 @@
         :param routes: the routes.
         """
         self.routes = routes
+        self.homes_by_service = homes_by_service(routes)
         self.apply_limits(routes.limits.listener)
 
 
--- a/src/cuminhoist/steering/assignment.py
+++ b/src/cuminhoist/steering/assignment.py
@@ -30,15 +30,15 @@
     by_service: dict[str, list[TargetEntry]] = {}
     for entry in usable_entries(listed, context.drained_domains):
         by_service.setdefault(entry.service, []).append(entry)
-    needs: dict[str, dict[str, float]] = {}
+    needs: dict[str, list[Demand]] = {}
     for need in demand:
-        needs.setdefault(need.service, {})[need.region] = need.slots
+        needs.setdefault(need.service, []).append(need)
     queued_services = {name for name, _ in dispatcher.queues()}
     for service in queued_services | by_service.keys():
         targets = make_tracked_targets(
             dispatcher.queue(service).targets,
             by_service.get(service, []),
-            needs.get(service, {}),
+            needs.get(service, []),
             context,
             now,
         )
--- a/src/cuminhoist/steering/demand.py
+++ b/src/cuminhoist/steering/demand.py
@@ -3,9 +3,12 @@
 Targets of a region may become slow or fail while the load of its callers is
 highest. The slots that such targets can no longer use are added to the
 demand, so that other regions lend slots before the queue grows.
+
+Requests that may run in some regions only are measured apart, as no other
+region can help with them.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -16,6 +19,23 @@
 #: Shorter measurement periods count as this long, in seconds, so that two
 #: measurements in quick succession give no extreme rate.
 MIN_PERIOD_S = 0.05
+#: A lower demand of requests that may run in some regions only is forgotten,
+#: in slots.
+MIN_HOME_SLOTS = 0.001
+
+#: Regions that may serve a request; empty for all.
+Homes = frozenset[str]
+
+
+class HomeDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of requests that may run in some regions only.
+
+    :param regions: these regions, sorted.
+    :param slots: mean number of slots that the requests keep busy.
+    """
+
+    regions: tuple[str, ...]
+    slots: float
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
@@ -23,11 +43,14 @@
 
     :param slots: mean number of slots that the requests keep busy, plus the
         slots that slow and failing targets of the region cannot use.
+    :param by_homes: the parts of it that may be served in some regions only;
+        empty if a build sent it that does not know this field.
     """
 
     region: str
     service: str
     slots: float
+    by_homes: tuple[HomeDemand, ...] = ()
 
 
 class DemandMeter:
@@ -39,16 +62,18 @@
 
     def __init__(self, region: str, now: float) -> None:
         self._region = region
-        self._request_counts: dict[str, int] = {}
-        self._busy_slots: dict[str, float] = {}
+        self._request_counts: dict[str, dict[Homes, int]] = {}
+        self._busy_slots: dict[str, dict[Homes, float]] = {}
         self._measured_at = now
 
-    def count_request(self, service: str) -> None:
+    def count_request(self, service: str, homes: Homes = frozenset()) -> None:
         """Count an arriving request.
 
         :param service: service of the request.
+        :param homes: regions that may serve it; empty for all.
         """
-        self._request_counts[service] = self._request_counts.get(service, 0) + 1
+        counts = self._request_counts.setdefault(service, {})
+        counts[homes] = counts.get(homes, 0) + 1
 
     def measure(
         self,
@@ -65,15 +90,28 @@
         self._measured_at = now
         demand = []
         for name, run_s, targets in services:
-            busy = self._request_counts.pop(name, 0) / period_s * run_s
-            previous = self._busy_slots.get(name, busy)
-            self._busy_slots[name] = previous + SMOOTHING * (busy - previous)
-            slots = self._busy_slots[name]
+            busy = self._smooth(name, run_s / period_s)
+            slots = sum(busy.values())
             if slots:
                 slots += self._unusable_slots(targets, now)
-            demand.append(Demand(self._region, name, slots))
+            demand.append(Demand(self._region, name, slots, _by_homes(busy)))
         return tuple(demand)
 
+    def _smooth(
+        self, service: str, slots_per_request: float
+    ) -> Mapping[Homes, float]:
+        """Add the counted requests to the moving averages and return these."""
+        counts = self._request_counts.pop(service, {})
+        averages = self._busy_slots.setdefault(service, {})
+        all_homes = {frozenset[str](), *counts, *averages}
+        for homes in all_homes:
+            busy = counts.get(homes, 0) * slots_per_request
+            previous = averages.get(homes, busy)
+            averages[homes] = previous + SMOOTHING * (busy - previous)
+            if homes and averages[homes] < MIN_HOME_SLOTS:
+                averages.pop(homes)
+        return averages
+
     def _unusable_slots(
         self, targets: Iterable[TrackedTarget], now: float
     ) -> float:
@@ -82,3 +120,11 @@
             for target in targets
             if target.region == self._region
         )
+
+
+def _by_homes(busy: Mapping[Homes, float]) -> tuple[HomeDemand, ...]:
+    return tuple(
+        HomeDemand(tuple(sorted(homes)), slots)
+        for homes, slots in busy.items()
+        if homes
+    )
--- a/src/cuminhoist/steering/placement.py
+++ b/src/cuminhoist/steering/placement.py
@@ -150,6 +150,8 @@
     :param count_before: returns how many of the requests that wait for a
         target are served before it; None for all of them.
     :param domain: failure domain that is preferred; empty for none.
+    :param uses_reserved: whether slots may be used that are reserved for
+        requests that may not run in the region of the dispatcher.
     """
 
     allowed_regions: frozenset[str] = frozenset()
@@ -157,6 +159,7 @@
     pauses: TargetPauses = NO_PAUSES
     count_before: Callable[[TrackedTarget], int] | None = None
     domain: str = ''
+    uses_reserved: bool = False
 
 
 class PlacementHistory:
@@ -189,6 +192,8 @@
         self.region = region
         self.targets = targets
         self.orders = orders
+        #: All targets of a region share one pool.
+        self.is_reserved = targets[0].pool.is_reserved
         self.extra_rtt_s = min(target.extra_rtt_s for target in targets)
         self.domains = DomainCapacity(targets)
         self._sample_start = 0
@@ -257,7 +262,11 @@
         self._tracks_domains = self._tracks_domains or bool(domain)
         self._refresh_health(now)
         found: dict[str, Option] = {}
-        groups = self._allowed_groups(requirements.allowed_regions)
+        groups = [
+            group
+            for group in self._allowed_groups(requirements.allowed_regions)
+            if requirements.uses_reserved or not group.is_reserved
+        ]
         excluded, pauses = requirements.excluded, requirements.pauses
         count_before = requirements.count_before
         for group in groups:
@@ -311,6 +320,16 @@
             domain, has_room=own.domains.has_room(domain), in_time_s=in_time_s
         )
 
+    def may_stay(self, allowed_regions: frozenset[str]) -> bool:
+        """Tell whether a request may run at targets of the own region.
+
+        :param allowed_regions: regions that may serve it; empty for all.
+        """
+        return any(
+            group.region == self.region
+            for group in self._allowed_groups(allowed_regions)
+        )
+
     def other_regions(self) -> list[str]:
         """Return the other regions that have usable targets."""
         return [
@@ -424,8 +443,12 @@
         if is_fresh and len(self.usable) > FULL_SCAN_COUNT:
             return
         self._health_at = now
-        ejected = sum(target.is_ejected(now) for target in self.usable)
-        panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(self.usable)
+        # Most requests may not use reserved slots, however sound the targets.
+        counted = [
+            target for target in self.usable if not target.pool.is_reserved
+        ] or self.usable
+        ejected = sum(target.is_ejected(now) for target in counted)
+        panic_mode = ejected > PANIC_THRESHOLD_FRACTION * len(counted)
         for usable_target in self.usable:
             usable_target.panic_mode = panic_mode
         if self._tracks_domains:
--- a/src/cuminhoist/steering/slot_lending.py
+++ b/src/cuminhoist/steering/slot_lending.py
@@ -12,17 +12,24 @@
 
 import msgspec
 
+from .demand import Demand, Homes
+from .reserved_slots import (
+    HEADROOM_ROOTS,
+    Loans,
+    needs_by_lender,
+    reserved_slots,
+    split_demand,
+)
 from .targets import TargetEntry, TargetState
 from .tracked_target import SlotPool, TrackedTarget
 
-#: Headroom that a region keeps above its mean demand, as a multiple of the
-#: square root of the demand. With random arrivals this makes waits rare.
-HEADROOM_ROOTS = 2.0
 #: Fraction of its mean demand that a region may borrow even if its own slots
 #: suffice, because its targets may not have cached all of its objects.
 EXTRA_DEMAND_FRACTION = 0.5
 #: Round-trip time to another region until any has been measured, in seconds.
 UNMEASURED_ROUND_TRIP_S = 0.05
+#: Slots of a pool in which one request at a time may run.
+LEAST_SLOTS = 1e-9
 #: Lower limit of the run time that scales borrowed slots, in seconds; it
 #: bounds the scale for services with very short runs.
 MIN_RUN_S = 0.02
@@ -39,6 +46,8 @@
     :param warmup_rate_by_service: requests per second that a target can take
         during its warm-up, by service.
     :param run_s_by_service: run time of requests, in seconds, by service.
+    :param homes_by_service: sets of regions that the configuration allows for
+        requests to a service, for each set that does not have all of them.
     """
 
     region: str
@@ -47,6 +56,7 @@
     round_trips_s: Mapping[str, float]
     warmup_rate_by_service: Mapping[str, float]
     run_s_by_service: Mapping[str, float]
+    homes_by_service: Mapping[str, frozenset[Homes]] = {}
 
     def extra_rtt_s(self, region: str) -> float:
         """Return the additional round-trip time to a region, in seconds.
@@ -161,14 +171,14 @@
 
 def region_pools(
     entries: list[TargetEntry],
-    demand: Mapping[str, float],
+    measured: Iterable[Demand],
     context: DispatchContext,
     run_s: float,
 ) -> dict[str, SlotPool]:
     """Return the slots that one dispatcher may use in each region.
 
     :param entries: usable targets of one service.
-    :param demand: slots that the requests of each region keep busy.
+    :param measured: demand for slots of the service by region.
     :param context: region and settings of the dispatcher.
     :param run_s: run time of requests of the service, in seconds.
     """
@@ -176,26 +186,64 @@
     for entry in entries:
         region = context.region_by_domain.get(entry.domain, '')
         own[region] = own.get(region, 0) + entry.slots
+    service = entries[0].service if entries else ''
+    demand = split_demand(
+        own,
+        measured,
+        sorted({context.region, *context.region_by_domain.values()}),
+        context.homes_by_service.get(service, ()),
+    )
+    needs = needs_by_lender(own, demand)
+    reserved = reserved_slots(own, demand.own, needs)
+    lent = lent_slots(_without_loans(own, reserved), demand.own)
     pools = {
-        region: SlotPool(slots if region == context.region else 0)
-        for region, slots in own.items()
+        region: SlotPool(own_slots if region == context.region else 0)
+        for region, own_slots in own.items()
     }
-    # Requests in transit to another region occupy no slot there, so more of
-    # them may be open than slots are lent.
-    for (lender, borrower), slots in lent_slots(own, demand).items():
+    _move_slots(pools, reserved, context, run_s)
+    _move_slots(pools, lent, context, run_s)
+    for lender in pools.keys() - {context.region}:
+        pools[lender].is_reserved = (lender, context.region) not in lent
+        if context.region in needs.get(lender, {}):
+            pools[lender].slots = max(pools[lender].slots, LEAST_SLOTS)
+    return pools
+
+
+def _without_loans(
+    own: Mapping[str, float], loans: Loans
+) -> Mapping[str, float]:
+    """Return the slots that are left to each lender."""
+    left = dict(own)
+    for (lender, _), slots in loans.items():
+        left[lender] = max(left[lender] - slots, 0)
+    return left
+
+
+def _move_slots(
+    pools: dict[str, SlotPool],
+    loans: Loans,
+    context: DispatchContext,
+    run_s: float,
+) -> None:
+    """Move slots between the pools of one dispatcher.
+
+    :param loans: slots by lender and borrower.
+    """
+    for (lender, borrower), slots in loans.items():
         pool = pools[lender]
         if lender == context.region:
             pool.slots = max(pool.slots - slots, 0)
         elif borrower == context.region:
+            # Requests in transit to another region occupy no slot there, so
+            # more of them may be open than slots are lent.
             in_transit = context.extra_rtt_s(lender) / max(run_s, MIN_RUN_S)
-            pool.slots = slots * (1 + in_transit)
-    return pools
+            pool.slots += slots * (1 + in_transit)
 
 
 def make_tracked_targets(
     existing: Mapping[str, TrackedTarget],
     entries: list[TargetEntry],
-    demand: Mapping[str, float],
+    measured: Iterable[Demand],
     context: DispatchContext,
     now: float,
 ) -> dict[str, TrackedTarget]:
@@ -204,13 +252,13 @@
     :param existing: present tracked targets by name; they are reused unless
         the target has restarted.
     :param entries: usable targets of the service.
-    :param demand: slots that the requests of each region keep busy.
+    :param measured: demand for slots of the service by region.
     :param context: region and settings of the dispatcher.
     :param now: monotonic time in seconds.
     """
     service = entries[0].service if entries else ''
     run_s = context.run_s_by_service.get(service, 0)
-    pools = region_pools(entries, demand, context, run_s)
+    pools = region_pools(entries, measured, context, run_s)
     targets: dict[str, TrackedTarget] = {}
     for entry in entries:
         region = context.region_by_domain.get(entry.domain, '')
--- a/src/cuminhoist/steering/target_selector.py
+++ b/src/cuminhoist/steering/target_selector.py
@@ -153,6 +153,7 @@
             self._pauses.of(waiting.entry_instance),
             count_before,
             waiting.request.domain,
+            not queue.placement.may_stay(waiting.request.allowed_regions),
         )
 
     def _record_disturbed(self, now: float) -> None:
--- a/src/cuminhoist/steering/tracked_target.py
+++ b/src/cuminhoist/steering/tracked_target.py
@@ -31,6 +31,9 @@
 
     def __init__(self, slots: float = 0) -> None:
         self.slots = slots
+        #: Whether they are only for requests that may not run in the region
+        #: of the dispatcher.
+        self.is_reserved = False
         #: Number of requests that run now.
         self.running = 0
 
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -7,6 +7,7 @@
     Granted,
     PlacementRequest,
 )
+from cuminhoist.steering.demand import Demand
 from cuminhoist.steering.dispatcher import Dispatcher
 from cuminhoist.steering.targets import TargetEntry, TargetState
 from cuminhoist.steering.tracked_target import TrackedTarget
@@ -70,3 +71,8 @@
         run_s=run_s,
         **values,
     )
+
+
+def measured_demand(slots: dict[str, float]) -> list[Demand]:
+    """Return the demand of each region for slots of the service."""
+    return [Demand(region, SERVICE, mean) for region, mean in slots.items()]
--- a/tests/steering/test_slot_lending.py
+++ b/tests/steering/test_slot_lending.py
@@ -17,7 +17,7 @@
 )
 from cuminhoist.steering.targets import TargetState
 
-from .builders import SERVICE, target
+from .builders import SERVICE, measured_demand, target
 
 REGIONS = {'south-a': 'south', 'north-a': 'north', 'middle-a': 'middle'}
 
@@ -50,8 +50,9 @@
 def test_no_slot_is_given_twice(demand):
     """Guards against lending a slot that another dispatcher also uses."""
     used = 0
+    measured = measured_demand(demand)
     for region in sorted(set(REGIONS.values())):
-        pools = region_pools(_entries(), demand, _context(region), 0.07)
+        pools = region_pools(_entries(), measured, _context(region), 0.07)
         assert min(pool.slots for pool in pools.values()) >= 0
         used += sum(pool.slots for pool in pools.values())
     assert used <= sum(entry.slots for entry in _entries()) + 1e-6
