Read the list of targets where changed settings name it

What callers saw: after the settings of all processes named another address of the list and the former one closed, requests went on to targets that the list showed as draining, and new targets got none.

Cause: a change of the settings replaced the seeds only; the client of the list kept the address of the start.

Change: the next read uses the address of the changed settings. The log line names it.

--- a/src/cuminhoist/platform/daemon.py
+++ b/src/cuminhoist/platform/daemon.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from returns.result import Result, Success
 
@@ -37,6 +37,9 @@
 from .configuration import check_order, decode_routes
 from .requests import PlatformWire
 
+if TYPE_CHECKING:
+    from .target_list import TargetListClient
+
 #: Interval at which the settings file is checked for changes, in seconds; it
 #: may change without a SIGHUP.
 SETTINGS_POLL_S = 1.0
@@ -62,16 +65,20 @@
     """
 
     def __init__(self, address: Address) -> None:
-        self._address = address
-        self._client: TargetSource | None = None
+        #: Address that the next read uses.
+        self.address = address
+        self._client: 'TargetListClient | None' = None
 
     async def read(self) -> Result[ListReading, str]:
         """Return the list, or why it cannot be read."""
+        if self._client is not None and self._client.address != self.address:
+            await self._client.close()
+            self._client = None
         if self._client is None:
             module = await asyncio.to_thread(
                 importlib.import_module, '.target_list', __package__
             )
-            self._client = module.TargetListClient(self._address)
+            self._client = module.TargetListClient(self.address)
         return await self._client.read()
 
 
@@ -89,6 +96,7 @@
     ) -> None:
         self._cfg = cfg
         self._now = now
+        self._source = PlatformTargets(cfg.target_list_address)
         self._memory = CallerMemory(MemoryLimits.from_memory(cfg.memory_bytes))
         self._descriptors = cfg.descriptor_limits
         self._bounds = ListenerBounds.from_memory(
@@ -108,11 +116,10 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
-        source = PlatformTargets(self._cfg.target_list_address)
         if self._cfg.is_control:
-            await self._run_control(source)
+            await self._run_control(self._source)
         else:
-            await self._run_entry(source)
+            await self._run_entry(self._source)
 
     async def _run_control(self, source: TargetSource) -> None:
         cfg = self._cfg
@@ -304,13 +311,24 @@
             self._reload_requested.clear()
             loaded = load_settings(path)
             if isinstance(loaded, Success):
-                replace_seeds(loaded.unwrap().seeds)
-                seeds = [str(seed) for seed in loaded.unwrap().seeds]
-                _log.bind(seeds=seeds).info('settings reloaded')
+                self._apply_settings(loaded.unwrap(), replace_seeds)
             else:
                 fault = str(loaded.failure())
                 _log.bind(fault=fault).warning('cannot read the settings file')
 
+    def _apply_settings(
+        self,
+        cfg: InstanceConfig,
+        replace_seeds: Callable[[tuple[Address, ...]], None],
+    ) -> None:
+        """Use what changed settings name; other fields stay as they were."""
+        replace_seeds(cfg.seeds)
+        self._source.address = cfg.target_list_address
+        _log.bind(
+            seeds=[str(seed) for seed in cfg.seeds],
+            target_list=str(cfg.target_list_address),
+        ).info('settings reloaded')
+
 
 def _is_idle(entry: EntryInstance, server: HttpServer) -> bool:
     return not (entry.request_proxy.running_requests or server.has_connections)
--- a/src/cuminhoist/platform/target_list.py
+++ b/src/cuminhoist/platform/target_list.py
@@ -95,6 +95,7 @@
     """
 
     def __init__(self, address: Address) -> None:
+        self.address = address
         self._url = f'http://{address}/instances'
         self._client = httpx.AsyncClient(
             timeout=PAGE_TIMEOUT_S,
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import resource
@@ -13,12 +14,25 @@
 import subprocess
 import sys
 
+import msgspec
+
 from cuminhoist.fleet.instance_config import Address, InstanceConfig
 from cuminhoist.platform import daemon
 from cuminhoist.platform.daemon import Daemon, PlatformTargets
 
 from .builders import SETTINGS
 
+#: Entry of the list of targets, without its name.
+ENTRY = {
+    'backend': 'catalogue',
+    'address': '10.128.0.9:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+}
+
 
 def _config(folder):
     ip = '127.8.7.6'
@@ -138,6 +152,64 @@
     assert replaced in done
 
 
+class _ListServer:
+    """Serves a list with one target, and counts its reads."""
+
+    def __init__(self, name):
+        self.reads = 0
+        self._body = json.dumps(
+            {'instances': {name: ENTRY}, 'next_page_token': None}
+        )
+
+    async def start(self):
+        """Listen and return the address."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return Address(*self._server.sockets[0].getsockname())
+
+    def stop(self):
+        """Close the listener."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(EOFError, ConnectionError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                self.reads += 1
+                head = f'content-length: {len(self._body)}\r\n\r\n'
+                answer = f'HTTP/1.1 200 OK\r\n{head}{self._body}'
+                writer.write(answer.encode())
+        writer.close()
+
+
+async def test_list_of_targets_is_read_where_changed_settings_name_it(
+    tmp_path, monkeypatch
+):
+    """Guards against a list that stays that of the start (DRAIN)."""
+    monkeypatch.setattr(daemon, 'SETTINGS_POLL_S', 0.01)
+    former, present = _ListServer('i-former'), _ListServer('i-present')
+    addresses = [await former.start(), await present.start()]
+    path = tmp_path / 'node.json'
+    monkeypatch.setattr(daemon, 'settings_path', lambda: path)
+    cfg = msgspec.structs.replace(
+        _config(tmp_path / 'disk'), target_list_address=addresses[0]
+    )
+    process = Daemon(cfg)
+    source = process._source
+    (listed,) = (await source.read()).unwrap().targets
+    assert listed.name == 'i-former'
+    cloud = {**SETTINGS['cloud'], 'address': str(addresses[1])}
+    path.write_text(json.dumps({**SETTINGS, 'cloud': cloud}))
+    reloaded = asyncio.get_running_loop().create_future()
+    watching = asyncio.create_task(process._watch_settings(reloaded.set_result))
+    await asyncio.wait_for(reloaded, 5)
+    (listed,) = (await source.read()).unwrap().targets
+    assert listed.name == 'i-present'
+    assert (former.reads, present.reads) == (1, 1)
+    watching.cancel()
+    former.stop()
+    present.stop()
+
+
 def test_stopped_process_ends_without_the_end_of_the_interpreter():
     """Guards against a stopped process that is killed while it frees memory.
 
