Leave a request alone after many ends of targets

The delay before a trial grows eightfold with each end, so that a request under which hundreds of targets ended would raise OverflowError at the next try. Beyond one end more than the proof there is no trial now; the delay was longer than such a request is remembered. test_many_ends_leave_no_trial failed before.

--- a/src/cuminhoist/steering/poison_trials.py
+++ b/src/cuminhoist/steering/poison_trials.py
@@ -14,9 +14,11 @@
 #: Time from the last known end of a target to the first trial, in seconds.
 FIRST_TRIAL_DELAY_S = 10.0
 #: Factor by which the delay grows with each end beyond those that count as
-#: proof. Each trial may end a target; two fit into the time for which a request
-#: is remembered.
+#: proof.
 TRIAL_BACKOFF = 8.0
+#: With more of these ends there is no trial. Each trial may end a target, so
+#: that a request gets two while it is remembered.
+MAX_EXCESS_ENDS = 1
 #: Time between the turns of two instances, in seconds. The outcome of a trial
 #: is known everywhere by then.
 TURN_S = 5.0
@@ -52,6 +54,8 @@
         if tried_at >= ended_at:
             # The outcome of the last trial is not known.
             excess += 1
+        if excess > MAX_EXCESS_ENDS:
+            return False
         delay_s = FIRST_TRIAL_DELAY_S * TRIAL_BACKOFF**excess + TURN_S * rank
         if now - max(ended_at, tried_at) < delay_s:
             return False
--- a/tests/steering/test_poison_trials.py
+++ b/tests/steering/test_poison_trials.py
@@ -56,3 +56,9 @@
     for number in range(MAX_REQUESTS + 10):
         trials.claim(f'p{number}', MAX_ENDED_TARGETS, 0, 0, FIRST_TRIAL_DELAY_S)
     assert len(trials._tried_at) == MAX_REQUESTS
+
+
+def test_many_ends_leave_no_trial():
+    """Guards against a delay that is out of range after many ends."""
+    trials = PoisonTrials()
+    assert not trials.claim('p', 10_000, 0, 0, REMEMBERED_S)
